Let unreachable workers lapse, and take cancels behind their jobs

Ruled out: the leader's row (epochs rose by one each time), late orders. Change: only a lapsed lease or another life proves a worker clear; a worker that does not answer gets no lease; jobs are taken in before cancels. Tests follow with the fakes of store and workers.

--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -15,6 +15,15 @@
 constexpr std::string_view kJobPrefix = "j/";
 constexpr std::string_view kCancelPrefix = "c/";
 
+// The job of a row of one kind; empty for rows of the other and for removed ones.
+std::optional<JobId> IntakeRowId(const store::StoredRow& row, std::string_view prefix) {
+  const std::string_view key = row.m_key.m_key;
+  if (row.m_removed || !key.starts_with(prefix)) return std::nullopt;
+  const auto id = jobs::ParseHexJobId(key.substr(prefix.size()));
+  if (!id) log::Error(kLog, "Intake row with an unreadable key", {{"key", row.m_key.m_key}});
+  return id;
+}
+
 }  // namespace
 
 std::string JobRowKey(JobId job) {
@@ -92,18 +101,10 @@
     m_early_intake.insert(m_early_intake.end(), rows.begin(), rows.end());
     return BeginIfRead();
   }
+  // Jobs go first: in a table that is read as a whole a cancel stands before its job.
   for (const auto& row : rows) {
-    const std::string_view key = row.m_key.m_key;
-    if (row.m_removed || key.size() < kJobPrefix.size()) continue;
-    const auto id = jobs::ParseHexJobId(key.substr(kJobPrefix.size()));
-    if (!id) {
-      log::Error(kLog, "Intake row of an unknown kind", {{"key", row.m_key.m_key}});
-      continue;
-    }
-    if (key.starts_with(kCancelPrefix)) {
-      m_scheduler.OnCancel(*id, Time());
-      continue;
-    }
+    const auto id = IntakeRowId(row, kJobPrefix);
+    if (!id) continue;
     const auto job = jobs::ReadAcceptedJob(*id, row.m_value);
     if (Ok(job)) {
       m_scheduler.OnJob(ValueOf(job), Time());
@@ -111,6 +112,9 @@
       log::Error(kLog, "Intake row can't be read", {{"key", row.m_key.m_key}, {"field", ErrorOf(job).m_field}});
     }
   }
+  for (const auto& row : rows) {
+    if (const auto id = IntakeRowId(row, kCancelPrefix)) m_scheduler.OnCancel(*id, Time());
+  }
   Kick();
 }
 
@@ -133,12 +137,10 @@
 
 void SchedulerDriver::BeginIfRead() {
   if (m_ready || !m_intake_read || !m_state_read || !m_workers_read) return;
-  std::vector<store::StoredRow> cancels;
   for (const auto& row : m_early_intake) {
-    const std::string_view key = row.m_key.m_key;
-    if (row.m_removed || !key.starts_with(kJobPrefix)) continue;
-    const auto id = jobs::ParseHexJobId(key.substr(kJobPrefix.size()));
-    const auto job = id ? jobs::ReadAcceptedJob(*id, row.m_value) : Parsed<jobs::AcceptedJob>(FieldError{"key", ""});
+    const auto id = IntakeRowId(row, kJobPrefix);
+    if (!id) continue;
+    const auto job = jobs::ReadAcceptedJob(*id, row.m_value);
     if (Ok(job)) {
       m_scheduler.RestoreJob(ValueOf(job));
     } else {
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -167,7 +167,9 @@
 
 void WorkerSessions::Look(const WorkerId& id, const std::shared_ptr<Session>& session, Millis wait) {
   jobs::LookCall call{m_epoch, session->m_known_ends, std::nullopt, wait};
-  if (session->m_established && m_events.m_may_grant() && m_scheduler->IsBusy(id)) {
+  // One that does not answer gets no longer lease: whether the call arrives is unknown, and the end would never come.
+  const bool grant = session->m_established && session->m_failures == 0 && m_events.m_may_grant();
+  if (grant && m_scheduler->IsBusy(id)) {
     call.m_lease_until = GrantLease(session.get());
   }
   const Instant sent = m_clock->Now();
@@ -214,8 +216,6 @@
   m_scheduler->SetWorkerUsable(id, false);
   if (session->m_failures == 2) log::Warn(kLog, "Worker does not answer", {{"worker", id.m_value}});
   if (failure == jobs::LookFailure::kOtherLife) Clear(id, session, "another life answers");
-  // A process that was taken off the list and whose port is closed has ended.
-  if (failure == jobs::LookFailure::kRefused && !session->m_listed) Clear(id, session, "nothing listens");
   m_events.m_changed();
 }
 
