Keep leases as long as the platform allows: work on the far side of a cut goes on

Cause: with leases of 4 s everything in a failure domain that is cut off for 5 to 6 s was lost. Ruled out: shorter detection instead, since an unreachable worker may still run.

--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -20,7 +20,7 @@
 namespace hickoryquay::service {
 
 struct SessionSettings {
-  Millis m_lease{4'000};           // Of what runs on a worker; at most what the platform allows.
+  Millis m_lease{10'000};          // Of what runs on a worker; cut to what the platform allows.
   Millis m_inherited_lease{12'000};  // What an earlier leader may have granted, counted from the takeover.
   Millis m_look_wait{1'500};       // Of one long look; renews the lease well within its length.
   Millis m_look_timeout{700};      // Of a look, beyond its wait.
