Take the platform's list of machines as proof that a worker's life is over

Ruled out: a refused connection as proof (cuts refuse too). Change: an earlier leader's leases are waited for only as long as it can have granted them (its own allowance without a renewal falls from 6 s to 1.5 s, since leases now outlast an outage); a worker that does not answer is looked up in the platform's list of machines, and its tasks are placed anew where its life is not there.

--- a/hickoryquay/jobs/worker_port.h
+++ b/hickoryquay/jobs/worker_port.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -116,4 +117,14 @@
   virtual void Look(const WorkerTarget& worker, const LookCall& call, Millis timeout, LookCallback callback) = 0;
 };
 
+// Ids of all lives of workers that the platform knows; the error says why there is no list.
+using LivesCallback = std::function<void(Result<std::set<WorkerId>, std::string>)>;
+
+// What the platform itself knows of its workers, whether this instance reaches them or not.
+class LifeDirectory {
+ public:
+  virtual ~LifeDirectory() = default;
+  virtual void ListLives(Millis timeout, LivesCallback callback) = 0;  // Answers exactly once, never inside the call.
+};
+
 }  // namespace hickoryquay::jobs
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -53,8 +53,10 @@
   driver.m_scheduler.m_restore = terms.m_restore;
   driver.m_scheduler.m_keep_ended = terms.m_keep_ended;
   driver.m_sessions.m_lease = std::min(driver.m_sessions.m_lease, terms.m_longest_lease);
-  // An earlier leader may have extended leases as long as it was allowed to without renewing its role.
-  driver.m_sessions.m_inherited_lease = LeadershipSettings{}.m_grant_for + 2 * driver.m_sessions.m_lease;
+  // An earlier leader may have extended leases as long as it was allowed to without renewing its role, which is over by
+  // about the time at which a successor takes over.
+  const LeadershipSettings leadership;
+  driver.m_sessions.m_inherited_lease = std::max(Millis{0}, leadership.m_grant_for - leadership.m_take_over_after);
   return driver;
 }
 
@@ -231,8 +233,8 @@
 
 void JobService::OnElected(Epoch) {
   const auto weak = weak_from_this();
-  DriverParts parts{m_parts.m_store, m_parts.m_workers, m_parts.m_timers, m_parts.m_clock, m_parts.m_metrics,
-                    m_parts.m_read_worker};
+  DriverParts parts{m_parts.m_store, m_parts.m_workers, m_parts.m_lives,      m_parts.m_timers,
+                    m_parts.m_clock, m_parts.m_metrics, m_parts.m_read_worker};
   m_driver = std::make_shared<SchedulerDriver>(
       parts, m_leadership, ForDriver(m_settings),
       SchedulerDriver::Events{[weak](const std::vector<jobs::PhaseChange>& phases) {
--- a/hickoryquay/service/job_service.h
+++ b/hickoryquay/service/job_service.h
@@ -50,6 +50,7 @@
   boost::asio::io_context* m_io = nullptr;
   store::RowStore* m_store = nullptr;
   jobs::WorkerPort* m_workers = nullptr;
+  jobs::LifeDirectory* m_lives = nullptr;
   TimerService* m_timers = nullptr;
   const Clock* m_clock = nullptr;
   Metrics* m_metrics = nullptr;
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -42,7 +42,7 @@
   Millis m_heard_for{700};       // A leader's beat is believed for this long; beats come every 200 ms.
   Millis m_call_timeout{1'000};  // Of one call. A slowed store answers in 250 ms.
   Millis m_retry{40};            // After a refused write.
-  Millis m_grant_for{6'000};     // Without a renewal the leader extends leases this long: an outage of the store.
+  Millis m_grant_for{1'500};     // Without a renewal the leader extends leases this long. Its successor waits for them.
 };
 
 //-------------------------------------------------------------------------------------------------
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -162,7 +162,7 @@
   for (const jobs::StepRow& step : steps) m_scheduler.RestoreStep(step);
   m_ready = true;
   m_sessions = std::make_shared<WorkerSessions>(
-      &m_scheduler, m_parts.m_port, m_parts.m_timers, m_parts.m_clock, m_settings.m_sessions,
+      &m_scheduler, m_parts.m_port, m_parts.m_lives, m_parts.m_timers, m_parts.m_clock, m_settings.m_sessions,
       m_leadership->CurrentEpoch(), m_parts.m_metrics,
       WorkerSessions::Events{[this] { Kick(); }, [this] { m_events.m_fenced("a worker has seen a higher epoch"); },
                              [this] { return m_leadership->MayGrant(); }});
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -16,11 +16,12 @@
 
 }  // namespace
 
-WorkerSessions::WorkerSessions(jobs::Scheduler* scheduler, jobs::WorkerPort* port, TimerService* timers,
-                               const Clock* clock, const SessionSettings& settings, Epoch epoch, Metrics* metrics,
-                               Events events)
+WorkerSessions::WorkerSessions(jobs::Scheduler* scheduler, jobs::WorkerPort* port, jobs::LifeDirectory* lives,
+                               TimerService* timers, const Clock* clock, const SessionSettings& settings, Epoch epoch,
+                               Metrics* metrics, Events events)
     : m_scheduler(scheduler),
       m_port(port),
+      m_lives(lives),
       m_timers(timers),
       m_clock(clock),
       m_settings(settings),
@@ -49,7 +50,8 @@
     auto& session = m_sessions[worker.m_id];
     if (!session) {
       session = std::make_shared<Session>();
-      session->m_lapse_at = m_started + m_settings.m_inherited_lease;
+      session->m_known_since = m_clock->Now();
+      session->m_lapse_at = LapseOf(m_started + m_settings.m_inherited_lease);
     }
     session->m_target = {worker.m_id, worker.m_address};
     session->m_listed = true;
@@ -69,7 +71,8 @@
   if (session) return;
   session = std::make_shared<Session>();
   session->m_target = {id, address};
-  session->m_lapse_at = m_started + m_settings.m_inherited_lease;
+  session->m_known_since = m_clock->Now();
+  session->m_lapse_at = LapseOf(m_started + m_settings.m_inherited_lease);
 }
 
 //-------------------------------------------------------------------------------------------------
@@ -83,12 +86,16 @@
   const auto passed = static_cast<double>((now - session->m_clock_at).count());
   const auto slowest = static_cast<std::int64_t>(passed * (1.0 - m_settings.m_clock_drift));
   const jobs::WorkerTime until{session->m_clock.m_ms + slowest + m_settings.m_lease.count()};
-  const auto longest = std::ceil(static_cast<double>(m_settings.m_lease.count()) / (1.0 - m_settings.m_clock_drift));
-  const Instant lapse = now + Millis{static_cast<std::int64_t>(longest)} + m_settings.m_clock_slack;
-  session->m_lapse_at = std::max(session->m_lapse_at, lapse);
+  session->m_lapse_at = std::max(session->m_lapse_at, LapseOf(now));
   return until;
 }
 
+// When a lease is over for certain that was granted at some moment.
+Instant WorkerSessions::LapseOf(Instant granted) const {
+  const auto longest = std::ceil(static_cast<double>(m_settings.m_lease.count()) / (1.0 - m_settings.m_clock_drift));
+  return granted + Millis{static_cast<std::int64_t>(longest)} + m_settings.m_clock_slack;
+}
+
 void WorkerSessions::Send(const jobs::StartOrder& order) {
   const auto found = m_sessions.find(order.m_worker);
   if (found == m_sessions.end()) return m_scheduler->OnStartAnswer(order, jobs::StartOutcome::kNotSent, Time());
@@ -134,6 +141,33 @@
 void WorkerSessions::Pump() {
   const Sessions sessions = m_sessions;  // A session may end on the way.
   for (const auto& [id, session] : sessions) PumpOne(id, session);
+  const bool lost = std::any_of(sessions.begin(), sessions.end(), [this](const auto& entry) {
+    return entry.second->m_failures > 1 && !entry.second->m_cleared && m_scheduler->IsBusy(entry.first);
+  });
+  if (lost && !m_listing && m_clock->Now() - m_listed_lives >= m_settings.m_list_lives_every) ListLives();
+}
+
+void WorkerSessions::ListLives() {
+  m_listing = true;
+  m_listed_lives = m_clock->Now();
+  m_lives->ListLives(m_settings.m_list_timeout,
+                     [weak = weak_from_this(), asked = m_listed_lives](Result<std::set<WorkerId>, std::string> lives) {
+                       const auto self = weak.lock();
+                       if (!self || self->m_stopped) return;
+                       self->m_listing = false;
+                       if (Ok(lives)) return self->OnLives(ValueOf(lives), asked);
+                       log::Warn(kLog, "No list of lives", {{"why", ErrorOf(lives)}});
+                     });
+}
+
+void WorkerSessions::OnLives(const std::set<WorkerId>& lives, Instant asked) {
+  const Sessions sessions = m_sessions;
+  for (const auto& [id, session] : sessions) {
+    const bool lost = session->m_failures > 1 && !session->m_cleared && m_scheduler->IsBusy(id);
+    if (!lost || lives.contains(id) || asked - session->m_known_since < m_settings.m_list_lag) continue;
+    Clear(id, session, "the platform no longer knows it");
+  }
+  m_events.m_changed();
 }
 
 void WorkerSessions::PumpOne(const WorkerId& id, const std::shared_ptr<Session>& session) {
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -2,12 +2,13 @@
 //
 // A busy worker has one long look outstanding, which comes back when a task ends and renews the lease of everything on
 // it. An idle worker is left alone once it has seen this leader's epoch. A worker that can't be reached is declared clear
-// once the last lease that may have reached it is over.
+// once the last lease that may have reached it is over, or once the platform no longer knows its life.
 #pragma once
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,7 @@
 
 struct SessionSettings {
   Millis m_lease{10'000};          // Of what runs on a worker; cut to what the platform allows.
-  Millis m_inherited_lease{12'000};  // What an earlier leader may have granted, counted from the takeover.
+  Millis m_inherited_lease{400};   // How long after the takeover an earlier leader may have granted leases.
   Millis m_look_wait{1'500};       // Of one long look; renews the lease well within its length.
   Millis m_look_timeout{700};      // Of a look, beyond its wait.
   Millis m_order_timeout{350};     // Of a start or stop: a hundred round trips within the region.
@@ -29,9 +30,12 @@
   Millis m_unstored_pause{300};    // Between looks while ends wait to be stored.
   double m_clock_drift = 0.02;     // Workers' clocks may be this much slow.
   Millis m_clock_slack{100};       // Added to every lease that is waited for.
+  Millis m_list_lives_every{1'000};  // While a worker with tasks does not answer.
+  Millis m_list_lag{3'000};        // The list of lives may miss one that is younger than this.
+  Millis m_list_timeout{1'500};    // Of all pages of that list.
 };
 
-// One thread. `scheduler`, `port`, `timers` and `clock` outlive it.
+// One thread. `scheduler`, `port`, `lives`, `timers` and `clock` outlive it.
 class WorkerSessions : public std::enable_shared_from_this<WorkerSessions> {
  public:
   struct Events {
@@ -40,8 +44,8 @@
     std::function<bool()> m_may_grant;      // Leases may be extended.
   };
 
-  WorkerSessions(jobs::Scheduler* scheduler, jobs::WorkerPort* port, TimerService* timers, const Clock* clock,
-                 const SessionSettings& settings, Epoch epoch, Metrics* metrics, Events events);
+  WorkerSessions(jobs::Scheduler* scheduler, jobs::WorkerPort* port, jobs::LifeDirectory* lives, TimerService* timers,
+                 const Clock* clock, const SessionSettings& settings, Epoch epoch, Metrics* metrics, Events events);
 
   void Start();
   void Stop();
@@ -66,6 +70,7 @@
     int m_looks = 0;             // Under way, the long one included.
     int m_failures = 0;          // In a row.
     Instant m_retry_at;
+    Instant m_known_since;
     Instant m_last_look;         // When the last one was sent.
     Instant m_quick_look;        // When the last one beside a long one was sent.
     std::int64_t m_seen_ends = 0;
@@ -78,6 +83,8 @@
   };
   using Sessions = std::map<WorkerId, std::shared_ptr<Session>>;
 
+  void ListLives();
+  void OnLives(const std::set<WorkerId>& lives, Instant asked);
   void PumpOne(const WorkerId& id, const std::shared_ptr<Session>& session);
   void Look(const WorkerId& id, const std::shared_ptr<Session>& session, Millis wait);
   void OnLook(const WorkerId& id, const std::shared_ptr<Session>& session, const jobs::LookCall& call, Instant sent,
@@ -85,10 +92,12 @@
   void OnFailure(const WorkerId& id, const std::shared_ptr<Session>& session, jobs::LookFailure failure);
   void Clear(const WorkerId& id, const std::shared_ptr<Session>& session, const char* why);
   jobs::WorkerTime GrantLease(Session* session);
+  Instant LapseOf(Instant granted) const;
   jobs::Now Time() const { return {m_clock->Now(), m_clock->Wall()}; }
 
   jobs::Scheduler* m_scheduler;
   jobs::WorkerPort* m_port;
+  jobs::LifeDirectory* m_lives;
   TimerService* m_timers;
   const Clock* m_clock;
   SessionSettings m_settings;
@@ -96,6 +105,8 @@
   Events m_events;
   Sessions m_sessions;
   Instant m_started;
+  Instant m_listed_lives;  // When they were last asked for.
+  bool m_listing = false;
   bool m_stopped = false;
   Subscription m_tick;
   Counter* m_looks_sent;
--- a/hickoryquay/settings/node_settings.cc
+++ b/hickoryquay/settings/node_settings.cc
@@ -61,7 +61,8 @@
 }
 
 std::vector<Key<All>> StoreKeys() {
-  return {{"store", "address", Need::kRequired, Address(&All::m_store, &StoreSection::m_address)}};
+  return {{"store", "address", Need::kRequired, Address(&All::m_store, &StoreSection::m_address)},
+          {"machines", "address", Need::kRequired, Address(&All::m_machines, &MachinesSection::m_address)}};
 }
 
 std::vector<Key<All>> TermsKeys() {
--- a/hickoryquay/settings/node_settings.h
+++ b/hickoryquay/settings/node_settings.h
@@ -39,6 +39,11 @@
   net::Endpoint m_address;  // Required.
 };
 
+// [machines]
+struct MachinesSection {
+  net::Endpoint m_address;  // Where the platform lists its machines; required.
+};
+
 // [terms]: what the platform promises of its workers.
 struct TermsSection {
   Millis m_longest_lease{6'000};   // A longer lease of a worker is cut to this.
@@ -57,6 +62,7 @@
 struct NodeSettings {
   NodeSection m_node;
   StoreSection m_store;
+  MachinesSection m_machines;
   TermsSection m_terms;
   log::Settings m_log;
 };
