Look once behind an acknowledged stop; log what a job asks for

Cause: a run that was being stopped kept its worker in a loop of looks without a wait, one round trip each. Change: a look is called for only where none was sent since the stop's answer. The line of a job's intake says what it asks for, by when, and for whom.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -85,8 +85,21 @@
 void Scheduler::OnJob(const AcceptedJob& job, Now now) {
   if (Find(job.m_id) != nullptr) return;
   RestoreJob(job);
-  log::Info(kLog, "Job taken in", {{"job", HexText(job.m_id)}, {"queue", job.m_queue.m_value}});
-  OpenSteps(Find(job.m_id), now);
+  JobState* state = Find(job.m_id);
+  OpenSteps(state, now);
+  const StepSpec& first = job.m_request.m_steps.front();
+  log::Info(kLog, "Job taken in",
+            {{"job", HexText(job.m_id)},
+             {"queue", job.m_queue.m_value},
+             {"account", job.m_account.m_value},
+             {"priority", std::to_string(job.m_priority)},
+             {"steps", std::to_string(job.m_request.m_steps.size())},
+             {"tasks", std::to_string(first.m_tasks)},
+             {"accelerators", std::to_string(first.m_task.m_accelerators)},
+             {"gang", first.m_gang ? first.m_rack_local ? "rack" : "any" : "no"},
+             {"label", first.m_required_label},
+             {"estimate_ms", std::to_string(ExpectedChain(*state).count())},
+             {"objective_in_ms", std::to_string((FullDeadline(*state, 0) - now.m_wall).count())}});
 }
 
 void Scheduler::OnCancel(JobId id, Now now) {
@@ -233,12 +246,13 @@
   });
 }
 
-bool Scheduler::NeedsLook(const WorkerId& worker) const {
+bool Scheduler::NeedsLook(const WorkerId& worker, Instant last) const {
   const WorkerSlot* slot = m_workers.Find(worker);
   if (slot == nullptr) return false;
-  return std::any_of(slot->m_members.begin(), slot->m_members.end(), [](const auto& held) {
+  return std::any_of(slot->m_members.begin(), slot->m_members.end(), [last](const auto& held) {
     const Member& member = held.first->m_members[held.second];
-    return member.m_state == MemberState::kUnknown || member.m_stop == StopState::kAcknowledged;
+    return (member.m_state == MemberState::kUnknown && member.m_since >= last) ||
+           (member.m_stop == StopState::kAcknowledged && member.m_stop_at >= last);
   });
 }
 
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -139,7 +139,8 @@
   std::vector<StopOrder> TakeStops(Now now);    // May be sent at once.
   bool StillWanted(const StartOrder& order) const;
   bool IsBusy(const WorkerId& worker) const;    // Something runs there, or may.
-  bool NeedsLook(const WorkerId& worker) const;  // Something there is settled only by a look that starts now.
+  // Something there is settled only by a look that was sent after `last`.
+  bool NeedsLook(const WorkerId& worker, Instant last) const;
   std::vector<std::pair<WorkerId, std::string>> HeldWorkers() const;  // With addresses; those of restored runs too.
 
   std::map<QueueName, int> Pending() const;  // Accepted jobs of which no task has started, by queue.
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -182,10 +182,8 @@
     m_events.m_changed();
   }
   if (session->m_looks > 0) {
-    const bool quick = session->m_long_look && session->m_looks == 1 && m_scheduler->NeedsLook(id) &&
-                       now - session->m_quick_look >= m_settings.m_retry;
+    const bool quick = session->m_long_look && session->m_looks == 1 && m_scheduler->NeedsLook(id, session->m_last_look);
     if (!quick) return;
-    session->m_quick_look = now;
     return Look(id, session, Millis{0});
   }
   if (now < session->m_retry_at) return;
@@ -195,7 +193,7 @@
     if (busy && now - session->m_last_look >= m_settings.m_unstored_pause) Look(id, session, Millis{0});
     return;
   }
-  if (busy) return Look(id, session, m_scheduler->NeedsLook(id) ? Millis{0} : m_settings.m_look_wait);
+  if (busy) return Look(id, session, m_scheduler->NeedsLook(id, session->m_last_look) ? Millis{0} : m_settings.m_look_wait);
   if (session->m_told_ends < session->m_known_ends || session->m_failures > 0) Look(id, session, Millis{0});
 }
 
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -72,7 +72,6 @@
     Instant m_retry_at;
     Instant m_known_since;
     Instant m_last_look;         // When the last one was sent.
-    Instant m_quick_look;        // When the last one beside a long one was sent.
     std::int64_t m_seen_ends = 0;
     std::int64_t m_known_ends = 0;  // Stored.
     std::int64_t m_told_ends = 0;   // The worker knows that they are.
