Test the service in virtual time against a simulated store and simulated workers

The simulated workers check what they see: two runs of a task, room, labels, order of steps, attempts, cancels. Instances can be killed, suspended and cut off from the store.

--- /dev/null
+++ b/standin/sim_store.cc
@@ -0,0 +1,146 @@
+#include "standin/sim_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickoryquay::standin {
+
+namespace {
+
+constexpr Millis kFeedPoll{5};  // How soon a waiting feed sees a change.
+constexpr int kEarliestLateMs = 1'000;
+constexpr int kLatestLateMs = 6'000;
+
+}  // namespace
+
+void SimStore::Put(const store::RowKey& key, const std::string& value) {
+  const store::StoredRow row{key, value, Next(), false};
+  m_rows[key] = row;
+  m_history.push_back(row);
+}
+
+void SimStore::Remove(const store::RowKey& key) {
+  if (m_rows.erase(key) > 0) m_history.push_back({key, "", Next(), true});
+}
+
+std::vector<store::StoredRow> SimStore::Rows(const std::string& table) const {
+  std::vector<store::StoredRow> rows;
+  for (const auto& [key, row] : m_rows) {
+    if (key.m_table == table) rows.push_back(row);
+  }
+  return rows;
+}
+
+Result<Version, store::TransactError> SimStore::Apply(const store::Transaction& transaction) {
+  store::RowsDiffer differ;
+  for (const store::RowCheck& check : transaction.m_checks) {
+    const auto found = m_rows.find(check.m_key);
+    const Version version = found == m_rows.end() ? Version{} : found->second.m_version;
+    if (version != check.m_expected) {
+      differ.m_rows.push_back(found == m_rows.end() ? store::StoredRow{check.m_key, "", Version{}, false}
+                                                    : found->second);
+    }
+  }
+  if (!differ.m_rows.empty()) return store::TransactError{differ};
+  ++m_writes;
+  const Version version = Next();
+  for (const store::RowPut& put : transaction.m_puts) {
+    const store::StoredRow row{put.m_key, put.m_value, version, false};
+    m_rows[put.m_key] = row;
+    m_history.push_back(row);
+  }
+  for (const store::RowKey& key : transaction.m_removals) {
+    if (m_rows.erase(key) > 0) m_history.push_back({key, "", version, true});
+  }
+  return version;
+}
+
+Result<store::RowPage, store::ReadError> SimStore::Page(const store::RowRange& range, int limit) const {
+  store::RowPage page;
+  page.m_version = m_version;
+  for (auto it = m_rows.lower_bound({range.m_table, range.m_part, range.m_from}); it != m_rows.end(); ++it) {
+    const store::RowKey& key = it->first;
+    if (key.m_table != range.m_table || key.m_part != range.m_part) break;
+    if (!range.m_to.empty() && key.m_key >= range.m_to) break;
+    if (static_cast<int>(page.m_rows.size()) == limit) {
+      page.m_more = true;
+      break;
+    }
+    page.m_rows.push_back(it->second);
+  }
+  return page;
+}
+
+Result<store::RowPage, store::ReadError> SimStore::Changes(const std::string& table, Version after) const {
+  if (after < m_history_from) return store::ReadError{store::HistoryGone{}};
+  store::RowPage page;
+  page.m_version = m_version;
+  for (const store::StoredRow& row : m_history) {
+    if (row.m_version > after && row.m_key.m_table == table) page.m_rows.push_back(row);
+  }
+  return page;
+}
+
+void SimStoreClient::Transact(const store::Transaction& transaction, Millis timeout, store::TransactCallback callback) {
+  TimerService* timers = m_store->m_timers;
+  const Millis half = m_store->m_settings.m_latency / 2;
+  const auto silent = [timers, timeout, callback] {
+    timers->After(timeout, [callback] { callback(store::TransactError{store::StoreSilent{"timed out"}}); }).Detach();
+  };
+  const bool hit = m_mood == StoreMood::kServes || m_store->Chance(m_share);
+  if (hit && m_mood == StoreMood::kSilent) return silent();
+  if (hit && m_mood == StoreMood::kRefuses) {
+    timers->After(half, [callback] { callback(store::TransactError{store::StoreRefused{"status 503"}}); }).Detach();
+    return;
+  }
+  const bool lost = hit && (m_mood == StoreMood::kLosesWrites || m_mood == StoreMood::kLateWrites);
+  const bool late = hit && m_mood == StoreMood::kLateWrites;
+  const Millis delay =
+      late ? Millis{std::uniform_int_distribution<>(kEarliestLateMs, kLatestLateMs)(m_store->m_random)} : half;
+  timers
+      ->After(delay,
+              [store = m_store, transaction, callback, lost, half, timers] {
+                auto result = store->Apply(transaction);
+                if (lost) return;
+                timers->After(half, [callback, result] { callback(result); }).Detach();
+              })
+      .Detach();
+  if (lost) silent();
+}
+
+void SimStoreClient::Read(const store::RowRange& range, int limit, Millis timeout, store::ReadCallback callback) {
+  TimerService* timers = m_store->m_timers;
+  if (m_mood == StoreMood::kSilent || m_mood == StoreMood::kRefuses) {
+    const Millis delay = m_mood == StoreMood::kSilent ? timeout : m_store->m_settings.m_latency;
+    timers->After(delay, [callback] { callback(store::ReadError{store::Unreachable{"away"}}); }).Detach();
+    return;
+  }
+  timers
+      ->After(m_store->m_settings.m_latency,
+              [store = m_store, range, limit, callback] { callback(store->Page(range, limit)); })
+      .Detach();
+}
+
+void SimStoreClient::Feed(const std::string& table, Version after, Millis wait, Millis timeout,
+                          store::ReadCallback callback) {
+  TimerService* timers = m_store->m_timers;
+  if (m_mood == StoreMood::kSilent || m_mood == StoreMood::kRefuses) {
+    const Millis delay = m_mood == StoreMood::kSilent ? timeout : m_store->m_settings.m_latency;
+    timers->After(delay, [callback] { callback(store::ReadError{store::Unreachable{"away"}}); }).Detach();
+    return;
+  }
+  PollFeed(table, after, wait, std::move(callback));
+}
+
+void SimStoreClient::PollFeed(const std::string& table, Version after, Millis left, store::ReadCallback callback) {
+  auto page = m_store->Changes(table, after);
+  if (!Ok(page) || !ValueOf(page).m_rows.empty() || left.count() <= 0) {
+    m_store->m_timers->After(m_store->m_settings.m_latency, [callback, page] { callback(page); }).Detach();
+    return;
+  }
+  m_store->m_timers
+      ->After(kFeedPoll, [this, table, after, left, callback] { PollFeed(table, after, left - kFeedPoll, callback); })
+      .Detach();
+}
+
+}  // namespace hickoryquay::standin
--- /dev/null
+++ b/standin/sim_store.h
@@ -0,0 +1,86 @@
+// SimStore: the platform's store of rows in memory, in virtual time, with the moods that it may have.
+//
+// Each instance talks through a SimStoreClient of its own, which can be cut off while others are served.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "hickoryquay/base/timer_service.h"
+#include "hickoryquay/store/row_store.h"
+
+namespace hickoryquay::standin {
+
+struct SimStoreSettings {
+  Millis m_latency{4};           // Of a call, both ways together.
+  std::uint64_t m_random_seed = 1;
+};
+
+// What a client meets at the store.
+enum class StoreMood {
+  kServes,
+  kRefuses,      // Answers at once that nothing was done.
+  kSilent,       // Nothing arrives, no answer.
+  kLosesWrites,  // Of writes: some are done without an answer.
+  kLateWrites,   // Of writes: some get no answer and are done seconds later, if their checks still hold.
+};
+
+// Not thread-safe.
+class SimStore {
+ public:
+  SimStore(TimerService* timers, const SimStoreSettings& settings)
+      : m_timers(timers), m_settings(settings), m_random(settings.m_random_seed) {}
+
+  void Put(const store::RowKey& key, const std::string& value);  // As the operator and the workers do.
+  void Remove(const store::RowKey& key);
+  void ForgetHistory() { m_history_from = m_version; }
+  std::vector<store::StoredRow> Rows(const std::string& table) const;
+  std::int64_t Writes() const { return m_writes; }
+
+ private:
+  friend class SimStoreClient;
+
+  Result<Version, store::TransactError> Apply(const store::Transaction& transaction);
+  Result<store::RowPage, store::ReadError> Page(const store::RowRange& range, int limit) const;
+  Result<store::RowPage, store::ReadError> Changes(const std::string& table, Version after) const;
+  Version Next() { return m_version = Version{Raw(m_version) + 1}; }
+  bool Chance(double share) { return std::uniform_real_distribution<>(0.0, 1.0)(m_random) < share; }
+
+  TimerService* m_timers;
+  SimStoreSettings m_settings;
+  std::mt19937_64 m_random;
+  std::map<store::RowKey, store::StoredRow> m_rows;
+  std::vector<store::StoredRow> m_history;  // In order of versions.
+  Version m_version{};
+  Version m_history_from{};
+  std::int64_t m_writes = 0;
+};
+
+// Outlived by the store.
+class SimStoreClient final : public store::RowStore {
+ public:
+  explicit SimStoreClient(SimStore* store) : m_store(store) {}
+
+  void SetMood(StoreMood mood, double share = 1.0) {
+    m_mood = mood;
+    m_share = share;
+  }
+
+  void Transact(const store::Transaction& transaction, Millis timeout, store::TransactCallback callback) override;
+  void Read(const store::RowRange& range, int limit, Millis timeout, store::ReadCallback callback) override;
+  void Feed(const std::string& table, Version after, Millis wait, Millis timeout,
+            store::ReadCallback callback) override;
+
+ private:
+  void PollFeed(const std::string& table, Version after, Millis left, store::ReadCallback callback);
+
+  SimStore* m_store;
+  StoreMood m_mood = StoreMood::kServes;
+  double m_share = 1.0;
+};
+
+}  // namespace hickoryquay::standin
--- /dev/null
+++ b/standin/sim_workers.h
@@ -0,0 +1,163 @@
+// SimWorkers: workers that run tasks in virtual time, with the faults that they may have, and an account of everything
+// that happened to them, checked against what must always hold.
+//
+// Index of this file:
+//   [SECTION] Tasks as they are
+//   [SECTION] Workers
+//   [SECTION] SimWorkers
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "hickoryquay/base/timer_service.h"
+#include "hickoryquay/jobs/worker_port.h"
+
+namespace hickoryquay::standin {
+
+//-------------------------------------------------------------------------------------------------
+// [SECTION] Tasks as they are
+//-------------------------------------------------------------------------------------------------
+
+// What a step's tasks really do, whatever their caller estimated.
+struct StepTruth {
+  jobs::StepSpec m_spec;
+  jobs::PoolName m_pool;
+  std::vector<Millis> m_work;       // Of each task, on a worker of speed 1.
+  int m_failing_runs = 0;           // So many runs of each task fail by their own fault, at half of their work.
+  int m_max_attempts = 1;
+};
+
+//-------------------------------------------------------------------------------------------------
+// [SECTION] Workers
+//-------------------------------------------------------------------------------------------------
+
+struct SimWorkerSettings {
+  jobs::WorkerEntry m_entry;
+  double m_speed = 1.0;
+  Millis m_clock_offset{0};  // Of its steady clock.
+};
+
+struct SimSettings {
+  Millis m_latency{2};  // Of a call, both ways together.
+  Millis m_stop{200};
+  Millis m_gang_timeout{3'000};
+  Millis m_longest_lease{6'000};
+  Millis m_restore{250};
+  Millis m_checkpoint_every{1'000};
+  double m_remote_factor = 3.0;
+  std::uint64_t m_random_seed = 1;
+};
+
+// What a worker does beside what it should.
+struct WorkerFaults {
+  bool m_cut = false;           // Nothing arrives, nothing comes back.
+  bool m_resets = false;        // As a cut, but connections are reset at once.
+  bool m_fails = false;         // Everything that it starts.
+  bool m_hangs = false;         // Tasks stand still.
+  double m_slowdown = 1.0;
+  double m_late_orders = 0.0;   // This share of starts and stops gets no answer and is carried out 2 to 12 s later.
+  double m_lost_answers = 0.0;  // This share is carried out without an answer.
+};
+
+//-------------------------------------------------------------------------------------------------
+// [SECTION] SimWorkers
+//-------------------------------------------------------------------------------------------------
+
+// Not thread-safe. `Advance` of the timers moves tasks on every kTick.
+class SimWorkers final : public jobs::WorkerPort, public jobs::LifeDirectory {
+ public:
+  SimWorkers(TimerService* timers, const Clock* clock, const SimSettings& settings);
+
+  void Add(const SimWorkerSettings& worker);
+  void Kill(const WorkerId& worker);  // Its life is over; nothing runs there any more.
+  WorkerFaults& Faults(const WorkerId& worker) { return m_workers.at(worker).m_faults; }
+  void Know(const jobs::StepKey& step, const StepTruth& truth) { m_truths[step] = truth; }
+  void ForbidJob(JobId job, Instant from) { m_forbidden[job] = from; }  // Cancelled: no start from then on.
+
+  void Start(const jobs::WorkerTarget& worker, const jobs::StartCall& call, Millis timeout,
+             jobs::StartCallback callback) override;
+  void Stop(const jobs::WorkerTarget& worker, const jobs::StopCall& call, Millis timeout,
+            jobs::StopCallback callback) override;
+  void Look(const jobs::WorkerTarget& worker, const jobs::LookCall& call, Millis timeout,
+            jobs::LookCallback callback) override;
+  void ListLives(Millis timeout, jobs::LivesCallback callback) override;
+
+  // What must not happen and did; empty is good.
+  const std::vector<std::string>& Violations() const { return m_violations; }
+  int Starts() const { return m_starts; }
+  int Looks() const { return m_looks; }
+  int Running() const;
+  std::optional<Instant> DoneAt(const jobs::TaskKey& task) const;
+  double WastedCoreSeconds() const { return m_wasted; }
+  int UsedAccelerators() const;
+
+ private:
+  static constexpr Millis kTick{10};
+
+  struct Run {
+    jobs::TaskKey m_task;
+    jobs::RunNumber m_run{};
+    Instant m_started;
+    double m_worked_ms = 0.0;  // Of its work, on a worker of speed 1; from the checkpoint on.
+    double m_saved_ms = 0.0;
+    std::optional<Instant> m_stops_at;
+    bool m_working = false;  // All members of its gang are there.
+    bool m_remote = false;   // Away from its data, or in a gang across racks.
+  };
+  struct Worker {
+    SimWorkerSettings m_settings;
+    WorkerFaults m_faults;
+    bool m_alive = true;
+    Epoch m_epoch{};
+    jobs::WorkerTime m_lease_until;
+    std::map<jobs::TaskKey, Run> m_runs;
+    std::map<jobs::TaskKey, jobs::RunNumber> m_closed;  // Runs up to this are refused.
+    std::vector<jobs::EndedTask> m_ended;
+    std::int64_t m_last_end = 0;
+  };
+
+  bool Resets(std::map<WorkerId, Worker>::const_iterator found) const {
+    return found != m_workers.end() && found->second.m_alive && found->second.m_faults.m_resets;
+  }
+  void Tick();
+  void MoveOn(Worker* worker, double ms);
+  void Finish(Worker* worker, const jobs::TaskKey& task, jobs::EndKind kind);
+  void BreakGang(const jobs::StepKey& step, jobs::RunNumber run, jobs::EndKind kind, const jobs::TaskKey& but);
+  bool GangWhole(const Run& run) const;
+  bool IsRemote(const Run& run, const Worker& worker) const;
+  jobs::StartReply CarryOutStart(Worker* worker, const jobs::StartCall& call);
+  jobs::StopOutcome CarryOutStop(Worker* worker, const jobs::StopCall& call);
+  jobs::LookReply ListOf(const Worker& worker) const;
+  void CheckStart(const Worker& worker, const jobs::StartCall& call);
+  void Violation(const std::string& what);
+  jobs::WorkerTime ClockOf(const Worker& worker) const;
+  void ExtendLease(Worker* worker, jobs::WorkerTime until);
+  void AnswerLook(const WorkerId& id, const jobs::LookCall& call, Millis left, const jobs::LookCallback& callback);
+  bool Chance(double share) { return share > 0.0 && std::uniform_real_distribution<>(0.0, 1.0)(m_random) < share; }
+  Millis LateBy();
+  void After(Millis delay, std::function<void()> what) { m_timers->After(delay, std::move(what)).Detach(); }
+
+  TimerService* m_timers;
+  const Clock* m_clock;
+  SimSettings m_settings;
+  std::mt19937_64 m_random;
+  std::map<WorkerId, Worker> m_workers;
+  std::map<jobs::StepKey, StepTruth> m_truths;
+  std::map<JobId, Instant> m_forbidden;
+  std::map<jobs::TaskKey, Instant> m_done;           // Noted by a scheduler.
+  std::map<jobs::TaskKey, Instant> m_done_unnoted;
+  std::map<jobs::TaskKey, std::set<jobs::RunNumber>> m_failed;  // Noted.
+  std::vector<std::string> m_violations;
+  int m_starts = 0;
+  int m_looks = 0;
+  double m_wasted = 0.0;
+  Subscription m_tick;
+};
+
+}  // namespace hickoryquay::standin
--- /dev/null
+++ b/tests/service/gate.h
@@ -0,0 +1,115 @@
+// Gate: everything that reaches one simulated process passes through its gate, which can be closed: the process is
+// suspended, and what came in meanwhile is delivered when it wakes.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "hickoryquay/base/timer_service.h"
+#include "hickoryquay/jobs/worker_port.h"
+#include "hickoryquay/store/row_store.h"
+
+namespace hickoryquay::service {
+
+class Gate {
+ public:
+  // Delivers now, or at the next Open.
+  void Deliver(std::function<void()> what) {
+    if (m_dead) return;
+    if (!m_closed) return what();
+    m_held.push_back(std::move(what));
+  }
+  void Close() { m_closed = true; }
+  void Open() {
+    m_closed = false;
+    for (auto& what : std::exchange(m_held, {})) Deliver(std::move(what));
+  }
+  void Kill() {
+    m_dead = true;
+    m_held.clear();
+  }
+  bool Closed() const { return m_closed; }
+
+ private:
+  bool m_closed = false;
+  bool m_dead = false;
+  std::vector<std::function<void()>> m_held;
+};
+
+using SharedGate = std::shared_ptr<Gate>;
+
+class GatedTimers final : public TimerService {
+ public:
+  GatedTimers(SharedGate gate, TimerService* inner) : m_gate(std::move(gate)), m_inner(inner) {}
+
+  Subscription After(Millis delay, Callback callback) override {
+    return m_inner->After(delay, [gate = m_gate, callback = std::move(callback)] { gate->Deliver(callback); });
+  }
+  Subscription Every(Millis period, Callback callback) override {
+    return m_inner->Every(period, [gate = m_gate, callback = std::move(callback)] { gate->Deliver(callback); });
+  }
+
+ private:
+  SharedGate m_gate;
+  TimerService* m_inner;
+};
+
+class GatedStore final : public store::RowStore {
+ public:
+  GatedStore(SharedGate gate, store::RowStore* inner) : m_gate(std::move(gate)), m_inner(inner) {}
+
+  void Transact(const store::Transaction& transaction, Millis timeout, store::TransactCallback callback) override {
+    m_inner->Transact(transaction, timeout, Gated<Result<Version, store::TransactError>>(std::move(callback)));
+  }
+  void Read(const store::RowRange& range, int limit, Millis timeout, store::ReadCallback callback) override {
+    m_inner->Read(range, limit, timeout, Gated<Result<store::RowPage, store::ReadError>>(std::move(callback)));
+  }
+  void Feed(const std::string& table, Version after, Millis wait, Millis timeout,
+            store::ReadCallback callback) override {
+    m_inner->Feed(table, after, wait, timeout, Gated<Result<store::RowPage, store::ReadError>>(std::move(callback)));
+  }
+
+ private:
+  template <typename Answer>
+  std::function<void(Answer)> Gated(std::function<void(Answer)> callback) {
+    return [gate = m_gate, callback = std::move(callback)](Answer answer) {
+      gate->Deliver([callback, answer = std::move(answer)] { callback(answer); });
+    };
+  }
+
+  SharedGate m_gate;
+  store::RowStore* m_inner;
+};
+
+class GatedWorkers final : public jobs::WorkerPort {
+ public:
+  GatedWorkers(SharedGate gate, jobs::WorkerPort* inner) : m_gate(std::move(gate)), m_inner(inner) {}
+
+  void Start(const jobs::WorkerTarget& worker, const jobs::StartCall& call, Millis timeout,
+             jobs::StartCallback callback) override {
+    m_inner->Start(worker, call, timeout, Gated<jobs::StartReply>(std::move(callback)));
+  }
+  void Stop(const jobs::WorkerTarget& worker, const jobs::StopCall& call, Millis timeout,
+            jobs::StopCallback callback) override {
+    m_inner->Stop(worker, call, timeout, Gated<jobs::StopOutcome>(std::move(callback)));
+  }
+  void Look(const jobs::WorkerTarget& worker, const jobs::LookCall& call, Millis timeout,
+            jobs::LookCallback callback) override {
+    m_inner->Look(worker, call, timeout, Gated<Result<jobs::LookReply, jobs::LookFailure>>(std::move(callback)));
+  }
+
+ private:
+  template <typename Answer>
+  std::function<void(Answer)> Gated(std::function<void(Answer)> callback) {
+    return [gate = m_gate, callback = std::move(callback)](Answer answer) {
+      gate->Deliver([callback, answer = std::move(answer)] { callback(answer); });
+    };
+  }
+
+  SharedGate m_gate;
+  jobs::WorkerPort* m_inner;
+};
+
+}  // namespace hickoryquay::service
--- /dev/null
+++ b/tests/service/service_world.cc
@@ -0,0 +1,219 @@
+#include "tests/service/service_world.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "hickoryquay/model/json.h"
+
+namespace hickoryquay::service {
+
+namespace {
+
+constexpr const char* kWorkerTable = "workers";
+constexpr const char* kPool = "pool";
+constexpr Millis kRowGoesAfter{4'500};  // Three heartbeats of silence.
+constexpr int kPriorities = 3;
+
+std::string Text(const jobs::WorkerEntry& entry) {
+  return entry.m_id.m_value + (entry.m_draining ? " draining" : "");
+}
+
+}  // namespace
+
+ServiceWorld::ServiceWorld(const WorldSettings& settings) : m_settings(settings) {
+  m_clock.Set(Instant{1'000'000});
+  standin::SimStoreSettings store;
+  store.m_random_seed = settings.m_random_seed;
+  m_store = std::make_unique<standin::SimStore>(&m_timers, store);
+  m_workers = std::make_unique<standin::SimWorkers>(&m_timers, &m_clock, settings.m_workers);
+  m_configuration = std::make_shared<jobs::QueueConfiguration>();
+  m_configuration->m_version = 1;
+  for (int priority = 0; priority < kPriorities; ++priority) {
+    jobs::Queue queue;
+    queue.m_name = jobs::QueueName{"q" + std::to_string(priority)};
+    queue.m_pool = jobs::PoolName{kPool};
+    queue.m_priority = priority;
+    queue.m_max_attempts = 3;
+    queue.m_stretch = 3.0;
+    m_configuration->m_queues.push_back(queue);
+  }
+  for (int rack = 0; rack < settings.m_racks; ++rack) {
+    for (int i = 0; i < settings.m_workers_per_rack; ++i) AddWorker(WorkerOf(rack, i), "r" + std::to_string(rack));
+  }
+  for (int i = 0; i < settings.m_instances; ++i) {
+    m_clients.push_back(std::make_unique<standin::SimStoreClient>(m_store.get()));
+    m_instances.emplace_back();
+    StartInstance(i);
+  }
+}
+
+ServiceWorld::~ServiceWorld() {
+  for (int i = 0; i < m_settings.m_instances; ++i) {
+    if (Runs(i)) KillInstance(i);
+  }
+}
+
+void ServiceWorld::StartInstance(int index) {
+  auto instance = std::make_unique<Instance>();
+  Instance* self = instance.get();
+  self->m_life = ++m_lives;
+  self->m_timers = std::make_unique<GatedTimers>(self->m_gate, &m_timers);
+  self->m_store = std::make_unique<GatedStore>(self->m_gate, m_clients[Slot(index)].get());
+  self->m_port = std::make_unique<GatedWorkers>(self->m_gate, m_workers.get());
+  self->m_intake = std::make_shared<Intake>(self->m_store.get(), self->m_timers.get(), &m_clock, &m_metrics, IntakeSettings{});
+  self->m_intake->SetConfiguration(m_configuration);
+  LeadershipSettings leadership;
+  const TableNames tables;
+  leadership.m_row = {tables.m_state, tables.m_leader_part, "leader"};
+  leadership.m_node = "node-" + std::to_string(index);
+  leadership.m_self = InstanceId{"life-" + std::to_string(self->m_life)};
+  DriverSettings driver;
+  driver.m_worker_table = kWorkerTable;
+  driver.m_scheduler.m_stop_timeout = m_settings.m_workers.m_stop;
+  driver.m_sessions.m_lease = std::min(driver.m_sessions.m_lease, m_settings.m_workers.m_longest_lease);
+  const auto elected = [this, self, driver](Epoch) {
+    DriverParts parts{self->m_store.get(), self->m_port.get(), m_workers.get(), self->m_timers.get(), &m_clock, &m_metrics,
+                      [this](const store::StoredRow& row) -> std::optional<jobs::WorkerEntry> {
+                        const auto found = m_entries.find(WorkerId{row.m_key.m_key});
+                        return found == m_entries.end() ? std::nullopt : std::optional(found->second);
+                      }};
+    self->m_driver = std::make_shared<SchedulerDriver>(
+        parts, self->m_leadership, driver,
+        SchedulerDriver::Events{[](const std::vector<jobs::PhaseChange>&) {},
+                                [self](const std::string& why) { self->m_leadership->Abandon(why); }});
+    self->m_driver->SetConfiguration(m_configuration);
+    self->m_driver->Start();
+  };
+  const auto deposed = [this, self](const std::string&) {
+    if (!self->m_driver) return;
+    self->m_driver->Stop();
+    m_timers.After(Millis{0}, [driver = std::move(self->m_driver)] {}).Detach();
+    self->m_driver.reset();
+  };
+  self->m_leadership = std::make_shared<Leadership>(self->m_store.get(), self->m_timers.get(), &m_clock, leadership,
+                                                    Leadership::Events{elected, deposed});
+  self->m_leadership->Start();
+  m_instances[Slot(index)] = std::move(instance);
+}
+
+void ServiceWorld::KillInstance(int index) {
+  auto instance = std::move(m_instances[Slot(index)]);
+  instance->m_gate->Kill();
+  instance->m_leadership->Stop();
+  if (instance->m_driver) instance->m_driver->Stop();
+  m_graveyard.push_back(std::move(instance));
+}
+
+std::optional<int> ServiceWorld::Leader() const {
+  for (std::size_t i = 0; i < m_instances.size(); ++i) {
+    if (m_instances[i] && m_instances[i]->m_leadership->Leading()) return static_cast<int>(i);
+  }
+  return std::nullopt;
+}
+
+void ServiceWorld::ReleaseLeader() {
+  if (const auto leader = Leader()) m_instances[Slot(*leader)]->m_leadership->Release(Millis{1'000}, [] {});
+}
+
+WorkerId ServiceWorld::WorkerOf(int rack, int index) {
+  return WorkerId{"w" + std::to_string(rack) + "-" + std::to_string(index)};
+}
+
+void ServiceWorld::PutWorkerRow(const jobs::WorkerEntry& entry) {
+  m_entries[entry.m_id] = entry;
+  m_store->Put({kWorkerTable, "", entry.m_id.m_value}, Text(entry));
+}
+
+void ServiceWorld::AddWorker(const WorkerId& id, const std::string& rack, double speed) {
+  jobs::WorkerEntry entry;
+  entry.m_id = id;
+  entry.m_pool = jobs::PoolName{kPool};
+  entry.m_address = id.m_value;
+  entry.m_domain = DomainId{"d-" + rack};
+  entry.m_rack = rack;
+  entry.m_labels = {"a", rack};
+  entry.m_capacity = Resources{8, 64'000, 128'000};
+  m_workers->Add({entry, speed, Millis{static_cast<int>(m_worker_ids.size()) * 777}});
+  m_worker_ids.push_back(id);
+  PutWorkerRow(entry);
+}
+
+void ServiceWorld::Drain(const WorkerId& id) {
+  jobs::WorkerEntry entry = m_entries.at(id);
+  entry.m_draining = true;
+  PutWorkerRow(entry);
+}
+
+void ServiceWorld::KillWorker(const WorkerId& id) {
+  m_workers->Kill(id);
+  m_timers.After(kRowGoesAfter, [this, id] { m_store->Remove({kWorkerTable, "", id.m_value}); }).Detach();
+}
+
+void ServiceWorld::RestartWorker(const WorkerId& id, const WorkerId& as) {
+  const std::string rack = m_entries.at(id).m_rack;
+  KillWorker(id);
+  AddWorker(as, rack);
+}
+
+JobId ServiceWorld::Submit(int instance, const jobs::StepSpec& step, Millis work, int priority, int failing_runs) {
+  const JobId id = SubmitSteps(instance, {step}, work, priority);
+  standin::StepTruth truth;
+  truth.m_spec = step;
+  truth.m_pool = jobs::PoolName{kPool};
+  truth.m_work.assign(Slot(step.m_tasks), work);
+  truth.m_failing_runs = failing_runs;
+  truth.m_max_attempts = m_configuration->m_queues[Slot(priority)].m_max_attempts;
+  m_workers->Know({id, 0, 0}, truth);
+  return id;
+}
+
+JobId ServiceWorld::SubmitSteps(int instance, const std::vector<jobs::StepSpec>& steps, Millis work, int priority) {
+  const JobId id{m_next_job++};
+  const jobs::Queue& queue = m_configuration->m_queues[Slot(priority)];
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    standin::StepTruth truth;
+    truth.m_spec = steps[i];
+    truth.m_pool = queue.m_pool;
+    truth.m_work.assign(Slot(steps[i].m_tasks), work);
+    truth.m_max_attempts = queue.m_max_attempts;
+    m_workers->Know({id, 0, static_cast<int>(i)}, truth);
+  }
+  jobs::JobRequest request;
+  request.m_payload = "payload";
+  request.m_steps = steps;
+  m_submitted.push_back(id);
+  // As callers do: an unknown outcome and a refusal are tried again, at any instance.
+  IntakeOf(instance).Submit(Route{queue, AccountId{"account"}}, id, request, Millis{3'000},
+                            [this, id](const Result<Done, IntakeError>& result) {
+                              if (Ok(result)) m_accepted.insert(id);
+                            });
+  return id;
+}
+
+void ServiceWorld::Cancel(int instance, JobId job) {
+  IntakeOf(instance).Cancel(job, Millis{3'000}, [this, job](const Result<Done, IntakeError>& result) {
+    constexpr Millis kMayStillStart{3'000};
+    if (Ok(result)) m_workers->ForbidJob(job, m_clock.Now() + kMayStillStart);
+  });
+}
+
+std::optional<jobs::JobPhase> ServiceWorld::StoredPhase(JobId job) const {
+  for (const store::StoredRow& row : m_store->Rows(TableNames{}.m_state)) {
+    if (row.m_key.m_key != jobs::HexText(job)) continue;
+    const auto phase = jobs::ReadPhaseRow(row.m_value);
+    if (Ok(phase)) return ValueOf(phase).m_phase;
+  }
+  return std::nullopt;
+}
+
+void ServiceWorld::Run(Millis time) {
+  m_timers.Advance(time);
+}
+
+std::string ServiceWorld::Violations() const {
+  std::string all;
+  for (const std::string& violation : m_workers->Violations()) all += violation + "\n";
+  return all;
+}
+
+}  // namespace hickoryquay::service
--- /dev/null
+++ b/tests/service/service_world.h
@@ -0,0 +1,100 @@
+// ServiceWorld: some instances, the platform's store and its workers, in virtual time and one thread.
+//
+// Each instance is intake, leadership and scheduler as JobService wires them, without HTTP and peers. What workers saw
+// is checked by SimWorkers; whether jobs end is checked by the tests.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "hickoryquay/service/intake.h"
+#include "hickoryquay/service/scheduler_driver.h"
+#include "standin/sim_store.h"
+#include "standin/sim_workers.h"
+#include "tests/service/gate.h"
+
+namespace hickoryquay::service {
+
+struct WorldSettings {
+  int m_instances = 3;
+  int m_racks = 2;
+  int m_workers_per_rack = 4;
+  standin::SimSettings m_workers;
+  std::uint64_t m_random_seed = 1;
+};
+
+class ServiceWorld {
+ public:
+  explicit ServiceWorld(const WorldSettings& settings);
+  ~ServiceWorld();
+
+  // Instances, by index.
+  void StartInstance(int index);
+  void KillInstance(int index);
+  void Suspend(int index) { m_instances[Slot(index)]->m_gate->Close(); }
+  void Wake(int index) { m_instances[Slot(index)]->m_gate->Open(); }
+  bool Runs(int index) const { return m_instances[Slot(index)] != nullptr; }
+  standin::SimStoreClient& StoreOf(int index) { return *m_clients[Slot(index)]; }
+  Intake& IntakeOf(int index) { return *m_instances[Slot(index)]->m_intake; }
+  std::optional<int> Leader() const;
+  void ReleaseLeader();
+
+  // Workers.
+  static WorkerId WorkerOf(int rack, int index);
+  void AddWorker(const WorkerId& id, const std::string& rack, double speed = 1.0);
+  void Drain(const WorkerId& id);
+  void KillWorker(const WorkerId& id);  // Its row goes some seconds later.
+  void RestartWorker(const WorkerId& id, const WorkerId& as);
+  const std::vector<WorkerId>& Workers() const { return m_worker_ids; }
+
+  // Jobs. `work` is the true duration of every task.
+  JobId Submit(int instance, const jobs::StepSpec& step, Millis work, int priority = 1, int failing_runs = 0);
+  JobId SubmitSteps(int instance, const std::vector<jobs::StepSpec>& steps, Millis work, int priority);
+  void Cancel(int instance, JobId job);
+  bool Accepted(JobId job) const { return m_accepted.contains(job); }
+  std::optional<jobs::JobPhase> StoredPhase(JobId job) const;
+  std::vector<JobId> Submitted() const { return m_submitted; }
+
+  void Run(Millis time);
+
+  standin::SimStore& Store() { return *m_store; }
+  standin::SimWorkers& Sim() { return *m_workers; }
+  const ManualClock& Time() const { return m_clock; }
+  std::string Violations() const;  // One a line; empty is good.
+
+ private:
+  struct Instance {
+    SharedGate m_gate = std::make_shared<Gate>();
+    std::unique_ptr<GatedTimers> m_timers;
+    std::unique_ptr<GatedStore> m_store;
+    std::unique_ptr<GatedWorkers> m_port;
+    std::shared_ptr<Intake> m_intake;
+    std::shared_ptr<Leadership> m_leadership;
+    std::shared_ptr<SchedulerDriver> m_driver;
+    int m_life = 0;
+  };
+
+  static std::size_t Slot(int index) { return static_cast<std::size_t>(index); }
+  void PutWorkerRow(const jobs::WorkerEntry& entry);
+
+  WorldSettings m_settings;
+  ManualClock m_clock;
+  ManualTimerService m_timers{&m_clock};
+  Metrics m_metrics;
+  std::unique_ptr<standin::SimStore> m_store;
+  std::unique_ptr<standin::SimWorkers> m_workers;
+  std::vector<std::unique_ptr<standin::SimStoreClient>> m_clients;
+  std::vector<std::unique_ptr<Instance>> m_instances;  // Empty: down.
+  std::vector<std::shared_ptr<Instance>> m_graveyard;  // Their callbacks may still be queued.
+  std::map<WorkerId, jobs::WorkerEntry> m_entries;
+  std::vector<WorkerId> m_worker_ids;
+  std::shared_ptr<jobs::QueueConfiguration> m_configuration;
+  std::vector<JobId> m_submitted;
+  std::set<JobId> m_accepted;
+  std::uint64_t m_next_job = 1;
+  int m_lives = 0;
+};
+
+}  // namespace hickoryquay::service
