--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -46,6 +46,12 @@
   Millis m_due_early{50};            // Timed work may start this much before its time.
   Millis m_spread_after{1'000};      // A rack-local gang of a guarantee that found no rack by then takes any workers.
   Millis m_room_slack{500};          // Room that is made for a unit is kept this long beyond the stop timeout.
+  // Shares of all accelerators that a start must leave free for more urgent work. From rounds on heavy days: less makes
+  // urgent work wait for stops and throws work away, more leaves batch work behind (docs/design/platform.md).
+  double m_keep_free = 0.2;            // Of priority 1.
+  double m_keep_free_batch = 0.3;      // Of lower priorities.
+  double m_keep_free_pressing = 0.05;  // Of work whose slack is below m_pressing_slack of its estimate.
+  double m_pressing_slack = 0.5;
 };
 
 struct Now {
@@ -179,6 +185,14 @@
     double m_cost = 0.0;  // Core-seconds of work thrown away.
   };
 
+  // Accelerators of workers that take work.
+  struct Pool {
+    int m_free = 0;
+    int m_total = 0;
+  };
+
+  Pool Count() const;
+  double KeptFree(const Unit& unit, Now now) const;
   Millis ExpectedChain(const JobState& job) const;
   Instant FullDeadline(const JobState& job, int occurrence) const;
   std::vector<Unit*> Waiting(Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -104,16 +104,44 @@
   return units;
 }
 
+Scheduler::Pool Scheduler::Count() const {
+  Pool pool;
+  for (const auto& [id, slot] : m_workers.All()) {
+    if (!slot->TakesWork()) continue;
+    pool.m_free += slot->m_free.m_accelerators;
+    pool.m_total += slot->m_entry.m_capacity.m_accelerators;
+  }
+  return pool;
+}
+
+// The share of all accelerators that has to stay free behind this unit: room for what is more urgent, which then starts
+// without stopping others first.
+double Scheduler::KeptFree(const Unit& unit, Now now) const {
+  const JobState& job = *unit.m_step->m_job;
+  if (job.m_job.m_priority == 0) return 0.0;
+  const double usual = job.m_job.m_priority == 1 ? m_settings.m_keep_free : m_settings.m_keep_free_batch;
+  const Millis estimate = unit.m_step->m_spec->m_estimate;
+  const Millis slack = FullDeadline(job, unit.m_step->m_key.m_occurrence) - now.m_wall - estimate;
+  const auto pressing = static_cast<std::int64_t>(m_settings.m_pressing_slack * static_cast<double>(estimate.count()));
+  const bool presses = slack.count() >= 0 && slack.count() < pressing;
+  return presses ? std::min(usual, m_settings.m_keep_free_pressing) : usual;
+}
+
 void Scheduler::Decide(Now now) {
   ForgetOld(now);
   for (const auto& [id, slot] : m_workers.All()) {
     Unit* unit = slot->m_kept_for;
     if (unit != nullptr && (!unit->Waiting() || unit->m_room_until <= now.m_steady)) slot->m_kept_for = nullptr;
   }
+  Pool pool = Count();
   const StepState* full = nullptr;  // A step of single tasks of which one did not fit: the others won't either.
   for (Unit* unit : Waiting(now)) {
     if (unit->m_step == full || !unit->Waiting() || Ended(unit->m_step->m_job->m_phase)) continue;
-    if (TryPlace(unit, now)) continue;
+    if (pool.m_free - unit->Accelerators() < KeptFree(*unit, now) * pool.m_total) continue;
+    if (TryPlace(unit, now)) {
+      pool.m_free -= unit->Accelerators();
+      continue;
+    }
     if (unit->m_members.size() == 1) full = unit->m_step;
     if (unit->m_step->m_job->m_job.m_priority == 0) MakeRoom(unit, now);
   }
--- /dev/null
+++ b/tests/service/load_test.cc
@@ -0,0 +1,91 @@
+// Loads of heavy days in virtual time, each named by its pattern: who waits, and where work goes.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tests/service/service_world.h"
+
+namespace hickoryquay::service {
+namespace {
+
+using jobs::JobPhase;
+
+constexpr Millis kSettle{3'000};
+constexpr int kWorkers = 16;
+constexpr int kAccelerators = 8 * kWorkers;
+
+jobs::StepSpec Tasks(int count, int accelerators, Millis estimate) {
+  jobs::StepSpec step;
+  step.m_tasks = count;
+  step.m_task = Resources{accelerators, 1'000, 1'000};
+  step.m_estimate = estimate;
+  return step;
+}
+
+jobs::StepSpec RackGang(int count, int accelerators, Millis estimate) {
+  jobs::StepSpec step = Tasks(count, accelerators, estimate);
+  step.m_gang = true;
+  step.m_rack_local = true;
+  return step;
+}
+
+class LoadTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LoadTest);
+  CPPUNIT_TEST(UrgentBurstOverBatchBacklogStartsWithoutStops);
+  CPPUNIT_TEST(BatchBacklogEndsAllTheSame);
+  CPPUNIT_TEST(PressingBatchMayUseTheReserve);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    WorldSettings settings;
+    settings.m_racks = 4;
+    settings.m_workers_per_rack = 4;
+    settings.m_workers.m_stop = Millis{900};
+    m_world = std::make_unique<ServiceWorld>(settings);
+    m_world->Run(kSettle);
+  }
+  void tearDown() override { m_world.reset(); }
+
+  // Before accelerators were kept free the burst waited for the stop of batch tasks, 900 ms.
+  void UrgentBurstOverBatchBacklogStartsWithoutStops() {
+    m_world->Submit(0, Tasks(2 * kAccelerators, 1, Millis{7'000}), Millis{7'000}, 2);
+    m_world->Run(Millis{1'000});
+    const double before = m_world->Sim().WastedCoreSeconds();
+    const JobId urgent = m_world->Submit(0, RackGang(4, 8, Millis{2'000}), Millis{2'000}, 0);
+    m_world->Run(Millis{2'300});  // Its work, and less than a third of a stop.
+    CheckPhase(urgent, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(before, m_world->Sim().WastedCoreSeconds());
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
+  }
+
+  void BatchBacklogEndsAllTheSame() {
+    const JobId batch = m_world->Submit(0, Tasks(2 * kAccelerators, 1, Millis{3'000}), Millis{3'000}, 2);
+    m_world->Run(Millis{12'000});  // Three waves in the seven tenths that batch may fill.
+    CheckPhase(batch, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
+  }
+
+  // Its slack, twice the estimate, has nearly gone while it waited behind the reserve.
+  void PressingBatchMayUseTheReserve() {
+    m_world->Submit(0, Tasks(kAccelerators, 1, Millis{60'000}), Millis{60'000}, 2);
+    m_world->Run(Millis{500});
+    const JobId late = m_world->Submit(0, Tasks(8, 1, Millis{2'000}), Millis{2'000}, 2);
+    m_world->Run(Millis{6'000});
+    CheckPhase(late, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
+  }
+
+ private:
+  void CheckPhase(JobId job, JobPhase expected) {
+    const auto phase = m_world->StoredPhase(job);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(jobs::HexText(job), std::string(jobs::ToString(expected)),
+                                 phase ? std::string(jobs::ToString(*phase)) : std::string("no phase"));
+  }
+
+  std::unique_ptr<ServiceWorld> m_world;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LoadTest);
+
+}  // namespace
+}  // namespace hickoryquay::service
