Learn workers' speeds from tasks of one step; urgent work takes the fast ones

Cause: half of the late urgent gangs had waited for nothing; they ran on workers of 0.8 of the usual speed. Change: finished tasks of one step compare their workers; among equally full workers urgent work takes fast ones first, batch work slow ones.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -52,6 +52,9 @@
   double m_keep_free_batch = 0.3;      // Of lower priorities.
   double m_keep_free_pressing = 0.05;  // Of work whose slack is below m_pressing_slack of its estimate.
   double m_pressing_slack = 0.5;
+  int m_speed_tasks = 4;       // Steps of fewer tasks don't compare workers.
+  int m_speed_peers = 3;       // So many tasks of a step must have finished before another one is compared with them.
+  double m_speed_step = 0.1;   // Of logarithms: smaller differences of speed don't count.
 };
 
 struct Now {
@@ -170,6 +173,7 @@
   void OnRunning(WorkerSlot* slot, const RunningTask& running, Now now);
   std::pair<Unit*, std::size_t> FindMember(const TaskKey& task);
   void NoteBegun(Unit* unit);
+  void LearnSpeed(const Unit& unit, const Member& member, Now now);
   void NoteFailure(Unit* unit, RunNumber run, Now now);
   void NoteDone(Unit* unit, Now now);
   void Settle(Unit* unit, std::size_t member, Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -1,6 +1,7 @@
 // Placement: who goes next, on which workers, and who makes room.
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <tuple>
 
@@ -165,10 +166,14 @@
     const int times = Limit(*slot, unit, TimesFitting(slot->m_free, unit.m_step->m_spec->m_task));
     if (times > 0) rooms.push_back({slot, times});
   }
-  std::stable_sort(rooms.begin(), rooms.end(), [](const Room& a, const Room& b) {
-    return std::tie(a.m_slot->m_failures, a.m_slot->m_free.m_accelerators) <
-           std::tie(b.m_slot->m_failures, b.m_slot->m_free.m_accelerators);
-  });
+  // Urgent work takes fast workers first, batch work slow ones.
+  const int priority = unit.m_step->m_job->m_job.m_priority;
+  const double sign = priority == 0 ? -1.0 : priority == 1 ? 0.0 : 1.0;
+  const auto rank = [&](const Room& room) {
+    const auto speed = static_cast<int>(std::lround(sign * room.m_slot->SpeedLog() / m_settings.m_speed_step));
+    return std::tuple(room.m_slot->m_failures, room.m_slot->m_free.m_accelerators, speed);
+  };
+  std::stable_sort(rooms.begin(), rooms.end(), [&](const Room& a, const Room& b) { return rank(a) < rank(b); });
   std::vector<WorkerSlot*> chosen;
   for (const Room& room : rooms) {
     for (int i = 0; i < room.m_times && chosen.size() < unit.m_members.size(); ++i) chosen.push_back(room.m_slot);
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -1,6 +1,7 @@
 // The life of a run: start, answer, looks, end, and the proofs that it never ran.
 
 #include <algorithm>
+#include <cmath>
 
 #include "hickoryquay/base/log.h"
 #include "hickoryquay/jobs/scheduler.h"
@@ -145,6 +146,7 @@
   if (current && unit->m_step->m_spec->m_checkpoints && !end.m_checkpoint.empty()) unit->m_checkpoint = end.m_checkpoint;
   if (end.m_kind == EndKind::kDone) slot->m_failures = 0;
   if (end.m_kind == EndKind::kDone && !lasts) {
+    if (current) LearnSpeed(*unit, unit->m_members[index], now);
     NoteDone(unit, now);
     if (!current && unit->m_active) StopRun(unit, "an earlier run is done");
   } else if (end.m_kind == EndKind::kFailed) {
@@ -195,6 +197,24 @@
   unit->m_step->m_job->m_begun = true;
 }
 
+// Tasks of one step take about the same work, so their durations compare the workers that ran them.
+void Scheduler::LearnSpeed(const Unit& unit, const Member& member, Now now) {
+  StepState* step = unit.m_step;
+  const bool comparable = unit.m_members.size() == 1 && step->m_spec->m_tasks >= m_settings.m_speed_tasks &&
+                          member.m_state == MemberState::kRunning && Raw(unit.m_run) == 1 &&
+                          step->m_spec->m_data_rack.empty();
+  const double took = static_cast<double>((now.m_steady - member.m_since).count());
+  if (!comparable || took <= 0.0) return;
+  WorkerSlot* slot = member.m_slot;
+  const double work = std::log(took) + slot->SpeedLog();
+  if (step->m_work_samples >= m_settings.m_speed_peers) {
+    slot->m_speed_sum += step->m_work_sum / step->m_work_samples - std::log(took);
+    ++slot->m_speed_samples;
+  }
+  step->m_work_sum += work;
+  ++step->m_work_samples;
+}
+
 void Scheduler::NoteFailure(Unit* unit, RunNumber run, Now now) {
   auto& failed = unit->m_failed_runs;
   if (std::find(failed.begin(), failed.end(), run) != failed.end()) return;
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -64,6 +64,8 @@
   std::vector<std::unique_ptr<Unit>> m_units;
   int m_units_left = 0;  // Not done.
   bool m_stored = false;  // A row of it exists.
+  double m_work_sum = 0.0;  // Of logarithms of the work of finished tasks, in ms on a worker of usual speed.
+  int m_work_samples = 0;
 
   Unit* UnitOf(int task) const;
 };
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -24,6 +24,13 @@
   Unit* m_kept_for = nullptr;                         // Room here is being made for this unit.
   int m_failures = 0;                                 // Of tasks, in a row; set back by a done one.
   Instant m_avoid_until;                              // Steady time.
+  double m_speed_sum = 0.0;                           // Of logarithms of its speed, one a finished task.
+  int m_speed_samples = 0;
+
+  // Logarithm of its speed against the other workers; drawn to 0 while few tasks have told.
+  double SpeedLog() const { return m_speed_sum / (m_speed_samples + kSpeedPrior); }
+
+  static constexpr double kSpeedPrior = 3.0;  // Samples that it takes to outweigh the assumption of equal speeds.
 
   bool TakesWork() const { return m_listed && m_usable && !m_entry.m_draining; }
 };
--- a/tests/service/load_test.cc
+++ b/tests/service/load_test.cc
@@ -33,11 +33,16 @@
   CPPUNIT_TEST(UrgentBurstOverBatchBacklogStartsWithoutStops);
   CPPUNIT_TEST(BatchBacklogEndsAllTheSame);
   CPPUNIT_TEST(PressingBatchMayUseTheReserve);
+  CPPUNIT_TEST(UrgentGangTakesWorkersThatProvedFast);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
+  void setUp() override { Build({1.0}); }
+
+  void Build(const std::vector<double>& speeds) {
+    m_world.reset();
     WorldSettings settings;
+    settings.m_speeds = speeds;
     settings.m_racks = 4;
     settings.m_workers_per_rack = 4;
     settings.m_workers.m_stop = Millis{900};
@@ -75,6 +80,19 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
   }
 
+  // Batch tasks of one step tell which workers are fast.
+  void UrgentGangTakesWorkersThatProvedFast() {
+    Build({0.8, 1.25});
+    m_world->Submit(0, Tasks(2 * kAccelerators, 1, Millis{2'000}), Millis{2'000}, 2);
+    m_world->Run(Millis{12'000});
+    jobs::StepSpec gang = RackGang(6, 8, Millis{4'000});
+    gang.m_rack_local = false;
+    const JobId urgent = m_world->Submit(0, gang, Millis{4'000}, 0);
+    m_world->Run(Millis{3'400});  // 3.2 s on fast workers, 5 s on slow ones.
+    CheckPhase(urgent, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
+  }
+
  private:
   void CheckPhase(JobId job, JobPhase expected) {
     const auto phase = m_world->StoredPhase(job);
--- a/tests/service/service_world.cc
+++ b/tests/service/service_world.cc
@@ -38,7 +38,9 @@
     m_configuration->m_queues.push_back(queue);
   }
   for (int rack = 0; rack < settings.m_racks; ++rack) {
-    for (int i = 0; i < settings.m_workers_per_rack; ++i) AddWorker(WorkerOf(rack, i), "r" + std::to_string(rack));
+    for (int i = 0; i < settings.m_workers_per_rack; ++i) {
+      AddWorker(WorkerOf(rack, i), "r" + std::to_string(rack), settings.m_speeds[Slot(i) % settings.m_speeds.size()]);
+    }
   }
   for (int i = 0; i < settings.m_instances; ++i) {
     m_clients.push_back(std::make_unique<standin::SimStoreClient>(m_store.get()));
--- a/tests/service/service_world.h
+++ b/tests/service/service_world.h
@@ -21,6 +21,7 @@
   int m_instances = 3;
   int m_racks = 2;
   int m_workers_per_rack = 4;
+  std::vector<double> m_speeds{1.0};  // Of the workers of a rack, in turn.
   standin::SimSettings m_workers;
   std::uint64_t m_random_seed = 1;
 };
