Simulated gangs end with their slowest member

The test of fast workers passed without the change that it tests, since a simulated gang ended with its first member. Now it fails without it.

--- a/standin/sim_workers.cc
+++ b/standin/sim_workers.cc
@@ -264,6 +264,16 @@
   return there == truth.m_spec.m_tasks;
 }
 
+// Members of a gang end together, with the slowest.
+bool SimWorkers::GangFinished(const Run& run) const {
+  for (const auto& [id, worker] : m_workers) {
+    for (const auto& [task, other] : worker.m_runs) {
+      if (task.m_step == run.m_task.m_step && other.m_run == run.m_run && !other.m_finished) return false;
+    }
+  }
+  return true;
+}
+
 bool SimWorkers::IsRemote(const Run& run, const Worker& on) const {
   const jobs::StepSpec& spec = m_truths.at(run.m_task.m_step).m_spec;
   if (!spec.m_data_rack.empty() && spec.m_data_rack != on.m_settings.m_entry.m_rack) return true;
@@ -310,7 +320,8 @@
     if (worker->m_faults.m_fails || (faulty && run.m_worked_ms >= work / 2)) {
       ends.emplace_back(task, EndKind::kFailed);
     } else if (run.m_worked_ms >= work) {
-      ends.emplace_back(task, EndKind::kDone);
+      run.m_finished = true;
+      if (!truth.m_spec.m_gang || GangFinished(run)) ends.emplace_back(task, EndKind::kDone);
     }
   }
   for (const auto& [task, kind] : ends) Finish(worker, task, kind);
--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -108,6 +108,7 @@
     double m_saved_ms = 0.0;
     std::optional<Instant> m_stops_at;
     bool m_working = false;  // All members of its gang are there.
+    bool m_finished = false;  // Its work is done; a gang waits for its slowest member.
     bool m_remote = false;   // Away from its data, or in a gang across racks.
   };
   struct Worker {
@@ -130,6 +131,7 @@
   void Finish(Worker* worker, const jobs::TaskKey& task, jobs::EndKind kind);
   void BreakGang(const jobs::StepKey& step, jobs::RunNumber run, jobs::EndKind kind, const jobs::TaskKey& but);
   bool GangWhole(const Run& run) const;
+  bool GangFinished(const Run& run) const;
   bool IsRemote(const Run& run, const Worker& worker) const;
   jobs::StartReply CarryOutStart(Worker* worker, const jobs::StartCall& call);
   jobs::StopOutcome CarryOutStop(Worker* worker, const jobs::StopCall& call);
