Ask a silent store before writing, and refuse at once while it is away

Ruled out: holding requests until the store is back, since their outcome stays unknown once a write was sent. Change: where the store has not answered for 250 ms it is asked something harmless before a write goes out; while it is away callers get a 503 with Retry-After at once, and the store is asked every 120 ms. Kept because the answer is true, early, and says when to come back.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -141,7 +141,41 @@
     (Ok(result) ? m_accepted : std::holds_alternative<OutcomeUnknown>(ErrorOf(result)) ? m_unknown : m_refused)->Add();
     callback(std::move(result));
   };
-  Attempt(write);
+  WhenStoreAnswers([this, write](bool answers) {
+    answers ? Attempt(write) : Finish(write, IntakeError{Refusal("the store does not answer")});
+  });
+}
+
+// Calls `then` at once where the store answered a moment ago, or is known to be away.
+void Intake::WhenStoreAnswers(std::function<void(bool)> then) {
+  if (m_away) return then(false);
+  if (m_clock->Now() - m_contact <= m_settings.m_contact_valid) return then(true);
+  Probe(std::move(then));
+}
+
+void Intake::Probe(std::function<void(bool)> then) {
+  m_store->Read({m_settings.m_tables.m_intake, m_settings.m_tables.m_intake_part, "", ""}, 1, m_settings.m_probe_timeout,
+                [self = shared_from_this(), then = std::move(then)](const Result<store::RowPage, store::ReadError>& page) {
+                  if (Ok(page)) {
+                    self->NoteContact();
+                  } else {
+                    self->SetAway();
+                  }
+                  then(Ok(page));
+                });
+}
+
+void Intake::SetAway() {
+  if (!std::exchange(m_away, true)) log::Warn(kLog, "Store is away, refusing new work");
+  m_probe = m_timers->After(m_settings.m_probe_every, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->Probe([self = self.get()](bool answers) {
+      if (!answers) return;
+      self->m_away = false;
+      log::Info(kLog, "Store answers again");
+    });
+  });
 }
 
 void Intake::Cancel(JobId id, Millis time, SubmitCallback callback) {
@@ -184,8 +218,12 @@
 }
 
 void Intake::OnAttempt(const std::shared_ptr<Write>& write, Result<Version, store::TransactError> result) {
-  if (Ok(result)) return Finish(write, Done{});
+  if (Ok(result)) {
+    NoteContact();
+    return Finish(write, Done{});
+  }
   const store::TransactError& error = ErrorOf(result);
+  if (std::holds_alternative<store::StoreSilent>(error) && !m_away) SetAway();
   if (const auto* differ = std::get_if<store::RowsDiffer>(&error)) return Finish(write, write->m_on_differ(*differ));
   write->m_maybe_sent = write->m_maybe_sent || std::holds_alternative<store::StoreSilent>(error);
   const bool late = m_clock->Now() - write->m_begun >= m_settings.m_refuse_after;
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -2,7 +2,8 @@
 //
 // A job is accepted once its row is stored. A write without an answer may still take effect, so it is sent again until
 // it is settled or the caller's time is over; only then is the outcome reported as unknown. A refusal is given only
-// where nothing can have been written.
+// where nothing can have been written. So a store that has been silent for a moment is asked something harmless before a
+// write is sent, and while it is away callers are refused at once.
 #pragma once
 
 #include <functional>
@@ -24,6 +25,9 @@
 struct IntakeSettings {
   TableNames m_tables;
   Millis m_call_timeout{700};    // Of one call to the store.
+  Millis m_contact_valid{250};   // A write goes out only where the store answered within this; else it is asked first.
+  Millis m_probe_timeout{300};   // Of that question: a slowed store answers in 250 ms.
+  Millis m_probe_every{120};     // While the store is away.
   Millis m_retry{60};            // After a refused or unanswered call.
   Millis m_refuse_after{500};    // A job that could not be written by then is refused, where nothing was sent.
   Millis m_retry_after{1'000};   // Told to callers that are refused: about the time of a takeover.
@@ -106,6 +110,9 @@
   std::shared_ptr<const jobs::QueueConfiguration> Configuration() const { return m_configuration; }
   PhaseBoard& Board() { return m_board; }
 
+  // The store answered some call of this instance.
+  void NoteContact() { m_contact = m_clock->Now(); }
+
   // The queue of a call. `key` is empty where the caller sent none.
   Result<Route, IntakeError> Find(std::string_view host, std::string_view path, std::string_view key) const;
 
@@ -118,6 +125,9 @@
  private:
   struct Write;
 
+  void WhenStoreAnswers(std::function<void(bool answers)> then);
+  void Probe(std::function<void(bool answers)> then);
+  void SetAway();
   void Attempt(const std::shared_ptr<Write>& write);
   void OnAttempt(const std::shared_ptr<Write>& write, Result<Version, store::TransactError> result);
   void Finish(const std::shared_ptr<Write>& write, Result<Done, IntakeError> result);
@@ -133,6 +143,9 @@
   IntakeSettings m_settings;
   std::shared_ptr<const jobs::QueueConfiguration> m_configuration;
   PhaseBoard m_board;
+  Instant m_contact;    // Last answer of the store.
+  bool m_away = false;  // The store did not answer the last question.
+  Subscription m_probe;
   Counter* m_accepted;
   Counter* m_refused;
   Counter* m_unknown;
--- /dev/null
+++ b/tests/service/intake_test.cc
@@ -0,0 +1,174 @@
+// Intake in front of a store with moods: what callers are told, and when. Virtual time, no network.
+
+#include "hickoryquay/service/intake.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "standin/sim_store.h"
+
+namespace hickoryquay::service {
+namespace {
+
+using standin::StoreMood;
+
+constexpr Millis kPatience{3'000};  // Of a caller.
+
+class IntakeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(IntakeTest);
+  CPPUNIT_TEST(StoredJobIsAcceptedAndStaysOneJob);
+  CPPUNIT_TEST(SilentStoreIsAskedBeforeAWrite);
+  CPPUNIT_TEST(KnownOutageIsRefusedAtOnce);
+  CPPUNIT_TEST(UnansweredWriteIsNeverCalledRefused);
+  CPPUNIT_TEST(RefusingStoreIsRefusedSoon);
+  CPPUNIT_TEST(CancelOfUnknownJobIsGone);
+  CPPUNIT_TEST(PhaseComesFromTheStoreWhereNobodyTold);
+  CPPUNIT_TEST(PhaseThatMayChangeIsNotBelievedWithoutBeats);
+  CPPUNIT_TEST(UnknownQueueAndKeyAreToldApart);
+  CPPUNIT_TEST(MalformedJobNeverReachesTheStore);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_clock.Set(Instant{1'000'000});
+    m_store = std::make_unique<standin::SimStore>(&m_timers, standin::SimStoreSettings{});
+    m_client = std::make_unique<standin::SimStoreClient>(m_store.get());
+    m_intake = std::make_shared<Intake>(m_client.get(), &m_timers, &m_clock, &m_metrics, IntakeSettings{});
+    auto configuration = std::make_shared<jobs::QueueConfiguration>();
+    jobs::Queue queue;
+    queue.m_name = jobs::QueueName{"q"};
+    queue.m_host = "host";
+    queue.m_path_prefix = "/q/";
+    configuration->m_queues = {queue};
+    configuration->m_accounts = {{AccountId{"account"}, {"key"}, 0}};
+    m_intake->SetConfiguration(configuration);
+  }
+
+  void StoredJobIsAcceptedAndStaysOneJob() {
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, kPatience));
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, kPatience));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store->Rows(TableNames{}.m_intake).size());
+  }
+
+  // Nothing may be in doubt where nothing had to be sent.
+  void SilentStoreIsAskedBeforeAWrite() {
+    m_client->SetMood(StoreMood::kSilent);
+    CPPUNIT_ASSERT_EQUAL(std::string("try later"), Submit(JobId{1}, Millis{400}));
+    m_client->SetMood(StoreMood::kServes);
+    m_timers.Advance(Millis{10'000});
+    CPPUNIT_ASSERT(m_store->Rows(TableNames{}.m_intake).empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, kPatience));
+  }
+
+  void KnownOutageIsRefusedAtOnce() {
+    m_client->SetMood(StoreMood::kSilent);
+    Submit(JobId{1}, Millis{400});
+    CPPUNIT_ASSERT_EQUAL(std::string("try later"), Submit(JobId{2}, Millis{0}));
+  }
+
+  void UnansweredWriteIsNeverCalledRefused() {
+    Submit(JobId{1}, kPatience);  // The store has just answered.
+    m_client->SetMood(StoreMood::kLateWrites);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), Submit(JobId{2}, kPatience));
+    m_client->SetMood(StoreMood::kServes);
+    m_timers.Advance(Millis{10'000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_store->Rows(TableNames{}.m_intake).size());
+  }
+
+  void RefusingStoreIsRefusedSoon() {
+    Submit(JobId{1}, kPatience);
+    m_client->SetMood(StoreMood::kRefuses);
+    CPPUNIT_ASSERT_EQUAL(std::string("try later"), Submit(JobId{2}, Millis{700}));
+  }
+
+  void CancelOfUnknownJobIsGone() {
+    std::string outcome;
+    m_intake->Cancel(JobId{9}, kPatience, [&](const Result<Done, IntakeError>& result) { outcome = Text(result); });
+    m_timers.Advance(kPatience);
+    CPPUNIT_ASSERT_EQUAL(std::string("no such job"), outcome);
+  }
+
+  void PhaseComesFromTheStoreWhereNobodyTold() {
+    Submit(JobId{1}, kPatience);
+    m_timers.Advance(Millis{5'000});
+    m_store->Put({TableNames{}.m_state, TableNames{}.m_leader_part, jobs::HexText(JobId{1})},
+                 jobs::Write(jobs::PhaseRow{jobs::JobPhase::kCompleted, Instant{5}}));
+    CPPUNIT_ASSERT_EQUAL(std::string("completed"), State(JobId{1}));
+    CPPUNIT_ASSERT_EQUAL(std::string("no such job"), State(JobId{2}));
+  }
+
+  void PhaseThatMayChangeIsNotBelievedWithoutBeats() {
+    m_intake->Board().NoteBeat(m_clock.Now());
+    m_intake->Board().Set(JobId{1}, jobs::JobPhase::kRunning, m_clock.Now());
+    CPPUNIT_ASSERT(m_intake->Board().Find(JobId{1}, m_clock.Now()).has_value());
+    m_timers.Advance(Millis{5'000});
+    CPPUNIT_ASSERT(!m_intake->Board().Find(JobId{1}, m_clock.Now()).has_value());
+    m_intake->Board().Set(JobId{1}, jobs::JobPhase::kCompleted, m_clock.Now());
+    m_timers.Advance(Millis{5'000});
+    CPPUNIT_ASSERT(m_intake->Board().Find(JobId{1}, m_clock.Now()).has_value());
+  }
+
+  void UnknownQueueAndKeyAreToldApart() {
+    CPPUNIT_ASSERT(std::holds_alternative<UnknownQueue>(ErrorOf(m_intake->Find("host", "/other/1", "key"))));
+    CPPUNIT_ASSERT(std::holds_alternative<UnknownQueue>(ErrorOf(m_intake->Find("other", "/q/1", "key"))));
+    CPPUNIT_ASSERT(std::holds_alternative<UnknownKey>(ErrorOf(m_intake->Find("host", "/q/1", "wrong"))));
+    CPPUNIT_ASSERT(Ok(m_intake->Find("host", "/q/1", "key")));
+  }
+
+  void MalformedJobNeverReachesTheStore() {
+    jobs::JobRequest request;
+    CPPUNIT_ASSERT_EQUAL(std::string("malformed"), Submit(JobId{1}, kPatience, request));
+    request.m_steps.resize(2);
+    request.m_steps[0].m_after = {1};
+    CPPUNIT_ASSERT_EQUAL(std::string("malformed"), Submit(JobId{1}, kPatience, request));
+    CPPUNIT_ASSERT(m_store->Rows(TableNames{}.m_intake).empty());
+  }
+
+ private:
+  static std::string Text(const Result<Done, IntakeError>& result) {
+    if (Ok(result)) return "accepted";
+    return Text(ErrorOf(result));
+  }
+  static std::string Text(const IntakeError& error) {
+    return std::visit(Overloaded{[](const UnknownQueue&) { return "unknown queue"; },
+                                 [](const UnknownKey&) { return "unknown key"; },
+                                 [](const Malformed&) { return "malformed"; }, [](const TryLater&) { return "try later"; },
+                                 [](const OutcomeUnknown&) { return "unknown"; },
+                                 [](const NoSuchJob&) { return "no such job"; }},
+                      error);
+  }
+
+  // The answer that came within `within`; "none yet" where there was none.
+  std::string Submit(JobId id, Millis within) {
+    jobs::JobRequest request;
+    request.m_steps.resize(1);
+    return Submit(id, within, request);
+  }
+  std::string Submit(JobId id, Millis within, const jobs::JobRequest& request) {
+    auto outcome = std::make_shared<std::string>("none yet");
+    m_intake->Submit(Route{m_intake->Configuration()->m_queues[0], AccountId{"account"}}, id, request, kPatience,
+                     [outcome](const Result<Done, IntakeError>& result) { *outcome = Text(result); });
+    m_timers.Advance(within);
+    return *outcome;
+  }
+
+  std::string State(JobId id) {
+    std::string outcome = "none yet";
+    m_intake->State(id, kPatience, [&outcome](const Result<jobs::JobPhase, IntakeError>& result) {
+      outcome = Ok(result) ? jobs::ToString(ValueOf(result)) : Text(ErrorOf(result));
+    });
+    m_timers.Advance(kPatience);
+    return outcome;
+  }
+
+  ManualClock m_clock;
+  ManualTimerService m_timers{&m_clock};
+  Metrics m_metrics;
+  std::unique_ptr<standin::SimStore> m_store;
+  std::unique_ptr<standin::SimStoreClient> m_client;
+  std::shared_ptr<Intake> m_intake;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(IntakeTest);
+
+}  // namespace
+}  // namespace hickoryquay::service
