Reach the store through peers where it turns an instance away

Ruled out: moving callers by readiness alone, which takes two missed checks. Change: a call that was refused or not sent goes to a peer at once, a read without an answer too; a write without an answer is reported as in doubt.

--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -84,8 +84,7 @@
   peers.m_inner = node.m_inner;
   peers.m_seeds = node.m_seeds;
   peers.m_random_seed = std::random_device{}();
-  m_peers = std::make_shared<peers::PeerService>(
-      peers, m_parts.m_clock, m_documents.get(),
+  const peers::SendMessage send =
       [weak](const net::Endpoint& peer, inner::Message message, Millis timeout,
              std::function<void(const inner::Message*)> callback) {
         const auto self = weak.lock();
@@ -95,7 +94,17 @@
             [callback = std::move(callback)](const Result<inner::Message, inner::InnerError>& result) {
               callback(Ok(result) ? &ValueOf(result) : nullptr);
             });
-      });
+      };
+  m_peers = std::make_shared<peers::PeerService>(peers, m_parts.m_clock, m_documents.get(), send);
+  m_parts.m_relay->Connect(send, [weak] {
+    std::vector<net::Endpoint> alive;
+    const auto self = weak.lock();
+    if (!self) return alive;
+    for (const peers::Peer& peer : self->m_peers->Peers()) {
+      if (peer.m_state == peers::PeerState::kAlive) alive.push_back(peer.m_inner);
+    }
+    return alive;
+  });
   m_inner_server = std::make_unique<inner::InnerServer>(m_parts.m_io, node.m_inner,
                                                         [weak](const inner::Message& message, const inner::Answer& answer) {
                                                           if (const auto self = weak.lock()) self->OnMessage(message, answer);
@@ -300,6 +309,7 @@
     OnBeat(*beat);
     return answer(wire::Acknowledged{});
   }
+  if (const auto* call = std::get_if<wire::StoreCall>(&message)) return m_parts.m_relay->Handle(*call, answer);
   if (!m_peers->Handle(message, answer)) answer(wire::Unsupported{});
 }
 
--- a/hickoryquay/service/job_service.h
+++ b/hickoryquay/service/job_service.h
@@ -20,6 +20,7 @@
 #include "hickoryquay/service/leadership.h"
 #include "hickoryquay/service/queue_documents.h"
 #include "hickoryquay/service/scheduler_driver.h"
+#include "hickoryquay/service/store_relay.h"
 #include "hickoryquay/settings/node_settings.h"
 #include "hickoryquay/store/table_follower.h"
 
@@ -48,7 +49,8 @@
 
 struct JobServiceParts {
   boost::asio::io_context* m_io = nullptr;
-  store::RowStore* m_store = nullptr;
+  store::RowStore* m_store = nullptr;  // Its calls go through m_relay.
+  std::shared_ptr<StoreRelay> m_relay;
   jobs::WorkerPort* m_workers = nullptr;
   jobs::LifeDirectory* m_lives = nullptr;
   TimerService* m_timers = nullptr;
--- /dev/null
+++ b/hickoryquay/service/store_relay.cc
@@ -0,0 +1,151 @@
+#include "hickoryquay/service/store_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "hickoryquay/base/log.h"
+
+namespace hickoryquay::service {
+
+namespace {
+
+namespace wire = inner::wire;
+
+constexpr log::Part kLog{"relay"};
+constexpr int kTooManyCalls = 429;
+constexpr int kUnavailable = 503;
+
+bool TurnedAway(const Result<net::HttpResponse, net::NetError>& result) {
+  if (!Ok(result)) return true;
+  return ValueOf(result).m_status == kTooManyCalls || ValueOf(result).m_status == kUnavailable;
+}
+
+}  // namespace
+
+struct StoreRelay::Call {
+  net::HttpRequest m_request;
+  Instant m_until;
+  net::ResponseCallback m_callback;
+  bool m_read = false;
+  bool m_maybe_done = false;  // A write was sent and not answered.
+  bool m_tried_direct = false;
+  int m_peers_tried = 0;
+  Result<net::HttpResponse, net::NetError> m_last = net::NetError{net::NotSent{"not tried"}};
+};
+
+StoreRelay::StoreRelay(store::HttpSend direct, net::Endpoint store, const Clock* clock, Metrics* metrics,
+                       const RelaySettings& settings)
+    : m_direct(std::move(direct)),
+      m_store(std::move(store)),
+      m_clock(clock),
+      m_settings(settings),
+      m_through_peers(&metrics->GetCounter("hq_store_calls_through_peers_total")) {}
+
+void StoreRelay::Connect(peers::SendMessage send, Peers peers) {
+  m_send = std::move(send);
+  m_peers = std::move(peers);
+}
+
+store::HttpSend StoreRelay::Send() {
+  return [self = shared_from_this()](const net::Endpoint&, net::HttpRequest request, Millis timeout,
+                                     net::ResponseCallback callback) {
+    auto call = std::make_shared<Call>();
+    call->m_read = request.m_method == "GET";
+    call->m_request = std::move(request);
+    call->m_until = self->m_clock->Now() + timeout;
+    call->m_callback = std::move(callback);
+    self->Begin(call);
+  };
+}
+
+void StoreRelay::Begin(const std::shared_ptr<Call>& call) {
+  // While the store turns this instance away, now and then a read still asks it first.
+  const Instant now = m_clock->Now();
+  const bool peers_first = Away() && m_send && (!call->m_read || now - m_tried_direct < m_settings.m_try_direct_every);
+  peers_first ? ThroughPeer(call) : Direct(call);
+}
+
+void StoreRelay::Direct(const std::shared_ptr<Call>& call) {
+  call->m_tried_direct = true;
+  m_tried_direct = m_clock->Now();
+  const Millis left = call->m_until - m_tried_direct;
+  const bool brief = m_send && left <= m_settings.m_longest_short_call;
+  m_direct(m_store, call->m_request, brief ? std::min(left, m_settings.m_direct_timeout) : left,
+           [self = shared_from_this(), call](Result<net::HttpResponse, net::NetError> result) {
+             self->OnDirect(call, std::move(result));
+           });
+}
+
+void StoreRelay::OnDirect(const std::shared_ptr<Call>& call, Result<net::HttpResponse, net::NetError> result) {
+  if (!TurnedAway(result)) {
+    if (Away()) log::Info(kLog, "Store serves this instance again");
+    m_failed = 0;
+    return call->m_callback(std::move(result));
+  }
+  if (++m_failed == m_settings.m_failures) log::Warn(kLog, "Store turns this instance away, asking peers");
+  call->m_maybe_done = !call->m_read && !Ok(result) && net::MaybeSent(ErrorOf(result));
+  call->m_last = std::move(result);
+  if (call->m_maybe_done) return call->m_callback(std::move(call->m_last));
+  ThroughPeer(call);
+}
+
+void StoreRelay::ThroughPeer(const std::shared_ptr<Call>& call) {
+  const Millis left = call->m_until - m_clock->Now();
+  const auto peers = m_send && left.count() > 0 ? m_peers() : std::vector<net::Endpoint>{};
+  if (peers.empty() || call->m_peers_tried == m_settings.m_peers) {
+    if (call->m_tried_direct || call->m_maybe_done || left.count() <= 0) return call->m_callback(std::move(call->m_last));
+    return Direct(call);
+  }
+  ++call->m_peers_tried;
+  wire::StoreCall message;
+  message.__set_method(call->m_request.m_method);
+  message.__set_target(call->m_request.m_target);
+  message.__set_body(call->m_request.m_body);
+  message.__set_timeout_ms(left.count());
+  m_through_peers->Add();
+  m_send(peers[m_next_peer % peers.size()], message, left,
+         [self = shared_from_this(), call](const inner::Message* answer) { self->OnPeer(call, answer); });
+}
+
+void StoreRelay::OnPeer(const std::shared_ptr<Call>& call, const inner::Message* answer) {
+  const auto* reply = answer == nullptr ? nullptr : std::get_if<wire::StoreAnswer>(answer);
+  if (reply != nullptr && reply->status != 0) {
+    net::HttpResponse response;
+    response.m_status = reply->status;
+    response.m_body = reply->body;
+    if (!TurnedAway(response)) return call->m_callback(std::move(response));
+    call->m_last = std::move(response);
+  } else if (reply != nullptr && !reply->sent) {
+    call->m_last = net::NetError{net::NotSent{"a peer can't reach the store"}};
+  } else {
+    call->m_last = net::NetError{net::TimedOut{true}};
+    call->m_maybe_done = !call->m_read;
+  }
+  ++m_next_peer;  // Another one next time.
+  if (call->m_maybe_done) return call->m_callback(std::move(call->m_last));
+  ThroughPeer(call);
+}
+
+void StoreRelay::Handle(const wire::StoreCall& call, const std::function<void(inner::Message)>& answer) {
+  wire::StoreAnswer refusal;
+  refusal.__set_status(0);
+  refusal.__set_sent(false);
+  if (Away() || m_relayed >= m_settings.m_most_relayed) return answer(refusal);
+  ++m_relayed;
+  net::HttpRequest request;
+  request.m_method = call.method;
+  request.m_target = call.target;
+  request.m_body = call.body;
+  if (!call.body.empty()) request.m_headers.push_back({"Content-Type", "application/json"});
+  m_direct(m_store, std::move(request), Millis{call.timeout_ms},
+           [self = shared_from_this(), answer](const Result<net::HttpResponse, net::NetError>& result) {
+             --self->m_relayed;
+             wire::StoreAnswer reply;
+             reply.__set_status(Ok(result) ? ValueOf(result).m_status : 0);
+             reply.__set_body(Ok(result) ? ValueOf(result).m_body : std::string());
+             reply.__set_sent(Ok(result) || net::MaybeSent(ErrorOf(result)));
+             answer(reply);
+           });
+}
+
+}  // namespace hickoryquay::service
--- /dev/null
+++ b/tests/service/relay_test.cc
@@ -0,0 +1,184 @@
+// Calls to the store through peers: what is asked again, what is not, and no loops.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "hickoryquay/service/store_relay.h"
+
+namespace hickoryquay::service {
+namespace {
+
+namespace wire = inner::wire;
+using HttpResult = Result<net::HttpResponse, net::NetError>;
+
+constexpr Millis kTimeout{1'000};
+const net::Endpoint kStore{"10.0.0.1", 1};
+const net::Endpoint kPeer{"10.0.0.2", 2};
+
+HttpResult Status(int status) {
+  return net::HttpResponse{status, {}, "body"};
+}
+
+class RelayTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RelayTest);
+  CPPUNIT_TEST(ServedCallsStayDirect);
+  CPPUNIT_TEST(RefusedCallGoesThroughPeerAtOnce);
+  CPPUNIT_TEST(UnansweredWriteIsNotSentAgain);
+  CPPUNIT_TEST(UnansweredReadIsAskedAgain);
+  CPPUNIT_TEST(PeerIsAskedFirstWhileTurnedAway);
+  CPPUNIT_TEST(DirectIsTriedAgainNowAndThen);
+  CPPUNIT_TEST(LostAnswerOfPeerLeavesWriteInDoubt);
+  CPPUNIT_TEST(StoreDownForAllIsToldSoon);
+  CPPUNIT_TEST(InstanceThatIsTurnedAwayRelaysNothing);
+  CPPUNIT_TEST(RelayedCallsAreBounded);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_clock.Set(Instant{1'000});
+    m_direct_calls = m_peer_calls = 0;
+    m_direct = Status(200);
+    m_peer = Answer(200);
+    m_held.clear();
+    m_hold = false;
+    m_relay = std::make_shared<StoreRelay>(
+        [this](const net::Endpoint& to, const net::HttpRequest&, Millis, const net::ResponseCallback& callback) {
+          CPPUNIT_ASSERT(to == kStore);
+          ++m_direct_calls;
+          m_hold ? m_held.push_back(callback) : callback(m_direct);
+        },
+        kStore, &m_clock, &m_metrics, RelaySettings{});
+    m_relay->Connect(
+        [this](const net::Endpoint& to, const inner::Message&, Millis, const std::function<void(const inner::Message*)>& callback) {
+          CPPUNIT_ASSERT(to == kPeer);
+          ++m_peer_calls;
+          const inner::Message message = m_peer.value_or(wire::StoreAnswer{});
+          callback(m_peer ? &message : nullptr);
+        },
+        [] { return std::vector<net::Endpoint>{kPeer}; });
+  }
+
+  void ServedCallsStayDirect() {
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(Send("POST")));
+    CPPUNIT_ASSERT_EQUAL(0, m_peer_calls);
+  }
+
+  void RefusedCallGoesThroughPeerAtOnce() {
+    for (const HttpResult& refused : {Status(503), Status(429), HttpResult(net::NetError{net::NotSent{"refused"}})}) {
+      m_direct = refused;
+      CPPUNIT_ASSERT_EQUAL(200, StatusOf(Send("POST")));
+    }
+  }
+
+  void UnansweredWriteIsNotSentAgain() {
+    m_direct = net::NetError{net::Cut{"reset"}};
+    const HttpResult result = Send("POST");
+    CPPUNIT_ASSERT(!Ok(result));
+    CPPUNIT_ASSERT(net::MaybeSent(ErrorOf(result)));
+    CPPUNIT_ASSERT_EQUAL(0, m_peer_calls);
+  }
+
+  void UnansweredReadIsAskedAgain() {
+    m_direct = net::NetError{net::TimedOut{true}};
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(Send("GET")));
+  }
+
+  void PeerIsAskedFirstWhileTurnedAway() {
+    TurnAway();
+    const int before = m_direct_calls;
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(Send("POST")));
+    CPPUNIT_ASSERT_EQUAL(before, m_direct_calls);
+  }
+
+  void DirectIsTriedAgainNowAndThen() {
+    TurnAway();
+    m_direct = Status(200);
+    m_clock.Advance(Millis{10'000});
+    const int before = m_peer_calls;
+    Send("GET");
+    Send("POST");
+    CPPUNIT_ASSERT_EQUAL(before, m_peer_calls);
+  }
+
+  void LostAnswerOfPeerLeavesWriteInDoubt() {
+    TurnAway();
+    m_peer.reset();
+    const HttpResult result = Send("POST");
+    CPPUNIT_ASSERT(!Ok(result));
+    CPPUNIT_ASSERT(net::MaybeSent(ErrorOf(result)));
+  }
+
+  void StoreDownForAllIsToldSoon() {
+    m_direct = Status(503);
+    m_peer = Answer(0);
+    const HttpResult result = Send("POST");
+    CPPUNIT_ASSERT(Ok(result) ? ValueOf(result).m_status == 503 : !net::MaybeSent(ErrorOf(result)));
+    CPPUNIT_ASSERT(m_peer_calls <= RelaySettings{}.m_peers);
+  }
+
+  void InstanceThatIsTurnedAwayRelaysNothing() {
+    TurnAway();
+    const int before = m_direct_calls;
+    const wire::StoreAnswer answer = Handle();
+    CPPUNIT_ASSERT_EQUAL(0, answer.status);
+    CPPUNIT_ASSERT(!answer.sent);
+    CPPUNIT_ASSERT_EQUAL(before, m_direct_calls);
+  }
+
+  void RelayedCallsAreBounded() {
+    m_hold = true;
+    for (int i = 0; i < RelaySettings{}.m_most_relayed; ++i) Handle();
+    const int before = m_direct_calls;
+    CPPUNIT_ASSERT_EQUAL(0, Handle().status);
+    CPPUNIT_ASSERT_EQUAL(before, m_direct_calls);
+    m_held.front()(Status(200));
+    m_hold = false;
+    CPPUNIT_ASSERT_EQUAL(200, Handle().status);
+  }
+
+ private:
+  static wire::StoreAnswer Answer(int status) {
+    wire::StoreAnswer answer;
+    answer.__set_status(status);
+    answer.__set_sent(status != 0);
+    return answer;
+  }
+
+  void TurnAway() {
+    m_direct = Status(503);
+    for (int i = 0; i < RelaySettings{}.m_failures; ++i) Send("POST");
+  }
+
+  HttpResult Send(const char* method) {
+    HttpResult outcome = net::NetError{net::NotSent{"no answer at all"}};
+    net::HttpRequest request;
+    request.m_method = method;
+    m_relay->Send()(kStore, request, kTimeout, [&outcome](HttpResult result) { outcome = std::move(result); });
+    return outcome;
+  }
+
+  wire::StoreAnswer Handle() {
+    wire::StoreCall call;
+    call.__set_method("POST");
+    call.__set_timeout_ms(kTimeout.count());
+    auto outcome = std::make_shared<wire::StoreAnswer>(Answer(-1));
+    m_relay->Handle(call, [outcome](inner::Message message) { *outcome = std::get<wire::StoreAnswer>(message); });
+    return *outcome;
+  }
+
+  static int StatusOf(const HttpResult& result) { return Ok(result) ? ValueOf(result).m_status : 0; }
+
+  ManualClock m_clock;
+  Metrics m_metrics;
+  HttpResult m_direct = Status(200);
+  std::optional<wire::StoreAnswer> m_peer;  // Empty: no answer.
+  std::vector<net::ResponseCallback> m_held;
+  bool m_hold = false;
+  int m_direct_calls = 0;
+  int m_peer_calls = 0;
+  std::shared_ptr<StoreRelay> m_relay;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
+
+}  // namespace
+}  // namespace hickoryquay::service
