--- a/tests/service/relay_test.cc
+++ b/tests/service/relay_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
+
 #include "hickoryquay/service/store_relay.h"
 
 namespace hickoryquay::service {
