--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -24,9 +24,9 @@
 
 struct IntakeSettings {
   TableNames m_tables;
-  Millis m_call_timeout{700};    // Of one call to the store.
+  Millis m_call_timeout{2'500};  // Longest time of one call to the store; usually AdaptiveStore allows far less.
   Millis m_contact_valid{250};   // A write goes out only where the store answered within this; else it is asked first.
-  Millis m_probe_timeout{300};   // Of that question: a slowed store answers in 250 ms.
+  Millis m_probe_timeout{1'000};  // Longest time of that question.
   Millis m_probe_every{120};     // While the store is away.
   Millis m_retry{60};            // After a refused or unanswered call.
   Millis m_refuse_after{500};    // A job that could not be written by then is refused, where nothing was sent.
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -40,7 +40,7 @@
   Millis m_take_over_after{1'100};  // A row unchanged for this long has no leader. Bounds the time without starts.
   Millis m_watch_every{250};     // Reads of the row while no leader is heard.
   Millis m_heard_for{700};       // A leader's beat is believed for this long; beats come every 200 ms.
-  Millis m_call_timeout{1'000};  // Of one call. A slowed store answers in 250 ms.
+  Millis m_call_timeout{2'500};  // Longest time of one call; usually AdaptiveStore allows far less.
   Millis m_retry{40};            // After a refused write.
   Millis m_grant_for{1'500};     // Without a renewal the leader extends leases this long. Its successor waits for them.
 };
--- a/hickoryquay/service/store_relay.cc
+++ b/hickoryquay/service/store_relay.cc
@@ -1,6 +1,5 @@
 #include "hickoryquay/service/store_relay.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "hickoryquay/base/log.h"
@@ -14,6 +13,7 @@
 constexpr log::Part kLog{"relay"};
 constexpr int kTooManyCalls = 429;
 constexpr int kUnavailable = 503;
+constexpr std::size_t kLoggedTarget = 60;  // Characters of a path and query in the log.
 
 bool TurnedAway(const Result<net::HttpResponse, net::NetError>& result) {
   if (!Ok(result)) return true;
@@ -68,9 +68,7 @@
 void StoreRelay::Direct(const std::shared_ptr<Call>& call) {
   call->m_tried_direct = true;
   m_tried_direct = m_clock->Now();
-  const Millis left = call->m_until - m_tried_direct;
-  const bool brief = m_send && left <= m_settings.m_longest_short_call;
-  m_direct(m_store, call->m_request, brief ? std::min(left, m_settings.m_direct_timeout) : left,
+  m_direct(m_store, call->m_request, call->m_until - m_tried_direct,
            [self = shared_from_this(), call](Result<net::HttpResponse, net::NetError> result) {
              self->OnDirect(call, std::move(result));
            });
@@ -82,7 +80,11 @@
     m_failed = 0;
     return call->m_callback(std::move(result));
   }
-  if (++m_failed == m_settings.m_failures) log::Warn(kLog, "Store turns this instance away, asking peers");
+  if (++m_failed == m_settings.m_failures) {
+    log::Warn(kLog, "Store turns this instance away, asking peers",
+              {{"last", Ok(result) ? "status " + std::to_string(ValueOf(result).m_status) : net::ToString(ErrorOf(result))},
+               {"call", call->m_request.m_target.substr(0, kLoggedTarget)}});
+  }
   call->m_maybe_done = !call->m_read && !Ok(result) && net::MaybeSent(ErrorOf(result));
   call->m_last = std::move(result);
   if (call->m_maybe_done) return call->m_callback(std::move(call->m_last));
--- a/hickoryquay/service/store_relay.h
+++ b/hickoryquay/service/store_relay.h
@@ -19,9 +19,7 @@
 namespace hickoryquay::service {
 
 struct RelaySettings {
-  Millis m_direct_timeout{450};  // Of a call that could also go through a peer; a slowed store answers in 250 ms.
   Millis m_try_direct_every{500};  // While the store turns this instance away.
-  Millis m_longest_short_call{1'500};  // Calls with more time than this wait for changes: they keep it.
   int m_failures = 2;            // Direct calls in a row without success after which peers are asked first.
   int m_peers = 2;               // Peers that one call tries.
   int m_most_relayed = 64;       // Calls of others under way at a time; further ones are turned away.
--- a/standin/sim_store.cc
+++ b/standin/sim_store.cc
@@ -93,7 +93,8 @@
     timers->After(half, [callback] { callback(store::TransactError{store::StoreRefused{"status 503"}}); }).Detach();
     return;
   }
-  const bool lost = hit && (m_mood == StoreMood::kLosesWrites || m_mood == StoreMood::kLateWrites);
+  const bool slow = m_store->m_settings.m_latency > timeout;
+  const bool lost = slow || (hit && (m_mood == StoreMood::kLosesWrites || m_mood == StoreMood::kLateWrites));
   const bool late = hit && m_mood == StoreMood::kLateWrites;
   const Millis delay =
       late ? Millis{std::uniform_int_distribution<>(kEarliestLateMs, kLatestLateMs)(m_store->m_random)} : half;
@@ -110,8 +111,9 @@
 
 void SimStoreClient::Read(const store::RowRange& range, int limit, Millis timeout, store::ReadCallback callback) {
   TimerService* timers = m_store->m_timers;
-  if (m_mood == StoreMood::kSilent || m_mood == StoreMood::kRefuses) {
-    const Millis delay = m_mood == StoreMood::kSilent ? timeout : m_store->m_settings.m_latency;
+  const bool slow = m_store->m_settings.m_latency > timeout;
+  if (slow || m_mood == StoreMood::kSilent || m_mood == StoreMood::kRefuses) {
+    const Millis delay = m_mood == StoreMood::kRefuses ? m_store->m_settings.m_latency : timeout;
     timers->After(delay, [callback] { callback(store::ReadError{store::Unreachable{"away"}}); }).Detach();
     return;
   }
--- a/standin/sim_store.h
+++ b/standin/sim_store.h
@@ -37,6 +37,7 @@
 
   void Put(const store::RowKey& key, const std::string& value);  // As the operator and the workers do.
   void Remove(const store::RowKey& key);
+  void SetLatency(Millis latency) { m_settings.m_latency = latency; }  // Calls that take longer than allowed time out.
   void ForgetHistory() { m_history_from = m_version; }
   std::vector<store::StoredRow> Rows(const std::string& table) const;
   std::int64_t Writes() const { return m_writes; }
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "hickoryquay/store/adaptive_store.h"
 #include "standin/sim_store.h"
 
 namespace hickoryquay::service {
@@ -20,6 +21,7 @@
   CPPUNIT_TEST(KnownOutageIsRefusedAtOnce);
   CPPUNIT_TEST(UnansweredWriteIsNeverCalledRefused);
   CPPUNIT_TEST(RefusingStoreIsRefusedSoon);
+  CPPUNIT_TEST(SlowStoreIsWaitedForNotAskedAgain);
   CPPUNIT_TEST(CancelOfUnknownJobIsGone);
   CPPUNIT_TEST(PhaseComesFromTheStoreWhereNobodyTold);
   CPPUNIT_TEST(PhaseThatMayChangeIsNotBelievedWithoutBeats);
@@ -32,7 +34,8 @@
     m_clock.Set(Instant{1'000'000});
     m_store = std::make_unique<standin::SimStore>(&m_timers, standin::SimStoreSettings{});
     m_client = std::make_unique<standin::SimStoreClient>(m_store.get());
-    m_intake = std::make_shared<Intake>(m_client.get(), &m_timers, &m_clock, &m_metrics, IntakeSettings{});
+    m_adaptive = std::make_unique<store::AdaptiveStore>(m_client.get(), &m_clock, store::AdaptiveSettings{});
+    m_intake = std::make_shared<Intake>(m_adaptive.get(), &m_timers, &m_clock, &m_metrics, IntakeSettings{});
     auto configuration = std::make_shared<jobs::QueueConfiguration>();
     jobs::Queue queue;
     queue.m_name = jobs::QueueName{"q"};
@@ -80,6 +83,17 @@
     CPPUNIT_ASSERT_EQUAL(std::string("try later"), Submit(JobId{2}, Millis{700}));
   }
 
+  // The store of incident ff6d: its answers take 0.5 to 1 s. With a fixed limit every call was sent several times.
+  void SlowStoreIsWaitedForNotAskedAgain() {
+    Submit(JobId{1}, kPatience);
+    m_store->SetLatency(Millis{900});
+    for (int i = 2; i < 6; ++i) Submit(JobId{static_cast<std::uint64_t>(i)}, Millis{200});
+    m_timers.Advance(kPatience);
+    const auto writes = m_store->Writes();
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{10}, kPatience));
+    CPPUNIT_ASSERT_EQUAL(writes + 1, m_store->Writes());
+  }
+
   void CancelOfUnknownJobIsGone() {
     std::string outcome;
     m_intake->Cancel(JobId{9}, kPatience, [&](const Result<Done, IntakeError>& result) { outcome = Text(result); });
@@ -165,6 +179,7 @@
   Metrics m_metrics;
   std::unique_ptr<standin::SimStore> m_store;
   std::unique_ptr<standin::SimStoreClient> m_client;
+  std::unique_ptr<store::AdaptiveStore> m_adaptive;
   std::shared_ptr<Intake> m_intake;
 };
 
