--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -138,9 +138,12 @@
   const StepState* full = nullptr;  // A step of single tasks of which one did not fit: the others won't either.
   for (Unit* unit : Waiting(now)) {
     if (unit->m_step == full || !unit->Waiting() || Ended(unit->m_step->m_job->m_phase)) continue;
-    if (pool.m_free - unit->Accelerators() < KeptFree(*unit, now) * pool.m_total) continue;
+    const int takes = unit->Accelerators();
+    // A unit that is too large for the reserve needs half of what it leaves at most, or it would never start.
+    const double kept = std::min(KeptFree(*unit, now) * pool.m_total, (pool.m_total - takes) / 2.0);
+    if (pool.m_free - takes < kept) continue;
     if (TryPlace(unit, now)) {
-      pool.m_free -= unit->Accelerators();
+      pool.m_free -= takes;
       continue;
     }
     if (unit->m_members.size() == 1) full = unit->m_step;
--- a/standin/sim_workers.cc
+++ b/standin/sim_workers.cc
@@ -316,8 +316,10 @@
       const double every = static_cast<double>(m_settings.m_checkpoint_every.count());
       run.m_saved_ms = std::max(run.m_saved_ms, every * static_cast<int>(run.m_worked_ms / every));
     }
-    const bool faulty = static_cast<int>(m_failed[task].size()) < truth.m_failing_runs;
+    const jobs::TaskKey faulty_key{task.m_step, truth.m_spec.m_gang ? 0 : task.m_index};
+    const bool faulty = static_cast<int>(m_faulty_runs[faulty_key].size()) < truth.m_failing_runs;
     if (worker->m_faults.m_fails || (faulty && run.m_worked_ms >= work / 2)) {
+      m_faulty_runs[faulty_key].insert(run.m_run);
       ends.emplace_back(task, EndKind::kFailed);
     } else if (run.m_worked_ms >= work) {
       run.m_finished = true;
--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -29,7 +29,7 @@
   jobs::StepSpec m_spec;
   jobs::PoolName m_pool;
   std::vector<Millis> m_work;       // Of each task, on a worker of speed 1.
-  int m_failing_runs = 0;           // So many runs of each task fail by their own fault, at half of their work.
+  int m_failing_runs = 0;  // So many runs of each task, or gang, fail by their own fault, at half of their work.
   int m_max_attempts = 1;
 };
 
@@ -155,6 +155,7 @@
   std::map<jobs::TaskKey, Instant> m_done;           // Noted by a scheduler.
   std::map<jobs::TaskKey, Instant> m_done_unnoted;
   std::map<jobs::TaskKey, std::set<jobs::RunNumber>> m_failed;  // Noted.
+  std::map<jobs::TaskKey, std::set<jobs::RunNumber>> m_faulty_runs;  // By task, or by first member of a gang.
   std::vector<std::string> m_violations;
   int m_starts = 0;
   int m_looks = 0;
--- a/tests/service/load_test.cc
+++ b/tests/service/load_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(UrgentBurstOverBatchBacklogStartsWithoutStops);
   CPPUNIT_TEST(BatchBacklogEndsAllTheSame);
   CPPUNIT_TEST(PressingBatchMayUseTheReserve);
+  CPPUNIT_TEST(BatchGangLargerThanTheReserveStarts);
   CPPUNIT_TEST(UrgentGangTakesWorkersThatProvedFast);
   CPPUNIT_TEST_SUITE_END();
 
@@ -80,6 +81,16 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
   }
 
+  // Found by the fuzz: it waited for ever, since it would have left less than the reserve.
+  void BatchGangLargerThanTheReserveStarts() {
+    jobs::StepSpec gang = RackGang(kWorkers - 2, 8, Millis{2'000});
+    gang.m_rack_local = false;
+    const JobId large = m_world->Submit(0, gang, Millis{2'000}, 2);
+    m_world->Run(Millis{3'000});
+    CheckPhase(large, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
+  }
+
   // Batch tasks of one step tell which workers are fast.
   void UrgentGangTakesWorkersThatProvedFast() {
     Build({0.8, 1.25});
