--- a/hickoryquay/jobs/job.h
+++ b/hickoryquay/jobs/job.h
@@ -62,21 +62,21 @@
 
 struct StepSpec {
   int m_tasks = 1;
-  Resources m_task;               // What each task takes of its worker.
-  Millis m_estimate{0};           // The caller's guess at a task's duration; off by half to ten times.
-  std::vector<int> m_after;       // Earlier steps whose tasks must all be done first.
-  bool m_checkpoints = false;     // A stopped task can go on from its last checkpoint.
-  bool m_gang = false;            // Tasks work only together and end together.
-  bool m_rack_local = false;      // A gang on more than one rack is slowed down.
-  bool m_speculative = false;     // Copies of a task may run in parallel.
-  bool m_lasts = false;           // Runs until the job is cancelled; restarted however it ends.
-  bool m_fills = false;           // Takes the cores that others leave unused.
-  std::string m_required_label;   // Workers without it may not run the step; empty: any worker.
-  std::string m_data_rack;        // Elsewhere tasks are slowed down; empty: no data.
-  int m_max_per_worker = 0;       // Tasks of one occurrence on one worker; 0: no limit.
-  std::string m_image;            // Tasks of one image behave alike.
-  Millis m_latency_target{0};     // Tail of the responses of a task that serves; 0: it serves nobody.
-  int m_max_unavailable = 0;      // Tasks of a lasting step that our own actions may keep away at a time.
+  Resources m_task;              // What each task takes of its worker.
+  Millis m_estimate{0};          // The caller's guess at a task's duration; off by half to ten times.
+  std::vector<int> m_after;      // Earlier steps whose tasks must all be done first.
+  bool m_checkpoints = false;    // A stopped task can go on from its last checkpoint.
+  bool m_gang = false;           // Tasks work only together and end together.
+  bool m_rack_local = false;     // A gang on more than one rack is slowed down.
+  bool m_speculative = false;    // Copies of a task may run in parallel.
+  bool m_lasts = false;          // Runs until the job is cancelled; restarted however it ends.
+  bool m_fills = false;          // Takes the cores that others leave unused.
+  std::string m_required_label;  // Workers without it may not run the step; empty: any worker.
+  std::string m_data_rack;       // Elsewhere tasks are slowed down; empty: no data.
+  int m_max_per_worker = 0;      // Tasks of one occurrence on one worker; 0: no limit.
+  std::string m_image;           // Tasks of one image behave alike.
+  Millis m_latency_target{0};    // Tail of the responses of a task that serves; 0: it serves nobody.
+  int m_max_unavailable = 0;     // Tasks of a lasting step that our own actions may keep away at a time.
 };
 
 struct JobRequest {
@@ -147,7 +147,7 @@
 
 // One worker of a pool as the platform lists it.
 struct WorkerEntry {
-  WorkerId m_id;     // Of one life of the process; a restarted one has another.
+  WorkerId m_id;  // Of one life of the process; a restarted one has another.
   PoolName m_pool;
   std::string m_address;  // "IP:PORT".
   DomainId m_domain;
--- a/hickoryquay/jobs/rows.cc
+++ b/hickoryquay/jobs/rows.cc
@@ -108,8 +108,7 @@
   json::array members;
   for (const PlacedMember& member : unit.m_members) {
     // A settled member keeps its place in the list, since the index of its task follows from it.
-    members.push_back(member.m_settled ? json::array{}
-                                       : json::array{member.m_worker.m_value, member.m_address});
+    members.push_back(member.m_settled ? json::array{} : json::array{member.m_worker.m_value, member.m_address});
   }
   if (!members.empty()) object["on"] = std::move(members);
   return object;
@@ -160,16 +159,11 @@
   const JobRequest& request = job.m_request;
   json::array steps;
   for (const StepSpec& step : request.m_steps) steps.push_back(StepJson(step));
-  json::object object{{"queue", job.m_queue.m_value},
-                      {"account", job.m_account.m_value},
-                      {"accepted_ms", job.m_accepted.m_ms},
-                      {"pool", job.m_pool.m_value},
-                      {"priority", job.m_priority},
-                      {"max_attempts", job.m_max_attempts},
-                      {"stretch", job.m_stretch},
-                      {"objective_ms", job.m_objective.count()},
-                      {"payload", request.m_payload},
-                      {"steps", std::move(steps)}};
+  json::object object{{"queue", job.m_queue.m_value},       {"account", job.m_account.m_value},
+                      {"accepted_ms", job.m_accepted.m_ms}, {"pool", job.m_pool.m_value},
+                      {"priority", job.m_priority},         {"max_attempts", job.m_max_attempts},
+                      {"stretch", job.m_stretch},           {"objective_ms", job.m_objective.count()},
+                      {"payload", request.m_payload},       {"steps", std::move(steps)}};
   Put(&object, "repeats", request.m_repeats);
   Put(&object, "first_due_ms", request.m_first_due.m_ms);
   Put(&object, "interval_ms", request.m_interval.count());
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -67,8 +67,8 @@
     }
     if (!unit->m_active) continue;
     m_active.insert(unit);
-    const bool failed = std::find(unit->m_failed_runs.begin(), unit->m_failed_runs.end(), unit->m_run) !=
-                        unit->m_failed_runs.end();
+    const bool failed =
+        std::find(unit->m_failed_runs.begin(), unit->m_failed_runs.end(), unit->m_run) != unit->m_failed_runs.end();
     if (failed || Ended(job->m_phase)) StopRun(unit, "run was ending before the takeover");
   }
 }
@@ -186,8 +186,9 @@
   std::vector<JobId> old;
   for (const auto& [id, job] : m_jobs) {
     if (!Ended(job->m_phase) || now.m_wall - job->m_ended < m_settings.m_keep_ended) continue;
-    const bool active = std::any_of(m_active.begin(), m_active.end(),
-                                    [&](const Unit* unit) { return unit->m_step->m_job == job.get(); });
+    const JobState* state = job.get();
+    const bool active =
+        std::any_of(m_active.begin(), m_active.end(), [state](const Unit* unit) { return unit->m_step->m_job == state; });
     if (!active && !m_changed_phases.contains(id)) old.push_back(id);
   }
   for (const JobId id : old) {
@@ -230,8 +231,9 @@
   const auto members = slot->m_members;
   for (const auto& [unit, member] : members) {
     if (unit->m_members[member].m_slot != slot) continue;
-    log::Info(kLog, "Run lost with its worker",
-              {{"task", ToText(unit->Key(member))}, {"run", std::to_string(Raw(unit->m_run))}, {"worker", worker.m_value}});
+    log::Info(
+        kLog, "Run lost with its worker",
+        {{"task", ToText(unit->Key(member))}, {"run", std::to_string(Raw(unit->m_run))}, {"worker", worker.m_value}});
     if (unit->m_step->m_spec->m_gang && !unit->m_done) StopRun(unit, "member lost");
     if (unit->m_members[member].m_slot == slot) Settle(unit, member, now);
   }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -36,25 +36,25 @@
 //-------------------------------------------------------------------------------------------------
 
 struct SchedulerSettings {
-  Millis m_stop_timeout{1'000};      // A worker ends a stopped task within this.
-  Millis m_gang_timeout{3'000};      // Members of a gang wait this long for the others.
-  double m_remote_factor = 3.0;      // Slowdown of a gang across racks, or of a task away from its data.
-  Millis m_restore{250};             // What a start from a checkpoint costs.
-  Millis m_keep_ended{120'000};      // Rows of an ended job are kept this long.
-  Millis m_retry_stop{300};          // A stop that brought no answer is sent again after this.
-  Millis m_avoid_refusing{500};      // A worker that refused a start gets no other for this long.
-  Millis m_due_early{50};            // Timed work may start this much before its time.
-  Millis m_spread_after{1'000};      // A rack-local gang of a guarantee that found no rack by then takes any workers.
-  Millis m_room_slack{500};          // Room that is made for a unit is kept this long beyond the stop timeout.
+  Millis m_stop_timeout{1'000};  // A worker ends a stopped task within this.
+  Millis m_gang_timeout{3'000};  // Members of a gang wait this long for the others.
+  double m_remote_factor = 3.0;  // Slowdown of a gang across racks, or of a task away from its data.
+  Millis m_restore{250};         // What a start from a checkpoint costs.
+  Millis m_keep_ended{120'000};  // Rows of an ended job are kept this long.
+  Millis m_retry_stop{300};      // A stop that brought no answer is sent again after this.
+  Millis m_avoid_refusing{500};  // A worker that refused a start gets no other for this long.
+  Millis m_due_early{50};        // Timed work may start this much before its time.
+  Millis m_spread_after{1'000};  // A rack-local gang of a guarantee that found no rack by then takes any workers.
+  Millis m_room_slack{500};      // Room that is made for a unit is kept this long beyond the stop timeout.
   // Shares of all accelerators that a start must leave free for more urgent work. From rounds on heavy days: less makes
   // urgent work wait for stops and throws work away, more leaves batch work behind (docs/design/platform.md).
   double m_keep_free = 0.2;            // Of priority 1.
   double m_keep_free_batch = 0.3;      // Of lower priorities.
   double m_keep_free_pressing = 0.05;  // Of work whose slack is below m_pressing_slack of its estimate.
   double m_pressing_slack = 0.5;
-  int m_speed_tasks = 4;       // Steps of fewer tasks don't compare workers.
-  int m_speed_peers = 3;       // So many tasks of a step must have finished before another one is compared with them.
-  double m_speed_step = 0.1;   // Of logarithms: smaller differences of speed don't count.
+  int m_speed_tasks = 4;      // Steps of fewer tasks don't compare workers.
+  int m_speed_peers = 3;      // So many tasks of a step must have finished before another one is compared with them.
+  double m_speed_step = 0.1;  // Of logarithms: smaller differences of speed don't count.
 };
 
 struct Now {
@@ -121,7 +121,8 @@
   explicit Scheduler(const SchedulerSettings& settings);
   ~Scheduler();
 
-  // Before the first Decide, from the rows that an earlier scheduler left. Steps of unknown jobs are dropped and logged.
+  // Before the first Decide, from the rows that an earlier scheduler left. Steps of unknown jobs are dropped and
+  // logged.
   void RestoreJob(const AcceptedJob& job);
   void RestorePhase(JobId job, JobPhase phase, Instant since);
   void RestoreStep(const StepRow& row);
@@ -130,8 +131,8 @@
   void OnCancel(JobId job, Now now);
   void SetConfiguration(std::shared_ptr<const QueueConfiguration> configuration);
 
-  void OnWorkerListed(const WorkerEntry& worker);           // New, or changed.
-  void OnWorkerUnlisted(const WorkerId& worker);            // Gets no new work; what runs there may go on.
+  void OnWorkerListed(const WorkerEntry& worker);             // New, or changed.
+  void OnWorkerUnlisted(const WorkerId& worker);              // Gets no new work; what runs there may go on.
   void SetWorkerUsable(const WorkerId& worker, bool usable);  // It answers and knows this scheduler's epoch.
 
   // Everything that was placed on the worker before has ended and can't come back.
@@ -144,10 +145,10 @@
   // Places what can be placed, and stops what has to make room. Call after every event, and once every 100 ms.
   void Decide(Now now);
 
-  Batch TakeBatch(std::size_t max_rows);        // Empty where nothing changed.
-  std::vector<StopOrder> TakeStops(Now now);    // May be sent at once.
+  Batch TakeBatch(std::size_t max_rows);      // Empty where nothing changed.
+  std::vector<StopOrder> TakeStops(Now now);  // May be sent at once.
   bool StillWanted(const StartOrder& order) const;
-  bool IsBusy(const WorkerId& worker) const;    // Something runs there, or may.
+  bool IsBusy(const WorkerId& worker) const;  // Something runs there, or may.
   // Something there is settled only by a look that was sent after `last`.
   bool NeedsLook(const WorkerId& worker, Instant last) const;
   std::vector<std::pair<WorkerId, std::string>> HeldWorkers() const;  // With addresses; those of restored runs too.
@@ -213,12 +214,12 @@
   std::shared_ptr<const QueueConfiguration> m_configuration;
   std::map<JobId, std::unique_ptr<JobState>> m_jobs;
   WorkerTable m_workers;
-  std::set<StepKey> m_changed_steps;             // Rows to write.
-  std::map<JobId, JobPhase> m_changed_phases;    // Rows to write.
-  std::vector<StartOrder> m_planned_starts;      // Wait for their rows.
-  std::vector<std::string> m_removed_rows;       // Keys.
-  std::vector<JobId> m_forgotten;                // Jobs whose rows are removed.
-  std::set<Unit*> m_active;                      // With members that are not settled.
+  std::set<StepKey> m_changed_steps;                                         // Rows to write.
+  std::map<JobId, JobPhase> m_changed_phases;                                // Rows to write.
+  std::vector<StartOrder> m_planned_starts;                                  // Wait for their rows.
+  std::vector<std::string> m_removed_rows;                                   // Keys.
+  std::vector<JobId> m_forgotten;                                            // Jobs whose rows are removed.
+  std::set<Unit*> m_active;                                                  // With members that are not settled.
   std::set<std::pair<WorkerId, std::pair<TaskKey, RunNumber>>> m_strangers;  // Run, but stand in no row.
   int m_starts = 0;
   int m_preemptions = 0;
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -66,7 +66,8 @@
   const JobRequest& request = job.m_job.m_request;
   const Instant from =
       request.m_repeats > 0 ? request.m_first_due + occurrence * request.m_interval : job.m_job.m_accepted;
-  const auto stretched = static_cast<std::int64_t>(job.m_job.m_stretch * static_cast<double>(ExpectedChain(job).count()));
+  const auto stretched =
+      static_cast<std::int64_t>(job.m_job.m_stretch * static_cast<double>(ExpectedChain(job).count()));
   return from + Millis{stretched} + job.m_job.m_objective;
 }
 
@@ -229,7 +230,8 @@
       best_free = free;
     }
     if (!best.empty()) return PlaceOn(unit, best, now);
-    const bool urgent = Entitled(*unit) && now.m_wall - unit->m_step->m_job->m_job.m_accepted > m_settings.m_spread_after;
+    const bool urgent =
+        Entitled(*unit) && now.m_wall - unit->m_step->m_job->m_job.m_accepted > m_settings.m_spread_after;
     if (could && !urgent) return false;
   } else if (!spec.m_data_rack.empty()) {
     const auto rack = racks.find(spec.m_data_rack);
@@ -237,7 +239,8 @@
       const auto chosen = Choose(*unit, rack->second, now);
       if (!chosen.empty()) return PlaceOn(unit, chosen, now);
       const Instant by = FullDeadline(*unit->m_step->m_job, unit->m_step->m_key.m_occurrence);
-      const auto away = static_cast<std::int64_t>(m_settings.m_remote_factor * static_cast<double>(spec.m_estimate.count()));
+      const auto away =
+          static_cast<std::int64_t>(m_settings.m_remote_factor * static_cast<double>(spec.m_estimate.count()));
       if (now.m_wall + Millis{away} < by) return false;  // There is time to wait for the data's rack.
     }
   }
@@ -260,8 +263,7 @@
     member.m_since = now.m_steady;
     m_workers.Take(slots[i], unit, i);
     if (slots[i]->m_kept_for == unit) slots[i]->m_kept_for = nullptr;
-    m_planned_starts.push_back(
-        {slots[i]->m_entry.m_id, unit->Key(i), unit->m_run, job->m_payload, unit->m_checkpoint});
+    m_planned_starts.push_back({slots[i]->m_entry.m_id, unit->Key(i), unit->m_run, job->m_payload, unit->m_checkpoint});
     log::Info(kLog, "Run placed",
               {{"task", ToText(unit->Key(i))},
                {"run", std::to_string(Raw(unit->m_run))},
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -69,7 +69,7 @@
       NoteBegun(unit);
       return;
     case StartOutcome::kUnknown:
-    case StartOutcome::kFenced:     // This scheduler is deposed: what became of the run is for its successor to find out.
+    case StartOutcome::kFenced:  // This scheduler is deposed: what became of the run is for its successor to find out.
     case StartOutcome::kOtherLife:  // The session says so of the whole worker.
       SetState(&member, MemberState::kUnknown, now.m_steady);
       return;
@@ -143,7 +143,8 @@
   if (unit == nullptr) return;
   const bool current = unit->m_active && unit->m_run == end.m_run && unit->m_members[index].m_slot == slot;
   const bool lasts = unit->m_step->m_spec->m_lasts;
-  if (current && unit->m_step->m_spec->m_checkpoints && !end.m_checkpoint.empty()) unit->m_checkpoint = end.m_checkpoint;
+  if (current && unit->m_step->m_spec->m_checkpoints && !end.m_checkpoint.empty())
+    unit->m_checkpoint = end.m_checkpoint;
   if (end.m_kind == EndKind::kDone) slot->m_failures = 0;
   if (end.m_kind == EndKind::kDone && !lasts) {
     if (current) LearnSpeed(*unit, unit->m_members[index], now);
@@ -163,7 +164,9 @@
 void Scheduler::SettleAbsent(WorkerSlot* slot, const LookReply& look, Instant sent, Now now) {
   if (look.m_more_ended) return;
   const auto members = slot->m_members;
-  for (const auto& [unit, index] : members) {
+  for (const auto& held : members) {
+    Unit* unit = held.first;
+    const std::size_t index = held.second;
     Member& member = unit->m_members[index];
     if (member.m_slot != slot) continue;
     const TaskKey key = unit->Key(index);
@@ -179,7 +182,9 @@
                 {{"task", ToText(key)},
                  {"run", Text(unit->m_run)},
                  {"worker", slot->m_entry.m_id.m_value},
-                 {"proof", stopped ? "stopped" : vanished ? "vanished" : "earlier epoch"}});
+                 {"proof", stopped    ? "stopped"
+                           : vanished ? "vanished"
+                                      : "earlier epoch"}});
       if (unit->m_members.size() > 1 && !unit->m_done) StopRun(unit, "member is not on its worker");
       if (member.m_slot == slot) Settle(unit, index, now);
     } else if (unanswered) {
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -62,8 +62,8 @@
   JobState* m_job = nullptr;
   const StepSpec* m_spec = nullptr;
   std::vector<std::unique_ptr<Unit>> m_units;
-  int m_units_left = 0;  // Not done.
-  bool m_stored = false;  // A row of it exists.
+  int m_units_left = 0;     // Not done.
+  bool m_stored = false;    // A row of it exists.
   double m_work_sum = 0.0;  // Of logarithms of the work of finished tasks, in ms on a worker of usual speed.
   int m_work_samples = 0;
 
@@ -74,11 +74,11 @@
   AcceptedJob m_job;
   std::shared_ptr<const std::string> m_payload;
   JobPhase m_phase = JobPhase::kQueued;
-  bool m_begun = false;    // A task was ordered to start at some time.
+  bool m_begun = false;  // A task was ordered to start at some time.
   bool m_phase_stored = false;
-  Instant m_ended;         // Wall time.
+  Instant m_ended;  // Wall time.
   int m_occurrences = 1;
-  int m_opened = 0;        // Occurrences whose time has come.
+  int m_opened = 0;                                              // Occurrences whose time has come.
   std::vector<std::vector<std::unique_ptr<StepState>>> m_steps;  // By occurrence and step; empty until opened.
 };
 
--- a/hickoryquay/jobs/worker_port.cc
+++ b/hickoryquay/jobs/worker_port.cc
@@ -4,12 +4,18 @@
 
 const char* ToString(EndKind kind) {
   switch (kind) {
-    case EndKind::kDone: return "done";
-    case EndKind::kFailed: return "failed";
-    case EndKind::kStopped: return "stopped";
-    case EndKind::kLapsed: return "lapsed";
-    case EndKind::kBroken: return "broken";
-    case EndKind::kAlone: return "alone";
+    case EndKind::kDone:
+      return "done";
+    case EndKind::kFailed:
+      return "failed";
+    case EndKind::kStopped:
+      return "stopped";
+    case EndKind::kLapsed:
+      return "lapsed";
+    case EndKind::kBroken:
+      return "broken";
+    case EndKind::kAlone:
+      return "alone";
   }
   return "unknown";
 }
--- a/hickoryquay/jobs/worker_port.h
+++ b/hickoryquay/jobs/worker_port.h
@@ -72,9 +72,9 @@
 
 struct LookCall {
   Epoch m_epoch{};
-  std::int64_t m_known_ends = 0;              // Ends up to this number are recorded; the worker forgets them.
+  std::int64_t m_known_ends = 0;  // Ends up to this number are recorded; the worker forgets them.
   std::optional<WorkerTime> m_lease_until;
-  Millis m_wait{0};                           // The answer may wait this long for an end.
+  Millis m_wait{0};  // The answer may wait this long for an end.
 };
 
 struct RunningTask {
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -13,7 +13,7 @@
 constexpr log::Part kLog{"intake"};
 constexpr Millis kPendingValid{1'500};  // A count may be 2 s old; beats come every 200 ms.
 
-constexpr Millis kBeatValid{1'000};       // Several beats.
+constexpr Millis kBeatValid{1'000};  // Several beats.
 
 // Why a request can't be taken; empty where it can.
 std::string Check(const jobs::JobRequest& request) {
@@ -78,7 +78,7 @@
   JobId m_id{};
   store::Transaction m_transaction;
   Instant m_begun;
-  Instant m_until;           // The caller waits no longer.
+  Instant m_until;            // The caller waits no longer.
   bool m_maybe_sent = false;  // Some attempt may still take effect.
   std::function<Result<Done, IntakeError>(const store::RowsDiffer&)> m_on_differ;
   SubmitCallback m_callback;
@@ -154,15 +154,16 @@
 }
 
 void Intake::Probe(std::function<void(bool)> then) {
-  m_store->Read({m_settings.m_tables.m_intake, m_settings.m_tables.m_intake_part, "", ""}, 1, m_settings.m_probe_timeout,
-                [self = shared_from_this(), then = std::move(then)](const Result<store::RowPage, store::ReadError>& page) {
-                  if (Ok(page)) {
-                    self->NoteContact();
-                  } else {
-                    self->SetAway();
-                  }
-                  then(Ok(page));
-                });
+  m_store->Read(
+      {m_settings.m_tables.m_intake, m_settings.m_tables.m_intake_part, "", ""}, 1, m_settings.m_probe_timeout,
+      [self = shared_from_this(), then = std::move(then)](const Result<store::RowPage, store::ReadError>& page) {
+        if (Ok(page)) {
+          self->NoteContact();
+        } else {
+          self->SetAway();
+        }
+        then(Ok(page));
+      });
 }
 
 void Intake::SetAway() {
@@ -199,7 +200,9 @@
         write->m_transaction.m_puts.push_back({IntakeKey(CancelRowKey(id)), "{}"});
         write->m_begun = m_clock->Now();
         write->m_until = until;
-        write->m_on_differ = [](const store::RowsDiffer&) { return Result<Done, IntakeError>(IntakeError{NoSuchJob{}}); };
+        write->m_on_differ = [](const store::RowsDiffer&) {
+          return Result<Done, IntakeError>(IntakeError{NoSuchJob{}});
+        };
         write->m_callback = callback;
         Attempt(write);
       });
@@ -208,8 +211,8 @@
 void Intake::Attempt(const std::shared_ptr<Write>& write) {
   const Millis left = write->m_until - m_clock->Now();
   if (left.count() <= 0) {
-    return Finish(write, write->m_maybe_sent ? IntakeError{OutcomeUnknown{}}
-                                             : IntakeError{Refusal("the store does not answer")});
+    return Finish(
+        write, write->m_maybe_sent ? IntakeError{OutcomeUnknown{}} : IntakeError{Refusal("the store does not answer")});
   }
   m_store->Transact(write->m_transaction, std::min(left, m_settings.m_call_timeout),
                     [self = shared_from_this(), write](Result<Version, store::TransactError> result) {
@@ -231,8 +234,8 @@
   Retry(
       write->m_until, [this, write] { Attempt(write); },
       [this, write] {
-        Finish(write, write->m_maybe_sent ? IntakeError{OutcomeUnknown{}}
-                                          : IntakeError{Refusal("the store does not answer")});
+        Finish(write,
+               write->m_maybe_sent ? IntakeError{OutcomeUnknown{}} : IntakeError{Refusal("the store does not answer")});
       });
 }
 
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -2,8 +2,8 @@
 //
 // A job is accepted once its row is stored. A write without an answer may still take effect, so it is sent again until
 // it is settled or the caller's time is over; only then is the outcome reported as unknown. A refusal is given only
-// where nothing can have been written. So a store that has been silent for a moment is asked something harmless before a
-// write is sent, and while it is away callers are refused at once.
+// where nothing can have been written. So a store that has been silent for a moment is asked something harmless before
+// a write is sent, and while it is away callers are refused at once.
 #pragma once
 
 #include <functional>
@@ -24,14 +24,14 @@
 
 struct IntakeSettings {
   TableNames m_tables;
-  Millis m_call_timeout{2'500};  // Longest time of one call to the store; usually AdaptiveStore allows far less.
-  Millis m_contact_valid{250};   // A write goes out only where the store answered within this; else it is asked first.
+  Millis m_call_timeout{2'500};   // Longest time of one call to the store; usually AdaptiveStore allows far less.
+  Millis m_contact_valid{250};    // A write goes out only where the store answered within this; else it is asked first.
   Millis m_probe_timeout{1'000};  // Longest time of that question.
-  Millis m_probe_every{120};     // While the store is away.
-  Millis m_retry{60};            // After a refused or unanswered call.
-  Millis m_refuse_after{500};    // A job that could not be written by then is refused, where nothing was sent.
-  Millis m_retry_after{1'000};   // Told to callers that are refused: about the time of a takeover.
-  Millis m_margin{60};           // Answers go out this much before the caller's time is over.
+  Millis m_probe_every{120};      // While the store is away.
+  Millis m_retry{60};             // After a refused or unanswered call.
+  Millis m_refuse_after{500};     // A job that could not be written by then is refused, where nothing was sent.
+  Millis m_retry_after{1'000};    // Told to callers that are refused: about the time of a takeover.
+  Millis m_margin{60};            // Answers go out this much before the caller's time is over.
   Millis m_keep_phases{120'000};  // Phases of ended jobs are remembered this long.
 };
 
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -17,12 +17,12 @@
 
 constexpr log::Part kLog{"service"};
 constexpr const char* kLeaderKey = "leader";
-constexpr Millis kMemberRetry{500};         // After a member row that could not be written.
-constexpr Millis kMemberTimeout{1'000};     // Of that write.
-constexpr Millis kSweepEvery{5'000};        // Of remembered phases.
-constexpr Millis kConfigurationWait{700};   // A feed that went silent is noticed well within the time to apply.
+constexpr Millis kMemberRetry{500};        // After a member row that could not be written.
+constexpr Millis kMemberTimeout{1'000};    // Of that write.
+constexpr Millis kSweepEvery{5'000};       // Of remembered phases.
+constexpr Millis kConfigurationWait{700};  // A feed that went silent is noticed well within the time to apply.
 constexpr Millis kConfigurationTimeout{500};
-constexpr Millis kMembersWait{5'000};       // New instances also tell of themselves by heartbeats.
+constexpr Millis kMembersWait{5'000};  // New instances also tell of themselves by heartbeats.
 constexpr int kHexDigits = 16;
 
 std::string RandomHex() {
@@ -71,11 +71,11 @@
   const auto weak = weak_from_this();
   const settings::NodeSection& node = m_settings.m_node.m_node;
   log::Info(kLog, "Starts", {{"instance", m_self.m_value}, {"domain", node.m_domain.m_value}});
-  m_documents = std::make_unique<QueueDocuments>(
-      m_parts.m_read_configuration, [this](std::shared_ptr<const jobs::QueueConfiguration> configuration) {
-        m_intake->SetConfiguration(configuration);
-        if (m_driver) m_driver->SetConfiguration(std::move(configuration));
-      });
+  m_documents = std::make_unique<QueueDocuments>(m_parts.m_read_configuration,
+                                                 [this](std::shared_ptr<const jobs::QueueConfiguration> configuration) {
+                                                   m_intake->SetConfiguration(configuration);
+                                                   if (m_driver) m_driver->SetConfiguration(std::move(configuration));
+                                                 });
 
   m_inner_client = std::make_unique<inner::InnerClient>(m_parts.m_io);
   peers::PeerSettings peers;
@@ -84,17 +84,16 @@
   peers.m_inner = node.m_inner;
   peers.m_seeds = node.m_seeds;
   peers.m_random_seed = std::random_device{}();
-  const peers::SendMessage send =
-      [weak](const net::Endpoint& peer, inner::Message message, Millis timeout,
-             std::function<void(const inner::Message*)> callback) {
-        const auto self = weak.lock();
-        if (!self) return;
-        self->m_inner_client->Call(
-            peer, std::move(message), timeout,
-            [callback = std::move(callback)](const Result<inner::Message, inner::InnerError>& result) {
-              callback(Ok(result) ? &ValueOf(result) : nullptr);
-            });
-      };
+  const peers::SendMessage send = [weak](const net::Endpoint& peer, inner::Message message, Millis timeout,
+                                         std::function<void(const inner::Message*)> callback) {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->m_inner_client->Call(
+        peer, std::move(message), timeout,
+        [callback = std::move(callback)](const Result<inner::Message, inner::InnerError>& result) {
+          callback(Ok(result) ? &ValueOf(result) : nullptr);
+        });
+  };
   m_peers = std::make_shared<peers::PeerService>(peers, m_parts.m_clock, m_documents.get(), send);
   m_parts.m_relay->Connect(send, [weak] {
     std::vector<net::Endpoint> alive;
@@ -105,10 +104,10 @@
     }
     return alive;
   });
-  m_inner_server = std::make_unique<inner::InnerServer>(m_parts.m_io, node.m_inner,
-                                                        [weak](const inner::Message& message, const inner::Answer& answer) {
-                                                          if (const auto self = weak.lock()) self->OnMessage(message, answer);
-                                                        });
+  m_inner_server = std::make_unique<inner::InnerServer>(
+      m_parts.m_io, node.m_inner, [weak](const inner::Message& message, const inner::Answer& answer) {
+        if (const auto self = weak.lock()) self->OnMessage(message, answer);
+      });
   m_peers->Start(m_parts.m_timers);
   m_peers->Beat();
 
@@ -131,14 +130,16 @@
   members.m_wait = kMembersWait;
   m_member_rows = std::make_shared<store::TableFollower>(m_parts.m_store, m_parts.m_timers, members,
                                                          [weak](const std::vector<store::StoredRow>& rows, bool whole) {
-                                                           if (const auto self = weak.lock()) self->OnMemberRows(rows, whole);
+                                                           if (const auto self = weak.lock())
+                                                             self->OnMemberRows(rows, whole);
                                                          });
   m_member_rows->Start();
   WriteMember();
 
-  m_leadership = std::make_shared<Leadership>(
-      m_parts.m_store, m_parts.m_timers, m_parts.m_clock, ForLeadership(m_settings, m_self),
-      Leadership::Events{[this](Epoch epoch) { OnElected(epoch); }, [this](const std::string& why) { OnDeposed(why); }});
+  m_leadership = std::make_shared<Leadership>(m_parts.m_store, m_parts.m_timers, m_parts.m_clock,
+                                              ForLeadership(m_settings, m_self),
+                                              Leadership::Events{[this](Epoch epoch) { OnElected(epoch); },
+                                                                 [this](const std::string& why) { OnDeposed(why); }});
   m_leadership->Start();
   m_beat = m_parts.m_timers->Every(m_settings.m_beat_every, [weak] {
     if (const auto self = weak.lock()) self->Beat();
@@ -194,10 +195,10 @@
 void JobService::WriteMember() {
   const settings::NodeSection& node = m_settings.m_node.m_node;
   store::Transaction member;
-  member.m_puts.push_back({{m_settings.m_members_table, "", node.m_name},
-                           boost::json::serialize(boost::json::object{{"instance", m_self.m_value},
-                                                                      {"domain", node.m_domain.m_value},
-                                                                      {"inner", net::ToString(node.m_inner)}})});
+  member.m_puts.push_back(
+      {{m_settings.m_members_table, "", node.m_name},
+       boost::json::serialize(boost::json::object{
+           {"instance", m_self.m_value}, {"domain", node.m_domain.m_value}, {"inner", net::ToString(node.m_inner)}})});
   m_parts.m_store->Transact(member, kMemberTimeout,
                             [weak = weak_from_this()](const Result<Version, store::TransactError>& result) {
                               const auto self = weak.lock();
@@ -244,14 +245,16 @@
   const auto weak = weak_from_this();
   DriverParts parts{m_parts.m_store, m_parts.m_workers, m_parts.m_lives,      m_parts.m_timers,
                     m_parts.m_clock, m_parts.m_metrics, m_parts.m_read_worker};
-  m_driver = std::make_shared<SchedulerDriver>(
-      parts, m_leadership, ForDriver(m_settings),
-      SchedulerDriver::Events{[weak](const std::vector<jobs::PhaseChange>& phases) {
-                                if (const auto self = weak.lock()) self->OnPhases(phases);
-                              },
-                              [weak](const std::string& why) {
-                                if (const auto self = weak.lock()) self->m_leadership->Abandon(why);
-                              }});
+  m_driver =
+      std::make_shared<SchedulerDriver>(parts, m_leadership, ForDriver(m_settings),
+                                        SchedulerDriver::Events{[weak](const std::vector<jobs::PhaseChange>& phases) {
+                                                                  if (const auto self = weak.lock())
+                                                                    self->OnPhases(phases);
+                                                                },
+                                                                [weak](const std::string& why) {
+                                                                  if (const auto self = weak.lock())
+                                                                    self->m_leadership->Abandon(why);
+                                                                }});
   if (m_intake->Configuration()) m_driver->SetConfiguration(m_intake->Configuration());
   m_driver->Start();
   m_beat_sequence = 0;
--- a/hickoryquay/service/leadership.cc
+++ b/hickoryquay/service/leadership.cc
@@ -92,15 +92,16 @@
 void Leadership::ReadRow(std::function<void(Result<std::optional<store::StoredRow>, store::ReadError>)> callback) {
   m_busy = true;
   const store::RowKey& key = m_settings.m_row;
-  m_store->Read({key.m_table, key.m_part, key.m_key, key.m_key + '\0'}, 1, m_settings.m_call_timeout,
-                [weak = weak_from_this(), callback = std::move(callback)](Result<store::RowPage, store::ReadError> page) {
-                  const auto self = weak.lock();
-                  if (!self || self->m_stopped) return;
-                  self->m_busy = false;
-                  if (!Ok(page)) return callback(ErrorOf(page));
-                  const auto& rows = ValueOf(page).m_rows;
-                  callback(rows.empty() ? std::nullopt : std::optional(rows.front()));
-                });
+  m_store->Read(
+      {key.m_table, key.m_part, key.m_key, key.m_key + '\0'}, 1, m_settings.m_call_timeout,
+      [weak = weak_from_this(), callback = std::move(callback)](Result<store::RowPage, store::ReadError> page) {
+        const auto self = weak.lock();
+        if (!self || self->m_stopped) return;
+        self->m_busy = false;
+        if (!Ok(page)) return callback(ErrorOf(page));
+        const auto& rows = ValueOf(page).m_rows;
+        callback(rows.empty() ? std::nullopt : std::optional(rows.front()));
+      });
 }
 
 void Leadership::Watch() {
@@ -211,7 +212,8 @@
   if (!m_leading || m_stopped || m_pending.empty()) return;
   m_writing = true;
   const Pending& next = m_pending.front();
-  const LeaderRow row{m_epoch, m_settings.m_node, m_settings.m_self, m_settings.m_address, m_writes + 1, next.m_release};
+  const LeaderRow row{m_epoch,      m_settings.m_node, m_settings.m_self, m_settings.m_address,
+                      m_writes + 1, next.m_release};
   store::Transaction transaction;
   transaction.m_checks.push_back({m_settings.m_row, m_version});
   transaction.m_puts = next.m_write.m_puts;
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -33,16 +33,16 @@
 
 struct LeadershipSettings {
   store::RowKey m_row;
-  std::string m_node;            // Name of the machine; the same in each life of the process.
-  InstanceId m_self;             // Of this life.
-  std::string m_address;         // Where other instances reach this one.
-  Millis m_renew_every{350};     // A third of m_take_over_after: two renewals may be lost.
+  std::string m_node;               // Name of the machine; the same in each life of the process.
+  InstanceId m_self;                // Of this life.
+  std::string m_address;            // Where other instances reach this one.
+  Millis m_renew_every{350};        // A third of m_take_over_after: two renewals may be lost.
   Millis m_take_over_after{1'100};  // A row unchanged for this long has no leader. Bounds the time without starts.
-  Millis m_watch_every{250};     // Reads of the row while no leader is heard.
-  Millis m_heard_for{700};       // A leader's beat is believed for this long; beats come every 200 ms.
-  Millis m_call_timeout{2'500};  // Longest time of one call; usually AdaptiveStore allows far less.
-  Millis m_retry{40};            // After a refused write.
-  Millis m_grant_for{1'500};     // Without a renewal the leader extends leases this long. Its successor waits for them.
+  Millis m_watch_every{250};        // Reads of the row while no leader is heard.
+  Millis m_heard_for{700};          // A leader's beat is believed for this long; beats come every 200 ms.
+  Millis m_call_timeout{2'500};     // Longest time of one call; usually AdaptiveStore allows far less.
+  Millis m_retry{40};               // After a refused write.
+  Millis m_grant_for{1'500};  // Without a renewal the leader extends leases this long. Its successor waits for them.
 };
 
 //-------------------------------------------------------------------------------------------------
@@ -88,7 +88,8 @@
   // A beat of a leader arrived.
   void Heard(Epoch epoch);
 
-  // The leader only: stores rows, however often it has to try. `stored` is not called where the leader is deposed first.
+  // The leader only: stores rows, however often it has to try. `stored` is not called where the leader is deposed
+  // first.
   void Store(LeaderWrite write, std::function<void()> stored);
 
   // Gives the role up behind what is to be stored, then calls `done`, at the latest when `timeout` is over.
@@ -133,11 +134,11 @@
   std::int64_t m_writes = 0;
   std::deque<Pending> m_pending;  // The first is being written while m_writing.
   bool m_writing = false;
-  Instant m_sent;       // Of the write under way.
-  Instant m_renewed;    // When the last stored write was sent.
-  Instant m_heard;      // Last beat of a leader.
+  Instant m_sent;     // Of the write under way.
+  Instant m_renewed;  // When the last stored write was sent.
+  Instant m_heard;    // Last beat of a leader.
   Epoch m_heard_epoch{};
-  Version m_seen{};     // As a watcher.
+  Version m_seen{};  // As a watcher.
   Instant m_seen_since;
   bool m_has_seen = false;
   Subscription m_tick;
--- a/hickoryquay/service/queue_documents.cc
+++ b/hickoryquay/service/queue_documents.cc
@@ -19,8 +19,9 @@
                       {{"from", from}, {"why", ErrorOf(read)}});
   }
   if (ValueOf(read).m_version <= Digest()) return;
-  log::Info(kLog, "Configuration is in force",
-            {{"version", std::to_string(ValueOf(read).m_version)}, {"before", std::to_string(Digest())}, {"from", from}});
+  log::Info(
+      kLog, "Configuration is in force",
+      {{"version", std::to_string(ValueOf(read).m_version)}, {"before", std::to_string(Digest())}, {"from", from}});
   m_text = text;
   m_current = std::make_shared<const jobs::QueueConfiguration>(TakeValue(std::move(read)));
   m_on_newer(m_current);
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr log::Part kLog{"driver"};
-constexpr Millis kDecideEvery{100};  // For what falls due without an event: timed work, retries.
+constexpr Millis kDecideEvery{100};       // For what falls due without an event: timed work, retries.
 constexpr std::size_t kRowsOfOthers = 2;  // Of a transaction: the leader's row, checked and written.
 constexpr Millis kForgetTimeout{2'000};   // Of the removal of intake rows, which nothing waits for.
 constexpr std::string_view kJobPrefix = "j/";
@@ -53,17 +53,20 @@
     store::FollowerSettings settings;
     settings.m_table = table;
     settings.m_part = part;
-    auto follower = std::make_shared<store::TableFollower>(m_parts.m_store, m_parts.m_timers, settings, std::move(on_rows));
+    auto follower =
+        std::make_shared<store::TableFollower>(m_parts.m_store, m_parts.m_timers, settings, std::move(on_rows));
     follower->Start();
     return follower;
   };
   using Rows = std::vector<store::StoredRow>;
-  m_state = follow(m_settings.m_tables.m_state, m_settings.m_tables.m_leader_part, [weak](const Rows& rows, bool whole) {
-    if (const auto self = weak.lock(); self && whole) self->OnStateRows(rows);
-  });
-  m_intake = follow(m_settings.m_tables.m_intake, m_settings.m_tables.m_intake_part, [weak](const Rows& rows, bool whole) {
-    if (const auto self = weak.lock()) self->OnIntakeRows(rows, whole);
-  });
+  m_state =
+      follow(m_settings.m_tables.m_state, m_settings.m_tables.m_leader_part, [weak](const Rows& rows, bool whole) {
+        if (const auto self = weak.lock(); self && whole) self->OnStateRows(rows);
+      });
+  m_intake =
+      follow(m_settings.m_tables.m_intake, m_settings.m_tables.m_intake_part, [weak](const Rows& rows, bool whole) {
+        if (const auto self = weak.lock()) self->OnIntakeRows(rows, whole);
+      });
   m_worker_rows = follow(m_settings.m_worker_table, "", [weak](const Rows& rows, bool whole) {
     if (const auto self = weak.lock()) self->OnWorkerRows(rows, whole);
   });
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -16,7 +16,7 @@
 
 // Where rows lie. See docs/design/platform.md.
 struct TableNames {
-  std::string m_intake = "hq-intake";    // Accepted jobs and cancels, by the instances that take them in.
+  std::string m_intake = "hq-intake";  // Accepted jobs and cancels, by the instances that take them in.
   std::string m_intake_part = "intake";
   std::string m_state = "hq-state";      // What became of them, by the leader.
   std::string m_leader_part = "leader";  // Also of the leader's row: one transaction covers both.
--- a/hickoryquay/service/store_relay.cc
+++ b/hickoryquay/service/store_relay.cc
@@ -81,9 +81,10 @@
     return call->m_callback(std::move(result));
   }
   if (++m_failed == m_settings.m_failures) {
-    log::Warn(kLog, "Store turns this instance away, asking peers",
-              {{"last", Ok(result) ? "status " + std::to_string(ValueOf(result).m_status) : net::ToString(ErrorOf(result))},
-               {"call", call->m_request.m_target.substr(0, kLoggedTarget)}});
+    log::Warn(
+        kLog, "Store turns this instance away, asking peers",
+        {{"last", Ok(result) ? "status " + std::to_string(ValueOf(result).m_status) : net::ToString(ErrorOf(result))},
+         {"call", call->m_request.m_target.substr(0, kLoggedTarget)}});
   }
   call->m_maybe_done = !call->m_read && !Ok(result) && net::MaybeSent(ErrorOf(result));
   call->m_last = std::move(result);
@@ -95,7 +96,8 @@
   const Millis left = call->m_until - m_clock->Now();
   const auto peers = m_send && left.count() > 0 ? m_peers() : std::vector<net::Endpoint>{};
   if (peers.empty() || call->m_peers_tried == m_settings.m_peers) {
-    if (call->m_tried_direct || call->m_maybe_done || left.count() <= 0) return call->m_callback(std::move(call->m_last));
+    if (call->m_tried_direct || call->m_maybe_done || left.count() <= 0)
+      return call->m_callback(std::move(call->m_last));
     return Direct(call);
   }
   ++call->m_peers_tried;
--- a/hickoryquay/service/store_relay.h
+++ b/hickoryquay/service/store_relay.h
@@ -1,7 +1,7 @@
 // StoreRelay: calls to the platform's store, through another instance where the store turns this one away.
 //
-// A call that the store refused, or that provably was not sent, is passed to a peer at once. A read without an answer is
-// asked again through a peer; a write without an answer is reported as such, since it may have been done. Peers pass
+// A call that the store refused, or that provably was not sent, is passed to a peer at once. A read without an answer
+// is asked again through a peer; a write without an answer is reported as such, since it may have been done. Peers pass
 // calls on only to the store itself, never to a third instance, and only so many at a time.
 #pragma once
 
@@ -20,9 +20,9 @@
 
 struct RelaySettings {
   Millis m_try_direct_every{500};  // While the store turns this instance away.
-  int m_failures = 2;            // Direct calls in a row without success after which peers are asked first.
-  int m_peers = 2;               // Peers that one call tries.
-  int m_most_relayed = 64;       // Calls of others under way at a time; further ones are turned away.
+  int m_failures = 2;              // Direct calls in a row without success after which peers are asked first.
+  int m_peers = 2;                 // Peers that one call tries.
+  int m_most_relayed = 64;         // Calls of others under way at a time; further ones are turned away.
 };
 
 // One thread.
@@ -57,10 +57,10 @@
   RelaySettings m_settings;
   peers::SendMessage m_send;
   Peers m_peers;
-  int m_failed = 0;         // Direct calls in a row.
+  int m_failed = 0;  // Direct calls in a row.
   Instant m_tried_direct;
   std::size_t m_next_peer = 0;
-  int m_relayed = 0;        // For others, under way.
+  int m_relayed = 0;  // For others, under way.
   Counter* m_through_peers;
 };
 
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -100,7 +100,8 @@
   const auto found = m_sessions.find(order.m_worker);
   if (found == m_sessions.end()) return m_scheduler->OnStartAnswer(order, jobs::StartOutcome::kNotSent, Time());
   const auto session = found->second;
-  jobs::StartCall call{order.m_task, order.m_run, order.m_payload, order.m_checkpoint, GrantLease(session.get()), m_epoch};
+  jobs::StartCall call{order.m_task, order.m_run, order.m_payload, order.m_checkpoint, GrantLease(session.get()),
+                       m_epoch};
   const Instant sent = m_clock->Now();
   m_port->Start(session->m_target, call, m_settings.m_order_timeout,
                 [weak = weak_from_this(), order, session, sent](const jobs::StartReply& reply) {
@@ -109,7 +110,8 @@
                   self->m_start_ms->Add(static_cast<double>((self->m_clock->Now() - sent).count()));
                   if (reply.m_outcome == jobs::StartOutcome::kFenced) return self->m_events.m_fenced();
                   self->m_scheduler->OnStartAnswer(order, reply.m_outcome, self->Time());
-                  if (reply.m_outcome == jobs::StartOutcome::kOtherLife) self->Clear(order.m_worker, session, "another life answers");
+                  if (reply.m_outcome == jobs::StartOutcome::kOtherLife)
+                    self->Clear(order.m_worker, session, "another life answers");
                   self->m_events.m_changed();
                 });
 }
@@ -124,7 +126,8 @@
                  if (!self || self->m_stopped) return;
                  if (outcome == jobs::StopOutcome::kFenced) return self->m_events.m_fenced();
                  self->m_scheduler->OnStopAnswer(order, outcome, self->Time());
-                 if (outcome == jobs::StopOutcome::kOtherLife) self->Clear(order.m_worker, session, "another life answers");
+                 if (outcome == jobs::StopOutcome::kOtherLife)
+                   self->Clear(order.m_worker, session, "another life answers");
                  self->m_events.m_changed();
                });
 }
@@ -182,7 +185,8 @@
     m_events.m_changed();
   }
   if (session->m_looks > 0) {
-    const bool quick = session->m_long_look && session->m_looks == 1 && m_scheduler->NeedsLook(id, session->m_last_look);
+    const bool quick =
+        session->m_long_look && session->m_looks == 1 && m_scheduler->NeedsLook(id, session->m_last_look);
     if (!quick) return;
     return Look(id, session, Millis{0});
   }
@@ -193,7 +197,8 @@
     if (busy && now - session->m_last_look >= m_settings.m_unstored_pause) Look(id, session, Millis{0});
     return;
   }
-  if (busy) return Look(id, session, m_scheduler->NeedsLook(id, session->m_last_look) ? Millis{0} : m_settings.m_look_wait);
+  if (busy)
+    return Look(id, session, m_scheduler->NeedsLook(id, session->m_last_look) ? Millis{0} : m_settings.m_look_wait);
   if (session->m_told_ends < session->m_known_ends || session->m_failures > 0) Look(id, session, Millis{0});
 }
 
@@ -239,8 +244,7 @@
   m_events.m_changed();
 }
 
-void WorkerSessions::OnFailure(const WorkerId& id, const std::shared_ptr<Session>& session,
-                               jobs::LookFailure failure) {
+void WorkerSessions::OnFailure(const WorkerId& id, const std::shared_ptr<Session>& session, jobs::LookFailure failure) {
   m_looks_failed->Add();
   if (failure == jobs::LookFailure::kFenced) return m_events.m_fenced();
   ++session->m_failures;
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -1,8 +1,8 @@
 // WorkerSessions: the leader's conversations with workers: looks, leases, starts and stops.
 //
 // A busy worker has one long look outstanding, which comes back when a task ends and renews the lease of everything on
-// it. An idle worker is left alone once it has seen this leader's epoch. A worker that can't be reached is declared clear
-// once the last lease that may have reached it is over, or once the platform no longer knows its life.
+// it. An idle worker is left alone once it has seen this leader's epoch. A worker that can't be reached is declared
+// clear once the last lease that may have reached it is over, or once the platform no longer knows its life.
 #pragma once
 
 #include <functional>
@@ -21,27 +21,27 @@
 namespace hickoryquay::service {
 
 struct SessionSettings {
-  Millis m_lease{10'000};          // Of what runs on a worker; cut to what the platform allows.
-  Millis m_inherited_lease{400};   // How long after the takeover an earlier leader may have granted leases.
-  Millis m_look_wait{1'500};       // Of one long look; renews the lease well within its length.
-  Millis m_look_timeout{700};      // Of a look, beyond its wait.
-  Millis m_order_timeout{350};     // Of a start or stop: a hundred round trips within the region.
-  Millis m_retry{150};             // After a look that failed.
-  Millis m_unstored_pause{300};    // Between looks while ends wait to be stored.
-  double m_clock_drift = 0.02;     // Workers' clocks may be this much slow.
-  Millis m_clock_slack{100};       // Added to every lease that is waited for.
+  Millis m_lease{10'000};            // Of what runs on a worker; cut to what the platform allows.
+  Millis m_inherited_lease{400};     // How long after the takeover an earlier leader may have granted leases.
+  Millis m_look_wait{1'500};         // Of one long look; renews the lease well within its length.
+  Millis m_look_timeout{700};        // Of a look, beyond its wait.
+  Millis m_order_timeout{350};       // Of a start or stop: a hundred round trips within the region.
+  Millis m_retry{150};               // After a look that failed.
+  Millis m_unstored_pause{300};      // Between looks while ends wait to be stored.
+  double m_clock_drift = 0.02;       // Workers' clocks may be this much slow.
+  Millis m_clock_slack{100};         // Added to every lease that is waited for.
   Millis m_list_lives_every{1'000};  // While a worker with tasks does not answer.
-  Millis m_list_lag{3'000};        // The list of lives may miss one that is younger than this.
-  Millis m_list_timeout{1'500};    // Of all pages of that list.
+  Millis m_list_lag{3'000};          // The list of lives may miss one that is younger than this.
+  Millis m_list_timeout{1'500};      // Of all pages of that list.
 };
 
 // One thread. `scheduler`, `port`, `lives`, `timers` and `clock` outlive it.
 class WorkerSessions : public std::enable_shared_from_this<WorkerSessions> {
  public:
   struct Events {
-    std::function<void()> m_changed;        // The scheduler was told something.
-    std::function<void()> m_fenced;         // A worker has seen a higher epoch.
-    std::function<bool()> m_may_grant;      // Leases may be extended.
+    std::function<void()> m_changed;    // The scheduler was told something.
+    std::function<void()> m_fenced;     // A worker has seen a higher epoch.
+    std::function<bool()> m_may_grant;  // Leases may be extended.
   };
 
   WorkerSessions(jobs::Scheduler* scheduler, jobs::WorkerPort* port, jobs::LifeDirectory* lives, TimerService* timers,
@@ -71,13 +71,13 @@
     int m_failures = 0;          // In a row.
     Instant m_retry_at;
     Instant m_known_since;
-    Instant m_last_look;         // When the last one was sent.
+    Instant m_last_look;  // When the last one was sent.
     std::int64_t m_seen_ends = 0;
     std::int64_t m_known_ends = 0;  // Stored.
     std::int64_t m_told_ends = 0;   // The worker knows that they are.
     jobs::WorkerTime m_clock;       // At m_clock_at, or a little before.
     Instant m_clock_at;
-    Instant m_lapse_at;  // By then everything that was started there has ended, unless leases are extended.
+    Instant m_lapse_at;      // By then everything that was started there has ended, unless leases are extended.
     bool m_cleared = false;  // Since the last answer.
   };
   using Sessions = std::map<WorkerId, std::shared_ptr<Session>>;
--- a/hickoryquay/settings/keys.h
+++ b/hickoryquay/settings/keys.h
@@ -45,16 +45,13 @@
 
 template <typename All, typename Section>
 typename Key<All>::Reader Address(Section All::*section, net::Endpoint Section::*value) {
-  return [at = Member(section, value)](const std::string& text, All* all) {
-    return ParseAddress(text, at(all));
-  };
+  return [at = Member(section, value)](const std::string& text, All* all) { return ParseAddress(text, at(all)); };
 }
 
 template <typename All, typename Section, typename Tag>
 typename Key<All>::Reader NameOf(Section All::*section, Name<Tag> Section::*value) {
-  return [at = Member(section, value)](const std::string& text, All* all) {
-    return ParseName(text, &at(all)->m_value);
-  };
+  return
+      [at = Member(section, value)](const std::string& text, All* all) { return ParseName(text, &at(all)->m_value); };
 }
 
 template <typename All, typename Section>
@@ -107,7 +104,7 @@
 // One of a few words.
 template <typename All, typename Section, typename Value>
 typename Key<All>::Reader Choice(Section All::*section, Value Section::*value,
-                   std::vector<std::pair<std::string, Value>> words) {
+                                 std::vector<std::pair<std::string, Value>> words) {
   return [at = Member(section, value), words = std::move(words)](const std::string& text, All* all) {
     std::string known;
     for (const auto& [word, meaning] : words) {
--- a/hickoryquay/store/adaptive_store.cc
+++ b/hickoryquay/store/adaptive_store.cc
@@ -10,7 +10,7 @@
                      callback = std::move(callback)](Result<Version, TransactError> result) {
                       const Millis took = clock->Now() - sent;
                       const bool silent = !Ok(result) && std::holds_alternative<StoreSilent>(ErrorOf(result));
-                      silent && took >= allowed ? time->TimedOut(allowed) : time->Answered(took);
+                      silent&& took >= allowed ? time->TimedOut(allowed) : time->Answered(took);
                       callback(std::move(result));
                     });
 }
--- a/hickoryquay/store/adaptive_store.h
+++ b/hickoryquay/store/adaptive_store.h
@@ -14,10 +14,10 @@
 namespace hickoryquay::store {
 
 struct AdaptiveSettings {
-  Millis m_least{400};          // Of a call: a hundred times what a healthy store takes.
-  double m_spread = 3.0;        // Times what calls took lately.
-  Millis m_slack{200};          // Added to that.
-  double m_forget = 0.1;        // Share by which a faster answer lowers what calls are said to take.
+  Millis m_least{400};    // Of a call: a hundred times what a healthy store takes.
+  double m_spread = 3.0;  // Times what calls took lately.
+  Millis m_slack{200};    // Added to that.
+  double m_forget = 0.1;  // Share by which a faster answer lowers what calls are said to take.
 };
 
 // What calls took lately: rises at once, falls slowly. Pure.
--- a/hickoryquay/store/row_store.h
+++ b/hickoryquay/store/row_store.h
@@ -46,8 +46,8 @@
   std::vector<RowPut> m_puts;
   std::vector<RowKey> m_removals;
 };
-constexpr std::size_t kMaxTransactionRows = 100;        // The store's limit.
-constexpr std::size_t kMaxTransactionBytes = 600'000;   // Of values; the store takes 1 MB of base64 and names.
+constexpr std::size_t kMaxTransactionRows = 100;       // The store's limit.
+constexpr std::size_t kMaxTransactionBytes = 600'000;  // Of values; the store takes 1 MB of base64 and names.
 
 // The checked rows as they are. Nothing was written.
 struct RowsDiffer {
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the declared Debian packages; does nothing when all are there.
 set -euo pipefail
-packages=(g++ cmake ninja-build make clang-format clang-tidy python3 curl openssl
+packages=(g++ cmake ninja-build make ccache clang-format clang-tidy python3 curl openssl
   libboost1.81-dev libboost-program-options1.81-dev libboost-json1.81-dev
   libthrift-dev thrift-compiler libeasyloggingpp-dev libcppunit-dev librapidcheck-dev
   liburcu-dev libssl-dev libedit-dev)
--- a/standin/sim_store.h
+++ b/standin/sim_store.h
@@ -16,7 +16,7 @@
 namespace hickoryquay::standin {
 
 struct SimStoreSettings {
-  Millis m_latency{4};           // Of a call, both ways together.
+  Millis m_latency{4};  // Of a call, both ways together.
   std::uint64_t m_random_seed = 1;
 };
 
--- a/standin/sim_workers.cc
+++ b/standin/sim_workers.cc
@@ -162,7 +162,8 @@
     return {StartOutcome::kRuns, clock};
   }
   const auto closed = worker->m_closed.find(call.m_task);
-  const bool old = (closed != worker->m_closed.end() && call.m_run <= closed->second) || running != worker->m_runs.end();
+  const bool old =
+      (closed != worker->m_closed.end() && call.m_run <= closed->second) || running != worker->m_runs.end();
   if (old) {
     ExtendLease(worker, call.m_lease_until);
     return {StartOutcome::kOld, clock};
@@ -220,8 +221,8 @@
   if (!used.FitsIn(entry.m_capacity)) Violation("over capacity: " + what);
   if (spec.m_max_per_worker > 0 && same_step > spec.m_max_per_worker) Violation("too many of a step: " + what);
   const auto& labels = entry.m_labels;
-  const bool labelled = spec.m_required_label.empty() ||
-                        std::find(labels.begin(), labels.end(), spec.m_required_label) != labels.end();
+  const bool labelled =
+      spec.m_required_label.empty() || std::find(labels.begin(), labels.end(), spec.m_required_label) != labels.end();
   if (!labelled || entry.m_pool != truth->second.m_pool) Violation("a worker that may not run it: " + what);
   for (const auto& [id, other] : m_workers) {
     if (other.m_runs.contains(call.m_task)) Violation("runs on " + id.m_value + " already: " + what);
--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -28,8 +28,8 @@
 struct StepTruth {
   jobs::StepSpec m_spec;
   jobs::PoolName m_pool;
-  std::vector<Millis> m_work;       // Of each task, on a worker of speed 1.
-  int m_failing_runs = 0;  // So many runs of each task, or gang, fail by their own fault, at half of their work.
+  std::vector<Millis> m_work;  // Of each task, on a worker of speed 1.
+  int m_failing_runs = 0;      // So many runs of each task, or gang, fail by their own fault, at half of their work.
   int m_max_attempts = 1;
 };
 
@@ -56,10 +56,10 @@
 
 // What a worker does beside what it should.
 struct WorkerFaults {
-  bool m_cut = false;           // Nothing arrives, nothing comes back.
-  bool m_resets = false;        // As a cut, but connections are reset at once.
-  bool m_fails = false;         // Everything that it starts.
-  bool m_hangs = false;         // Tasks stand still.
+  bool m_cut = false;     // Nothing arrives, nothing comes back.
+  bool m_resets = false;  // As a cut, but connections are reset at once.
+  bool m_fails = false;   // Everything that it starts.
+  bool m_hangs = false;   // Tasks stand still.
   double m_slowdown = 1.0;
   double m_late_orders = 0.0;   // This share of starts and stops gets no answer and is carried out 2 to 12 s later.
   double m_lost_answers = 0.0;  // This share is carried out without an answer.
@@ -107,9 +107,9 @@
     double m_worked_ms = 0.0;  // Of its work, on a worker of speed 1; from the checkpoint on.
     double m_saved_ms = 0.0;
     std::optional<Instant> m_stops_at;
-    bool m_working = false;  // All members of its gang are there.
+    bool m_working = false;   // All members of its gang are there.
     bool m_finished = false;  // Its work is done; a gang waits for its slowest member.
-    bool m_remote = false;   // Away from its data, or in a gang across racks.
+    bool m_remote = false;    // Away from its data, or in a gang across racks.
   };
   struct Worker {
     SimWorkerSettings m_settings;
@@ -152,9 +152,9 @@
   std::map<WorkerId, Worker> m_workers;
   std::map<jobs::StepKey, StepTruth> m_truths;
   std::map<JobId, Instant> m_forbidden;
-  std::map<jobs::TaskKey, Instant> m_done;           // Noted by a scheduler.
+  std::map<jobs::TaskKey, Instant> m_done;  // Noted by a scheduler.
   std::map<jobs::TaskKey, Instant> m_done_unnoted;
-  std::map<jobs::TaskKey, std::set<jobs::RunNumber>> m_failed;  // Noted.
+  std::map<jobs::TaskKey, std::set<jobs::RunNumber>> m_failed;       // Noted.
   std::map<jobs::TaskKey, std::set<jobs::RunNumber>> m_faulty_runs;  // By task, or by first member of a gang.
   std::vector<std::string> m_violations;
   int m_starts = 0;
--- a/tests/platform/callers_test.cc
+++ b/tests/platform/callers_test.cc
@@ -27,7 +27,8 @@
     m_clock.Set(Instant{1'000'000});
     m_store = std::make_unique<standin::SimStore>(&m_timers, standin::SimStoreSettings{});
     m_client = std::make_unique<standin::SimStoreClient>(m_store.get());
-    m_intake = std::make_shared<service::Intake>(m_client.get(), &m_timers, &m_clock, &m_metrics, service::IntakeSettings{});
+    m_intake =
+        std::make_shared<service::Intake>(m_client.get(), &m_timers, &m_clock, &m_metrics, service::IntakeSettings{});
     auto read = ReadConfigurationOf(R"({"version":1,"routes":[{"name":"q","host":"h.example","pathPrefix":"/q/",)"
                                     R"("service":"s"},{"name":"o","host":"h.example","pathPrefix":"/open/",)"
                                     R"("service":"s","public":true}],"tenants":[{"name":"t","apiKeys":["key"]}],)"
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -102,10 +102,10 @@
   }
 
   void WorkerRowIsRead() {
-    const auto worker = ReadWorker(Row(
-        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":8,"state":"draining",)"
-        R"("coldLeftMs":0,"capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],"remainingMs":4500,)"
-        R"("clockMs":482113,"seq":4})"));
+    const auto worker = ReadWorker(
+        Row(R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":8,"state":"draining",)"
+            R"("coldLeftMs":0,"capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],"remainingMs":4500,)"
+            R"("clockMs":482113,"seq":4})"));
     CPPUNIT_ASSERT(worker.has_value());
     CPPUNIT_ASSERT(worker->m_draining && worker->m_remaining == Millis{4'500});
     CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), worker->m_rack);
@@ -114,17 +114,19 @@
   }
 
   void ForeignWorkerRowsNameNoWorker() {
-    for (const char* text : {"", "\x01\x02", "[]", "{}", R"({"service":"s","address":7,"zone":"z","state":"ready"})",
-                             R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"asleep","capacity":{}})",
-                             R"({"service":"s","address":"nowhere","zone":"z","state":"ready","capacity":{}})",
-                             R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":[]})",
-                             R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"labels":[1]})"}) {
+    for (const char* text :
+         {"", "\x01\x02", "[]", "{}", R"({"service":"s","address":7,"zone":"z","state":"ready"})",
+          R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"asleep","capacity":{}})",
+          R"({"service":"s","address":"nowhere","zone":"z","state":"ready","capacity":{}})",
+          R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":[]})",
+          R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"labels":[1]})"}) {
       CPPUNIT_ASSERT_MESSAGE(text, !ReadWorker(Row(text)).has_value());
     }
   }
 
   void StartStopAndLookBodies() {
-    jobs::StartCall start{kTask, jobs::RunNumber{2}, std::make_shared<const std::string>("text"), "", {486'000}, Epoch{7}};
+    jobs::StartCall start{kTask, jobs::RunNumber{2}, std::make_shared<const std::string>("text"),
+                          "",    {486'000},          Epoch{7}};
     CPPUNIT_ASSERT_EQUAL(std::string(R"({"task":"5c0e7a21d94b36f8.0.1.17","runId":2,"spec":"text","expiresMs":486000,)"
                                      R"("fencingToken":7})"),
                          StartBody(start));
@@ -166,9 +168,9 @@
   }
 
   void LookAnswers() {
-    const auto look = ReadLookAnswer(
-        Answer(200, R"({"clockMs":482113,"running":[["5c0e7a21d94b36f8.0.1.17",2,"0bb8",41,12]],)"
-                    R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.1.8",3,"stopped","c"]]})"));
+    const auto look = ReadLookAnswer(Answer(
+        200, R"({"clockMs":482113,"running":[["5c0e7a21d94b36f8.0.1.17",2,"0bb8",41,12]],)"
+             R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.1.8",3,"stopped","c"]]})"));
     CPPUNIT_ASSERT(Ok(look));
     const jobs::LookReply& reply = ValueOf(look);
     CPPUNIT_ASSERT(reply.m_clock == jobs::WorkerTime{482'113} && !reply.m_more_ended);
@@ -190,11 +192,10 @@
     transaction.m_checks.push_back({{"my", "p7", "owner"}, Version{0}});
     transaction.m_puts.push_back({{"my", "p7", "owner"}, "node-1"});
     transaction.m_removals.push_back({"my", "p7", "old"});
-    CPPUNIT_ASSERT_EQUAL(
-        std::string(R"({"expectedRev":[{"table":"my","part":"p7","key":"owner","ver":0}],)"
-                    R"("puts":[{"table":"my","part":"p7","key":"owner","value":"bm9kZS0x"}],)"
-                    R"("remove":[{"table":"my","part":"p7","key":"old"}]})"),
-        TransactionBody(transaction));
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"expectedRev":[{"table":"my","part":"p7","key":"owner","ver":0}],)"
+                                     R"("puts":[{"table":"my","part":"p7","key":"owner","value":"bm9kZS0x"}],)"
+                                     R"("remove":[{"table":"my","part":"p7","key":"old"}]})"),
+                         TransactionBody(transaction));
     const auto done = ReadTransactAnswer(Answer(200, R"({"ver":412,"nowMs":51230})"));
     CPPUNIT_ASSERT(Ok(done) && ValueOf(done) == Version{412});
     const auto differ = ReadTransactAnswer(
@@ -228,8 +229,9 @@
   void MachinePages() {
     std::set<WorkerId> lives;
     const auto next = ReadMachinesAnswer(
-        Answer(200, R"({"machines":[{"machine":"m-1","state":"up","id":"i-1"},{"machine":"m-2","state":"down","id":null},)"
-                    R"({"machine":"m-3","state":"moving"}],"nextToken":"t"})"),
+        Answer(200,
+               R"({"machines":[{"machine":"m-1","state":"up","id":"i-1"},{"machine":"m-2","state":"down","id":null},)"
+               R"({"machine":"m-3","state":"moving"}],"nextToken":"t"})"),
         &lives);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, next.index());
     CPPUNIT_ASSERT_EQUAL(std::string("t"), std::get<0>(next));
@@ -245,9 +247,7 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE(body, field, ErrorOf(job).m_field);
   }
 
-  static store::StoredRow Row(const std::string& value) {
-    return {{"servers", "", "i-1"}, value, Version{1}, false};
-  }
+  static store::StoredRow Row(const std::string& value) { return {{"servers", "", "i-1"}, value, Version{1}, false}; }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CodecTest);
--- a/tests/service/fuzz_test.cc
+++ b/tests/service/fuzz_test.cc
@@ -3,9 +3,9 @@
 // break a rule, and once all is well again every accepted job ends.
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
-#include <rapidcheck.h>
 #include <random>
 
 #include "hickoryquay/base/log.h"
@@ -109,14 +109,28 @@
       case 2:
         if (m_world->Runs(index)) m_world->Wake(index);
         break;
-      case 3: m_world->StoreOf(index).SetMood(StoreMood::kRefuses); break;
-      case 4: m_world->StoreOf(index).SetMood(StoreMood::kSilent); break;
-      case 5: m_world->StoreOf(index).SetMood(StoreMood::kLateWrites, 0.3); break;
+      case 3:
+        m_world->StoreOf(index).SetMood(StoreMood::kRefuses);
+        break;
+      case 4:
+        m_world->StoreOf(index).SetMood(StoreMood::kSilent);
+        break;
+      case 5:
+        m_world->StoreOf(index).SetMood(StoreMood::kLateWrites, 0.3);
+        break;
       case 6:
-      case 7: m_world->StoreOf(index).SetMood(StoreMood::kServes); break;
-      case 8: m_world->Sim().Faults(AnyWorker()).m_cut = Chance(0.5); break;
-      case 9: m_world->Sim().Faults(AnyWorker()).m_late_orders = Chance(0.5) ? 0.3 : 0.0; break;
-      case 10: m_world->Sim().Faults(AnyWorker()).m_lost_answers = Chance(0.5) ? 0.3 : 0.0; break;
+      case 7:
+        m_world->StoreOf(index).SetMood(StoreMood::kServes);
+        break;
+      case 8:
+        m_world->Sim().Faults(AnyWorker()).m_cut = Chance(0.5);
+        break;
+      case 9:
+        m_world->Sim().Faults(AnyWorker()).m_late_orders = Chance(0.5) ? 0.3 : 0.0;
+        break;
+      case 10:
+        m_world->Sim().Faults(AnyWorker()).m_lost_answers = Chance(0.5) ? 0.3 : 0.0;
+        break;
       case 11:
         if (Chance(0.3)) {
           m_world->Sim().Faults(AnyWorker()).m_fails = true;
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -143,12 +143,11 @@
     return Text(ErrorOf(result));
   }
   static std::string Text(const IntakeError& error) {
-    return std::visit(Overloaded{[](const UnknownQueue&) { return "unknown queue"; },
-                                 [](const UnknownKey&) { return "unknown key"; },
-                                 [](const Malformed&) { return "malformed"; }, [](const TryLater&) { return "try later"; },
-                                 [](const OutcomeUnknown&) { return "unknown"; },
-                                 [](const NoSuchJob&) { return "no such job"; }},
-                      error);
+    return std::visit(
+        Overloaded{[](const UnknownQueue&) { return "unknown queue"; }, [](const UnknownKey&) { return "unknown key"; },
+                   [](const Malformed&) { return "malformed"; }, [](const TryLater&) { return "try later"; },
+                   [](const OutcomeUnknown&) { return "unknown"; }, [](const NoSuchJob&) { return "no such job"; }},
+        error);
   }
 
   // The answer that came within `within`; "none yet" where there was none.
--- a/tests/service/relay_test.cc
+++ b/tests/service/relay_test.cc
@@ -50,7 +50,8 @@
         },
         kStore, &m_clock, &m_metrics, RelaySettings{});
     m_relay->Connect(
-        [this](const net::Endpoint& to, const inner::Message&, Millis, const std::function<void(const inner::Message*)>& callback) {
+        [this](const net::Endpoint& to, const inner::Message&, Millis,
+               const std::function<void(const inner::Message*)>& callback) {
           CPPUNIT_ASSERT(to == kPeer);
           ++m_peer_calls;
           const inner::Message message = m_peer.value_or(wire::StoreAnswer{});
--- a/tests/service/service_world.cc
+++ b/tests/service/service_world.cc
@@ -62,7 +62,8 @@
   self->m_timers = std::make_unique<GatedTimers>(self->m_gate, &m_timers);
   self->m_store = std::make_unique<GatedStore>(self->m_gate, m_clients[Slot(index)].get());
   self->m_port = std::make_unique<GatedWorkers>(self->m_gate, m_workers.get());
-  self->m_intake = std::make_shared<Intake>(self->m_store.get(), self->m_timers.get(), &m_clock, &m_metrics, IntakeSettings{});
+  self->m_intake =
+      std::make_shared<Intake>(self->m_store.get(), self->m_timers.get(), &m_clock, &m_metrics, IntakeSettings{});
   self->m_intake->SetConfiguration(m_configuration);
   LeadershipSettings leadership;
   const TableNames tables;
@@ -74,7 +75,12 @@
   driver.m_scheduler.m_stop_timeout = m_settings.m_workers.m_stop;
   driver.m_sessions.m_lease = std::min(driver.m_sessions.m_lease, m_settings.m_workers.m_longest_lease);
   const auto elected = [this, self, driver](Epoch) {
-    DriverParts parts{self->m_store.get(), self->m_port.get(), m_workers.get(), self->m_timers.get(), &m_clock, &m_metrics,
+    DriverParts parts{self->m_store.get(),
+                      self->m_port.get(),
+                      m_workers.get(),
+                      self->m_timers.get(),
+                      &m_clock,
+                      &m_metrics,
                       [this](const store::StoredRow& row) -> std::optional<jobs::WorkerEntry> {
                         const auto found = m_entries.find(WorkerId{row.m_key.m_key});
                         return found == m_entries.end() ? std::nullopt : std::optional(found->second);
