--- a/hickoryquay/base/log.cc
+++ b/hickoryquay/base/log.cc
@@ -1,5 +1,7 @@
 #include "hickoryquay/base/log.h"
 
+#include "hickoryquay/base/line_output.h"  // What easylogging++ writes to.
+
 #include <easylogging++.h>
 
 #include <boost/json/object.hpp>
@@ -104,6 +106,7 @@
   State& state = Shared();
   const std::scoped_lock lock(state.m_mutex);
   state.m_settings = settings;
+  if (settings.m_standard_output) UseStandardOutput();
 }
 
 void Write(Level level, Part part, std::string_view sentence, Fields fields) {
--- a/hickoryquay/base/log.h
+++ b/hickoryquay/base/log.h
@@ -1,4 +1,4 @@
-// Log: short sentences behind the fixed prefix of a part, written by easylogging++ to standard error.
+// Log: short sentences behind the fixed prefix of a part, written by easylogging++.
 //
 //   constexpr log::Part kLog{"store"};
 //   log::Warn(kLog, "Table is away, degraded until it answers", {{"errors", "3"}});
@@ -25,6 +25,7 @@
   Level m_level = Level::kInfo;
   Form m_form = Form::kText;
   int m_repeats_per_s = 20;  // Lines of one part beyond this in a second are counted, not written.
+  bool m_standard_output = false;  // To standard output, never blocking on it; else to standard error.
 };
 
 using Fields = std::initializer_list<std::pair<std::string_view, std::string>>;
