Look a worker up at once when its row goes; say why a submission was refused

Change: a worker with tasks that is taken off the list is looked up at once. Log lines of submissions carry why they were refused, how old the last answer of the store was and the configuration's version; starts that were confirmed or not answered have lines of their own.

--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -268,7 +268,10 @@
               {{"task", ToText(unit->Key(i))},
                {"run", std::to_string(Raw(unit->m_run))},
                {"worker", slots[i]->m_entry.m_id.m_value},
-               {"rack", slots[i]->m_entry.m_rack}});
+               {"rack", slots[i]->m_entry.m_rack},
+               {"priority", std::to_string(job->m_job.m_priority)},
+               {"checkpoint", unit->m_checkpoint},
+               {"waited_ms", std::to_string((now.m_wall - job->m_job.m_accepted).count())}});
   }
   Touch(unit->m_step);
   if (job->m_phase == JobPhase::kQueued) SetPhase(job, JobPhase::kRunning, now);
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -65,12 +65,19 @@
   if (!Holds(member) || member.m_slot->m_entry.m_id != order.m_worker || member.m_state != MemberState::kSent) return;
   switch (outcome) {
     case StartOutcome::kRuns:
+      log::Info(kLog, "Start confirmed",
+                {{"task", ToText(order.m_task)},
+                 {"run", Text(order.m_run)},
+                 {"worker", order.m_worker.m_value},
+                 {"ms", std::to_string((now.m_steady - member.m_since).count())}});
       SetState(&member, MemberState::kRunning, now.m_steady);
       NoteBegun(unit);
       return;
     case StartOutcome::kUnknown:
     case StartOutcome::kFenced:  // This scheduler is deposed: what became of the run is for its successor to find out.
     case StartOutcome::kOtherLife:  // The session says so of the whole worker.
+      log::Warn(kLog, "Start has no answer",
+                {{"task", ToText(order.m_task)}, {"run", Text(order.m_run)}, {"worker", order.m_worker.m_value}});
       SetState(&member, MemberState::kUnknown, now.m_steady);
       return;
     default:
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -128,7 +128,7 @@
                               queue.m_objective,
                               std::move(request)};
   auto write = std::make_shared<Write>();
-  write->m_what = "Job accepted";
+  write->m_what = "Submission answered";
   write->m_id = id;
   write->m_transaction.m_checks.push_back({IntakeKey(JobRowKey(id)), Version{}});
   write->m_transaction.m_puts.push_back({IntakeKey(JobRowKey(id)), jobs::Write(job)});
@@ -192,9 +192,10 @@
               until, [this, id, left, callback] { Cancel(id, left, callback); },
               [this, callback] { callback(IntakeError{Refusal("the store does not answer")}); });
         }
+        NoteContact();
         if (ValueOf(page).m_rows.empty()) return callback(IntakeError{NoSuchJob{}});
         auto write = std::make_shared<Write>();
-        write->m_what = "Cancel recorded";
+        write->m_what = "Cancel answered";
         write->m_id = id;
         write->m_transaction.m_checks.push_back({IntakeKey(JobRowKey(id)), ValueOf(page).m_rows.front().m_version});
         write->m_transaction.m_puts.push_back({IntakeKey(CancelRowKey(id)), "{}"});
@@ -243,13 +244,22 @@
   const Millis took = m_clock->Now() - write->m_begun;
   m_submit_ms->Add(static_cast<double>(took.count()));
   const char* outcome = "stored";
+  std::string why;
   if (!Ok(result)) {
-    outcome = std::holds_alternative<OutcomeUnknown>(ErrorOf(result)) ? "unknown"
-              : std::holds_alternative<NoSuchJob>(ErrorOf(result))    ? "no such job"
-                                                                      : "refused";
+    const IntakeError& error = ErrorOf(result);
+    const auto* later = std::get_if<TryLater>(&error);
+    outcome = later != nullptr                               ? "refused"
+              : std::holds_alternative<OutcomeUnknown>(error) ? "unknown"
+                                                              : "no such job";
+    if (later != nullptr) why = later->m_why;
   }
   log::Info(kLog, write->m_what,
-            {{"job", jobs::HexText(write->m_id)}, {"outcome", outcome}, {"ms", std::to_string(took.count())}});
+            {{"job", jobs::HexText(write->m_id)},
+             {"outcome", outcome},
+             {"why", why},
+             {"ms", std::to_string(took.count())},
+             {"store_answered_ms_ago", m_contact.m_ms == 0 ? "never" : std::to_string((m_clock->Now() - m_contact).count())},
+             {"configuration", std::to_string(m_configuration ? m_configuration->m_version : 0)}});
   write->m_callback(std::move(result));
 }
 
@@ -277,6 +287,7 @@
               until, [this, id, until, callback] { ReadPhase(id, until, callback); },
               [this, callback] { callback(IntakeError{Refusal("the store does not answer")}); });
         }
+        NoteContact();
         if (ValueOf(page).m_rows.empty()) return ReadAccepted(id, until, callback);
         const auto row = jobs::ReadPhaseRow(ValueOf(page).m_rows.front().m_value);
         if (!Ok(row)) {
@@ -299,6 +310,7 @@
               until, [this, id, until, callback] { ReadAccepted(id, until, callback); },
               [this, callback] { callback(IntakeError{Refusal("the store does not answer")}); });
         }
+        NoteContact();
         if (ValueOf(page).m_rows.empty()) return callback(IntakeError{NoSuchJob{}});
         m_board.Set(id, jobs::JobPhase::kQueued, m_clock->Now());
         callback(jobs::JobPhase::kQueued);
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -62,6 +62,7 @@
     session->m_listed = false;
     log::Info(kLog, "Worker is no longer listed", {{"worker", id.m_value}});
     m_scheduler->OnWorkerUnlisted(id);
+    m_listed_lives = Instant{};  // Ask at once whether it lives on.
   }
   m_events.m_changed();
 }
@@ -144,12 +145,16 @@
 void WorkerSessions::Pump() {
   const Sessions sessions = m_sessions;  // A session may end on the way.
   for (const auto& [id, session] : sessions) PumpOne(id, session);
-  const bool lost = std::any_of(sessions.begin(), sessions.end(), [this](const auto& entry) {
-    return entry.second->m_failures > 1 && !entry.second->m_cleared && m_scheduler->IsBusy(entry.first);
-  });
+  const bool lost = std::any_of(sessions.begin(), sessions.end(),
+                                [this](const auto& entry) { return IsLost(entry.first, *entry.second); });
   if (lost && !m_listing && m_clock->Now() - m_listed_lives >= m_settings.m_list_lives_every) ListLives();
 }
 
+// Tasks are there, and the worker does not answer or was taken off the list.
+bool WorkerSessions::IsLost(const WorkerId& id, const Session& session) const {
+  return (session.m_failures > 1 || !session.m_listed) && !session.m_cleared && m_scheduler->IsBusy(id);
+}
+
 void WorkerSessions::ListLives() {
   m_listing = true;
   m_listed_lives = m_clock->Now();
@@ -166,8 +171,7 @@
 void WorkerSessions::OnLives(const std::set<WorkerId>& lives, Instant asked) {
   const Sessions sessions = m_sessions;
   for (const auto& [id, session] : sessions) {
-    const bool lost = session->m_failures > 1 && !session->m_cleared && m_scheduler->IsBusy(id);
-    if (!lost || lives.contains(id) || asked - session->m_known_since < m_settings.m_list_lag) continue;
+    if (!IsLost(id, *session) || lives.contains(id) || asked - session->m_known_since < m_settings.m_list_lag) continue;
     Clear(id, session, "the platform no longer knows it");
   }
   m_events.m_changed();
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -30,7 +30,7 @@
   Millis m_unstored_pause{300};      // Between looks while ends wait to be stored.
   double m_clock_drift = 0.02;       // Workers' clocks may be this much slow.
   Millis m_clock_slack{100};         // Added to every lease that is waited for.
-  Millis m_list_lives_every{1'000};  // While a worker with tasks does not answer.
+  Millis m_list_lives_every{1'000};  // While a worker with tasks does not answer or is not listed.
   Millis m_list_lag{3'000};          // The list of lives may miss one that is younger than this.
   Millis m_list_timeout{1'500};      // Of all pages of that list.
 };
@@ -82,6 +82,7 @@
   };
   using Sessions = std::map<WorkerId, std::shared_ptr<Session>>;
 
+  bool IsLost(const WorkerId& id, const Session& session) const;
   void ListLives();
   void OnLives(const std::set<WorkerId>& lives, Instant asked);
   void PumpOne(const WorkerId& id, const std::shared_ptr<Session>& session);
--- a/tests/service/faults_test.cc
+++ b/tests/service/faults_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(TasksOfSilentWorkerRunElsewhere);
   CPPUNIT_TEST(RefusedConnectionIsNoProof);
   CPPUNIT_TEST(LeftWorkerIsClearSoon);
+  CPPUNIT_TEST(GangOfLeftWorkerIsPlacedAgainAtOnce);
   CPPUNIT_TEST(TakeoverWaitsForUnreachableWorker);
   CPPUNIT_TEST(StopsAreFollowedByOneLook);
   CPPUNIT_TEST(LateStartIsNotRunTwice);
@@ -108,6 +109,19 @@
     CheckNothingBroken();
   }
 
+  // Its row goes with it, as that of a worker that leaves by plan: nothing has to time out first.
+  void GangOfLeftWorkerIsPlacedAgainAtOnce() {
+    m_world->Run(kSettle);
+    const JobId job = m_world->Submit(0, Gang(3, 8), Millis{2'000});
+    m_world->Run(Millis{1'000});
+    const WorkerId left = ServiceWorld::WorkerOf(0, 0);
+    m_world->Sim().Kill(left);
+    m_world->Store().Remove({"workers", "", left.m_value});
+    m_world->Run(Millis{2'700});  // Its whole work again, and less than a look takes to time out.
+    CheckPhase(job, JobPhase::kCompleted);
+    CheckNothingBroken();
+  }
+
   void TakeoverWaitsForUnreachableWorker() {
     m_world->Run(kSettle);
     const JobId job = m_world->Submit(0, Tasks(8, 8), Millis{9'000});
