--- a/hickoryquay/base/easylogging_impl.cc
+++ b/hickoryquay/base/easylogging_impl.cc
@@ -1,4 +1,4 @@
 // The one translation unit that compiles easylogging++ itself.
-#include "hickoryquay/base/line_output.h"  // What it writes to.
-
 #include <easylogging++.cc>  // NOLINT(bugprone-suspicious-include)
+
+#include "hickoryquay/base/line_output.h"  // What it writes to.
--- a/hickoryquay/base/line_output.h
+++ b/hickoryquay/base/line_output.h
@@ -1,5 +1,5 @@
-// LineOutput: whole lines to a file descriptor that may be a pipe nobody reads: it never waits. Lines that don't fit are
-// left out and counted; the count goes out in front of the next line that does.
+// LineOutput: whole lines to a file descriptor that may be a pipe nobody reads: it never waits. Lines that don't fit
+// are left out and counted; the count goes out in front of the next line that does.
 #pragma once
 
 #include <cstdint>
@@ -13,7 +13,8 @@
 // Thread-safe for whole lines only: writers hold a lock of their own.
 class LineOutput final : public std::streambuf {
  public:
-  static constexpr std::size_t kMaxPending = 256 * 1024;  // Bytes that wait for the reader; what a burst of a second needs.
+  static constexpr std::size_t kMaxPending =
+      256 * 1024;  // Bytes that wait for the reader; what a burst of a second needs.
 
   // Makes `descriptor` non-blocking.
   explicit LineOutput(int descriptor);
--- a/hickoryquay/base/log.cc
+++ b/hickoryquay/base/log.cc
@@ -1,7 +1,5 @@
 #include "hickoryquay/base/log.h"
 
-#include "hickoryquay/base/line_output.h"  // What easylogging++ writes to.
-
 #include <easylogging++.h>
 
 #include <boost/json/object.hpp>
@@ -11,6 +9,8 @@
 #include <map>
 #include <mutex>
 
+#include "hickoryquay/base/line_output.h"  // What easylogging++ writes to.
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace hickoryquay::log {
--- a/hickoryquay/base/log.h
+++ b/hickoryquay/base/log.h
@@ -24,7 +24,7 @@
 struct Settings {
   Level m_level = Level::kInfo;
   Form m_form = Form::kText;
-  int m_repeats_per_s = 20;  // Lines of one part beyond this in a second are counted, not written.
+  int m_repeats_per_s = 20;        // Lines of one part beyond this in a second are counted, not written.
   bool m_standard_output = false;  // To standard output, never blocking on it; else to standard error.
 };
 
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -187,8 +187,8 @@
   for (const auto& [id, job] : m_jobs) {
     if (!Ended(job->m_phase) || now.m_wall - job->m_ended < m_settings.m_keep_ended) continue;
     const JobState* state = job.get();
-    const bool active =
-        std::any_of(m_active.begin(), m_active.end(), [state](const Unit* unit) { return unit->m_step->m_job == state; });
+    const bool active = std::any_of(m_active.begin(), m_active.end(),
+                                    [state](const Unit* unit) { return unit->m_step->m_job == state; });
     if (!active && !m_changed_phases.contains(id)) old.push_back(id);
   }
   for (const JobId id : old) {
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -248,18 +248,17 @@
   if (!Ok(result)) {
     const IntakeError& error = ErrorOf(result);
     const auto* later = std::get_if<TryLater>(&error);
-    outcome = later != nullptr                               ? "refused"
-              : std::holds_alternative<OutcomeUnknown>(error) ? "unknown"
-                                                              : "no such job";
+    outcome = later != nullptr ? "refused" : std::holds_alternative<OutcomeUnknown>(error) ? "unknown" : "no such job";
     if (later != nullptr) why = later->m_why;
   }
-  log::Info(kLog, write->m_what,
-            {{"job", jobs::HexText(write->m_id)},
-             {"outcome", outcome},
-             {"why", why},
-             {"ms", std::to_string(took.count())},
-             {"store_answered_ms_ago", m_contact.m_ms == 0 ? "never" : std::to_string((m_clock->Now() - m_contact).count())},
-             {"configuration", std::to_string(m_configuration ? m_configuration->m_version : 0)}});
+  log::Info(
+      kLog, write->m_what,
+      {{"job", jobs::HexText(write->m_id)},
+       {"outcome", outcome},
+       {"why", why},
+       {"ms", std::to_string(took.count())},
+       {"store_answered_ms_ago", m_contact.m_ms == 0 ? "never" : std::to_string((m_clock->Now() - m_contact).count())},
+       {"configuration", std::to_string(m_configuration ? m_configuration->m_version : 0)}});
   write->m_callback(std::move(result));
 }
 
--- a/tests/base/line_output_test.cc
+++ b/tests/base/line_output_test.cc
@@ -50,8 +50,8 @@
     }
     stream << "last\n";
     read += ReadAll();
-    CPPUNIT_ASSERT(read.find("Lines were left out, nobody reads them\",\"lines\":" + std::to_string(output.LeftOut())) !=
-                   std::string::npos);
+    CPPUNIT_ASSERT(read.find("Lines were left out, nobody reads them\",\"lines\":" +
+                             std::to_string(output.LeftOut())) != std::string::npos);
     const auto whole = static_cast<std::size_t>(std::count(read.begin(), read.end(), '\n'));
     CPPUNIT_ASSERT(whole < lines);
     CPPUNIT_ASSERT(read.ends_with("last\n"));
--- a/tests/operators/docs_test.cc
+++ b/tests/operators/docs_test.cc
@@ -4,22 +4,29 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 
 #include "hickoryquay/operators/columns.h"
 #include "hickoryquay/operators/executor.h"
 #include "hickoryquay/policy/policy.h"
 #include "hickoryquay/settings/daemon_settings.h"
+#include "hickoryquay/settings/node_settings.h"
 #include "tests/operators/fake_backend.h"
 #include "tests/property.h"
 
 namespace hickoryquay::operators {
 namespace {
 
-std::string Page(const std::string& name) {
+std::string Source(const std::string& path) {
   const char* source = std::getenv("HQ_SOURCE");
-  std::ifstream file(std::string(source == nullptr ? "." : source) + "/docs/" + name);
+  return std::string(source == nullptr ? "." : source) + "/" + path;
+}
+
+std::string Page(const std::string& name) {
+  std::ifstream file(Source("docs/" + name));
   CPPUNIT_ASSERT_MESSAGE(name, file.good());
   std::ostringstream text;
   text << file.rdbuf();
@@ -76,6 +83,8 @@
   CPPUNIT_TEST(OpeningAMarketTouchesNoOtherDocument);
   CPPUNIT_TEST(OpeningAMarketChangesNoOtherDecision);
   CPPUNIT_TEST(SettingsReferenceIsWhole);
+  CPPUNIT_TEST(NodeSettingsReferenceIsWhole);
+  CPPUNIT_TEST(LogLinesOfThePageAreWritten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -159,6 +168,45 @@
     });
   }
 
+  void NodeSettingsReferenceIsWhole() {
+    const std::string page = Page("OPERATIONS.md");
+    std::size_t rows = 0;
+    for (const std::string& key : settings::KnownNodeKeys()) {
+      CPPUNIT_ASSERT_MESSAGE(key, page.find("\n| " + key + " |") != std::string::npos);
+      ++rows;
+    }
+    std::size_t named = 0;
+    for (std::size_t at = page.find("\n| ["); at != std::string::npos; at = page.find("\n| [", at + 1)) ++named;
+    CPPUNIT_ASSERT_EQUAL(rows, named);
+  }
+
+  // Every log line that the page shows is one that the sources write, with all of its fields.
+  void LogLinesOfThePageAreWritten() {
+    std::string sources;
+    for (const char* folder : {"hickoryquay/jobs", "hickoryquay/service", "hickoryquay/base"}) {
+      for (const auto& file : std::filesystem::directory_iterator(Source(folder))) {
+        std::ifstream in(file.path());
+        sources.append(std::istreambuf_iterator<char>(in), {});
+      }
+    }
+    std::size_t lines = 0;
+    for (const std::string& block : Blocks(Page("OPERATIONS.md"), "json")) {
+      std::istringstream text(block);
+      for (std::string line; std::getline(text, line); ++lines) {
+        const auto json = ParseJson(line);
+        CPPUNIT_ASSERT_MESSAGE(line, Ok(json));
+        for (const auto& field : ValueOf(json).as_object()) {
+          const std::string key(field.key());
+          if (key == "time" || key == "level") continue;
+          const bool fixed = key == "text" || key == "part";
+          const std::string literal = '"' + (fixed ? std::string(field.value().as_string()) : key) + '"';
+          CPPUNIT_ASSERT_MESSAGE(literal, sources.find(literal) != std::string::npos);
+        }
+      }
+    }
+    CPPUNIT_ASSERT(lines > 0);
+  }
+
   void SettingsReferenceIsWhole() {
     const std::string page = Page("operating.md");
     std::size_t rows = 0;
