Soak real instances under random faults from outside

Processes are stopped, paused, killed and restarted; connections to the store and to workers are delayed, reset, cut one way or silenced by a loopback proxy; workers begin a new life. Callers and workers check the promises.

--- /dev/null
+++ b/scripts/soak/proxy.py
@@ -0,0 +1,44 @@
+"""A loopback proxy that delays, resets, cuts one way or silences the connections through it."""
+import asyncio
+
+
+class Proxy:
+    def __init__(self, target):
+        self.target, self.delay, self.silent, self.one_way, self.pairs = target, 0.0, False, False, []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.session, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    def heal(self):
+        self.delay, self.silent, self.one_way = 0.0, False, False
+
+    def reset(self):
+        for writers in self.pairs:
+            for writer in writers:
+                writer.transport.abort()
+
+    async def session(self, reader, writer):
+        try:
+            there, back = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, back)
+        self.pairs.append(pair)
+        await asyncio.gather(self.pump(reader, back, False), self.pump(there, writer, True))
+        self.pairs.remove(pair)
+
+    async def pump(self, reader, writer, answers):
+        try:
+            while data := await reader.read(65536):
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                if self.silent or (self.one_way and answers):
+                    continue  # Lost for good: the connection stays open and silent.
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
--- /dev/null
+++ b/scripts/soak/stand_ins.py
@@ -0,0 +1,214 @@
+"""Stand-ins for the platform: store, list of machines, workers. They speak the platform's protocol and check it."""
+import asyncio
+import base64
+import json
+import time
+
+from http_json import port_of, serve
+
+STOP_S, GANG_S, LEASE_MAX_MS = 0.2, 3.0, 6000
+
+
+def now_ms():
+    return int(time.monotonic() * 1000)
+
+
+class Store:
+    def __init__(self):
+        self.rows, self.history, self.version, self.changed = {}, [], 1, asyncio.Condition()
+
+    async def start(self):
+        self.server = await serve(self.handle)
+        return port_of(self.server)
+
+    async def put(self, table, key, value):
+        async with self.changed:
+            self.version += 1
+            self._set((table, "", key), base64.b64encode(json.dumps(value).encode()).decode())
+            self.changed.notify_all()
+
+    async def remove(self, table, key):
+        async with self.changed:
+            self.version += 1
+            self._drop((table, "", key))
+            self.changed.notify_all()
+
+    def _set(self, key, value):
+        self.rows[key] = {"table": key[0], "part": key[1], "key": key[2], "value": value, "ver": self.version}
+        self.history.append(self.rows[key])
+
+    def _drop(self, key):
+        if self.rows.pop(key, None) is not None:
+            self.history.append({"table": key[0], "part": key[1], "key": key[2], "ver": self.version, "removed": True})
+
+    async def handle(self, method, path, query, headers, body):
+        await asyncio.sleep(0.003)
+        if path == "/rows-tx":
+            return await self.transact(body)
+        if path == "/rows-get":
+            rows = sorted((row for key, row in self.rows.items() if key[0] == query["table"] and key[1] == query["part"]
+                           and key[2] >= query.get("from", "") and (not query.get("to") or key[2] < query["to"])),
+                          key=lambda row: row["key"])
+            limit = int(query.get("limit", 500))
+            return 200, {"rows": rows[:limit], "hasMore": len(rows) > limit, "ver": self.version, "nowMs": now_ms()}
+        if path == "/rows-feed":
+            return await self.feed(query["table"], int(query["after"]), int(query["waitMs"]) / 1000)
+        return 404, {}
+
+    async def transact(self, body):
+        key_of = lambda row: (row["table"], row.get("part", ""), row["key"])
+        async with self.changed:
+            differ = [row for row in body["expectedRev"] if self.rows.get(key_of(row), {}).get("ver", 0) != row["ver"]]
+            if differ:
+                return 412, {"rows": [self.rows[key_of(r)] for r in differ if key_of(r) in self.rows], "ver": self.version}
+            self.version += 1
+            for row in body["puts"]:
+                self._set(key_of(row), row["value"])
+            for row in body["remove"]:
+                self._drop(key_of(row))
+            self.changed.notify_all()
+        return 200, {"ver": self.version, "nowMs": now_ms()}
+
+    async def feed(self, table, after, wait):
+        end = time.monotonic() + wait
+        async with self.changed:
+            while True:
+                rows = [row for row in self.history if row["ver"] > after and row["table"] == table]
+                left = end - time.monotonic()
+                if rows or left <= 0:
+                    return 200, {"rows": rows, "ver": self.version, "nowMs": now_ms()}
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
+
+
+class Worker:
+    """One machine with its current life. `farm` knows all of them and what jobs really are."""
+
+    def __init__(self, farm, name, rack):
+        self.farm, self.name, self.rack, self.life, self.address = farm, name, rack, 0, None
+
+    async def start(self):
+        self.begin_life()
+        self.server = await serve(self.handle)
+        return port_of(self.server)
+
+    def begin_life(self):
+        self.life += 1
+        self.id = f"{self.name}-{self.life}"
+        self.runs, self.closed, self.ended, self.count, self.fence, self.until = {}, {}, [], 0, 0, 0
+        self.ends = asyncio.Event()
+
+    def row(self, state="ready"):
+        return {"service": "pool", "address": self.address, "zone": "z1", "version": "v1", "slots": 8, "state": state,
+                "coldLeftMs": 0, "capacity": {"cpu": 64000, "memMb": 128000, "gpu": 8}, "labels": ["a", self.rack], "seq": 1}
+
+    async def handle(self, method, path, query, headers, body):
+        await asyncio.sleep(0.001)
+        if headers.get("x-expect-instance") != self.id:
+            return 421, {}
+        life = self.life
+        if body["fencingToken"] < self.fence:
+            return 409, {"clockMs": now_ms(), "reason": "fence"}
+        self.fence = body["fencingToken"]
+        if path == "/run-start":
+            return self.run_start(body)
+        if path == "/run-stop":
+            self.closed[body["task"]] = max(self.closed.get(body["task"], 0), body["runId"])
+            run = self.runs.get(body["task"])
+            if run and run["run"] <= body["runId"]:
+                run["stop_at"] = min(run.get("stop_at", 1e18), time.monotonic() + STOP_S)
+            return 200, {"clockMs": now_ms()}
+        if path == "/hold":
+            self.extend(body.get("expiresMs", 0))
+            for end in self.ended:
+                if end[0] <= body["lastSeen"] and end[3] == "done":
+                    self.farm.noted.add(end[1])
+            self.ended = [end for end in self.ended if end[0] > body["lastSeen"]]
+            if not self.ended and body.get("waitMs"):
+                self.ends.clear()
+                try:
+                    await asyncio.wait_for(self.ends.wait(), body["waitMs"] / 1000)
+                except asyncio.TimeoutError:
+                    pass
+            if life != self.life:
+                return None
+            running = [[task, run["run"], "", 50] for task, run in self.runs.items()]
+            return 200, {"clockMs": now_ms(), "running": running, "ended": self.ended}
+        return 404, {}
+
+    def extend(self, until):
+        self.until = max(self.until, min(until, now_ms() + LEASE_MAX_MS))
+
+    def run_start(self, body):
+        task, number = body["task"], body["runId"]
+        if task in self.runs and self.runs[task]["run"] == number:
+            return 200, {"clockMs": now_ms()}
+        if self.closed.get(task, 0) >= number or task in self.runs:
+            return 409, {"clockMs": now_ms(), "reason": "old"}
+        if body["expiresMs"] <= now_ms():
+            return 409, {"clockMs": now_ms(), "reason": "late"}
+        self.extend(body["expiresMs"])
+        self.farm.check_start(self, task, number)
+        self.runs[task] = {"run": number, "left": self.farm.work_of(task), "since": time.monotonic()}
+        return 200, {"clockMs": now_ms()}
+
+    def end(self, task, how):
+        run = self.runs.pop(task)
+        self.closed[task] = max(self.closed.get(task, 0), run["run"])
+        self.count += 1
+        self.ended.append([self.count, task, run["run"], how, ""])
+        self.ends.set()
+        if how == "done":
+            self.farm.done.add(task)
+
+
+class Farm:
+    """All workers, the truth about jobs, and what went wrong."""
+
+    def __init__(self):
+        self.workers, self.jobs, self.noted, self.done, self.cancelled, self.wrong = [], {}, set(), set(), {}, []
+
+    def work_of(self, task):
+        return self.jobs.get(task.split(".")[0], {}).get("work", 1.0)
+
+    def check_start(self, worker, task, number):
+        job = self.jobs.get(task.split(".")[0])
+        what = f"{task} run {number} on {worker.id}"
+        if job is None:
+            return self.wrong.append(f"nobody asked for {what}")
+        job["started"] = True
+        if any(task in other.runs for other in self.workers if other is not worker):
+            self.wrong.append(f"runs twice: {what}")
+        if task in self.noted:
+            self.wrong.append(f"done already: {what}")
+        if sum(self.jobs[t.split(".")[0]]["gpu"] for t in worker.runs) + job["gpu"] > 8:
+            self.wrong.append(f"over capacity: {what}")
+        if time.monotonic() > self.cancelled.get(task.split(".")[0], 1e18) + 4.0:
+            self.wrong.append(f"cancelled long ago: {what}")
+
+    async def tick(self):
+        """Moves all work on, for ever."""
+        last = time.monotonic()
+        while True:
+            await asyncio.sleep(0.02)
+            now = time.monotonic()
+            passed, last = now - last, now
+            for worker in self.workers:
+                lapsed = bool(worker.runs) and worker.until <= now_ms()
+                for task, run in list(worker.runs.items()):
+                    if task not in worker.runs:
+                        continue
+                    if lapsed:
+                        worker.end(task, "lapsed")
+                    elif run.get("stop_at", 1e18) <= now:
+                        worker.end(task, "stopped")
+                    else:
+                        run["left"] -= passed
+                        if run["left"] <= 0:
+                            worker.end(task, "done")
+
+    async def machines(self, method, path, query, headers, body):
+        return 200, {"machines": [{"machine": w.name, "pool": "pool", "state": "up", "id": w.id} for w in self.workers],
+                     "nextToken": None}
