Send a start without an answer again instead of stopping its run

Cause: a gang of eight has one unanswered start in three where 5% of orders are carried out late; its whole run was stopped and placed anew, 0.35 s and a stop later. A start held up by a cut arrived after a repeated one could not be sent, which had been taken as proof that the run never came. Now once a start has had no answer only a look behind an acknowledged stop, or the end of the lease, settles it. The simulated workers deliver held-up starts; a test of just that fails without the mend.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -61,7 +61,10 @@
       }
       WorkerSlot* slot = m_workers.Add(placed.m_worker);
       if (slot->m_entry.m_address.empty()) slot->m_entry.m_address = placed.m_address;
-      unit->m_members[i] = Member{MemberState::kUnknown, StopState::kNone, slot, true, Instant{}, Instant{}};
+      Member& member = unit->m_members[i];
+      member.m_state = MemberState::kUnknown;
+      member.m_slot = slot;
+      member.m_inherited = true;
       m_workers.Take(slot, unit, i);
       unit->m_active = true;
     }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -43,6 +43,7 @@
   Millis m_keep_ended{120'000};  // Rows of an ended job are kept this long.
   Millis m_retry_stop{300};      // A stop that brought no answer is sent again after this.
   Millis m_avoid_refusing{500};  // A worker that refused a start gets no other for this long.
+  int m_start_repeats = 3;       // Of a start without an answer; then the run is stopped.
   Millis m_due_early{50};        // Timed work may start this much before its time.
   Millis m_spread_after{1'000};  // A rack-local gang of a guarantee that found no rack by then takes any workers.
   Millis m_room_slack{500};      // Room that is made for a unit is kept this long beyond the stop timeout.
@@ -145,6 +146,9 @@
   // Places what can be placed, and stops what has to make room. Call after every event, and once every 100 ms.
   void Decide(Now now);
 
+  // Starts without an answer, to be sent again as they were: a worker that has the run already says so.
+  std::vector<StartOrder> TakeRepeats();
+
   Batch TakeBatch(std::size_t max_rows);      // Empty where nothing changed.
   std::vector<StopOrder> TakeStops(Now now);  // May be sent at once.
   bool StillWanted(const StartOrder& order) const;
@@ -217,6 +221,7 @@
   std::set<StepKey> m_changed_steps;                                         // Rows to write.
   std::map<JobId, JobPhase> m_changed_phases;                                // Rows to write.
   std::vector<StartOrder> m_planned_starts;                                  // Wait for their rows.
+  std::vector<StartOrder> m_repeats;                                         // Stand in rows already.
   std::vector<std::string> m_removed_rows;                                   // Keys.
   std::vector<JobId> m_forgotten;                                            // Jobs whose rows are removed.
   std::set<Unit*> m_active;                                                  // With members that are not settled.
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -51,6 +51,17 @@
   return {unit, unit == nullptr ? 0 : static_cast<std::size_t>(task.m_index - unit->m_first)};
 }
 
+std::vector<StartOrder> Scheduler::TakeRepeats() {
+  std::vector<StartOrder> repeats;
+  for (StartOrder& order : std::exchange(m_repeats, {})) {
+    const auto [unit, index] = FindMember(order.m_task);
+    const bool wanted = unit != nullptr && unit->m_active && unit->m_run == order.m_run && !unit->m_stopping &&
+                        unit->m_members[index].m_state == MemberState::kSent;
+    if (wanted) repeats.push_back(std::move(order));
+  }
+  return repeats;
+}
+
 void Scheduler::OnStartSent(const StartOrder& order, Now now) {
   const auto [unit, index] = FindMember(order.m_task);
   if (unit == nullptr) return;
@@ -63,6 +74,8 @@
   if (unit == nullptr || unit->m_run != order.m_run) return;
   Member& member = unit->m_members[index];
   if (!Holds(member) || member.m_slot->m_entry.m_id != order.m_worker || member.m_state != MemberState::kSent) return;
+  // Once a start has had no answer, no refusal of a later one proves that the first never arrives.
+  if (member.m_repeats > 0 && outcome != StartOutcome::kRuns) outcome = StartOutcome::kUnknown;
   switch (outcome) {
     case StartOutcome::kRuns:
       log::Info(kLog, "Start confirmed",
@@ -74,6 +87,14 @@
       NoteBegun(unit);
       return;
     case StartOutcome::kUnknown:
+      if (member.m_repeats < m_settings.m_start_repeats && !unit->m_stopping) {
+        ++member.m_repeats;
+        log::Warn(kLog, "Start has no answer, sending it again",
+                  {{"task", ToText(order.m_task)}, {"run", Text(order.m_run)}, {"worker", order.m_worker.m_value}});
+        m_repeats.push_back(order);
+        return;
+      }
+      [[fallthrough]];
     case StartOutcome::kFenced:  // This scheduler is deposed: what became of the run is for its successor to find out.
     case StartOutcome::kOtherLife:  // The session says so of the whole worker.
       log::Warn(kLog, "Start has no answer",
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -32,6 +32,7 @@
   StopState m_stop = StopState::kNone;
   WorkerSlot* m_slot = nullptr;  // Holds room there unless kNone or kSettled.
   bool m_inherited = false;      // Placed by an earlier scheduler, whose orders its worker refuses by now.
+  int m_repeats = 0;             // Of a start that was not answered.
   Instant m_since;               // Steady time of the last change of m_state.
   Instant m_stop_at;             // Steady time: of the answer where kAcknowledged, of the next try where kWanted.
 };
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -203,6 +203,7 @@
   m_kick.Cancel();
   m_scheduler.Decide(Time());
   for (const jobs::StopOrder& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
+  for (const jobs::StartOrder& start : m_scheduler.TakeRepeats()) m_sessions->Send(start);
   if (!m_storing) {
     jobs::Batch batch = m_scheduler.TakeBatch(store::kMaxTransactionRows - kRowsOfOthers);
     if (!batch.Empty()) {
--- a/standin/sim_workers.cc
+++ b/standin/sim_workers.cc
@@ -11,7 +11,9 @@
 using jobs::EndKind;
 using jobs::StartOutcome;
 
-constexpr Millis kLookPoll{10};  // How soon a waiting look sees an end.
+constexpr Millis kLookPoll{10};       // How soon a waiting look sees an end.
+constexpr Millis kHeldUpFor{20'000};  // Longer than any cut.
+constexpr Millis kHeldUpPoll{20};
 constexpr int kEarliestLateMs = 2'000;
 constexpr int kLatestLateMs = 12'000;
 constexpr double kCoresPerAccelerator = 8.0;
@@ -51,6 +53,7 @@
   const auto found = m_workers.find(target.m_id);
   if (Resets(found)) return After(m_settings.m_latency, [callback] { callback({StartOutcome::kNotSent, {}}); });
   if (found == m_workers.end() || !found->second.m_alive || found->second.m_faults.m_cut) {
+    if (found != m_workers.end()) HoldUp(target.m_id, call, kHeldUpFor);
     return After(timeout, [callback] { callback({StartOutcome::kUnknown, {}}); });
   }
   const WorkerFaults& faults = found->second.m_faults;
@@ -65,6 +68,17 @@
   if (lost) After(timeout, [callback] { callback({StartOutcome::kUnknown, {}}); });
 }
 
+// Bytes that a partition holds up are delivered once it is over, though their sender has given up long ago.
+void SimWorkers::HoldUp(const WorkerId& id, const jobs::StartCall& call, Millis left) {
+  Worker& worker = m_workers.at(id);
+  if (!worker.m_alive || left.count() <= 0) return;
+  if (!worker.m_faults.m_cut && !worker.m_faults.m_resets) {
+    CarryOutStart(&worker, call);
+    return;
+  }
+  After(kHeldUpPoll, [this, id, call, left] { HoldUp(id, call, left - kHeldUpPoll); });
+}
+
 void SimWorkers::Stop(const jobs::WorkerTarget& target, const jobs::StopCall& call, Millis timeout,
                       jobs::StopCallback callback) {
   const auto found = m_workers.find(target.m_id);
--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -126,6 +126,7 @@
   bool Resets(std::map<WorkerId, Worker>::const_iterator found) const {
     return found != m_workers.end() && found->second.m_alive && found->second.m_faults.m_resets;
   }
+  void HoldUp(const WorkerId& id, const jobs::StartCall& call, Millis left);
   void Tick();
   void MoveOn(Worker* worker, double ms);
   void Finish(Worker* worker, const jobs::TaskKey& task, jobs::EndKind kind);
--- a/tests/service/faults_test.cc
+++ b/tests/service/faults_test.cc
@@ -37,6 +37,8 @@
   CPPUNIT_TEST(TakeoverWaitsForUnreachableWorker);
   CPPUNIT_TEST(StopsAreFollowedByOneLook);
   CPPUNIT_TEST(LateStartIsNotRunTwice);
+  CPPUNIT_TEST(UnansweredStartDoesNotStopItsGang);
+  CPPUNIT_TEST(HeldUpStartIsNotTakenForNeverSent);
   CPPUNIT_TEST(SuspendedLeaderDoesNoHarm);
   CPPUNIT_TEST(LostWritesAreSettled);
   CPPUNIT_TEST_SUITE_END();
@@ -163,6 +165,36 @@
     CheckNothingBroken();
   }
 
+  // One of eight starts gets lost: the gang waits for that member only, and nothing is thrown away.
+  void UnansweredStartDoesNotStopItsGang() {
+    m_world->Run(kSettle);
+    const WorkerId late = ServiceWorld::WorkerOf(1, 2);
+    m_world->Sim().Faults(late).m_late_orders = 1.0;
+    const JobId job = m_world->Submit(0, Gang(8, 8), kTask);
+    m_world->Run(Millis{100});
+    m_world->Sim().Faults(late).m_late_orders = 0.0;
+    m_world->Run(kTask + Millis{400});
+    CheckPhase(job, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(0.0, m_world->Sim().WastedCoreSeconds());
+    m_world->Run(Millis{15'000});  // The late order arrives.
+    CheckNothingBroken();
+  }
+
+  // The first start is held up by a cut, the repeated one can't even be sent; then the first one arrives.
+  void HeldUpStartIsNotTakenForNeverSent() {
+    m_world->Run(kSettle);
+    const WorkerId cut = ServiceWorld::WorkerOf(0, 0);
+    m_world->Sim().Faults(cut).m_cut = true;
+    const JobId job = m_world->Submit(0, Tasks(8, 8), Millis{4'000});
+    m_world->Run(Millis{150});
+    m_world->Sim().Faults(cut).m_resets = true;
+    m_world->Run(Millis{1'500});
+    m_world->Sim().Faults(cut) = standin::WorkerFaults{};
+    m_world->Run(Millis{15'000});
+    CheckPhase(job, JobPhase::kCompleted);
+    CheckNothingBroken();
+  }
+
   void SuspendedLeaderDoesNoHarm() {
     m_world->Run(kSettle);
     const JobId job = m_world->Submit(0, Tasks(12, 4), Millis{4'000});
