--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,5 +10,5 @@
 else
   mapfile -t files < <(git ls-files -co --exclude-standard '*.cc' | grep -v '/gen/')
 fi
-printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
+printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -n 1 python3 scripts/tidy.py "$build" 2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
 echo "lint: ok, ${#files[@]} files"
