Search packings up to the symmetry of equal workers; keep linting where preprocessing fails

Cause: the oracle of the policy's fuzz tried each permutation of equal workers of a rack. Exactness is kept: such workers can stand in for each other under every adjacency.

--- a/scripts/tidy.py
+++ b/scripts/tidy.py
@@ -18,7 +18,10 @@
     output = words.index("-o")
     del words[output:output + 2]
     words.remove("-c")
-    text = subprocess.run(words + ["-E", "-P", "-CC"], cwd=directory, capture_output=True, check=True).stdout
+    preprocessed = subprocess.run(words + ["-E", "-P", "-C"], cwd=directory, capture_output=True)
+    if preprocessed.returncode != 0:  # It can fail where compiling does not: the file is linted each time.
+        return None
+    text = preprocessed.stdout
     text = text.replace(os.getcwd().encode(), b".")  # Of __FILE__: the same in every checkout.
     version = subprocess.run(["clang-tidy", "--version"], capture_output=True, check=True).stdout
     with open(".clang-tidy", "rb") as config:
@@ -31,7 +34,8 @@
         entries = [e for e in json.load(database) if os.path.samefile(e["file"], file)]
     cache = os.path.join(os.environ.get("XDG_CACHE_HOME", os.path.expanduser("~/.cache")), "hickoryquay-tidy")
     os.makedirs(cache, exist_ok=True)
-    stamp = os.path.join(cache, key_of(entries[0]["command"], entries[0]["directory"])) if entries else None
+    key = key_of(entries[0]["command"], entries[0]["directory"]) if entries else None
+    stamp = os.path.join(cache, key) if key else None
     if stamp and os.path.exists(stamp):
         return 0
     result = subprocess.run(["clang-tidy", "-p", build, "--quiet", file]).returncode
--- a/tests/policy/packing.cc
+++ b/tests/policy/packing.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <sstream>
+#include <string>
 #include <unordered_map>
 #include <utility>
 
@@ -15,7 +16,10 @@
  public:
   Search(const std::vector<PackWorker>& workers, const std::vector<PackBlock>& blocks)
       : m_workers(workers), m_blocks(blocks), m_given(workers.size()) {
-    for (std::size_t i = 0; i < workers.size(); ++i) m_given[i].resize(workers[i].m_pinned.size());
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+      m_given[i].resize(workers[i].m_pinned.size());
+      m_racks[{workers[i].m_position, workers[i].m_rack}].push_back(i);
+    }
   }
 
   bool Run() { return Place(0); }
@@ -23,13 +27,29 @@
  private:
   bool Place(std::size_t block) {
     if (block == m_blocks.size()) return true;
-    if (!m_tried.emplace(block, m_given).second) return false;
+    if (!m_tried.emplace(block, Canonical()).second) return false;
     for (const std::vector<std::size_t>& group : Groups(m_blocks[block].m_adjacency)) {
       if (Spread(block, group, 0, m_blocks[block].m_accelerators)) return true;
     }
     return false;
   }
 
+  // What is given, with the workers of each rack in one order: equal workers of a rack can stand in for each other under
+  // every adjacency, so one of the ways to give to them is enough. Only the racks' own order means something.
+  std::vector<std::vector<int>> Canonical() const {
+    std::vector<std::vector<int>> all;
+    for (const auto& [rack, members] : m_racks) {
+      const std::size_t begin = all.size();
+      for (const std::size_t i : members) {
+        std::vector<int>& worker = all.emplace_back(m_given[i]);
+        worker.push_back(m_workers[i].m_accelerators);
+        worker.insert(worker.end(), m_workers[i].m_pinned.begin(), m_workers[i].m_pinned.end());
+      }
+      std::sort(all.begin() + static_cast<std::ptrdiff_t>(begin), all.end());
+    }
+    return all;
+  }
+
   // Every way to take `left` accelerators from the workers of the group, from the given one on.
   bool Spread(std::size_t block, const std::vector<std::size_t>& group, std::size_t at, int left) {
     if (left == 0) return Place(block + 1);
@@ -93,6 +113,7 @@
   const std::vector<PackWorker>& m_workers;
   const std::vector<PackBlock>& m_blocks;
   std::vector<std::vector<int>> m_given;  // By worker and account.
+  std::map<std::pair<int, std::string>, std::vector<std::size_t>> m_racks;  // By position and name.
   std::set<std::pair<std::size_t, std::vector<std::vector<int>>>> m_tried;
 };
 
