--- a/tests/policy/packing.cc
+++ b/tests/policy/packing.cc
@@ -34,8 +34,8 @@
     return false;
   }
 
-  // What is given, with the workers of each rack in one order: equal workers of a rack can stand in for each other under
-  // every adjacency, so one of the ways to give to them is enough. Only the racks' own order means something.
+  // What is given, with the workers of each rack in one order: equal workers of a rack can stand in for each other
+  // under every adjacency, so one of the ways to give to them is enough. Only the racks' own order means something.
   std::vector<std::vector<int>> Canonical() const {
     std::vector<std::vector<int>> all;
     for (const auto& [rack, members] : m_racks) {
@@ -112,7 +112,7 @@
 
   const std::vector<PackWorker>& m_workers;
   const std::vector<PackBlock>& m_blocks;
-  std::vector<std::vector<int>> m_given;  // By worker and account.
+  std::vector<std::vector<int>> m_given;                                    // By worker and account.
   std::map<std::pair<int, std::string>, std::vector<std::size_t>> m_racks;  // By position and name.
   std::set<std::pair<std::size_t, std::vector<std::vector<int>>>> m_tried;
 };
