--- a/hickoryquay/jobs/rows.cc
+++ b/hickoryquay/jobs/rows.cc
@@ -77,21 +77,6 @@
   return step;
 }
 
-// Reads a list of objects by `read`, which takes the reader and the element's index.
-template <typename ReadOne>
-auto ReadObjects(FieldReader* reader, std::string_view key, Need need, ReadOne read) {
-  std::vector<decltype(read(reader, std::size_t{}))> list;
-  for (const json::value& element : reader->Array(key, need)) {
-    FieldReader nested(element, reader->Path(key) + "[" + std::to_string(list.size()) + "]");
-    list.push_back(read(&nested, list.size()));
-    if (nested.Failed()) {
-      reader->Take(nested.Error());
-      break;
-    }
-  }
-  return list;
-}
-
 json::array RunNumbers(const std::vector<RunNumber>& runs) {
   json::array array;
   for (const RunNumber run : runs) array.push_back(Raw(run));
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -37,7 +37,6 @@
 
 struct SchedulerSettings {
   Millis m_stop_timeout{1'000};  // A worker ends a stopped task within this.
-  Millis m_gang_timeout{3'000};  // Members of a gang wait this long for the others.
   double m_remote_factor = 3.0;  // Slowdown of a gang across racks, or of a task away from its data.
   Millis m_restore{250};         // What a start from a checkpoint costs.
   Millis m_keep_ended{120'000};  // Rows of an ended job are kept this long.
--- a/hickoryquay/model/field_reader.h
+++ b/hickoryquay/model/field_reader.h
@@ -8,6 +8,7 @@
 #include <limits>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "hickoryquay/base/ids.h"
 #include "hickoryquay/model/json.h"
@@ -69,4 +70,19 @@
   FieldError m_error;
 };
 
+// Reads a list of objects by `read`, which takes the reader of an element and its index. Stops at the first error.
+template <typename ReadOne>
+auto ReadObjects(FieldReader* reader, std::string_view key, FieldReader::Need need, ReadOne read) {
+  std::vector<decltype(read(reader, std::size_t{}))> list;
+  for (const boost::json::value& element : reader->Array(key, need)) {
+    FieldReader nested(element, reader->Path(key) + "[" + std::to_string(list.size()) + "]");
+    if (!nested.Failed()) list.push_back(read(&nested, list.size()));
+    if (nested.Failed()) {
+      reader->Take(nested.Error());
+      break;
+    }
+  }
+  return list;
+}
+
 }  // namespace hickoryquay
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -48,7 +48,6 @@
   DriverSettings driver;
   driver.m_worker_table = settings.m_platform.m_workers;
   driver.m_scheduler.m_stop_timeout = terms.m_stop_timeout;
-  driver.m_scheduler.m_gang_timeout = terms.m_gang_timeout;
   driver.m_scheduler.m_remote_factor = terms.m_remote_factor;
   driver.m_scheduler.m_restore = terms.m_restore;
   driver.m_scheduler.m_keep_ended = terms.m_keep_ended;
--- a/hickoryquay/service/job_service.h
+++ b/hickoryquay/service/job_service.h
@@ -44,7 +44,6 @@
   Millis m_beat_every{200};                    // From the leader to every instance.
   Millis m_beat_timeout{600};                  // Of one beat.
   Millis m_lead_notice{1'500};                 // A planned stop gives the role up within this.
-  Millis m_rotation{2'500};                    // The platform takes this long to send callers elsewhere.
 };
 
 struct JobServiceParts {
--- a/hickoryquay/settings/node_settings.cc
+++ b/hickoryquay/settings/node_settings.cc
@@ -32,8 +32,9 @@
 }
 
 // A plain number of milliseconds or seconds with its unit, whole or with a fraction, such as "1.5s".
-Key<All>::Reader FractionOf(Millis TermsSection::*value) {
-  return [value](const std::string& text, All* all) -> std::string {
+template <typename Section>
+Key<All>::Reader FractionOf(Section All::*section, Millis Section::*value) {
+  return [at = Member(section, value)](const std::string& text, All* all) -> std::string {
     double amount = 0.0;
     const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), amount);
     const std::string_view unit(stop, static_cast<std::size_t>(text.data() + text.size() - stop));
@@ -42,7 +43,7 @@
     if (error != std::errc{} || scale == 0.0 || ms < 0.0 || ms > static_cast<double>(kLongest.count())) {
       return "expected a duration such as 250ms or 1.5s";
     }
-    all->m_terms.*value = Millis{static_cast<std::int64_t>(ms)};
+    *at(all) = Millis{static_cast<std::int64_t>(ms)};
     return "";
   };
 }
@@ -57,22 +58,20 @@
           {"node", "inner", Need::kRequired, Address(kSection, &S::m_inner)},
           {"node", "metrics", Need::kOptional, Address(kSection, &S::m_metrics)},
           {"node", "seeds", Need::kOptional, Addresses(kSection, &S::m_seeds)},
-          {"node", "grace", Need::kOptional, Duration(kSection, &S::m_grace, Millis{0})}};
+          {"node", "grace", Need::kOptional, FractionOf(kSection, &S::m_grace)}};
 }
 
 std::vector<Key<All>> StoreKeys() {
   return {{"store", "address", Need::kRequired, Address(&All::m_store, &StoreSection::m_address)},
-          {"machines", "address", Need::kRequired, Address(&All::m_machines, &MachinesSection::m_address)}};
+          {"machines", "address", Need::kOptional, Address(&All::m_machines, &MachinesSection::m_address)}};
 }
 
 std::vector<Key<All>> TermsKeys() {
   using S = TermsSection;
-  return {{"terms", "longest_lease", Need::kOptional, FractionOf(&S::m_longest_lease)},
-          {"terms", "stop_timeout", Need::kOptional, FractionOf(&S::m_stop_timeout)},
-          {"terms", "gang_timeout", Need::kOptional, FractionOf(&S::m_gang_timeout)},
-          {"terms", "restore", Need::kOptional, FractionOf(&S::m_restore)},
-          {"terms", "keep_ended", Need::kOptional, FractionOf(&S::m_keep_ended)},
-          {"terms", "heartbeat", Need::kOptional, FractionOf(&S::m_heartbeat)},
+  return {{"terms", "longest_lease", Need::kOptional, FractionOf(&All::m_terms, &S::m_longest_lease)},
+          {"terms", "stop_timeout", Need::kOptional, FractionOf(&All::m_terms, &S::m_stop_timeout)},
+          {"terms", "restore", Need::kOptional, FractionOf(&All::m_terms, &S::m_restore)},
+          {"terms", "keep_ended", Need::kOptional, FractionOf(&All::m_terms, &S::m_keep_ended)},
           {"terms", "remote_factor", Need::kOptional, Factor(&S::m_remote_factor)}};
 }
 
--- a/hickoryquay/settings/node_settings.h
+++ b/hickoryquay/settings/node_settings.h
@@ -41,17 +41,15 @@
 
 // [machines]
 struct MachinesSection {
-  net::Endpoint m_address;  // Where the platform lists its machines; required.
+  net::Endpoint m_address;  // Where the platform lists its machines; without it only leases prove a worker clear.
 };
 
 // [terms]: what the platform promises of its workers.
 struct TermsSection {
   Millis m_longest_lease{6'000};  // A longer lease of a worker is cut to this.
   Millis m_stop_timeout{1'000};   // A stopped task has ended by then.
-  Millis m_gang_timeout{3'000};   // Members of a gang wait this long for the others.
   Millis m_restore{250};          // What a start from a checkpoint costs.
   Millis m_keep_ended{120'000};   // The state of an ended job can be asked for this long.
-  Millis m_heartbeat{1'500};      // Of workers, at the store.
   double m_remote_factor = 3.0;   // Slowdown of work away from its data, and of gangs across racks.
 };
 
--- /dev/null
+++ b/tests/settings/node_settings_test.cc
@@ -0,0 +1,66 @@
+#include "hickoryquay/settings/node_settings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sstream>
+
+namespace hickoryquay::settings {
+namespace {
+
+constexpr const char* kNode =
+    "[node]\nname = n\ndomain = d\ncallers = 10.0.0.1:1\nready = 10.0.0.1:2\ninner = 10.0.0.1:3\n";
+constexpr const char* kStore = "[store]\naddress = 10.0.0.2:4\n";
+
+class NodeSettingsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NodeSettingsTest);
+  CPPUNIT_TEST(LeastThatIsNeeded);
+  CPPUNIT_TEST(TermsTakeFractions);
+  CPPUNIT_TEST(WrongValuesNameTheirKey);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void LeastThatIsNeeded() {
+    const auto read = Read(std::string(kNode) + kStore);
+    CPPUNIT_ASSERT_MESSAGE(Ok(read) ? "" : ToString(ErrorOf(read)), Ok(read));
+    CPPUNIT_ASSERT(ValueOf(read).m_machines.m_address == net::Endpoint{});
+    CPPUNIT_ASSERT(ValueOf(read).m_node.m_seeds.empty());
+  }
+
+  void TermsTakeFractions() {
+    const auto read = Read(std::string(kNode) + "grace = 4.5s\nseeds = 10.0.0.1:3, 10.0.0.5:3\n" + kStore +
+                           "[terms]\nlongest_lease = 6000ms\nrestore = 250.0ms\nremote_factor = 3.0\n");
+    CPPUNIT_ASSERT_MESSAGE(Ok(read) ? "" : ToString(ErrorOf(read)), Ok(read));
+    CPPUNIT_ASSERT(ValueOf(read).m_node.m_grace == Millis{4'500});
+    CPPUNIT_ASSERT(ValueOf(read).m_terms.m_longest_lease == Millis{6'000});
+    CPPUNIT_ASSERT(ValueOf(read).m_terms.m_restore == Millis{250});
+    CPPUNIT_ASSERT_EQUAL(3.0, ValueOf(read).m_terms.m_remote_factor);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ValueOf(read).m_node.m_seeds.size());
+  }
+
+  void WrongValuesNameTheirKey() {
+    CheckWrong("name", kStore);
+    CheckWrong("address", kNode);
+    CheckWrong("restore", std::string(kNode) + kStore + "[terms]\nrestore = ms\n");
+    CheckWrong("restore", std::string(kNode) + kStore + "[terms]\nrestore = 3 weeks\n");
+    CheckWrong("remote_factor", std::string(kNode) + kStore + "[terms]\nremote_factor = 0\n");
+    CheckWrong("colour", std::string(kNode) + kStore + "[terms]\ncolour = red\n");
+    CheckWrong("callers", std::string("[node]\nname = n\ndomain = d\ncallers = here\n") + kStore);
+  }
+
+ private:
+  static Settled<NodeSettings> Read(const std::string& text) {
+    std::istringstream in(text);
+    return ParseNodeSettings("node.ini", in);
+  }
+
+  static void CheckWrong(const std::string& key, const std::string& text) {
+    const auto read = Read(text);
+    CPPUNIT_ASSERT_MESSAGE(text, !Ok(read));
+    CPPUNIT_ASSERT_EQUAL(key, ErrorOf(read).m_key);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeSettingsTest);
+
+}  // namespace
+}  // namespace hickoryquay::settings
