--- a/scripts/soak/proxy.py
+++ b/scripts/soak/proxy.py
@@ -38,7 +38,7 @@
                     continue  # Lost for good: the connection stays open and silent.
                 writer.write(data)
                 await writer.drain()
-        except ConnectionError:
-            pass
+        except (ConnectionError, asyncio.CancelledError):
+            pass  # An end left, or the soak is over.
         finally:
             writer.close()
