--- a/scripts/soak/proxy.py
+++ b/scripts/soak/proxy.py
@@ -26,7 +26,10 @@
             return
         pair = (writer, back)
         self.pairs.append(pair)
-        await asyncio.gather(self.pump(reader, back, False), self.pump(there, writer, True))
+        try:
+            await asyncio.gather(self.pump(reader, back, False), self.pump(there, writer, True))
+        except asyncio.CancelledError:
+            pass  # The soak is over.
         self.pairs.remove(pair)
 
     async def pump(self, reader, writer, answers):
