--- a/hickoryquay/policy/policy_events.cc
+++ b/hickoryquay/policy/policy_events.cc
@@ -224,6 +224,7 @@
   const bool stopping = job.m_phase == Phase::kStopping;
   if (stopping && job.m_afterwards == Afterwards::kUncertain) return;
   job.m_afterwards = Afterwards::kForget;
+  job.m_stop_reason = StopReason::kCancelled;  // Also of a stop under way, should it have to be repeated.
   if (!stopping) Stop(index, StopReason::kCancelled, false);
 }
 
--- a/hickoryquay/policy/policy_markets.cc
+++ b/hickoryquay/policy/policy_markets.cc
@@ -127,6 +127,7 @@
     if (requeues) {
       job.m_afterwards = Afterwards::kRefuse;
       job.m_why = why;
+      if (market == nullptr) job.m_stop_reason = StopReason::kMarketDropped;
     }
     if (market != nullptr || job.m_phase == Phase::kStopping) continue;
     job.m_afterwards = Afterwards::kRefuse;
--- a/tests/policy/oracle.h
+++ b/tests/policy/oracle.h
@@ -124,6 +124,7 @@
   std::set<GuaranteeKey> m_broken;
   std::set<JobId> m_must_settle;     // Lost all parts in this event: must wait or end truthfully.
   std::set<JobId> m_just_cancelled;  // Ended so by this event.
+  bool m_judged = false;             // m_verdict tells of the books as they are.
   std::string m_verdict;
 };
 
