Scheduler: order units by job and task, not by address; plan room without walking every worker anew

Change: sets of units and members are ordered by job, step and task. PlanRoom keeps one offer a worker and appraises again only those that a choice has changed. State that nothing read is gone (Unit::m_percent, m_begun, m_settled).

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -228,7 +228,7 @@
   if (slot != nullptr) slot->m_usable = usable;
 }
 
-void Scheduler::OnWorkerCleared(const WorkerId& worker, Now now) {
+void Scheduler::OnWorkerCleared(const WorkerId& worker) {
   WorkerSlot* slot = m_workers.Find(worker);
   if (slot == nullptr) return;
   const auto members = slot->m_members;
@@ -238,7 +238,7 @@
         kLog, "Run lost with its worker",
         {{"task", ToText(unit->Key(member))}, {"run", std::to_string(Raw(unit->m_run))}, {"worker", worker.m_value}});
     if (unit->m_step->m_spec->m_gang && !unit->m_done) StopRun(unit, "member lost");
-    if (unit->m_members[member].m_slot == slot) Settle(unit, member, now);
+    if (unit->m_members[member].m_slot == slot) Settle(unit, member);
   }
   m_workers.DropIfUnused(worker);
 }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -35,7 +35,21 @@
 // [SECTION] Settings
 //-------------------------------------------------------------------------------------------------
 
+// What a waiting unit is ordered by.
+struct Turn {
+  int m_priority = 0;
+  Instant m_accepted;  // Wall time.
+  Instant m_deadline;  // Wall time until which its job earns in full, by the caller's estimates.
+};
+
+// Whether the first one goes first.
+using Order = bool (*)(const Turn&, const Turn&);
+bool ByDeadline(const Turn& a, const Turn& b);      // Within one priority.
+bool FirstComeFirst(const Turn& a, const Turn& b);  // Whatever the priority: a baseline.
+
 struct SchedulerSettings {
+  Order m_order = &ByDeadline;
+  bool m_preempts = true;        // Urgent units may stop others to make room.
   Millis m_stop_timeout{1'000};  // A worker ends a stopped task within this.
   double m_remote_factor = 3.0;  // Slowdown of a gang across racks, or of a task away from its data.
   Millis m_restore{250};         // What a start from a checkpoint costs.
@@ -136,7 +150,7 @@
   void SetWorkerUsable(const WorkerId& worker, bool usable);  // It answers and knows this scheduler's epoch.
 
   // Everything that was placed on the worker before has ended and can't come back.
-  void OnWorkerCleared(const WorkerId& worker, Now now);
+  void OnWorkerCleared(const WorkerId& worker);
   void OnLook(const WorkerId& worker, const LookReply& look, Instant sent, Now now);
   void OnStartSent(const StartOrder& order, Now now);
   void OnStartAnswer(const StartOrder& order, StartOutcome outcome, Now now);
@@ -176,20 +190,20 @@
   void OnEnd(WorkerSlot* slot, const EndedTask& end, Now now);
   void OnRunning(WorkerSlot* slot, const RunningTask& running, Now now);
   std::pair<Unit*, std::size_t> FindMember(const TaskKey& task);
-  void NoteBegun(Unit* unit);
   void LearnSpeed(const Unit& unit, const Member& member, Now now);
   void NoteFailure(Unit* unit, RunNumber run, Now now);
   void NoteDone(Unit* unit, Now now);
-  void Settle(Unit* unit, std::size_t member, Now now);
-  void SettleAbsent(WorkerSlot* slot, const LookReply& look, Instant sent, Now now);
+  void Settle(Unit* unit, std::size_t member);
+  void SettleAbsent(WorkerSlot* slot, const LookReply& look, Instant sent);
   void StopRun(Unit* unit, const char* why);
-  void AfterSettling(Unit* unit, Now now);
+  void AfterSettling(Unit* unit);
 
   // scheduler_place.cc
   // Workers for all members of a unit, and the runs that have to end first.
+  struct Offer;
   struct RoomPlan {
     std::vector<WorkerSlot*> m_slots;
-    std::set<Unit*> m_victims;
+    UnitSet m_victims;
     double m_cost = 0.0;  // Core-seconds of work thrown away.
   };
 
@@ -210,6 +224,7 @@
   bool Entitled(const Unit& unit) const;
   double LostWork(const Unit& unit, Now now) const;
   bool MayStop(const Unit& victim, const Unit& unit) const;
+  void Appraise(const Unit& unit, const UnitSet& chosen, Now now, Offer* offer) const;
   std::optional<RoomPlan> PlanRoom(const Unit& unit, const std::vector<WorkerSlot*>& candidates, Now now) const;
   bool MakeRoom(Unit* unit, Now now);
 
@@ -223,7 +238,7 @@
   std::vector<StartOrder> m_repeats;                                         // Stand in rows already.
   std::vector<std::string> m_removed_rows;                                   // Keys.
   std::vector<JobId> m_forgotten;                                            // Jobs whose rows are removed.
-  std::set<Unit*> m_active;                                                  // With members that are not settled.
+  UnitSet m_active;                                                          // With members that are not settled.
   std::set<std::pair<WorkerId, std::pair<TaskKey, RunNumber>>> m_strangers;  // Run, but stand in no row.
   int m_starts = 0;
   int m_preemptions = 0;
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -49,6 +49,14 @@
 // Who goes next
 //-------------------------------------------------------------------------------------------------
 
+bool ByDeadline(const Turn& a, const Turn& b) {
+  return std::tie(a.m_priority, a.m_deadline) < std::tie(b.m_priority, b.m_deadline);
+}
+
+bool FirstComeFirst(const Turn& a, const Turn& b) {
+  return a.m_accepted < b.m_accepted;
+}
+
 // The longest chain of steps, by the caller's estimates.
 Millis Scheduler::ExpectedChain(const JobState& job) const {
   const auto& steps = job.m_job.m_request.m_steps;
@@ -73,8 +81,7 @@
 
 std::vector<Unit*> Scheduler::Waiting(Now now) {
   struct Candidate {
-    int m_priority;
-    Instant m_deadline;
+    Turn m_turn;
     Unit* m_unit;
   };
   std::vector<Candidate> candidates;
@@ -83,7 +90,7 @@
     if (job->m_opened < job->m_occurrences) OpenSteps(job.get(), now);
     for (int k = 0; k < job->m_opened; ++k) {
       const auto& steps = job->m_steps[static_cast<std::size_t>(k)];
-      const Instant deadline = FullDeadline(*job, k);
+      const Turn turn{job->m_job.m_priority, job->m_job.m_accepted, FullDeadline(*job, k)};
       for (const auto& step : steps) {
         if (step->m_units_left == 0) continue;
         const auto& after = step->m_spec->m_after;
@@ -92,14 +99,13 @@
         });
         if (blocked) continue;
         for (const auto& unit : step->m_units) {
-          if (unit->Waiting()) candidates.push_back({job->m_job.m_priority, deadline, unit.get()});
+          if (unit->Waiting()) candidates.push_back({turn, unit.get()});
         }
       }
     }
   }
-  std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
-    return std::tie(a.m_priority, a.m_deadline) < std::tie(b.m_priority, b.m_deadline);
-  });
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [this](const Candidate& a, const Candidate& b) { return m_settings.m_order(a.m_turn, b.m_turn); });
   std::vector<Unit*> units;
   units.reserve(candidates.size());
   for (const Candidate& candidate : candidates) units.push_back(candidate.m_unit);
@@ -148,7 +154,7 @@
       continue;
     }
     if (unit->m_members.size() == 1) full = unit->m_step;
-    if (unit->m_step->m_job->m_job.m_priority == 0) MakeRoom(unit, now);
+    if (m_settings.m_preempts && unit->m_step->m_job->m_job.m_priority == 0) MakeRoom(unit, now);
   }
 }
 
@@ -253,7 +259,6 @@
   unit->m_run = RunNumber{Raw(unit->m_run) + 1};
   unit->m_active = true;
   unit->m_placed = now.m_steady;
-  unit->m_percent = 0;
   m_active.insert(unit);
   for (std::size_t i = 0; i < unit->m_members.size(); ++i) {
     Member& member = unit->m_members[i];
@@ -309,64 +314,83 @@
   return theirs.m_priority > ours.m_priority;
 }
 
+// What one more task on a worker would cost.
+struct Scheduler::Offer {
+  WorkerSlot* m_slot = nullptr;
+  Resources m_room;  // As it will be once everything that is chosen so far has ended.
+  int m_hosted = 0;  // Members planned here.
+  bool m_fresh = false;
+  bool m_possible = false;
+  double m_cost = 0.0;
+  std::vector<Unit*> m_victims;
+};
+
+// Fills in what one more task of the unit on the offer's worker would stop.
+void Scheduler::Appraise(const Unit& unit, const UnitSet& chosen, Now now, Offer* offer) const {
+  const Resources& task = unit.m_step->m_spec->m_task;
+  offer->m_fresh = true;
+  offer->m_victims.clear();
+  offer->m_cost = 0.0;
+  offer->m_possible = Limit(*offer->m_slot, unit, std::numeric_limits<int>::max()) > offer->m_hosted;
+  if (!offer->m_possible) return;
+  std::vector<std::pair<double, Unit*>> stoppable;
+  for (const auto& [held, index] : offer->m_slot->m_members) {
+    const bool seen = !stoppable.empty() && stoppable.back().second == held;  // Members of one unit stand together.
+    if (!seen && MayStop(*held, unit) && !chosen.contains(held)) stoppable.emplace_back(LostWork(*held, now), held);
+  }
+  std::stable_sort(stoppable.begin(), stoppable.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+  Resources left = offer->m_room;
+  for (const auto& [lost, held] : stoppable) {
+    if (task.FitsIn(left)) break;
+    for (const auto& [other, index] : offer->m_slot->m_members) {
+      if (other == held) left += held->m_step->m_spec->m_task;
+    }
+    offer->m_victims.push_back(held);
+    offer->m_cost += lost;
+  }
+  offer->m_possible = task.FitsIn(left);
+  // Among equal costs the fuller worker: whole ones are left for larger gangs.
+  offer->m_cost += 0.001 * left.m_accelerators;
+}
+
 // The cheapest set of units whose end makes room for all members on `candidates`.
 std::optional<Scheduler::RoomPlan> Scheduler::PlanRoom(const Unit& unit, const std::vector<WorkerSlot*>& candidates,
                                                        Now now) const {
   const Resources& task = unit.m_step->m_spec->m_task;
   RoomPlan plan;
-  std::map<WorkerSlot*, Resources> free;  // As it will be.
-  std::map<WorkerSlot*, int> hosted;
+  std::vector<Offer> offers;
   for (WorkerSlot* slot : candidates) {
     if (slot->m_kept_for != nullptr && slot->m_kept_for != &unit) continue;
-    Resources room = slot->m_free;
+    Offer& offer = offers.emplace_back();
+    offer.m_slot = slot;
+    offer.m_room = slot->m_free;
     for (const auto& [held, index] : slot->m_members) {
-      if (held->m_stopping || held->m_done) room += held->m_step->m_spec->m_task;
+      if (held->m_stopping || held->m_done) offer.m_room += held->m_step->m_spec->m_task;
     }
-    free[slot] = room;
   }
-  for (std::size_t i = 0; i < unit.m_members.size(); ++i) {
-    WorkerSlot* best = nullptr;
-    std::vector<Unit*> best_victims;
-    double best_cost = std::numeric_limits<double>::infinity();
-    for (const auto& [slot, room] : free) {
-      if (Limit(*slot, unit, std::numeric_limits<int>::max()) <= hosted[slot]) continue;
-      std::vector<std::pair<double, Unit*>> offers;
-      for (const auto& [held, index] : slot->m_members) {
-        if (MayStop(*held, unit) && !plan.m_victims.contains(held)) offers.emplace_back(LostWork(*held, now), held);
-      }
-      std::sort(offers.begin(), offers.end());
-      Resources left = room;
-      double cost = 0.0;
-      std::vector<Unit*> victims;
-      for (const auto& [lost, held] : offers) {
-        if (task.FitsIn(left)) break;
-        for (const auto& [other, index] : slot->m_members) {
-          if (other == held) left += held->m_step->m_spec->m_task;
-        }
-        if (std::find(victims.begin(), victims.end(), held) == victims.end()) {
-          victims.push_back(held);
-          cost += lost;
-        }
-      }
-      // Among equal costs the fuller worker: whole ones are left for larger gangs.
-      cost += 0.001 * left.m_accelerators;
-      if (!task.FitsIn(left) || cost >= best_cost) continue;
-      best = slot;
-      best_cost = cost;
-      best_victims = std::move(victims);
+  while (plan.m_slots.size() < unit.m_members.size()) {
+    Offer* best = nullptr;
+    for (Offer& offer : offers) {
+      if (!offer.m_fresh) Appraise(unit, plan.m_victims, now, &offer);
+      if (offer.m_possible && (best == nullptr || offer.m_cost < best->m_cost)) best = &offer;
     }
     if (best == nullptr) return std::nullopt;
-    for (Unit* victim : best_victims) {
+    const std::vector<Unit*> victims = best->m_victims;
+    plan.m_cost += best->m_cost;
+    plan.m_slots.push_back(best->m_slot);
+    best->m_room -= task;
+    ++best->m_hosted;
+    best->m_fresh = false;
+    for (Unit* victim : victims) {
       plan.m_victims.insert(victim);
       for (const Member& member : victim->m_members) {
-        const auto found = member.m_slot == nullptr ? free.end() : free.find(member.m_slot);
-        if (found != free.end()) found->second += victim->m_step->m_spec->m_task;
+        for (Offer& offer : offers) {
+          if (offer.m_slot != member.m_slot) continue;
+          offer.m_room += victim->m_step->m_spec->m_task;
+          offer.m_fresh = false;
+        }
       }
     }
-    free[best] -= task;
-    ++hosted[best];
-    plan.m_slots.push_back(best);
-    plan.m_cost += best_cost;
   }
   return plan;
 }
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -84,7 +84,7 @@
                  {"worker", order.m_worker.m_value},
                  {"ms", std::to_string((now.m_steady - member.m_since).count())}});
       SetState(&member, MemberState::kRunning, now.m_steady);
-      NoteBegun(unit);
+      unit->m_step->m_job->m_begun = true;
       return;
     case StartOutcome::kUnknown:
       if (member.m_repeats < m_settings.m_start_repeats && !unit->m_stopping) {
@@ -111,7 +111,7 @@
              {"outcome", std::to_string(static_cast<int>(outcome))}});
   member.m_slot->m_avoid_until = now.m_steady + m_settings.m_avoid_refusing;
   if (unit->m_members.size() > 1) StopRun(unit, "start of a member refused");
-  if (Holds(member)) Settle(unit, index, now);
+  if (Holds(member)) Settle(unit, index);
 }
 
 void Scheduler::OnStopAnswer(const StopOrder& order, StopOutcome outcome, Now now) {
@@ -137,7 +137,7 @@
     OnEnd(slot, end, now);
   }
   for (const RunningTask& running : look.m_running) OnRunning(slot, running, now);
-  SettleAbsent(slot, look, sent, now);
+  SettleAbsent(slot, look, sent);
 }
 
 void Scheduler::OnRunning(WorkerSlot* slot, const RunningTask& running, Now now) {
@@ -152,8 +152,7 @@
   }
   Member& member = unit->m_members[index];
   if (member.m_state != MemberState::kRunning) SetState(&member, MemberState::kRunning, now.m_steady);
-  NoteBegun(unit);
-  unit->m_percent = std::max(unit->m_percent, running.m_percent);
+  unit->m_step->m_job->m_begun = true;
   if (unit->m_step->m_spec->m_checkpoints && !running.m_checkpoint.empty()) unit->m_checkpoint = running.m_checkpoint;
   const bool overdue = member.m_stop == StopState::kAcknowledged &&
                        now.m_steady - member.m_stop_at > m_settings.m_stop_timeout + m_settings.m_retry_stop;
@@ -184,12 +183,12 @@
   }
   if (!current) return;
   if (!unit->m_done && unit->m_members.size() > 1) StopRun(unit, ToString(end.m_kind));
-  if (unit->m_members[index].m_slot == slot) Settle(unit, index, now);
+  if (unit->m_members[index].m_slot == slot) Settle(unit, index);
 }
 
 // A run that a worker does not list can't come any more where its stop was acknowledged before the look was sent, where
 // its worker had confirmed it, or where it was ordered under an earlier epoch.
-void Scheduler::SettleAbsent(WorkerSlot* slot, const LookReply& look, Instant sent, Now now) {
+void Scheduler::SettleAbsent(WorkerSlot* slot, const LookReply& look, Instant sent) {
   if (look.m_more_ended) return;
   const auto members = slot->m_members;
   for (const auto& held : members) {
@@ -214,7 +213,7 @@
                            : vanished ? "vanished"
                                       : "earlier epoch"}});
       if (unit->m_members.size() > 1 && !unit->m_done) StopRun(unit, "member is not on its worker");
-      if (member.m_slot == slot) Settle(unit, index, now);
+      if (member.m_slot == slot) Settle(unit, index);
     } else if (unanswered) {
       StopRun(unit, "start was not answered");
     }
@@ -225,11 +224,6 @@
 // Outcomes
 //-------------------------------------------------------------------------------------------------
 
-void Scheduler::NoteBegun(Unit* unit) {
-  unit->m_begun = true;
-  unit->m_step->m_job->m_begun = true;
-}
-
 // Tasks of one step take about the same work, so their durations compare the workers that ran them.
 void Scheduler::LearnSpeed(const Unit& unit, const Member& member, Now now) {
   StepState* step = unit.m_step;
@@ -268,20 +262,18 @@
   FinishIfComplete(unit->m_step->m_job, now);
 }
 
-void Scheduler::Settle(Unit* unit, std::size_t index, Now now) {
+void Scheduler::Settle(Unit* unit, std::size_t index) {
   Member& member = unit->m_members[index];
   m_workers.GiveBack(member.m_slot, unit, index);
   member = Member{};
   member.m_state = MemberState::kSettled;
   Touch(unit->m_step);
-  if (std::none_of(unit->m_members.begin(), unit->m_members.end(), Holds)) AfterSettling(unit, now);
+  if (std::none_of(unit->m_members.begin(), unit->m_members.end(), Holds)) AfterSettling(unit);
 }
 
-void Scheduler::AfterSettling(Unit* unit, Now now) {
+void Scheduler::AfterSettling(Unit* unit) {
   unit->m_active = false;
   unit->m_stopping = false;
-  unit->m_percent = 0;
-  unit->m_settled = now.m_steady;
   for (Member& member : unit->m_members) member = Member{};
   m_active.erase(unit);
 }
@@ -301,7 +293,7 @@
       member.m_stop_at = Instant{};
     }
   }
-  for (const std::size_t i : never_sent) Settle(unit, i, Now{unit->m_placed, Instant{}});
+  for (const std::size_t i : never_sent) Settle(unit, i);
 }
 
 }  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -3,7 +3,9 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hickoryquay/jobs/job.h"
@@ -47,17 +49,27 @@
   bool m_active = false;     // Some member is not settled.
   bool m_done = false;
   bool m_stopping = false;  // The run must end.
-  bool m_begun = false;     // A worker has confirmed a run at some time.
   Instant m_placed;         // Steady time of the last placement.
-  Instant m_settled;        // Steady time since which it waits again.
   Instant m_room_until;     // Steady time until which room that is being made for it is kept.
-  int m_percent = 0;        // Highest share of the work that a worker has reported in this run.
 
   bool Waiting() const { return !m_active && !m_done; }
   TaskKey Key(std::size_t member) const;
   int Accelerators() const;
 };
 
+// By job, step and first task, so that the same day is played the same way again.
+struct UnitOrder {
+  bool operator()(const Unit* a, const Unit* b) const;
+};
+using UnitSet = std::set<Unit*, UnitOrder>;
+
+// A member by its unit and its index there.
+using HeldMember = std::pair<Unit*, std::size_t>;
+struct HeldOrder {
+  bool operator()(const HeldMember& a, const HeldMember& b) const;
+};
+using HeldSet = std::set<HeldMember, HeldOrder>;
+
 struct StepState {
   StepKey m_key;
   JobState* m_job = nullptr;
@@ -75,7 +87,7 @@
   AcceptedJob m_job;
   std::shared_ptr<const std::string> m_payload;
   JobPhase m_phase = JobPhase::kQueued;
-  bool m_begun = false;  // A task was ordered to start at some time.
+  bool m_begun = false;  // A worker has confirmed a run at some time.
   bool m_phase_stored = false;
   Instant m_ended;  // Wall time.
   int m_occurrences = 1;
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -264,7 +264,7 @@
   session->m_cleared = true;
   session->m_told_ends = session->m_seen_ends;
   m_scheduler->SetWorkerUsable(id, false);
-  m_scheduler->OnWorkerCleared(id, Time());
+  m_scheduler->OnWorkerCleared(id);
 }
 
 }  // namespace hickoryquay::service
