Scheduler: urgent work stops others only where that is worth the work thrown away

Pattern: a small urgent task over a cluster of large gangs that have run for long. Change: stops may cost 300 core-seconds and twice what the unit takes itself; a guarantee that waits for a second is served whatever it costs. Test: SmallUrgentTaskSparesLargeGang.

--- a/bench/jobs/jobs_experiment.cc
+++ b/bench/jobs/jobs_experiment.cc
@@ -59,6 +59,8 @@
       {"pressing-slack", &jobs::SchedulerSettings::m_pressing_slack},
       {"speed-step", &jobs::SchedulerSettings::m_speed_step},
       {"spread-after", &jobs::SchedulerSettings::m_spread_after},
+      {"may-waste", &jobs::SchedulerSettings::m_may_waste},
+      {"may-waste-share", &jobs::SchedulerSettings::m_may_waste_share},
       {"stop-timeout", &jobs::SchedulerSettings::m_stop_timeout}};
   return members;
 }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -66,6 +66,11 @@
   double m_keep_free_batch = 0.3;      // Of lower priorities.
   double m_keep_free_pressing = 0.05;  // Of work whose slack is below m_pressing_slack of its estimate.
   double m_pressing_slack = 0.5;
+  // What urgent work may throw away by stopping others, in core-seconds: the least, and times what it takes itself.
+  // From the users' prices: a core-second thrown away and done again costs them 0.003, and an urgent job that starts at
+  // once instead of late is worth 0.96 and 0.006 more for each core-second that it takes.
+  double m_may_waste = 300.0;
+  double m_may_waste_share = 2.0;
   int m_speed_tasks = 4;      // Steps of fewer tasks don't compare workers.
   int m_speed_peers = 3;      // So many tasks of a step must have finished before another one is compared with them.
   double m_speed_step = 0.1;  // Of logarithms: smaller differences of speed don't count.
@@ -226,6 +231,7 @@
   bool MayStop(const Unit& victim, const Unit& unit) const;
   void Appraise(const Unit& unit, const UnitSet& chosen, Now now, Offer* offer) const;
   std::optional<RoomPlan> PlanRoom(const Unit& unit, const std::vector<WorkerSlot*>& candidates, Now now) const;
+  double MayWaste(const Unit& unit) const;
   bool MakeRoom(Unit* unit, Now now);
 
   SchedulerSettings m_settings;
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -396,6 +396,14 @@
   return plan;
 }
 
+// The most core-seconds that may be thrown away for the unit.
+double Scheduler::MayWaste(const Unit& unit) const {
+  const StepSpec& spec = *unit.m_step->m_spec;
+  const double own = CoreWeight(spec.m_task) * static_cast<double>(unit.m_members.size()) *
+                     static_cast<double>(spec.m_estimate.count()) / 1000.0;
+  return m_settings.m_may_waste + m_settings.m_may_waste_share * own;
+}
+
 bool Scheduler::MakeRoom(Unit* unit, Now now) {
   if (unit->m_room_until > now.m_steady) return false;  // Under way.
   const StepSpec& spec = *unit->m_step->m_spec;
@@ -409,6 +417,8 @@
   }
   if (!best && (!spec.m_rack_local || Entitled(*unit))) best = PlanRoom(*unit, Flatten(racks), now);
   if (!best) return false;
+  const bool due = now.m_wall - unit->m_step->m_job->m_job.m_accepted > m_settings.m_spread_after && Entitled(*unit);
+  if (!due && best->m_cost > MayWaste(*unit)) return false;
   for (WorkerSlot* slot : best->m_slots) slot->m_kept_for = unit;
   unit->m_room_until = now.m_steady + m_settings.m_stop_timeout + m_settings.m_room_slack;
   for (Unit* victim : best->m_victims) {
--- a/tests/service/load_test.cc
+++ b/tests/service/load_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(PressingBatchMayUseTheReserve);
   CPPUNIT_TEST(BatchGangLargerThanTheReserveStarts);
   CPPUNIT_TEST(UrgentGangTakesWorkersThatProvedFast);
+  CPPUNIT_TEST(SmallUrgentTaskSparesLargeGang);
   CPPUNIT_TEST(UrgentGangStopsWhatLosesLittle);
   CPPUNIT_TEST(GuaranteeIsServedWhateverIsLost);
   CPPUNIT_TEST_SUITE_END();
@@ -106,6 +107,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
   }
 
+  // Stopping it would throw away thousands of core-seconds for a task of five.
+  void SmallUrgentTaskSparesLargeGang() {
+    const JobId large = m_world->Submit(0, WholeCluster(Millis{6'000}), Millis{6'000}, 1);
+    m_world->Run(Millis{4'000});
+    const JobId urgent = m_world->Submit(0, Tasks(1, 1, Millis{500}), Millis{500}, 0);
+    m_world->Run(Millis{4'000});
+    CheckPhase(large, JobPhase::kCompleted);
+    CheckPhase(urgent, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(0.0, m_world->Sim().WastedCoreSeconds());
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
+  }
+
   void UrgentGangStopsWhatLosesLittle() {
     m_world->Submit(0, WholeCluster(Millis{60'000}), Millis{60'000}, 1);
     m_world->Run(Millis{300});
