Scheduler: work leaves workers that are about to leave

Pattern: workers announce that they leave and are taken away. Cause: work on a draining worker ran until the worker was gone; what had not ended was lost and started anew only then. Change: work that saves its progress is stopped just before the announced time is over; work that by 0.8 of its estimate can't end before then starts elsewhere at once. Tests: SavedWorkLeavesDrainingWorkerInTime, WorkThatCannotEndOnLeavingWorkerStartsElsewhere, WorkThatCanEndOnLeavingWorkerStays.

--- a/bench/jobs/jobs_experiment.cc
+++ b/bench/jobs/jobs_experiment.cc
@@ -61,6 +61,8 @@
       {"spread-after", &jobs::SchedulerSettings::m_spread_after},
       {"may-waste", &jobs::SchedulerSettings::m_may_waste},
       {"may-waste-share", &jobs::SchedulerSettings::m_may_waste_share},
+      {"leave-slack", &jobs::SchedulerSettings::m_leave_slack},
+      {"doomed-part", &jobs::SchedulerSettings::m_doomed_part},
       {"stop-timeout", &jobs::SchedulerSettings::m_stop_timeout}};
   return members;
 }
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -214,6 +214,9 @@
 
 void Scheduler::OnWorkerListed(const WorkerEntry& worker, Now now) {
   m_workers.Update(worker);
+  WorkerSlot* slot = m_workers.Find(worker.m_id);
+  slot->m_leaves_at.reset();
+  if (worker.m_draining && worker.m_remaining) slot->m_leaves_at = now.m_steady + *worker.m_remaining;
 }
 
 void Scheduler::OnWorkerUnlisted(const WorkerId& worker) {
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -71,9 +71,11 @@
   // once instead of late is worth 0.96 and 0.006 more for each core-second that it takes.
   double m_may_waste = 300.0;
   double m_may_waste_share = 2.0;
-  int m_speed_tasks = 4;      // Steps of fewer tasks don't compare workers.
-  int m_speed_peers = 3;      // So many tasks of a step must have finished before another one is compared with them.
-  double m_speed_step = 0.1;  // Of logarithms: smaller differences of speed don't count.
+  Millis m_leave_slack{300};   // Work that saves its progress leaves a worker this much before it has to.
+  double m_doomed_part = 0.8;  // Work that has this part of its estimate before it when its worker leaves starts anew.
+  int m_speed_tasks = 4;       // Steps of fewer tasks don't compare workers.
+  int m_speed_peers = 3;       // So many tasks of a step must have finished before another one is compared with them.
+  double m_speed_step = 0.1;   // Of logarithms: smaller differences of speed don't count.
 };
 
 struct Now {
@@ -226,6 +228,7 @@
   std::vector<WorkerSlot*> Choose(const Unit& unit, const std::vector<WorkerSlot*>& candidates, Now now) const;
   bool TryPlace(Unit* unit, Now now);
   bool PlaceOn(Unit* unit, const std::vector<WorkerSlot*>& slots, Now now);
+  void EvacuateDraining(Now now);
   bool Entitled(const Unit& unit) const;
   double LostWork(const Unit& unit, Now now) const;
   bool MayStop(const Unit& victim, const Unit& unit) const;
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -135,8 +135,28 @@
   return presses ? std::min(usual, m_settings.m_keep_free_pressing) : usual;
 }
 
+// Work on workers that are about to leave: what saves its progress is stopped in time to do so, and what can't end
+// before then starts elsewhere now rather than later.
+void Scheduler::EvacuateDraining(Now now) {
+  for (const auto& [id, slot] : m_workers.All()) {
+    if (!slot->m_leaves_at || slot->m_members.empty()) continue;
+    const Millis left = *slot->m_leaves_at - now.m_steady - m_settings.m_stop_timeout - m_settings.m_leave_slack;
+    const HeldSet members = slot->m_members;
+    for (const auto& [unit, index] : members) {
+      if (unit->m_stopping || unit->m_done) continue;
+      const StepSpec& spec = *unit->m_step->m_spec;
+      const auto least =
+          static_cast<std::int64_t>(m_settings.m_doomed_part * static_cast<double>(spec.m_estimate.count()));
+      const Millis ran = now.m_steady - unit->m_placed;
+      const bool doomed = Millis{least} - ran > std::max(left, Millis{0});
+      if (spec.m_checkpoints ? left.count() <= 0 : doomed) StopRun(unit, "its worker is leaving");
+    }
+  }
+}
+
 void Scheduler::Decide(Now now) {
   ForgetOld(now);
+  EvacuateDraining(now);
   for (const auto& [id, slot] : m_workers.All()) {
     Unit* unit = slot->m_kept_for;
     if (unit != nullptr && (!unit->Waiting() || unit->m_room_until <= now.m_steady)) slot->m_kept_for = nullptr;
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,13 +17,14 @@
   bool m_listed = false;  // The platform lists it.
   bool m_usable = false;  // It answers and knows this scheduler's epoch.
   Resources m_free;
-  HeldSet m_members;                 // Not settled.
-  std::int64_t m_seen_ends = 0;      // Processed.
-  std::int64_t m_reported_ends = 0;  // Handed out as known.
-  Unit* m_kept_for = nullptr;        // Room here is being made for this unit.
-  int m_failures = 0;                // Of tasks, in a row; set back by a done one.
-  Instant m_avoid_until;             // Steady time.
-  double m_speed_sum = 0.0;          // Of logarithms of its speed, one a finished task.
+  HeldSet m_members;                   // Not settled.
+  std::int64_t m_seen_ends = 0;        // Processed.
+  std::int64_t m_reported_ends = 0;    // Handed out as known.
+  Unit* m_kept_for = nullptr;          // Room here is being made for this unit.
+  std::optional<Instant> m_leaves_at;  // Steady time: it stays until then at least.
+  int m_failures = 0;                  // Of tasks, in a row; set back by a done one.
+  Instant m_avoid_until;               // Steady time.
+  double m_speed_sum = 0.0;            // Of logarithms of its speed, one a finished task.
   int m_speed_samples = 0;
 
   // Logarithm of its speed against the other workers; drawn to 0 while few tasks have told.
--- a/tests/service/load_test.cc
+++ b/tests/service/load_test.cc
@@ -38,6 +38,9 @@
   CPPUNIT_TEST(SmallUrgentTaskSparesLargeGang);
   CPPUNIT_TEST(UrgentGangStopsWhatLosesLittle);
   CPPUNIT_TEST(GuaranteeIsServedWhateverIsLost);
+  CPPUNIT_TEST(SavedWorkLeavesDrainingWorkerInTime);
+  CPPUNIT_TEST(WorkThatCannotEndOnLeavingWorkerStartsElsewhere);
+  CPPUNIT_TEST(WorkThatCanEndOnLeavingWorkerStays);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -138,6 +141,43 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
   }
 
+  void SavedWorkLeavesDrainingWorkerInTime() {
+    jobs::StepSpec step = Tasks(kWorkers, 1, Millis{8'000});
+    step.m_max_per_worker = 1;
+    step.m_checkpoints = true;
+    const JobId job = m_world->Submit(0, step, Millis{8'000}, 2);
+    m_world->Run(Millis{2'500});
+    const WorkerId leaving = ServiceWorld::WorkerOf(0, 0);
+    m_world->Drain(leaving, Millis{3'000});
+    m_world->Run(Millis{3'000});
+    const double before = m_world->Sim().WastedCoreSeconds();
+    m_world->KillWorker(leaving);
+    CPPUNIT_ASSERT_EQUAL(before, m_world->Sim().WastedCoreSeconds());
+    m_world->Run(Millis{14'000});
+    CheckPhase(job, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
+  }
+
+  // It would be lost with its worker in 3 s, at half of its work.
+  void WorkThatCannotEndOnLeavingWorkerStartsElsewhere() {
+    const JobId job = m_world->Submit(0, WholeWorkers(kWorkers / 2, Millis{6'000}), Millis{6'000}, 2);
+    m_world->Run(Millis{200});
+    m_world->Drain(BusyWorker(), Millis{3'000});
+    m_world->Run(Millis{7'500});  // The stop and the whole of its work, not 3 s more.
+    CheckPhase(job, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
+  }
+
+  void WorkThatCanEndOnLeavingWorkerStays() {
+    const JobId job = m_world->Submit(0, WholeWorkers(kWorkers / 2, Millis{2'000}), Millis{2'000}, 2);
+    m_world->Run(Millis{200});
+    m_world->Drain(BusyWorker(), Millis{4'500});
+    m_world->Run(Millis{2'500});
+    CheckPhase(job, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(kWorkers / 2, m_world->Sim().Starts());
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
+  }
+
  private:
   static jobs::StepSpec WholeCluster(Millis estimate) {
     jobs::StepSpec gang = RackGang(kWorkers, 8, estimate);
@@ -145,6 +185,17 @@
     return gang;
   }
 
+  static jobs::StepSpec WholeWorkers(int count, Millis estimate) { return Tasks(count, 8, estimate); }
+
+  // Some worker on which a task has started.
+  WorkerId BusyWorker() {
+    for (const WorkerId& worker : m_world->Workers()) {
+      if (m_world->Sim().StartsOn(worker) > 0) return worker;
+    }
+    CPPUNIT_FAIL("no worker has started anything");
+    return {};
+  }
+
   void CheckPhase(JobId job, JobPhase expected) {
     const auto phase = m_world->StoredPhase(job);
     CPPUNIT_ASSERT_EQUAL_MESSAGE(jobs::HexText(job), std::string(jobs::ToString(expected)),
