Scheduler: workers on which tasks slow down or stand still get nothing new

Pattern: tasks on some workers stand still or take six times as long, while their reports are good. Cause: only failures told of a bad worker. One that hangs kept getting work whenever something on it ended or it looked free. Change: reports of a worker's tasks are compared with what the same tasks worked before, or with half of what the estimate promises. Where most have fallen below 0.4 of that, the worker is avoided for 2.5 s, longer than a look waits. Test: WorkerWhoseTasksStandStillGetsNothingNew.

--- a/bench/jobs/jobs_experiment.cc
+++ b/bench/jobs/jobs_experiment.cc
@@ -63,6 +63,8 @@
       {"may-waste-share", &jobs::SchedulerSettings::m_may_waste_share},
       {"leave-slack", &jobs::SchedulerSettings::m_leave_slack},
       {"doomed-part", &jobs::SchedulerSettings::m_doomed_part},
+      {"slow-pace", &jobs::SchedulerSettings::m_slow_pace},
+      {"avoid-slow", &jobs::SchedulerSettings::m_avoid_slow},
       {"stop-timeout", &jobs::SchedulerSettings::m_stop_timeout}};
   return members;
 }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -73,6 +73,10 @@
   double m_may_waste_share = 2.0;
   Millis m_leave_slack{300};   // Work that saves its progress leaves a worker this much before it has to.
   double m_doomed_part = 0.8;  // Work that has this part of its estimate before it when its worker leaves starts anew.
+  Millis m_pace_span{500};     // Shorter spans don't tell how fast a task works.
+  double m_slow_pace = 0.4;    // Below this part of its usual pace a task has slowed down.
+  Millis m_avoid_slow{2'500};  // A worker on which most tasks have slowed down gets nothing new for this long: a look
+                               // that finds nothing new comes back after 2 s.
   int m_speed_tasks = 4;       // Steps of fewer tasks don't compare workers.
   int m_speed_peers = 3;       // So many tasks of a step must have finished before another one is compared with them.
   double m_speed_step = 0.1;   // Of logarithms: smaller differences of speed don't count.
@@ -196,6 +200,7 @@
   // scheduler_runs.cc
   void OnEnd(WorkerSlot* slot, const EndedTask& end, Now now);
   void OnRunning(WorkerSlot* slot, const RunningTask& running, Now now);
+  void JudgePace(WorkerSlot* slot, const LookReply& look, Now now);
   std::pair<Unit*, std::size_t> FindMember(const TaskKey& task);
   void LearnSpeed(const Unit& unit, const Member& member, Now now);
   void NoteFailure(Unit* unit, RunNumber run, Now now);
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -137,6 +137,7 @@
     OnEnd(slot, end, now);
   }
   for (const RunningTask& running : look.m_running) OnRunning(slot, running, now);
+  JudgePace(slot, look, now);
   SettleAbsent(slot, look, sent);
 }
 
@@ -224,6 +225,42 @@
 // Outcomes
 //-------------------------------------------------------------------------------------------------
 
+// Compares what its tasks have worked since the last report with what they did before. A worker on which most have
+// slowed down, or stand still, gets nothing new for a while.
+void Scheduler::JudgePace(WorkerSlot* slot, const LookReply& look, Now now) {
+  constexpr double kWhole = 100.0;
+  int judged = 0;
+  int slow = 0;
+  for (const RunningTask& running : look.m_running) {
+    const auto [unit, index] = FindMember(running.m_task);
+    if (unit == nullptr || unit->m_run != running.m_run || unit->m_members[index].m_slot != slot) continue;
+    Member& member = unit->m_members[index];
+    const Instant last = member.m_percent_at.m_ms == 0 ? member.m_since : member.m_percent_at;
+    const Millis span = now.m_steady - last;
+    if (member.m_state != MemberState::kRunning || unit->m_stopping || span < m_settings.m_pace_span) continue;
+    const Millis before = last - member.m_since;
+    const bool known = before >= m_settings.m_pace_span && member.m_percent > 0;
+    // Without an earlier report, half of the pace that the caller's estimate promises.
+    const auto estimate = static_cast<double>(std::max<std::int64_t>(1, unit->m_step->m_spec->m_estimate.count()));
+    const double usual = known ? member.m_percent / static_cast<double>(before.count()) : kWhole / 2.0 / estimate;
+    const double pace = (running.m_percent - member.m_percent) / static_cast<double>(span.count());
+    member.m_percent = running.m_percent;
+    member.m_percent_at = now.m_steady;
+    if (running.m_percent >= static_cast<int>(kWhole)) continue;  // It waits for others of its gang.
+    ++judged;
+    if (pace < m_settings.m_slow_pace * usual) ++slow;
+  }
+  if (judged == 0 || 2 * slow <= judged) return;
+  if (slot->m_avoid_until <= now.m_steady) {
+    log::Info(kLog, "Worker has slowed down, gets nothing new",
+              {{"worker", slot->m_entry.m_id.m_value},
+               {"slow", std::to_string(slow)},
+               {"judged", std::to_string(judged)},
+               {"for_ms", std::to_string(m_settings.m_avoid_slow.count())}});
+  }
+  slot->m_avoid_until = std::max(slot->m_avoid_until, now.m_steady + m_settings.m_avoid_slow);
+}
+
 // Tasks of one step take about the same work, so their durations compare the workers that ran them.
 void Scheduler::LearnSpeed(const Unit& unit, const Member& member, Now now) {
   StepState* step = unit.m_step;
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -36,6 +36,8 @@
   bool m_inherited = false;      // Placed by an earlier scheduler, whose orders its worker refuses by now.
   int m_repeats = 0;             // Of a start that was not answered.
   Instant m_since;               // Steady time of the last change of m_state.
+  int m_percent = 0;             // Of its work, as reported at m_percent_at.
+  Instant m_percent_at;          // Steady time; 0: not reported yet.
   Instant m_stop_at;             // Steady time: of the answer where kAcknowledged, of the next try where kWanted.
 };
 
--- a/tests/service/load_test.cc
+++ b/tests/service/load_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(SavedWorkLeavesDrainingWorkerInTime);
   CPPUNIT_TEST(WorkThatCannotEndOnLeavingWorkerStartsElsewhere);
   CPPUNIT_TEST(WorkThatCanEndOnLeavingWorkerStays);
+  CPPUNIT_TEST(WorkerWhoseTasksStandStillGetsNothingNew);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -178,6 +179,27 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
   }
 
+  void WorkerWhoseTasksStandStillGetsNothingNew() {
+    jobs::StepSpec spread = Tasks(kWorkers, 4, Millis{20'000});
+    spread.m_max_per_worker = 1;
+    m_world->Submit(0, spread, Millis{20'000}, 2);
+    m_world->Run(Millis{3'000});
+    const WorkerId stuck = ServiceWorld::WorkerOf(1, 1);
+    m_world->Sim().Faults(stuck).m_hangs = true;
+    m_world->Run(Millis{4'500});  // Two looks of 2 s.
+    const int before = m_world->Sim().StartsOn(stuck);
+    const JobId urgent = m_world->Submit(0, Tasks(kWorkers - 1, 4, Millis{1'000}), Millis{1'000}, 0);
+    m_world->Run(Millis{1'500});
+    CheckPhase(urgent, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(before, m_world->Sim().StartsOn(stuck));
+    m_world->Sim().Faults(stuck).m_hangs = false;
+    m_world->Run(Millis{4'500});
+    m_world->Submit(0, Tasks(kWorkers, 4, Millis{1'000}), Millis{1'000}, 0);
+    m_world->Run(Millis{1'500});
+    CPPUNIT_ASSERT(m_world->Sim().StartsOn(stuck) > before);  // It is back to work.
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
+  }
+
  private:
   static jobs::StepSpec WholeCluster(Millis estimate) {
     jobs::StepSpec gang = RackGang(kWorkers, 8, estimate);
