Scheduler: compute racks, calls on guarantees and chains once a decision instead of once a unit

Ruled out: the search for victims (PlanRoom); with its offers kept, two thirds of the time were outside of it. Change: steps are sorted instead of units, racks and the need of urgent jobs are computed at need once a decision, a chain once a job; old jobs are looked for once a second.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr log::Part kLog{"scheduler"};
+constexpr Millis kForgetEvery{1'000};  // Fine against the minutes that ended jobs are kept for.
 
 }  // namespace
 
@@ -28,6 +29,7 @@
   state->m_job.m_request.m_payload.clear();  // One copy is enough.
   state->m_occurrences = std::max(1, job.m_request.m_repeats);
   state->m_steps.resize(static_cast<std::size_t>(state->m_occurrences));
+  state->m_chain = ExpectedChain(job.m_request);
 }
 
 void Scheduler::RestorePhase(JobId id, JobPhase phase, Instant since) {
@@ -101,7 +103,7 @@
              {"accelerators", std::to_string(first.m_task.m_accelerators)},
              {"gang", first.m_gang ? first.m_rack_local ? "rack" : "any" : "no"},
              {"label", first.m_required_label},
-             {"estimate_ms", std::to_string(ExpectedChain(*state).count())},
+             {"estimate_ms", std::to_string(state->m_chain.count())},
              {"objective_in_ms", std::to_string((FullDeadline(*state, 0) - now.m_wall).count())}});
 }
 
@@ -186,6 +188,8 @@
 }
 
 void Scheduler::ForgetOld(Now now) {
+  if (now.m_steady < m_forget_at) return;
+  m_forget_at = now.m_steady + kForgetEvery;
   std::vector<JobId> old;
   for (const auto& [id, job] : m_jobs) {
     if (!Ended(job->m_phase) || now.m_wall - job->m_ended < m_settings.m_keep_ended) continue;
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -227,14 +227,15 @@
 
   Pool Count() const;
   double KeptFree(const Unit& unit, Now now) const;
-  Millis ExpectedChain(const JobState& job) const;
   Instant FullDeadline(const JobState& job, int occurrence) const;
-  std::vector<Unit*> Waiting(Now now);
+  std::vector<StepState*> Waiting(Now now);
+  const WorkerTable::RackMap& RacksFor(const Unit& unit);
   std::vector<WorkerSlot*> Choose(const Unit& unit, const std::vector<WorkerSlot*>& candidates, Now now) const;
+  void PlaceStep(StepState* step, Pool* pool, Now now);
   bool TryPlace(Unit* unit, Now now);
   bool PlaceOn(Unit* unit, const std::vector<WorkerSlot*>& slots, Now now);
   void EvacuateDraining(Now now);
-  bool Entitled(const Unit& unit) const;
+  bool Entitled(const Unit& unit);
   double LostWork(const Unit& unit, Now now) const;
   bool MayStop(const Unit& victim, const Unit& unit) const;
   void Appraise(const Unit& unit, const UnitSet& chosen, Now now, Offer* offer) const;
@@ -254,6 +255,11 @@
   std::vector<JobId> m_forgotten;                                            // Jobs whose rows are removed.
   UnitSet m_active;                                                          // With members that are not settled.
   std::set<std::pair<WorkerId, std::pair<TaskKey, RunNumber>>> m_strangers;  // Run, but stand in no row.
+  // Computed at need, and true until the end of the Decide that did.
+  std::map<std::pair<PoolName, std::string>, WorkerTable::RackMap> m_racks;  // By pool and label.
+  std::map<AccountId, int> m_urgent_need;  // Accelerators of all jobs of priority 0 that have not ended.
+  bool m_urgent_need_known = false;
+  Instant m_forget_at;  // Steady time: old jobs are looked for again.
   int m_starts = 0;
   int m_preemptions = 0;
 };
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -57,32 +57,19 @@
   return a.m_accepted < b.m_accepted;
 }
 
-// The longest chain of steps, by the caller's estimates.
-Millis Scheduler::ExpectedChain(const JobState& job) const {
-  const auto& steps = job.m_job.m_request.m_steps;
-  std::vector<Millis> until(steps.size(), Millis{0});
-  Millis longest{0};
-  for (std::size_t i = 0; i < steps.size(); ++i) {
-    for (const int earlier : steps[i].m_after) until[i] = std::max(until[i], until[static_cast<std::size_t>(earlier)]);
-    until[i] += steps[i].m_estimate;
-    longest = std::max(longest, until[i]);
-  }
-  return longest;
-}
-
 Instant Scheduler::FullDeadline(const JobState& job, int occurrence) const {
   const JobRequest& request = job.m_job.m_request;
   const Instant from =
       request.m_repeats > 0 ? request.m_first_due + occurrence * request.m_interval : job.m_job.m_accepted;
-  const auto stretched =
-      static_cast<std::int64_t>(job.m_job.m_stretch * static_cast<double>(ExpectedChain(job).count()));
+  const auto stretched = static_cast<std::int64_t>(job.m_job.m_stretch * static_cast<double>(job.m_chain.count()));
   return from + Millis{stretched} + job.m_job.m_objective;
 }
 
-std::vector<Unit*> Scheduler::Waiting(Now now) {
+// Steps whose turn has come, those that go first at the front. Units of one step go in their own order.
+std::vector<StepState*> Scheduler::Waiting(Now now) {
   struct Candidate {
     Turn m_turn;
-    Unit* m_unit;
+    StepState* m_step;
   };
   std::vector<Candidate> candidates;
   for (const auto& [id, job] : m_jobs) {
@@ -98,18 +85,16 @@
           return steps[static_cast<std::size_t>(earlier)]->m_units_left > 0;
         });
         if (blocked) continue;
-        for (const auto& unit : step->m_units) {
-          if (unit->Waiting()) candidates.push_back({turn, unit.get()});
-        }
+        candidates.push_back({turn, step.get()});
       }
     }
   }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [this](const Candidate& a, const Candidate& b) { return m_settings.m_order(a.m_turn, b.m_turn); });
-  std::vector<Unit*> units;
-  units.reserve(candidates.size());
-  for (const Candidate& candidate : candidates) units.push_back(candidate.m_unit);
-  return units;
+  std::vector<StepState*> steps;
+  steps.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) steps.push_back(candidate.m_step);
+  return steps;
 }
 
 Scheduler::Pool Scheduler::Count() const {
@@ -161,21 +146,29 @@
     Unit* unit = slot->m_kept_for;
     if (unit != nullptr && (!unit->Waiting() || unit->m_room_until <= now.m_steady)) slot->m_kept_for = nullptr;
   }
+  m_racks.clear();
+  m_urgent_need_known = false;
   Pool pool = Count();
-  const StepState* full = nullptr;  // A step of single tasks of which one did not fit: the others won't either.
-  for (Unit* unit : Waiting(now)) {
-    if (unit->m_step == full || !unit->Waiting() || Ended(unit->m_step->m_job->m_phase)) continue;
+  for (StepState* step : Waiting(now)) PlaceStep(step, &pool, now);
+}
+
+// Places the waiting units of a step until one does not fit: the others won't either, nor may they use what is left
+// for more urgent work.
+void Scheduler::PlaceStep(StepState* step, Pool* pool, Now now) {
+  const bool urgent = step->m_job->m_job.m_priority == 0;  // May make room where there is none.
+  for (const auto& owned : step->m_units) {
+    Unit* unit = owned.get();
+    if (!unit->Waiting()) continue;
     const int takes = unit->Accelerators();
     // A unit that is too large for the reserve needs half of what it leaves at most, or it would never start.
-    const double kept = std::min(KeptFree(*unit, now) * pool.m_total, (pool.m_total - takes) / 2.0);
-    const bool urgent = unit->m_step->m_job->m_job.m_priority == 0;  // May make room where there is none.
-    if (!urgent && pool.m_free - takes < kept) continue;
+    const double kept = std::min(KeptFree(*unit, now) * pool->m_total, (pool->m_total - takes) / 2.0);
+    if (!urgent && pool->m_free - takes < kept) return;
     if (TryPlace(unit, now)) {
-      pool.m_free -= takes;
+      pool->m_free -= takes;
       continue;
     }
-    if (unit->m_members.size() == 1) full = unit->m_step;
     if (m_settings.m_preempts && urgent) MakeRoom(unit, now);
+    return;
   }
 }
 
@@ -242,7 +235,7 @@
 
 bool Scheduler::TryPlace(Unit* unit, Now now) {
   const StepSpec& spec = *unit->m_step->m_spec;
-  const auto racks = m_workers.Racks(unit->m_step->m_job->m_job.m_pool, spec.m_required_label);
+  const auto& racks = RacksFor(*unit);
   if (spec.m_rack_local && unit->m_members.size() > 1) {
     std::vector<WorkerSlot*> best;
     int best_free = std::numeric_limits<int>::max();
@@ -309,15 +302,26 @@
 //-------------------------------------------------------------------------------------------------
 
 // True where the job is of priority 0 and its account's guarantee covers all such jobs that it has.
-bool Scheduler::Entitled(const Unit& unit) const {
+bool Scheduler::Entitled(const Unit& unit) {
   const AcceptedJob& job = unit.m_step->m_job->m_job;
   if (job.m_priority != 0 || !m_configuration) return false;
-  int needed = 0;
-  for (const auto& [id, other] : m_jobs) {
-    if (Ended(other->m_phase) || other->m_job.m_priority != 0 || other->m_job.m_account != job.m_account) continue;
-    for (const StepSpec& step : other->m_job.m_request.m_steps) needed += step.m_tasks * step.m_task.m_accelerators;
+  if (!std::exchange(m_urgent_need_known, true)) {
+    m_urgent_need.clear();
+    for (const auto& [id, other] : m_jobs) {
+      if (Ended(other->m_phase) || other->m_job.m_priority != 0) continue;
+      int& needed = m_urgent_need[other->m_job.m_account];
+      for (const StepSpec& step : other->m_job.m_request.m_steps) needed += step.m_tasks * step.m_task.m_accelerators;
+    }
   }
-  return needed <= m_configuration->Guaranteed(job.m_account);
+  return m_urgent_need[job.m_account] <= m_configuration->Guaranteed(job.m_account);
+}
+
+const WorkerTable::RackMap& Scheduler::RacksFor(const Unit& unit) {
+  const PoolName& pool = unit.m_step->m_job->m_job.m_pool;
+  const std::string& label = unit.m_step->m_spec->m_required_label;
+  const auto [entry, added] = m_racks.try_emplace({pool, label});
+  if (added) entry->second = m_workers.Racks(pool, label);
+  return entry->second;
 }
 
 // What stopping a run throws away, in core-seconds.
@@ -427,7 +431,7 @@
 bool Scheduler::MakeRoom(Unit* unit, Now now) {
   if (unit->m_room_until > now.m_steady) return false;  // Under way.
   const StepSpec& spec = *unit->m_step->m_spec;
-  const auto racks = m_workers.Racks(unit->m_step->m_job->m_job.m_pool, spec.m_required_label);
+  const auto& racks = RacksFor(*unit);
   std::optional<RoomPlan> best;
   if (spec.m_rack_local && unit->m_members.size() > 1) {
     for (const auto& [name, slots] : racks) {
--- a/hickoryquay/jobs/units.cc
+++ b/hickoryquay/jobs/units.cc
@@ -1,5 +1,6 @@
 #include "hickoryquay/jobs/units.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace hickoryquay::jobs {
@@ -27,4 +28,16 @@
   return m_units[m_spec->m_gang ? 0 : static_cast<std::size_t>(task)].get();
 }
 
+Millis ExpectedChain(const JobRequest& request) {
+  const auto& steps = request.m_steps;
+  std::vector<Millis> until(steps.size(), Millis{0});
+  Millis longest{0};
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    for (const int earlier : steps[i].m_after) until[i] = std::max(until[i], until[static_cast<std::size_t>(earlier)]);
+    until[i] += steps[i].m_estimate;
+    longest = std::max(longest, until[i]);
+  }
+  return longest;
+}
+
 }  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -91,10 +91,14 @@
   JobPhase m_phase = JobPhase::kQueued;
   bool m_begun = false;  // A worker has confirmed a run at some time.
   bool m_phase_stored = false;
-  Instant m_ended;  // Wall time.
+  Instant m_ended;    // Wall time.
+  Millis m_chain{0};  // Its longest chain of steps, by the caller's estimates.
   int m_occurrences = 1;
   int m_opened = 0;                                              // Occurrences whose time has come.
   std::vector<std::vector<std::unique_ptr<StepState>>> m_steps;  // By occurrence and step; empty until opened.
 };
 
+// The longest chain of steps, by the caller's estimates.
+Millis ExpectedChain(const JobRequest& request);
+
 }  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -44,8 +44,8 @@
   if (slot->m_members.erase({unit, member}) > 0) slot->m_free += unit->m_step->m_spec->m_task;
 }
 
-std::map<std::string, std::vector<WorkerSlot*>> WorkerTable::Racks(const PoolName& pool, const std::string& label) {
-  std::map<std::string, std::vector<WorkerSlot*>> racks;
+WorkerTable::RackMap WorkerTable::Racks(const PoolName& pool, const std::string& label) {
+  RackMap racks;
   for (const auto& [id, slot] : m_slots) {
     const WorkerEntry& entry = slot->m_entry;
     if (!slot->TakesWork() || entry.m_pool != pool) continue;
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -48,7 +48,8 @@
   void GiveBack(WorkerSlot* slot, Unit* unit, std::size_t member);
 
   // Those of a pool that take work and bear the label, grouped by rack.
-  std::map<std::string, std::vector<WorkerSlot*>> Racks(const PoolName& pool, const std::string& label);
+  using RackMap = std::map<std::string, std::vector<WorkerSlot*>>;
+  RackMap Racks(const PoolName& pool, const std::string& label);
 
   std::map<WorkerId, std::unique_ptr<WorkerSlot>>& All() { return m_slots; }
   const std::map<WorkerId, std::unique_ptr<WorkerSlot>>& All() const { return m_slots; }
