--- a/daemons/hqctl/app.cc
+++ b/daemons/hqctl/app.cc
@@ -3,12 +3,16 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <iomanip>
 #include <ostream>
 #include <thread>
 
 #include "daemons/hqctl/render.h"
 #include "hickoryquay/base/result.h"
 #include "hickoryquay/model/json.h"
+#include "hickoryquay/operators/log_story.h"
 #include "hickoryquay/operators/parser.h"
 
 namespace hickoryquay::hqctl {
@@ -54,6 +58,38 @@
   return status == kHttpGatewayTimeout ? Exit::kInDoubt : Exit::kRefused;
 }
 
+// The story of one job, a line each, and what is missing in it.
+Exit ExplainLogs(const Options& options, const Streams& streams) {
+  std::vector<operators::LogLine> lines;
+  for (const std::string& path : options.m_logs) {
+    std::ifstream file(path);
+    if (!file) {
+      streams.m_errors << "hqctl: --logs: " << path << " can't be read\n";
+      return Exit::kUsage;
+    }
+    const int others = operators::AddLines(path, file, &lines);
+    if (others > 0) streams.m_errors << path << ": " << others << " lines are no log lines in JSON\n";
+  }
+  const operators::Story story = operators::TellStory(options.m_job, std::move(lines));
+  if (story.m_lines.empty()) {
+    streams.m_errors << "no line names job " << options.m_job << '\n';
+    return Exit::kRefused;
+  }
+  for (const operators::StoryLine& told : story.m_lines) {
+    const operators::LogLine& line = told.m_line;
+    const std::int64_t ms = told.m_since.count();
+    streams.m_out << (ms < 0 ? '-' : '+') << std::abs(ms) / 1'000 << '.' << std::setw(3) << std::setfill('0')
+                  << std::abs(ms) % 1'000 << " s  " << line.m_source << "  " << (told.m_of_job ? "" : "(meanwhile) ")
+                  << line.m_part << ": " << line.m_text;
+    for (const auto& [name, value] : line.m_fields) {
+      if (!value.empty() && value != options.m_job) streams.m_out << ' ' << name << '=' << value;
+    }
+    streams.m_out << '\n';
+  }
+  for (const std::string& gap : story.m_gaps) streams.m_out << "missing: " << gap << '\n';
+  return Exit::kDone;
+}
+
 // GET of a path, written as it comes.
 Exit Fetch(AdminClient* client, const std::string& path, const Streams& streams) {
   const auto answer = client->Send({"GET", path, {}, ""}, Repeat::kSafe);
@@ -75,6 +111,8 @@
       return Fetch(client, "/dump", streams);
     case Mode::kMetrics:
       return Fetch(client, "/metrics", streams);
+    case Mode::kExplainLogs:
+      break;  // Needs no instance.
   }
   return Exit::kUsage;
 }
@@ -127,6 +165,7 @@
     return static_cast<int>(Exit::kUsage);
   }
   const Options& options = std::get<Options>(parsed);
+  if (options.m_mode == Mode::kExplainLogs) return static_cast<int>(ExplainLogs(options, streams));
   AdminClient client(options);
   const bool watches = options.m_watch.count() > 0 && options.m_mode != Mode::kTop;
   if (!watches) return static_cast<int>(Once(&client, options, streams));
--- a/daemons/hqctl/options.cc
+++ b/daemons/hqctl/options.cc
@@ -27,6 +27,7 @@
   hqctl --watch 2 'show racks'                  again every two seconds
   hqctl top                                     a live view
   hqctl dump, hqctl metrics                     state and metrics of one entry instance
+  hqctl explain 681143a3b14eb366 --logs *.log   what the logs of all instances on the platform tell of a job
   hqctl                                         interactive, with history; "help" lists the statements
 
 Statements: create, change, drop (market, account, guarantee, class); expect market; drain, quarantine, release
@@ -46,6 +47,7 @@
       "at,a", po::value<std::vector<std::string>>()->composing(),
       "admin address of an entry instance, ADDRESS:PORT; several: the next is tried where one can't be reached")(
       "token-file,t", po::value<std::string>(), "file whose first line is the token")(
+      "logs", po::value<std::vector<std::string>>()->multitoken(), "log files in JSON, of \"explain\"")(
       "script,s", po::value<std::string>(), "file of statements; - reads standard input")(
       "format,f", po::value<std::string>()->default_value("table"), "table or json")("watch,w", po::value<double>(),
                                                                                      "repeat every so many seconds")(
@@ -101,9 +103,23 @@
   return "";
 }
 
+std::string FillExplain(const po::variables_map& given, Options* options) {
+  constexpr std::size_t kDigits = 16;
+  options->m_mode = Mode::kExplainLogs;
+  options->m_logs = given["logs"].as<std::vector<std::string>>();
+  std::vector<std::string> words;
+  if (given.count("statement") > 0) words = given["statement"].as<std::vector<std::string>>();
+  const bool good = words.size() == 2 && words[0] == "explain" && words[1].size() == kDigits &&
+                    words[1].find_first_not_of("0123456789abcdef") == std::string::npos;
+  if (!good) return "--logs takes \"explain\" and the sixteen hexadecimal digits of a job";
+  options->m_job = words[1];
+  return "";
+}
+
 std::string FillMode(const po::variables_map& given, Options* options) {
   static const std::map<std::string, Mode> modes = {
       {"top", Mode::kTop}, {"dump", Mode::kDump}, {"metrics", Mode::kMetrics}};
+  if (given.count("logs") > 0) return FillExplain(given, options);
   if (given.count("script") > 0) {
     options->m_mode = Mode::kStatements;
     if (given.count("statement") > 0) return "--script and statements on the command line exclude each other";
@@ -119,6 +135,7 @@
 }
 
 std::string FillConnection(const po::variables_map& given, const Environment& environment, Options* options) {
+  if (options->m_mode == Mode::kExplainLogs) return "";
   std::vector<std::string> lists = {environment.m_at};
   if (given.count("at") > 0) lists = given["at"].as<std::vector<std::string>>();
   for (const std::string& list : lists) {
--- a/daemons/hqctl/options.h
+++ b/daemons/hqctl/options.h
@@ -18,11 +18,14 @@
   kTop,          // A live view.
   kDump,         // State of one process.
   kMetrics,
+  kExplainLogs,  // The story of one job out of log files; asks no instance.
 };
 
 struct Options {
   Mode m_mode = Mode::kInteractive;
   std::string m_statements;         // Of kStatements.
+  std::string m_job;                // Of kExplainLogs: sixteen hexadecimal digits.
+  std::vector<std::string> m_logs;  // Of kExplainLogs: files.
   std::vector<net::Endpoint> m_at;  // Entry instances' admin addresses, tried in order.
   std::string m_token;              // Bearer token.
   bool m_tls = false;
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -10,9 +10,9 @@
 namespace {
 
 constexpr log::Part kLog{"driver"};
-constexpr Millis kDecideEvery{100};       // For what falls due without an event: timed work, retries.
-// Between two rounds of decisions, for each thousand workers: a round takes about 0.7 ms for each of them, so rounds stay
-// near a thirtieth of a core however many events come. Nothing for a few dozen workers.
+constexpr Millis kDecideEvery{100};  // For what falls due without an event: timed work, retries.
+// Between two rounds of decisions, for each thousand workers: a round takes about 0.7 ms for each of them, so rounds
+// stay near a thirtieth of a core however many events come. Nothing for a few dozen workers.
 constexpr std::int64_t kPauseOfThousandMs = 20;
 constexpr std::size_t kRowsOfOthers = 2;  // Of a transaction: the leader's row, checked and written.
 constexpr Millis kForgetTimeout{2'000};   // Of the removal of intake rows, which nothing waits for.
