Batches keep to the bytes of a transaction; metrics of refusals, calls to the store, takeovers and legs of jobs

Cause of the first: TakeBatch counted rows only. Change: a batch ends before the row that would take it over kMaxTransactionBytes; one row alone is handed out however large.

Metrics: hq_jobs_refused_total by reason, hq_store_calls_total by call and outcome, hq_store_call_ms, hq_takeovers_total, hq_takeover_ms, hq_job_wait_ms and hq_job_ms by priority, hq_jobs_ended_total by phase. Tests: RefusalsAndCallsAreCountedByReason, LegsOfJobsAreMeasured.

--- a/bench/jobs/trial.cc
+++ b/bench/jobs/trial.cc
@@ -6,6 +6,7 @@
 #include "hickoryquay/base/metrics.h"
 #include "hickoryquay/base/timer_service.h"
 #include "hickoryquay/service/worker_sessions.h"
+#include "hickoryquay/store/row_store.h"
 
 namespace hickoryquay::bench {
 
@@ -149,7 +150,7 @@
     for (const jobs::StopOrder& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
     for (const jobs::StartOrder& start : m_scheduler.TakeRepeats()) m_sessions->Send(start);
     if (!m_storing) {
-      jobs::Batch batch = m_scheduler.TakeBatch(kRowsOfBatch);
+      jobs::Batch batch = m_scheduler.TakeBatch(kRowsOfBatch, store::kMaxTransactionBytes);
       if (!batch.Empty()) {
         m_storing = true;
         m_timers.After(m_settings.m_write, [this, batch = std::move(batch)] { OnStored(batch); }).Detach();
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -280,7 +280,7 @@
 // What the driver carries out
 //-------------------------------------------------------------------------------------------------
 
-Batch Scheduler::TakeBatch(std::size_t max_rows) {
+Batch Scheduler::TakeBatch(std::size_t max_rows, std::size_t max_bytes) {
   Batch batch;
   while (!m_removed_rows.empty() && batch.m_rows.size() < max_rows) {
     batch.m_rows.push_back({std::move(m_removed_rows.back()), std::nullopt});
@@ -289,15 +289,22 @@
   if (m_removed_rows.empty()) batch.m_forgotten.swap(m_forgotten);
   // Steps go before phases: a job is not shown as ended before its ends are stored.
   std::set<StepKey> taken;
-  while (!m_changed_steps.empty() && batch.m_rows.size() < max_rows) {
+  std::size_t bytes = 0;
+  bool full = false;
+  while (!m_changed_steps.empty() && batch.m_rows.size() < max_rows && !full) {
     const StepKey key = *m_changed_steps.begin();
-    m_changed_steps.erase(m_changed_steps.begin());
     JobState* job = Find(key.m_job);
-    if (job == nullptr) continue;
-    StepState* step = OpenStep(job, key.m_occurrence, key.m_step);
-    step->m_stored = true;
-    batch.m_rows.push_back({ToText(key), Write(RowOf(*step))});
-    taken.insert(key);
+    if (job != nullptr) {
+      StepState* step = OpenStep(job, key.m_occurrence, key.m_step);
+      std::string value = Write(RowOf(*step));
+      full = !batch.m_rows.empty() && bytes + value.size() > max_bytes;
+      if (full) break;  // It goes with the next batch.
+      bytes += value.size();
+      step->m_stored = true;
+      batch.m_rows.push_back({ToText(key), std::move(value)});
+      taken.insert(key);
+    }
+    m_changed_steps.erase(m_changed_steps.begin());
   }
   if (m_changed_steps.empty()) {
     while (!m_changed_phases.empty() && batch.m_rows.size() < max_rows) {
@@ -307,7 +314,7 @@
       if (job == nullptr) continue;
       job->m_phase_stored = true;
       batch.m_rows.push_back({HexText(id), Write(PhaseRow{phase, job->m_ended})});
-      batch.m_phases.push_back({id, phase});
+      batch.m_phases.push_back({id, phase, job->m_job.m_priority, job->m_job.m_accepted});
     }
     for (const auto& [id, slot] : m_workers.All()) {
       if (slot->m_seen_ends <= slot->m_reported_ends) continue;
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -114,6 +114,8 @@
 struct PhaseChange {
   JobId m_job{};
   JobPhase m_phase = JobPhase::kQueued;
+  int m_priority = 0;
+  Instant m_accepted;  // Wall time.
 };
 
 // Rows to store in one transaction, and what may be done once they are.
@@ -173,7 +175,8 @@
   // Starts without an answer, to be sent again as they were: a worker that has the run already says so.
   std::vector<StartOrder> TakeRepeats();
 
-  Batch TakeBatch(std::size_t max_rows);      // Empty where nothing changed.
+  // Empty where nothing changed. One row is handed out however large it is.
+  Batch TakeBatch(std::size_t max_rows, std::size_t max_bytes);
   std::vector<StopOrder> TakeStops(Now now);  // May be sent at once.
   bool StillWanted(const StartOrder& order) const;
   bool IsBusy(const WorkerId& worker) const;  // Something runs there, or may.
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -91,8 +91,8 @@
       m_clock(clock),
       m_settings(settings),
       m_board(settings.m_keep_phases),
+      m_metrics(metrics),
       m_accepted(&metrics->GetCounter("hq_jobs_accepted_total")),
-      m_refused(&metrics->GetCounter("hq_jobs_refused_total")),
       m_unknown(&metrics->GetCounter("hq_jobs_unknown_total")),
       m_submit_ms(&metrics->GetDistribution("hq_submit_ms")) {}
 
@@ -138,7 +138,11 @@
   write->m_on_differ = [](const store::RowsDiffer&) { return Result<Done, IntakeError>(Done{}); };
   write->m_callback = [this, id, callback = std::move(callback)](Result<Done, IntakeError> result) {
     if (Ok(result) && !m_board.Find(id, m_clock->Now())) m_board.Set(id, jobs::JobPhase::kQueued, m_clock->Now());
-    (Ok(result) ? m_accepted : std::holds_alternative<OutcomeUnknown>(ErrorOf(result)) ? m_unknown : m_refused)->Add();
+    const auto* refused = Ok(result) ? nullptr : std::get_if<TryLater>(&ErrorOf(result));
+    (Ok(result)           ? m_accepted
+     : refused != nullptr ? &m_metrics->GetCounter("hq_jobs_refused_total", {{"why", refused->m_why}})
+                          : m_unknown)
+        ->Add();
     callback(std::move(result));
   };
   WhenStoreAnswers([this, write](bool answers) {
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -146,8 +146,8 @@
   Instant m_contact;    // Last answer of the store.
   bool m_away = false;  // The store did not answer the last question.
   Subscription m_probe;
+  Metrics* m_metrics;
   Counter* m_accepted;
-  Counter* m_refused;
   Counter* m_unknown;
   Distribution* m_submit_ms;
 };
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -52,6 +52,7 @@
 }
 
 void SchedulerDriver::Start() {
+  m_begun = m_parts.m_clock->Now();
   const auto weak = weak_from_this();
   const auto follow = [this](const std::string& table, const std::string& part, store::TableFollower::OnRows on_rows) {
     store::FollowerSettings settings;
@@ -168,6 +169,9 @@
   }
   for (const jobs::StepRow& step : steps) m_scheduler.RestoreStep(step);
   m_ready = true;
+  m_parts.m_metrics->GetCounter("hq_takeovers_total").Add();
+  m_parts.m_metrics->GetDistribution("hq_takeover_ms")
+      .Add(static_cast<double>((m_parts.m_clock->Now() - m_begun).count()));
   m_sessions = std::make_shared<WorkerSessions>(
       &m_scheduler, m_parts.m_port, m_parts.m_lives, m_parts.m_timers, m_parts.m_clock, m_settings.m_sessions,
       m_leadership->CurrentEpoch(), m_parts.m_metrics,
@@ -212,7 +216,7 @@
   for (const jobs::StopOrder& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
   for (const jobs::StartOrder& start : m_scheduler.TakeRepeats()) m_sessions->Send(start);
   if (!m_storing) {
-    jobs::Batch batch = m_scheduler.TakeBatch(store::kMaxTransactionRows - kRowsOfOthers);
+    jobs::Batch batch = m_scheduler.TakeBatch(store::kMaxTransactionRows - kRowsOfOthers, store::kMaxTransactionBytes);
     if (!batch.Empty()) {
       LeaderWrite write;
       for (const jobs::RowChange& change : batch.m_rows) {
@@ -244,11 +248,26 @@
     m_sessions->Send(order);
   }
   for (const jobs::KnownEnds& known : batch.m_known_ends) m_sessions->SetKnownEnds(known.m_worker, known.m_number);
-  if (!batch.m_phases.empty()) m_events.m_phases(batch.m_phases);
+  if (!batch.m_phases.empty()) {
+    CountPhases(batch.m_phases);
+    m_events.m_phases(batch.m_phases);
+  }
   if (!batch.m_forgotten.empty()) Forget(batch.m_forgotten);
   Kick();
 }
 
+void SchedulerDriver::CountPhases(const std::vector<jobs::PhaseChange>& phases) {
+  const Instant now = m_parts.m_clock->Wall();
+  for (const jobs::PhaseChange& change : phases) {
+    const Labels labels{{"priority", std::to_string(change.m_priority)}};
+    const bool ended = jobs::Ended(change.m_phase);
+    Distribution& times = m_parts.m_metrics->GetDistribution(ended ? "hq_job_ms" : "hq_job_wait_ms", labels);
+    times.Add(static_cast<double>((now - change.m_accepted).count()));
+    if (!ended) continue;
+    m_parts.m_metrics->GetCounter("hq_jobs_ended_total", {{"phase", ToString(change.m_phase)}}).Add();
+  }
+}
+
 void SchedulerDriver::Forget(const std::vector<JobId>& forgotten) {
   store::Transaction transaction;
   const auto row = [this](std::string key) {
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -74,6 +74,7 @@
   void Kick();
   void Work();
   void OnStored(const jobs::Batch& batch);
+  void CountPhases(const std::vector<jobs::PhaseChange>& phases);
   void Forget(const std::vector<JobId>& jobs);
   jobs::Now Time() const { return {m_parts.m_clock->Now(), m_parts.m_clock->Wall()}; }
 
@@ -95,6 +96,7 @@
   bool m_ready = false;
   bool m_stopped = false;
   bool m_storing = false;
+  Instant m_begun;   // Steady time of the election.
   Instant m_worked;  // Steady time of the last round of decisions.
   Subscription m_tick;
   Subscription m_kick;
--- a/hickoryquay/store/adaptive_store.h
+++ b/hickoryquay/store/adaptive_store.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "hickoryquay/base/clock.h"
+#include "hickoryquay/base/metrics.h"
 #include "hickoryquay/store/row_store.h"
 
 namespace hickoryquay::store {
@@ -43,21 +44,22 @@
   double m_usual_ms = 0.0;
 };
 
-// `inner` and `clock` outlive it. Feeds wait for changes and keep their time. One thread.
+// `inner`, `clock` and `metrics` outlive it. Feeds wait for changes and keep their time. One thread.
+//
+// Counts calls as hq_store_calls_total by call and outcome, and times writes and reads as hq_store_call_ms by call.
 class AdaptiveStore final : public RowStore {
  public:
-  AdaptiveStore(RowStore* inner, const Clock* clock, const AdaptiveSettings& settings)
-      : m_inner(inner), m_clock(clock), m_time(std::make_shared<CallTime>(settings)) {}
+  AdaptiveStore(RowStore* inner, const Clock* clock, Metrics* metrics, const AdaptiveSettings& settings)
+      : m_inner(inner), m_clock(clock), m_metrics(metrics), m_time(std::make_shared<CallTime>(settings)) {}
 
   void Transact(const Transaction& transaction, Millis timeout, TransactCallback callback) override;
   void Read(const RowRange& range, int limit, Millis timeout, ReadCallback callback) override;
-  void Feed(const std::string& table, Version after, Millis wait, Millis timeout, ReadCallback callback) override {
-    m_inner->Feed(table, after, wait, timeout, std::move(callback));
-  }
+  void Feed(const std::string& table, Version after, Millis wait, Millis timeout, ReadCallback callback) override;
 
  private:
   RowStore* m_inner;
   const Clock* m_clock;
+  Metrics* m_metrics;
   std::shared_ptr<CallTime> m_time;
 };
 
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(PhaseThatMayChangeIsNotBelievedWithoutBeats);
   CPPUNIT_TEST(UnknownQueueAndKeyAreToldApart);
   CPPUNIT_TEST(MalformedJobNeverReachesTheStore);
+  CPPUNIT_TEST(RefusalsAndCallsAreCountedByReason);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -34,7 +35,8 @@
     m_clock.Set(Instant{1'000'000});
     m_store = std::make_unique<standin::SimStore>(&m_timers, standin::SimStoreSettings{});
     m_client = std::make_unique<standin::SimStoreClient>(m_store.get());
-    m_adaptive = std::make_unique<store::AdaptiveStore>(m_client.get(), &m_clock, store::AdaptiveSettings{});
+    m_adaptive =
+        std::make_unique<store::AdaptiveStore>(m_client.get(), &m_clock, &m_metrics, store::AdaptiveSettings{});
     m_intake = std::make_shared<Intake>(m_adaptive.get(), &m_timers, &m_clock, &m_metrics, IntakeSettings{});
     auto configuration = std::make_shared<jobs::QueueConfiguration>();
     jobs::Queue queue;
@@ -52,6 +54,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store->Rows(TableNames{}.m_intake).size());
   }
 
+  void RefusalsAndCallsAreCountedByReason() {
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, kPatience));
+    m_client->SetMood(StoreMood::kSilent);
+    CPPUNIT_ASSERT_EQUAL(std::string("try later"), Submit(JobId{2}, kPatience));
+    const std::string text = m_metrics.PrometheusText();
+    for (const char* line : {"hq_jobs_accepted_total 1", "hq_jobs_refused_total{why=\"the store does not answer\"} 1",
+                             "hq_store_calls_total{call=\"write\",outcome=\"stored\"} 1",
+                             "hq_store_calls_total{call=\"read\",outcome=\"no answer\"}"}) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(line) + " in\n" + text, text.find(line) != std::string::npos);
+    }
+  }
+
   // Nothing may be in doubt where nothing had to be sent.
   void SilentStoreIsAskedBeforeAWrite() {
     m_client->SetMood(StoreMood::kSilent);
--- a/tests/service/load_test.cc
+++ b/tests/service/load_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(WorkThatCannotEndOnLeavingWorkerStartsElsewhere);
   CPPUNIT_TEST(WorkThatCanEndOnLeavingWorkerStays);
   CPPUNIT_TEST(WorkerWhoseTasksStandStillGetsNothingNew);
+  CPPUNIT_TEST(LegsOfJobsAreMeasured);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -200,6 +201,17 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), m_world->Violations());
   }
 
+  void LegsOfJobsAreMeasured() {
+    const JobId job = m_world->Submit(0, Tasks(1, 1, Millis{1'000}), Millis{1'000}, 0);
+    m_world->Run(Millis{2'000});
+    CheckPhase(job, JobPhase::kCompleted);
+    const std::string text = m_world->MetricsText();
+    for (const char* line : {"hq_jobs_ended_total{phase=\"completed\"} 1", "hq_job_wait_ms_count{priority=\"0\"} 1",
+                             "hq_job_ms_count{priority=\"0\"} 1", "hq_takeovers_total 1", "hq_takeover_ms_count 1"}) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(line) + " in\n" + text, text.find(line) != std::string::npos);
+    }
+  }
+
  private:
   static jobs::StepSpec WholeCluster(Millis estimate) {
     jobs::StepSpec gang = RackGang(kWorkers, 8, estimate);
--- a/tests/service/service_world.h
+++ b/tests/service/service_world.h
@@ -62,6 +62,7 @@
   void Run(Millis time);
 
   standin::SimStore& Store() { return *m_store; }
+  std::string MetricsText() const { return m_metrics.PrometheusText(); }  // Of all instances together.
   standin::SimWorkers& Sim() { return *m_workers; }
   const ManualClock& Time() const { return m_clock; }
   std::string Violations() const;  // One a line; empty is good.
