Leadership: a write that waits for an answer is settled as soon as the store is back

Ruled out: the feeds (back at 36.4 s); the pause between tries (40 ms). Change: an instance that notices the return, by its feed or its question, tells its leadership, which reads the row back at once where a call is older than 200 ms. Answers to earlier calls count no more; a late copy of the write fails its check as before. Tests: leadership_test, WriteGoesOnAsSoonAsTheStoreIsBack and LateCopyOfAWriteDoesNoHarm against WithoutAWordOfItTheCallIsWaitedFor.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -179,6 +179,7 @@
       if (!answers) return;
       self->m_away = false;
       log::Info(kLog, "Store answers again");
+      if (self->m_on_store_back) self->m_on_store_back();
     });
   });
 }
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -110,6 +110,9 @@
   std::shared_ptr<const jobs::QueueConfiguration> Configuration() const { return m_configuration; }
   PhaseBoard& Board() { return m_board; }
 
+  // Called whenever the store answers again after it was away.
+  void SetOnStoreBack(std::function<void()> on_back) { m_on_store_back = std::move(on_back); }
+
   // The store answered some call of this instance.
   void NoteContact() { m_contact = m_clock->Now(); }
 
@@ -145,6 +148,7 @@
   PhaseBoard m_board;
   Instant m_contact;    // Last answer of the store.
   bool m_away = false;  // The store did not answer the last question.
+  std::function<void()> m_on_store_back;
   Subscription m_probe;
   Metrics* m_metrics;
   Counter* m_accepted;
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -120,7 +120,10 @@
         if (const auto self = weak.lock()) self->OnConfigurationRows(rows);
       },
       [weak](bool reachable) {
-        if (const auto self = weak.lock()) self->m_store_reachable = reachable;
+        const auto self = weak.lock();
+        if (!self) return;
+        self->m_store_reachable = reachable;
+        if (reachable) self->m_leadership->StoreIsBack();
       });
   m_configuration_rows->Start();
 
@@ -140,6 +143,9 @@
                                               Leadership::Events{[this](Epoch epoch) { OnElected(epoch); },
                                                                  [this](const std::string& why) { OnDeposed(why); }});
   m_leadership->Start();
+  m_intake->SetOnStoreBack([weak] {
+    if (const auto self = weak.lock()) self->m_leadership->StoreIsBack();
+  });
   m_beat = m_parts.m_timers->Every(m_settings.m_beat_every, [weak] {
     if (const auto self = weak.lock()) self->Beat();
   });
--- a/hickoryquay/service/leadership.cc
+++ b/hickoryquay/service/leadership.cc
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr log::Part kLog{"leadership"};
-constexpr Millis kTickEvery{50};  // Fine against m_watch_every and m_renew_every.
+constexpr Millis kStaleCall{200};  // A call this old may have been lost with the store: fifty times what one takes.
+constexpr Millis kTickEvery{50};   // Fine against m_watch_every and m_renew_every.
 
 std::string Text(Epoch epoch) {
   return std::to_string(Raw(epoch));
@@ -220,12 +221,14 @@
   transaction.m_puts.push_back({m_settings.m_row, Write(row)});
   transaction.m_removals = next.m_write.m_removals;
   m_sent = m_clock->Now();
-  m_store->Transact(transaction, m_settings.m_call_timeout,
-                    [weak = weak_from_this(), epoch = m_epoch](Result<Version, store::TransactError> result) {
-                      const auto self = weak.lock();
-                      if (!self || self->m_stopped || !self->m_leading || self->m_epoch != epoch) return;
-                      self->OnWritten(std::move(result));
-                    });
+  m_asked = m_sent;
+  m_store->Transact(
+      transaction, m_settings.m_call_timeout,
+      [weak = weak_from_this(), epoch = m_epoch, call = ++m_call](Result<Version, store::TransactError> result) {
+        const auto self = weak.lock();
+        if (!self || self->m_stopped || !self->m_leading || self->m_epoch != epoch || self->m_call != call) return;
+        self->OnWritten(std::move(result));
+      });
 }
 
 void Leadership::OnWritten(Result<Version, store::TransactError> result) {
@@ -242,8 +245,9 @@
 
 // Whether the write under way has been stored. Sending it again is safe in any case.
 void Leadership::ReadBack() {
-  ReadRow([this, epoch = m_epoch](Result<std::optional<store::StoredRow>, store::ReadError> read) {
-    if (!m_leading || m_epoch != epoch) return;
+  m_asked = m_clock->Now();
+  ReadRow([this, epoch = m_epoch, call = ++m_call](Result<std::optional<store::StoredRow>, store::ReadError> read) {
+    if (!m_leading || m_epoch != epoch || m_call != call) return;
     if (!Ok(read)) {
       m_retry = m_timers->After(m_settings.m_retry, [weak = weak_from_this()] {
         if (const auto self = weak.lock(); self && self->m_leading) self->ReadBack();
@@ -262,6 +266,13 @@
   });
 }
 
+void Leadership::StoreIsBack() {
+  const bool waits = m_leading && m_writing && m_clock->Now() - m_asked >= kStaleCall;
+  if (!waits) return;
+  m_retry.Cancel();
+  ReadBack();
+}
+
 void Leadership::Written(Version version) {
   m_version = version;
   ++m_writes;
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -88,6 +88,10 @@
   // A beat of a leader arrived.
   void Heard(Epoch epoch);
 
+  // The store answers again. A write that has waited for an answer since before is settled now rather than once its
+  // time is over.
+  void StoreIsBack();
+
   // The leader only: stores rows, however often it has to try. `stored` is not called where the leader is deposed
   // first.
   void Store(LeaderWrite write, std::function<void()> stored);
@@ -135,6 +139,8 @@
   std::deque<Pending> m_pending;  // The first is being written while m_writing.
   bool m_writing = false;
   Instant m_sent;     // Of the write under way.
+  int m_call = 0;     // Counts what is asked of the store for that write; answers to earlier ones count no more.
+  Instant m_asked;    // When that was.
   Instant m_renewed;  // When the last stored write was sent.
   Instant m_heard;    // Last beat of a leader.
   Epoch m_heard_epoch{};
--- /dev/null
+++ b/tests/service/leadership_test.cc
@@ -0,0 +1,111 @@
+// The leader's writes around outages of the store. Virtual time, no network.
+
+#include "hickoryquay/service/leadership.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "standin/sim_store.h"
+
+namespace hickoryquay::service {
+namespace {
+
+using standin::StoreMood;
+
+class LeadershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeadershipTest);
+  CPPUNIT_TEST(WriteGoesOnAsSoonAsTheStoreIsBack);
+  CPPUNIT_TEST(WithoutAWordOfItTheCallIsWaitedFor);
+  CPPUNIT_TEST(LateCopyOfAWriteDoesNoHarm);
+  CPPUNIT_TEST(StoreIsBackIsNothingToAnIdleLeader);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_clock.Set(Instant{1'000'000});
+    m_store = std::make_unique<standin::SimStore>(&m_timers, standin::SimStoreSettings{});
+    m_client = std::make_unique<standin::SimStoreClient>(m_store.get());
+    LeadershipSettings settings;
+    settings.m_row = {"state", "leader", "leader"};
+    settings.m_node = "node";
+    settings.m_self = InstanceId{"life"};
+    m_leadership = std::make_shared<Leadership>(
+        m_client.get(), &m_timers, &m_clock, settings,
+        Leadership::Events{[](Epoch) {}, [this](const std::string& why) { m_deposed = why; }});
+    m_leadership->Start();
+    m_timers.Advance(Millis{2'000});
+    CPPUNIT_ASSERT(m_leadership->Leading());
+  }
+  void tearDown() override { m_leadership->Stop(); }
+
+  void WriteGoesOnAsSoonAsTheStoreIsBack() {
+    WriteInOutage(StoreMood::kSilent);
+    m_leadership->StoreIsBack();
+    m_timers.Advance(Millis{30});
+    CPPUNIT_ASSERT_EQUAL(1, m_stored);
+    CPPUNIT_ASSERT_EQUAL(std::string("value"), ValueOfRow());
+  }
+
+  void WithoutAWordOfItTheCallIsWaitedFor() {
+    WriteInOutage(StoreMood::kSilent);
+    m_timers.Advance(Millis{30});
+    CPPUNIT_ASSERT_EQUAL(0, m_stored);
+    m_timers.Advance(Millis{5'000});
+    CPPUNIT_ASSERT_EQUAL(1, m_stored);
+  }
+
+  // The store carries the write out seconds after it was sent again and others have followed.
+  void LateCopyOfAWriteDoesNoHarm() {
+    WriteInOutage(StoreMood::kLateWrites);
+    m_leadership->StoreIsBack();
+    m_timers.Advance(Millis{30});
+    CPPUNIT_ASSERT_EQUAL(1, m_stored);
+    Write("second");
+    m_timers.Advance(Millis{20'000});
+    CPPUNIT_ASSERT_EQUAL(2, m_stored);
+    CPPUNIT_ASSERT_EQUAL(std::string("second"), ValueOfRow());
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_deposed);
+    CPPUNIT_ASSERT(m_leadership->Leading());
+  }
+
+  void StoreIsBackIsNothingToAnIdleLeader() {
+    m_leadership->StoreIsBack();
+    Write("value");
+    m_leadership->StoreIsBack();  // A call that was just sent is given its time.
+    m_timers.Advance(Millis{30});
+    CPPUNIT_ASSERT_EQUAL(1, m_stored);
+    CPPUNIT_ASSERT(m_leadership->Leading());
+  }
+
+ private:
+  void Write(const std::string& value) {
+    m_leadership->Store({{{{"state", "leader", "row"}, value}}, {}}, [this] { ++m_stored; });
+  }
+
+  // Half a second behind a write that gets no answer, the store serves again.
+  void WriteInOutage(StoreMood mood) {
+    m_client->SetMood(mood);
+    Write("value");
+    m_timers.Advance(Millis{500});
+    m_client->SetMood(StoreMood::kServes);
+  }
+
+  std::string ValueOfRow() const {
+    for (const store::StoredRow& row : m_store->Rows("state")) {
+      if (row.m_key.m_key == "row") return row.m_value;
+    }
+    return "";
+  }
+
+  ManualClock m_clock;
+  ManualTimerService m_timers{&m_clock};
+  std::unique_ptr<standin::SimStore> m_store;
+  std::unique_ptr<standin::SimStoreClient> m_client;
+  std::shared_ptr<Leadership> m_leadership;
+  std::string m_deposed;
+  int m_stored = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeadershipTest);
+
+}  // namespace
+}  // namespace hickoryquay::service
