Relay: reads don't wait for the store itself while peers are asked

It went on through peers, but every half second some read asked the store first and was held up for its whole time; where that was the feed of new jobs, none was taken in for three to five seconds. Ruled out: the leader's writes, which go through peers at once; full machines (half of the accelerators were free). Change: the store is tried by a copy of a read that no caller waits for, one at a time. Test: ReadsDoNotWaitForTheStoreWhileAway (failed before).

--- a/hickoryquay/service/store_relay.cc
+++ b/hickoryquay/service/store_relay.cc
@@ -59,10 +59,27 @@
 }
 
 void StoreRelay::Begin(const std::shared_ptr<Call>& call) {
-  // While the store turns this instance away, now and then a read still asks it first.
+  if (Away() && call->m_read) TryDirect(*call);
+  Away() && m_send ? ThroughPeer(call) : Direct(call);
+}
+
+// Sends a copy of a read to the store itself, now and then, to learn when it serves this instance again. The caller
+// does not wait for it: where packets are lost without a word, it would wait for as long as it may.
+void StoreRelay::TryDirect(const Call& like) {
   const Instant now = m_clock->Now();
-  const bool peers_first = Away() && m_send && (!call->m_read || now - m_tried_direct < m_settings.m_try_direct_every);
-  peers_first ? ThroughPeer(call) : Direct(call);
+  if (m_trying || now - m_tried_direct < m_settings.m_try_direct_every) return;
+  m_trying = true;
+  m_tried_direct = now;
+  m_direct(m_store, like.m_request, like.m_until - now,
+           [self = shared_from_this()](const Result<net::HttpResponse, net::NetError>& result) {
+             self->m_trying = false;
+             if (!TurnedAway(result)) self->Served();
+           });
+}
+
+void StoreRelay::Served() {
+  if (Away()) log::Info(kLog, "Store serves this instance again");
+  m_failed = 0;
 }
 
 void StoreRelay::Direct(const std::shared_ptr<Call>& call) {
@@ -76,8 +93,7 @@
 
 void StoreRelay::OnDirect(const std::shared_ptr<Call>& call, Result<net::HttpResponse, net::NetError> result) {
   if (!TurnedAway(result)) {
-    if (Away()) log::Info(kLog, "Store serves this instance again");
-    m_failed = 0;
+    Served();
     return call->m_callback(std::move(result));
   }
   if (++m_failed == m_settings.m_failures) {
--- a/hickoryquay/service/store_relay.h
+++ b/hickoryquay/service/store_relay.h
@@ -19,7 +19,7 @@
 namespace hickoryquay::service {
 
 struct RelaySettings {
-  Millis m_try_direct_every{500};  // While the store turns this instance away.
+  Millis m_try_direct_every{500};  // While the store turns this instance away, beside calls through peers.
   int m_failures = 2;              // Direct calls in a row without success after which peers are asked first.
   int m_peers = 2;                 // Peers that one call tries.
   int m_most_relayed = 64;         // Calls of others under way at a time; further ones are turned away.
@@ -45,6 +45,8 @@
   struct Call;
 
   void Begin(const std::shared_ptr<Call>& call);
+  void TryDirect(const Call& like);
+  void Served();
   void Direct(const std::shared_ptr<Call>& call);
   void OnDirect(const std::shared_ptr<Call>& call, Result<net::HttpResponse, net::NetError> result);
   void ThroughPeer(const std::shared_ptr<Call>& call);
@@ -59,6 +61,7 @@
   Peers m_peers;
   int m_failed = 0;  // Direct calls in a row.
   Instant m_tried_direct;
+  bool m_trying = false;  // A try is under way that no caller waits for.
   std::size_t m_next_peer = 0;
   int m_relayed = 0;  // For others, under way.
   Counter* m_through_peers;
--- a/tests/service/relay_test.cc
+++ b/tests/service/relay_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(UnansweredReadIsAskedAgain);
   CPPUNIT_TEST(PeerIsAskedFirstWhileTurnedAway);
   CPPUNIT_TEST(DirectIsTriedAgainNowAndThen);
+  CPPUNIT_TEST(ReadsDoNotWaitForTheStoreWhileAway);
   CPPUNIT_TEST(LostAnswerOfPeerLeavesWriteInDoubt);
   CPPUNIT_TEST(StoreDownForAllIsToldSoon);
   CPPUNIT_TEST(InstanceThatIsTurnedAwayRelaysNothing);
@@ -102,6 +103,24 @@
     CPPUNIT_ASSERT_EQUAL(before, m_peer_calls);
   }
 
+  // Seen at a leader that was cut off from the store: whichever read tried it, the feed of new jobs too, was held up
+  // for its whole time.
+  void ReadsDoNotWaitForTheStoreWhileAway() {
+    TurnAway();
+    m_hold = true;
+    for (int i = 0; i < 10; ++i) {
+      m_clock.Advance(Millis{600});
+      CPPUNIT_ASSERT_EQUAL(200, StatusOf(Send("GET")));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_held.size());  // One try at a time.
+    m_held.front()(Status(200));
+    m_hold = false;
+    m_direct = Status(200);
+    const int before = m_peer_calls;
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(Send("POST")));
+    CPPUNIT_ASSERT_EQUAL(before, m_peer_calls);
+  }
+
   void LostAnswerOfPeerLeavesWriteInDoubt() {
     TurnAway();
     m_peer.reset();
