--- a/bench/jobs/jobs_experiment.cc
+++ b/bench/jobs/jobs_experiment.cc
@@ -139,7 +139,8 @@
   json["value"] = Mean(rows, [](const Row& row) { return row.Value(); });
   json["share"] = Mean(rows, [](const Row& row) { return row.m_worth.Share(); });
   if (arguments.m_bound) json["bound"] = Mean(rows, [](const Row& row) { return row.m_bound; });
-  for (const auto& [queue, share] : rows.front().m_worth.m_queues) {
+  for (const auto& entry : rows.front().m_worth.m_queues) {
+    const std::string& queue = entry.first;
     const auto mean_of = [&](std::map<std::string, double> Worth::*shares) {
       return Mean(rows, [&](const Row& row) {
         const auto found = (row.m_worth.*shares).find(queue);
