Soak: each instance listens on a loopback address of its own

Its log says "cannot listen on 127.0.0.1:53083: Address already in use", its settings name that port twice, for ready and inner: free ports were drawn one by one and closed at once, so one can be drawn twice, or be taken by some connection while an instance is down. Ruled out: the instance; what it was told could not be done. Change: instances listen on fixed ports of addresses made from the soak's process id.

--- a/scripts/soak/http_json.py
+++ b/scripts/soak/http_json.py
@@ -53,8 +53,8 @@
 class Client:
     """One connection that is kept until it breaks."""
 
-    def __init__(self, port):
-        self.port, self.streams = port, None
+    def __init__(self, address):
+        self.address, self.streams = address, None  # Host and port.
 
     async def call(self, method, target, body=None, headers=None, timeout=4.0):
         """(status, headers, object); status 0 where there was no whole answer."""
@@ -66,7 +66,7 @@
 
     async def _call(self, method, target, body, headers):
         if self.streams is None:
-            self.streams = await asyncio.open_connection("127.0.0.1", self.port, limit=2 ** 22)
+            self.streams = await asyncio.open_connection(*self.address, limit=2 ** 22)
         reader, writer = self.streams
         data = b"" if body is None else json.dumps(body).encode()
         lines = [f"{method} {target} HTTP/1.1", f"Content-Length: {len(data)}"] + [f"{k}: {v}" for k, v in headers.items()]
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -20,27 +20,31 @@
 KEY = {"Host": "soak.example", "Authorization": "Token key", "X-Deadline-Ms": "3000"}
 
 
-def free_port():
-    import socket
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+CALLERS, READY, INNER = 7001, 7002, 7003
+
+
+def host_of(index):
+    """Of an instance: a loopback address of this process's own. Ports drawn on a shared one may be drawn twice, or taken by
+    some connection while the instance is down."""
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 8) % 254}.{pid % 256}.{1 + index}"
 
 
 class Instance:
     def __init__(self, soak, index):
         self.soak, self.index, self.process, self.stopped = soak, index, None, False
-        self.callers, self.ready, self.inner = free_port(), free_port(), free_port()
+        self.host = host_of(index)
+        self.callers = (self.host, CALLERS)
         self.log = open(os.path.join(soak.directory, f"node-{index}.log"), "ab")
 
     async def start(self):
         self.proxy = Proxy(self.soak.store_port)
         store = await self.proxy.start()
         self.settings = os.path.join(self.soak.directory, f"node-{self.index}.ini")
-        seeds = ", ".join(f"127.0.0.1:{i.inner}" for i in self.soak.instances[:3])
+        seeds = ", ".join(f"{i.host}:{INNER}" for i in self.soak.instances[:3])
         with open(self.settings, "w") as file:
-            file.write(f"[node]\nname = node-{self.index}\ndomain = z1\ncallers = 127.0.0.1:{self.callers}\n"
-                       f"ready = 127.0.0.1:{self.ready}\ninner = 127.0.0.1:{self.inner}\nmetrics = 127.0.0.1:0\n"
+            file.write(f"[node]\nname = node-{self.index}\ndomain = z1\ncallers = {self.host}:{CALLERS}\n"
+                       f"ready = {self.host}:{READY}\ninner = {self.host}:{INNER}\nmetrics = {self.host}:0\n"
                        f"seeds = {seeds}\n[store]\naddress = 127.0.0.1:{store}\n"
                        f"[machines]\naddress = 127.0.0.1:{self.soak.machines_port}\n"
                        "[terms]\nlongest_lease = 6s\nstop_timeout = 200ms\n[log]\nform = json\nrepeats = 100000\n")
@@ -123,7 +127,7 @@
                 return
             await asyncio.sleep(0.5)
             link.close()
-            link.port = self.random.choice(self.instances).callers
+            link.address = self.random.choice(self.instances).callers
 
     async def fault(self):
         """One fault; it may overlap with others."""
