Driver: an unreadable row names no worker behind an outage either

Found by reading: a row that can't be read was treated like one that lapsed while the store was away, so its worker was used for 2.5 s more. Change: only rows that are gone have that time; an unreadable one counts at once. Test: UnreadableRowNamesNoWorkerBehindAnOutageEither (failed before).

--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -147,6 +147,9 @@
     if (worker) {
       m_workers[key] = *worker;
       m_missing.erase(key);
+    } else if (!row.m_removed) {  // Unreadable: it names no worker from now on.
+      m_workers.erase(key);
+      m_missing.erase(key);
     } else if (m_workers.contains(key)) {
       gone.insert(key);
     }
--- a/tests/service/faults_test.cc
+++ b/tests/service/faults_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(LapsedWorkersServeUntilTheirRowsAreBack);
   CPPUNIT_TEST(LapsedWorkerThatIsGoneGetsNothingNew);
   CPPUNIT_TEST(LapsedWorkerIsGoneWhereItsRowStaysAway);
+  CPPUNIT_TEST(UnreadableRowNamesNoWorkerBehindAnOutageEither);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -158,6 +159,17 @@
     CheckNothingBroken();
   }
 
+  void UnreadableRowNamesNoWorkerBehindAnOutageEither() {
+    Outage(0);
+    const WorkerId garbled = ServiceWorld::WorkerOf(0, 0);
+    m_world->Garble(garbled);
+    m_world->Run(Millis{50});
+    m_world->Submit(0, Tasks(8, 8), Millis{1'000}, 0);
+    m_world->Run(Millis{1'000});
+    CPPUNIT_ASSERT_EQUAL(0, m_world->Sim().StartsOn(garbled));
+    CheckNothingBroken();
+  }
+
   void TakeoverWaitsForUnreachableWorker() {
     m_world->Run(kSettle);
     const JobId job = m_world->Submit(0, Tasks(8, 8), Millis{9'000});
--- a/tests/service/service_world.cc
+++ b/tests/service/service_world.cc
@@ -153,6 +153,11 @@
   PutWorkerRow(entry);
 }
 
+void ServiceWorld::Garble(const WorkerId& id) {
+  m_entries.erase(id);
+  m_store->Put({kWorkerTable, "", id.m_value}, "garbled");
+}
+
 void ServiceWorld::KillWorker(const WorkerId& id) {
   m_workers->Kill(id);
   m_timers.After(kRowGoesAfter, [this, id] { m_store->Remove({kWorkerTable, "", id.m_value}); }).Detach();
--- a/tests/service/service_world.h
+++ b/tests/service/service_world.h
@@ -46,6 +46,7 @@
   static WorkerId WorkerOf(int rack, int index);
   void AddWorker(const WorkerId& id, const std::string& rack, double speed = 1.0);
   void Drain(const WorkerId& id, std::optional<Millis> remaining = std::nullopt);
+  void Garble(const WorkerId& id);      // Another writer makes its row unreadable.
   void KillWorker(const WorkerId& id);  // Its row goes some seconds later.
   void RestartWorker(const WorkerId& id, const WorkerId& as);
   const std::vector<WorkerId>& Workers() const { return m_worker_ids; }
