--- a/bench/jobs/bound.cc
+++ b/bench/jobs/bound.cc
@@ -16,8 +16,9 @@
 namespace {
 
 constexpr std::int64_t kBucketMs = 1'000;
-constexpr int kLateUntil = 3;       // Times the objective.
-constexpr double kCostUnits = 1e6;  // Costs are whole numbers.
+constexpr int kLateUntil = 3;  // Times the objective.
+constexpr double kCostUnits =
+    1e6;  // Costs are whole numbers, which doubles add exactly; the library overflows integers.
 
 using Traits = boost::adjacency_list_traits<boost::vecS, boost::vecS, boost::directedS>;
 using Graph = boost::adjacency_list<
@@ -25,13 +26,13 @@
     boost::property<boost::edge_capacity_t, std::int64_t,
                     boost::property<boost::edge_residual_capacity_t, std::int64_t,
                                     boost::property<boost::edge_reverse_t, Traits::edge_descriptor,
-                                                    boost::property<boost::edge_weight_t, std::int64_t>>>>>;
+                                                    boost::property<boost::edge_weight_t, double>>>>>;
 
 class FlowBuilder {
  public:
   explicit FlowBuilder(std::size_t vertices) : m_graph(vertices) {}
 
-  void Add(std::size_t from, std::size_t to, std::int64_t capacity, std::int64_t cost) {
+  void Add(std::size_t from, std::size_t to, std::int64_t capacity, double cost) {
     const auto edge = boost::add_edge(from, to, m_graph).first;
     const auto back = boost::add_edge(to, from, m_graph).first;
     boost::put(boost::edge_capacity, m_graph, edge, capacity);
@@ -42,7 +43,7 @@
     boost::put(boost::edge_reverse, m_graph, back, edge);
   }
 
-  std::int64_t LeastCost(std::size_t source, std::size_t sink) {
+  double LeastCost(std::size_t source, std::size_t sink) {
     boost::successive_shortest_path_nonnegative_weights(m_graph, source, sink);
     return boost::find_flow_cost(m_graph);
   }
@@ -95,9 +96,7 @@
   const std::size_t sink = 1;
   const auto job_vertex = [](std::size_t i) { return 2 + i; };
   const auto bucket_vertex = [&](std::int64_t b) { return 2 + owed.size() + static_cast<std::size_t>(b); };
-  const auto cost_of = [&](double density) {
-    return static_cast<std::int64_t>(std::llround((most - density) / most * kCostUnits));
-  };
+  const auto cost_of = [&](double density) { return std::round((most - density) / most * kCostUnits); };
   FlowBuilder flow(2 + owed.size() + static_cast<std::size_t>(buckets));
   for (std::int64_t b = 0; b < buckets; ++b) flow.Add(bucket_vertex(b), sink, bucket_capacity, 0);
   double total = 0.0;
@@ -116,7 +115,7 @@
       flow.Add(job_vertex(i), bucket_vertex(b), work.m_per_bucket, cost_of(density));
     }
   }
-  const auto cost = static_cast<double>(flow.LeastCost(source, sink));
+  const double cost = flow.LeastCost(source, sink);
   const double earned = (total - cost / kCostUnits) * most;
   return std::min(1.0, earned / all);
 }
