Peers: leavers and hints keep their state and their timeouts

Cause: the state alone said whether a peer leaves and whether it was heard, so a listed leaver without a heartbeat stayed for good, a silent one became alive again by a late heartbeat, and a list that lags dropped a hint at once. Change: a flag for leaving; what has a timeout is removed by the timeout, or by the list once it is suspect.

--- a/hickoryquay/peers/membership.cc
+++ b/hickoryquay/peers/membership.cc
@@ -28,13 +28,14 @@
     peer.m_domain = info.m_domain;
     peer.m_inner = info.m_inner;
     peer.m_listed = true;
-    if (info.m_leaving) peer.m_state = PeerState::kLeaving;
+    peer.m_leaving = peer.m_leaving || info.m_leaving;
+    if (peer.m_leaving) peer.m_state = PeerState::kLeaving;
   }
   for (auto& [id, peer] : m_peers) peer.m_listed = listed_ids.contains(id);
   std::erase_if(m_peers, [](const auto& entry) {
     const Peer& peer = entry.second;
-    const bool recently_heard = peer.m_state == PeerState::kAlive || peer.m_state == PeerState::kLeaving;
-    return !peer.m_listed && !recently_heard;
+    const bool has_timeout = peer.m_last_heard.m_ms > 0;
+    return !peer.m_listed && (!has_timeout || peer.m_state == PeerState::kSuspect);
   });
 }
 
@@ -58,9 +59,8 @@
     peer.m_inner = from.m_inner;  // The listed address is reachable from here; the peer's own view of it may not be.
   peer.m_sequence = sequence;
   peer.m_last_heard = now;
-  const bool leaving =
-      from.m_leaving || peer.m_state == PeerState::kLeaving;  // A leaving peer does not become alive again.
-  peer.m_state = leaving ? PeerState::kLeaving : PeerState::kAlive;
+  peer.m_leaving = peer.m_leaving || from.m_leaving;  // A leaving peer does not become alive again.
+  peer.m_state = peer.m_leaving ? PeerState::kLeaving : PeerState::kAlive;
 }
 
 void Membership::Tick(Instant now) {
--- a/hickoryquay/peers/membership.h
+++ b/hickoryquay/peers/membership.h
@@ -36,6 +36,7 @@
   Instant m_last_heard;  // Last heartbeat or, for a hint, when it came; 0: never.
   std::int64_t m_sequence = 0;
   bool m_listed = false;
+  bool m_leaving = false;  // For good: it stays so while it is suspect.
 };
 
 // An instance as described by the list, its own heartbeat or another peer.
@@ -52,7 +53,8 @@
   Membership(InstanceId self, DomainId domain, const MembershipSettings& settings)
       : m_self(std::move(self)), m_domain(std::move(domain)), m_settings(settings) {}
 
-  // Applies the complete list. A peer that is no longer listed stays while its heartbeats arrive.
+  // Applies the complete list. A peer that is no longer listed stays while its heartbeats arrive, a hint until its
+  // timeout.
   void ApplyList(const std::vector<PeerInfo>& listed);
 
   // Adds an instance named by another peer, unconfirmed until its first heartbeat.
--- a/tests/peers/membership_test.cc
+++ b/tests/peers/membership_test.cc
@@ -14,6 +14,9 @@
   CPPUNIT_TEST(StaleHeartbeatIsIgnored);
   CPPUNIT_TEST(LeavingIsPermanent);
   CPPUNIT_TEST(HintIsDroppedWithoutHeartbeat);
+  CPPUNIT_TEST(ListedLeaverWithoutHeartbeatIsRemovedWithItsRow);
+  CPPUNIT_TEST(SilentLeaverDoesNotBecomeAliveAgain);
+  CPPUNIT_TEST(HintSurvivesAListThatLacksIt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -63,6 +66,37 @@
     CPPUNIT_ASSERT(m_membership.Peers().contains(InstanceId("c")));
   }
 
+  // Known red: such a peer stayed for good, since only a heartbeat starts its timeout.
+  void ListedLeaverWithoutHeartbeatIsRemovedWithItsRow() {
+    PeerInfo leaving = MakePeerInfo("b");
+    leaving.m_leaving = true;
+    m_membership.ApplyList({leaving});
+    CPPUNIT_ASSERT(StateOf("b") == PeerState::kLeaving);
+    m_membership.ApplyList({});
+    CPPUNIT_ASSERT(m_membership.Peers().empty());
+  }
+
+  // Known red: a leaving peer that fell silent became suspect, and a late heartbeat made it alive.
+  void SilentLeaverDoesNotBecomeAliveAgain() {
+    PeerInfo leaving = MakePeerInfo("b");
+    leaving.m_leaving = true;
+    m_membership.OnHeartbeat(leaving, 1, m_now);
+    AdvanceTime(4 * kSecond);
+    CPPUNIT_ASSERT(StateOf("b") == PeerState::kSuspect);
+    m_membership.OnHeartbeat(MakePeerInfo("b"), 2, m_now);
+    CPPUNIT_ASSERT(StateOf("b") == PeerState::kLeaving);
+    CPPUNIT_ASSERT_EQUAL(1, m_membership.LiveCount(m_domain));
+  }
+
+  // Known red: the list lags by seconds, so a peer that another one has just named is not on it yet.
+  void HintSurvivesAListThatLacksIt() {
+    m_membership.AddHint(MakePeerInfo("b"), m_now);
+    m_membership.ApplyList({});
+    CPPUNIT_ASSERT(m_membership.Peers().contains(InstanceId("b")));
+    AdvanceTime(11 * kSecond);
+    CPPUNIT_ASSERT(m_membership.Peers().empty());
+  }
+
  private:
   PeerInfo MakePeerInfo(const std::string& id) const { return {InstanceId(id), m_domain, {"127.0.0.1", 1}, false}; }
 
