Jobs: takeovers create earlier occurrences, and check numbers of failed runs

Cause: occurrences up to the last one with a row counted as created, so a timed job with a gap never completed; elements of "failed" that are no integers were skipped, which gives a task attempts that it has used up. Change: created occurrences are counted; a wrong element makes the row unreadable. Result: two tests that failed before pass (read/jobs, read/jobs_rows).

--- a/hickoryquay/jobs/rows.cc
+++ b/hickoryquay/jobs/rows.cc
@@ -105,7 +105,12 @@
   reader->ReadInteger("run", &unit.m_run, 0, std::numeric_limits<std::uint32_t>::max());
   reader->Read("done", &unit.m_done, Need::kOptional);
   for (const json::value& run : reader->Array("failed", Need::kOptional)) {
-    if (run.is_int64()) unit.m_failed_runs.push_back(RunNumber{static_cast<std::uint32_t>(run.as_int64())});
+    const auto* number = run.if_int64();
+    if (number == nullptr || *number < 0 || *number > std::numeric_limits<std::uint32_t>::max()) {
+      reader->Fail("failed", "expected numbers of runs");
+      break;
+    }
+    unit.m_failed_runs.push_back(RunNumber{static_cast<std::uint32_t>(*number)});
   }
   reader->Read("checkpoint", &unit.m_checkpoint, Need::kOptional);
   for (const json::value& element : reader->Array("on", Need::kOptional)) {
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -140,7 +140,7 @@
       step->m_units_left = units;
       steps[i] = std::move(step);
     }
-    job->m_created_occurrences = std::max(job->m_created_occurrences, occurrence + 1);
+    ++job->m_created_occurrences;
   }
   return steps[static_cast<std::size_t>(index)].get();
 }
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -77,8 +77,9 @@
   for (const auto& [id, job] : m_jobs) {
     if (Ended(job->m_phase)) continue;
     if (job->m_created_occurrences < job->m_occurrences) CreateDueSteps(job.get(), now);
-    for (int k = 0; k < job->m_created_occurrences; ++k) {
+    for (int k = 0; k < job->m_occurrences; ++k) {
       const auto& steps = job->m_steps[static_cast<std::size_t>(k)];
+      if (steps.empty()) continue;
       const SchedulingKey key{job->m_job.m_priority, job->m_job.m_accepted, ObjectiveDeadline(*job, k)};
       for (const auto& step : steps) {
         if (step->m_units_left == 0) continue;
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -95,7 +95,7 @@
   Instant m_ended;            // Wall time.
   Millis m_critical_path{0};  // By the caller's estimates.
   int m_occurrences = 1;
-  int m_created_occurrences = 0;  // Occurrences that are due and have their steps created.
+  int m_created_occurrences = 0;                                 // Number of occurrences that have their steps created.
   std::vector<std::vector<std::unique_ptr<StepState>>> m_steps;  // By occurrence and step; empty until created.
 };
 
