Intake: retries of a cancel keep its deadline

Cause: each retry derived the deadline from the time left and took the answer margin off again, which was right only where margin and retry delay are equal. Change: the deadline is passed on. Result: a test with other delays that failed before passes (read/intake).

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -183,16 +183,18 @@
 }
 
 void Intake::Cancel(JobId id, Millis time, SubmitCallback callback) {
-  const Instant until = m_clock->Now() + std::max(Millis{0}, time - m_settings.m_answer_margin);
+  CancelUntil(id, m_clock->Now() + std::max(Millis{0}, time - m_settings.m_answer_margin), std::move(callback));
+}
+
+void Intake::CancelUntil(JobId id, Instant until, SubmitCallback callback) {
   const std::string key = JobRowKey(id);
   const store::RowKey job = IntakeKey(key);
   m_store->Read(
       {job.m_table, job.m_part, key, key + '\0'}, 1, m_settings.m_call_timeout,
       [this, self = shared_from_this(), id, until, callback](const Result<store::RowPage, store::ReadError>& page) {
         if (!Ok(page)) {
-          const Millis left = until - m_clock->Now();
           return Retry(
-              until, [this, id, left, callback] { Cancel(id, left, callback); },
+              until, [this, id, until, callback] { CancelUntil(id, until, callback); },
               [this, callback] { callback(IntakeError{Refusal("the store does not answer")}); });
         }
         NoteStoreAnswer();
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -136,6 +136,7 @@
   // Whether the store answered after `sent`. If so, the failure of a call sent then doesn't mean that it is down.
   bool AnsweredSince(Instant sent) const { return m_last_answer > sent; }
   void Finish(const std::shared_ptr<Write>& write, Result<Done, IntakeError> result);
+  void CancelUntil(JobId id, Instant until, SubmitCallback callback);
   void ReadPhase(JobId id, Instant until, PhaseCallback callback);
   void ReadAccepted(JobId id, Instant until, PhaseCallback callback);
   void Retry(Instant until, std::function<void()> again, std::function<void()> give_up);
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(WriteRefusedByStoreIsRefusedSoon);
   CPPUNIT_TEST(SlowStoreCausesNoRepeatedWrites);
   CPPUNIT_TEST(CancelOfUnknownJobFails);
+  CPPUNIT_TEST(CancelKeepsItsDeadlineOverRetries);
   CPPUNIT_TEST(PhaseIsReadFromStoreWhenNotCached);
   CPPUNIT_TEST(UnfinishedPhaseExpiresWithoutHeartbeats);
   CPPUNIT_TEST(UnknownQueueAndKeyAreDistinguished);
@@ -130,6 +131,21 @@
     CPPUNIT_ASSERT_EQUAL(std::string("no such job"), outcome);
   }
 
+  // Known red: each retry derived the deadline anew, which was right only where the retry delay equals the margin.
+  void CancelKeepsItsDeadlineOverRetries() {
+    IntakeSettings settings;
+    settings.m_retry_delay = Millis{300};
+    const auto intake = std::make_shared<Intake>(m_client.get(), &m_timers, &m_clock, &m_metrics, settings);
+    m_client->SetMood(StoreMood::kRefuses);
+    const Instant sent = m_clock.Now();
+    std::optional<Instant> answered;
+    intake->Cancel(JobId{1}, kCallerTimeout, [&](const Result<Done, IntakeError>&) { answered = m_clock.Now(); });
+    m_timers.Advance(10 * kCallerTimeout);
+    CPPUNIT_ASSERT(answered);
+    CPPUNIT_ASSERT(*answered - sent <= kCallerTimeout);
+    CPPUNIT_ASSERT(*answered - sent >= kCallerTimeout - 2 * settings.m_retry_delay);
+  }
+
   void PhaseIsReadFromStoreWhenNotCached() {
     Submit(JobId{1}, kCallerTimeout);
     m_timers.Advance(Millis{5'000});
