Requests: the budget of bodies lives as long as what holds of it

Cause: an io_context that ends destroys pending reads; a backend connection among them returned memory to a budget that had ended with the server. Seen once as a heap-use-after-free in routing_path_test under ThreadSanitizer. Change: holds share the budget.

--- a/hickoryquay/routing/caller_session.cc
+++ b/hickoryquay/routing/caller_session.cc
@@ -75,7 +75,7 @@
       m_thread(thread),
       m_socket(std::move(socket)),
       m_in(m_core->m_settings.m_max_header_bytes),
-      m_parser({m_core->m_settings.m_max_header_bytes, m_core->m_settings.m_max_body_bytes, &m_core->m_memory}),
+      m_parser({m_core->m_settings.m_max_header_bytes, m_core->m_settings.m_max_body_bytes, m_core->m_memory}),
       m_exchange(m_core.get(), thread, this) {}
 
 CallerSession::~CallerSession() {
--- a/hickoryquay/routing/http_parser.h
+++ b/hickoryquay/routing/http_parser.h
@@ -14,7 +14,7 @@
 struct MessageLimits {
   std::uint32_t m_header_bytes = 16 * 1024;
   std::uint64_t m_body_bytes = 1024 * 1024;
-  MemoryBudget* m_memory = nullptr;  // Of all bodies; nullptr: not bounded.
+  std::shared_ptr<MemoryBudget> m_memory;  // Of all bodies; null: not bounded.
 };
 
 enum class ParseState { kMore, kDone, kHeaderTooLarge, kBodyTooLarge, kOutOfMemory, kMalformed };
--- a/hickoryquay/routing/memory_budget.h
+++ b/hickoryquay/routing/memory_budget.h
@@ -1,8 +1,10 @@
-// MemoryBudget: bounds the bodies in flight of the whole process.
+// MemoryBudget: bounds the bodies in flight of the whole process. Shared by its holds, since an operation that an
+// io_context destroys at its end may hold some of it after the server is gone.
 #pragma once
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 #include <utility>
 
 namespace hickoryquay::routing {
@@ -39,7 +41,7 @@
   ~MemoryHold() { Release(); }
 
   // Bodies up to kUncounted bytes are free: the number of connections bounds them.
-  bool Take(MemoryBudget* budget, std::uint64_t bytes) {
+  bool Take(const std::shared_ptr<MemoryBudget>& budget, std::uint64_t bytes) {
     Release();
     if (budget == nullptr || bytes <= kUncounted) return true;
     if (!budget->TryTake(bytes)) return false;
@@ -49,14 +51,14 @@
   }
   void Release() {
     if (m_budget != nullptr) m_budget->Return(m_bytes);
-    m_budget = nullptr;
+    m_budget.reset();
     m_bytes = 0;
   }
 
  private:
   static constexpr std::uint64_t kUncounted = 16 * 1024;
 
-  MemoryBudget* m_budget = nullptr;
+  std::shared_ptr<MemoryBudget> m_budget;
   std::uint64_t m_bytes = 0;
 };
 
--- a/hickoryquay/routing/request_core.h
+++ b/hickoryquay/routing/request_core.h
@@ -22,14 +22,15 @@
 constexpr std::size_t kReasons = static_cast<std::size_t>(Reason::kAnswerNotKept) + 1;
 
 struct RequestCore {
-  explicit RequestCore(const RequestSettings& settings) : m_settings(settings), m_memory(settings.m_max_bodies_bytes) {}
+  explicit RequestCore(const RequestSettings& settings)
+      : m_settings(settings), m_memory(std::make_shared<MemoryBudget>(settings.m_max_bodies_bytes)) {}
 
   const RequestSettings m_settings;
   const Clock* m_clock = nullptr;
   net::Handler m_fallback;
   std::shared_ptr<Claims> m_claims;
   std::unique_ptr<ClaimSweeper> m_sweeper;
-  MemoryBudget m_memory;
+  std::shared_ptr<MemoryBudget> m_memory;
   ConnectionLimits m_connection_limits;
   std::vector<std::unique_ptr<RequestThread>> m_threads;
   std::atomic<bool> m_draining{false};
--- a/hickoryquay/routing/request_server.cc
+++ b/hickoryquay/routing/request_server.cc
@@ -31,7 +31,7 @@
                                       const Clock* clock, Metrics* metrics) {
   auto core = std::make_shared<RequestCore>(settings);
   core->m_clock = clock;
-  core->m_connection_limits.m_answer = {settings.m_max_header_bytes, settings.m_max_answer_bytes, &core->m_memory};
+  core->m_connection_limits.m_answer = {settings.m_max_header_bytes, settings.m_max_answer_bytes, core->m_memory};
   for (asio::io_context* io : threads) {
     auto thread = std::make_unique<RequestThread>();
     thread->m_io = io;
@@ -360,7 +360,7 @@
   const std::size_t ends = m_core->m_claims ? m_core->m_claims->UnrecordedEnds() : 0;
   return json::serialize(json::object{{"draining", m_core->m_draining.load()},
                                       {"callers", m_core->m_sessions.load()},
-                                      {"body_bytes_left", m_core->m_memory.Left()},
+                                      {"body_bytes_left", m_core->m_memory->Left()},
                                       {"unrecorded_claims", ends},
                                       {"markets", std::move(markets)},
                                       {"backends", std::move(backends)}});
--- a/tests/routing/loopback.cc
+++ b/tests/routing/loopback.cc
@@ -144,6 +144,8 @@
           false);
     case Behaviour::kOversized:
       return Send(connection, AnswerTo(id, std::string(300'000, 'x')), false);
+    case Behaviour::kStall:
+      return Send(connection, AnswerTo(id, std::string(100'000, 'x')).substr(0, 50'000), false);
     case Behaviour::kHangUp:
       return Send(connection, "", true);
     case Behaviour::kFail:
--- a/tests/routing/loopback.h
+++ b/tests/routing/loopback.h
@@ -30,6 +30,7 @@
   kLeave,       // Answers with HQ-Leaving: 1.
   kNoLength,    // A chunked answer.
   kOversized,   // More than the limit of an answer.
+  kStall,       // Sends the beginning of a large answer, then nothing.
   kHangUp,      // Closes without an answer, after running it.
   kFail,        // A whole answer with status 500.
 };
--- a/tests/routing/path_test.cc
+++ b/tests/routing/path_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(OwnFailureDomainGoesFirst);
   CPPUNIT_TEST(HugeAndSlowRequests);
   CPPUNIT_TEST(SlowReaderIsClosed);
+  CPPUNIT_TEST(PendingAnswerEndsWithItsThread);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -410,6 +411,18 @@
     for (int i = 0; i < 60 && !Dumped(loop, all_returned); ++i) loop.Advance(Millis{1'000});
     CPPUNIT_ASSERT(Dumped(loop, all_returned));
   }
+
+  // Known red: the end of the io_context destroys a pending read, whose connection returned memory to a budget that was
+  // gone by then. Shows under a sanitizer.
+  void PendingAnswerEndsWithItsThread() {
+    Loopback loop;
+    loop.AddBackend("b-1").SetBehaviour(Behaviour::kStall);
+    loop.Publish();
+    const auto caller = loop.Connect();
+    caller->Send(ServeRequest("preview"));
+    loop.Settle();
+    CPPUNIT_ASSERT(!Dumped(loop, "\"body_bytes_left\":67108864"));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PathTest);
 
