Service: instances pass the leader's heartbeats on to each other

Cause: the leader called every instance five times a second and once more for each job that ended. At 147 instances and 25 ends a second that is over 4,000 calls a second, more than the link of a small machine carries (2 Mbit/s), and most of its processor.

--- a/hickoryquay/inner/gen/inner_types.cpp
+++ b/hickoryquay/inner/gen/inner_types.cpp
@@ -1432,6 +1432,10 @@
 void LeaderBeat::__set_ready(const bool val) {
   this->ready = val;
 }
+
+void LeaderBeat::__set_pass_on(const std::vector<std::string> & val) {
+  this->pass_on = val;
+}
 std::ostream& operator<<(std::ostream& out, const LeaderBeat& obj)
 {
   obj.printTo(out);
@@ -1535,6 +1539,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pass_on.clear();
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->pass_on.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
+            {
+              xfer += iprot->readString(this->pass_on[_i72]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pass_on = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1567,10 +1591,10 @@
   xfer += oprot->writeFieldBegin("phases", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->phases.size()));
-    std::vector<PhaseChange> ::const_iterator _iter68;
-    for (_iter68 = this->phases.begin(); _iter68 != this->phases.end(); ++_iter68)
+    std::vector<PhaseChange> ::const_iterator _iter73;
+    for (_iter73 = this->phases.begin(); _iter73 != this->phases.end(); ++_iter73)
     {
-      xfer += (*_iter68).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1579,11 +1603,11 @@
   xfer += oprot->writeFieldBegin("pending", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->pending.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter69;
-    for (_iter69 = this->pending.begin(); _iter69 != this->pending.end(); ++_iter69)
+    std::map<std::string, int32_t> ::const_iterator _iter74;
+    for (_iter74 = this->pending.begin(); _iter74 != this->pending.end(); ++_iter74)
     {
-      xfer += oprot->writeString(_iter69->first);
-      xfer += oprot->writeI32(_iter69->second);
+      xfer += oprot->writeString(_iter74->first);
+      xfer += oprot->writeI32(_iter74->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1593,6 +1617,18 @@
   xfer += oprot->writeBool(this->ready);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("pass_on", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->pass_on.size()));
+    std::vector<std::string> ::const_iterator _iter75;
+    for (_iter75 = this->pass_on.begin(); _iter75 != this->pass_on.end(); ++_iter75)
+    {
+      xfer += oprot->writeString((*_iter75));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1606,45 +1642,50 @@
   swap(a.phases, b.phases);
   swap(a.pending, b.pending);
   swap(a.ready, b.ready);
+  swap(a.pass_on, b.pass_on);
   swap(a.__isset, b.__isset);
 }
 
-LeaderBeat::LeaderBeat(const LeaderBeat& other70) {
-  instance = other70.instance;
-  epoch = other70.epoch;
-  sequence = other70.sequence;
-  phases = other70.phases;
-  pending = other70.pending;
-  ready = other70.ready;
-  __isset = other70.__isset;
-}
-LeaderBeat::LeaderBeat(LeaderBeat&& other71) noexcept {
-  instance = std::move(other71.instance);
-  epoch = other71.epoch;
-  sequence = other71.sequence;
-  phases = std::move(other71.phases);
-  pending = std::move(other71.pending);
-  ready = other71.ready;
-  __isset = other71.__isset;
-}
-LeaderBeat& LeaderBeat::operator=(const LeaderBeat& other72) {
-  instance = other72.instance;
-  epoch = other72.epoch;
-  sequence = other72.sequence;
-  phases = other72.phases;
-  pending = other72.pending;
-  ready = other72.ready;
-  __isset = other72.__isset;
+LeaderBeat::LeaderBeat(const LeaderBeat& other76) {
+  instance = other76.instance;
+  epoch = other76.epoch;
+  sequence = other76.sequence;
+  phases = other76.phases;
+  pending = other76.pending;
+  ready = other76.ready;
+  pass_on = other76.pass_on;
+  __isset = other76.__isset;
+}
+LeaderBeat::LeaderBeat(LeaderBeat&& other77) noexcept {
+  instance = std::move(other77.instance);
+  epoch = other77.epoch;
+  sequence = other77.sequence;
+  phases = std::move(other77.phases);
+  pending = std::move(other77.pending);
+  ready = other77.ready;
+  pass_on = std::move(other77.pass_on);
+  __isset = other77.__isset;
+}
+LeaderBeat& LeaderBeat::operator=(const LeaderBeat& other78) {
+  instance = other78.instance;
+  epoch = other78.epoch;
+  sequence = other78.sequence;
+  phases = other78.phases;
+  pending = other78.pending;
+  ready = other78.ready;
+  pass_on = other78.pass_on;
+  __isset = other78.__isset;
   return *this;
 }
-LeaderBeat& LeaderBeat::operator=(LeaderBeat&& other73) noexcept {
-  instance = std::move(other73.instance);
-  epoch = other73.epoch;
-  sequence = other73.sequence;
-  phases = std::move(other73.phases);
-  pending = std::move(other73.pending);
-  ready = other73.ready;
-  __isset = other73.__isset;
+LeaderBeat& LeaderBeat::operator=(LeaderBeat&& other79) noexcept {
+  instance = std::move(other79.instance);
+  epoch = other79.epoch;
+  sequence = other79.sequence;
+  phases = std::move(other79.phases);
+  pending = std::move(other79.pending);
+  ready = other79.ready;
+  pass_on = std::move(other79.pass_on);
+  __isset = other79.__isset;
   return *this;
 }
 void LeaderBeat::printTo(std::ostream& out) const {
@@ -1656,6 +1697,7 @@
   out << ", " << "phases=" << to_string(phases);
   out << ", " << "pending=" << to_string(pending);
   out << ", " << "ready=" << to_string(ready);
+  out << ", " << "pass_on=" << to_string(pass_on);
   out << ")";
 }
 
@@ -1786,34 +1828,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreCall::StoreCall(const StoreCall& other74) {
-  method = other74.method;
-  target = other74.target;
-  body = other74.body;
-  timeout_ms = other74.timeout_ms;
-  __isset = other74.__isset;
-}
-StoreCall::StoreCall(StoreCall&& other75) noexcept {
-  method = std::move(other75.method);
-  target = std::move(other75.target);
-  body = std::move(other75.body);
-  timeout_ms = other75.timeout_ms;
-  __isset = other75.__isset;
-}
-StoreCall& StoreCall::operator=(const StoreCall& other76) {
-  method = other76.method;
-  target = other76.target;
-  body = other76.body;
-  timeout_ms = other76.timeout_ms;
-  __isset = other76.__isset;
+StoreCall::StoreCall(const StoreCall& other80) {
+  method = other80.method;
+  target = other80.target;
+  body = other80.body;
+  timeout_ms = other80.timeout_ms;
+  __isset = other80.__isset;
+}
+StoreCall::StoreCall(StoreCall&& other81) noexcept {
+  method = std::move(other81.method);
+  target = std::move(other81.target);
+  body = std::move(other81.body);
+  timeout_ms = other81.timeout_ms;
+  __isset = other81.__isset;
+}
+StoreCall& StoreCall::operator=(const StoreCall& other82) {
+  method = other82.method;
+  target = other82.target;
+  body = other82.body;
+  timeout_ms = other82.timeout_ms;
+  __isset = other82.__isset;
   return *this;
 }
-StoreCall& StoreCall::operator=(StoreCall&& other77) noexcept {
-  method = std::move(other77.method);
-  target = std::move(other77.target);
-  body = std::move(other77.body);
-  timeout_ms = other77.timeout_ms;
-  __isset = other77.__isset;
+StoreCall& StoreCall::operator=(StoreCall&& other83) noexcept {
+  method = std::move(other83.method);
+  target = std::move(other83.target);
+  body = std::move(other83.body);
+  timeout_ms = other83.timeout_ms;
+  __isset = other83.__isset;
   return *this;
 }
 void StoreCall::printTo(std::ostream& out) const {
@@ -1936,30 +1978,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreAnswer::StoreAnswer(const StoreAnswer& other78) {
-  status = other78.status;
-  body = other78.body;
-  sent = other78.sent;
-  __isset = other78.__isset;
+StoreAnswer::StoreAnswer(const StoreAnswer& other84) {
+  status = other84.status;
+  body = other84.body;
+  sent = other84.sent;
+  __isset = other84.__isset;
 }
-StoreAnswer::StoreAnswer(StoreAnswer&& other79) noexcept {
-  status = other79.status;
-  body = std::move(other79.body);
-  sent = other79.sent;
-  __isset = other79.__isset;
+StoreAnswer::StoreAnswer(StoreAnswer&& other85) noexcept {
+  status = other85.status;
+  body = std::move(other85.body);
+  sent = other85.sent;
+  __isset = other85.__isset;
 }
-StoreAnswer& StoreAnswer::operator=(const StoreAnswer& other80) {
-  status = other80.status;
-  body = other80.body;
-  sent = other80.sent;
-  __isset = other80.__isset;
+StoreAnswer& StoreAnswer::operator=(const StoreAnswer& other86) {
+  status = other86.status;
+  body = other86.body;
+  sent = other86.sent;
+  __isset = other86.__isset;
   return *this;
 }
-StoreAnswer& StoreAnswer::operator=(StoreAnswer&& other81) noexcept {
-  status = other81.status;
-  body = std::move(other81.body);
-  sent = other81.sent;
-  __isset = other81.__isset;
+StoreAnswer& StoreAnswer::operator=(StoreAnswer&& other87) noexcept {
+  status = other87.status;
+  body = std::move(other87.body);
+  sent = other87.sent;
+  __isset = other87.__isset;
   return *this;
 }
 void StoreAnswer::printTo(std::ostream& out) const {
@@ -2026,18 +2068,18 @@
   (void) b;
 }
 
-Acknowledged::Acknowledged(const Acknowledged& other82) noexcept {
-  (void) other82;
+Acknowledged::Acknowledged(const Acknowledged& other88) noexcept {
+  (void) other88;
 }
-Acknowledged::Acknowledged(Acknowledged&& other83) noexcept {
-  (void) other83;
+Acknowledged::Acknowledged(Acknowledged&& other89) noexcept {
+  (void) other89;
 }
-Acknowledged& Acknowledged::operator=(const Acknowledged& other84) noexcept {
-  (void) other84;
+Acknowledged& Acknowledged::operator=(const Acknowledged& other90) noexcept {
+  (void) other90;
   return *this;
 }
-Acknowledged& Acknowledged::operator=(Acknowledged&& other85) noexcept {
-  (void) other85;
+Acknowledged& Acknowledged::operator=(Acknowledged&& other91) noexcept {
+  (void) other91;
   return *this;
 }
 void Acknowledged::printTo(std::ostream& out) const {
@@ -2122,22 +2164,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Unsupported::Unsupported(const Unsupported& other86) noexcept {
-  protocol = other86.protocol;
-  __isset = other86.__isset;
+Unsupported::Unsupported(const Unsupported& other92) noexcept {
+  protocol = other92.protocol;
+  __isset = other92.__isset;
 }
-Unsupported::Unsupported(Unsupported&& other87) noexcept {
-  protocol = other87.protocol;
-  __isset = other87.__isset;
+Unsupported::Unsupported(Unsupported&& other93) noexcept {
+  protocol = other93.protocol;
+  __isset = other93.__isset;
 }
-Unsupported& Unsupported::operator=(const Unsupported& other88) noexcept {
-  protocol = other88.protocol;
-  __isset = other88.__isset;
+Unsupported& Unsupported::operator=(const Unsupported& other94) noexcept {
+  protocol = other94.protocol;
+  __isset = other94.__isset;
   return *this;
 }
-Unsupported& Unsupported::operator=(Unsupported&& other89) noexcept {
-  protocol = other89.protocol;
-  __isset = other89.__isset;
+Unsupported& Unsupported::operator=(Unsupported&& other95) noexcept {
+  protocol = other95.protocol;
+  __isset = other95.__isset;
   return *this;
 }
 void Unsupported::printTo(std::ostream& out) const {
@@ -2415,62 +2457,62 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other90) {
-  heartbeat = other90.heartbeat;
-  configuration_pull = other90.configuration_pull;
-  configuration_documents = other90.configuration_documents;
-  job_notice = other90.job_notice;
-  state_query = other90.state_query;
-  state_answer = other90.state_answer;
-  acknowledged = other90.acknowledged;
-  unsupported = other90.unsupported;
-  leader_beat = other90.leader_beat;
-  store_call = other90.store_call;
-  store_answer = other90.store_answer;
-  __isset = other90.__isset;
-}
-Body::Body(Body&& other91) noexcept {
-  heartbeat = std::move(other91.heartbeat);
-  configuration_pull = std::move(other91.configuration_pull);
-  configuration_documents = std::move(other91.configuration_documents);
-  job_notice = std::move(other91.job_notice);
-  state_query = std::move(other91.state_query);
-  state_answer = std::move(other91.state_answer);
-  acknowledged = std::move(other91.acknowledged);
-  unsupported = std::move(other91.unsupported);
-  leader_beat = std::move(other91.leader_beat);
-  store_call = std::move(other91.store_call);
-  store_answer = std::move(other91.store_answer);
-  __isset = other91.__isset;
-}
-Body& Body::operator=(const Body& other92) {
-  heartbeat = other92.heartbeat;
-  configuration_pull = other92.configuration_pull;
-  configuration_documents = other92.configuration_documents;
-  job_notice = other92.job_notice;
-  state_query = other92.state_query;
-  state_answer = other92.state_answer;
-  acknowledged = other92.acknowledged;
-  unsupported = other92.unsupported;
-  leader_beat = other92.leader_beat;
-  store_call = other92.store_call;
-  store_answer = other92.store_answer;
-  __isset = other92.__isset;
+Body::Body(const Body& other96) {
+  heartbeat = other96.heartbeat;
+  configuration_pull = other96.configuration_pull;
+  configuration_documents = other96.configuration_documents;
+  job_notice = other96.job_notice;
+  state_query = other96.state_query;
+  state_answer = other96.state_answer;
+  acknowledged = other96.acknowledged;
+  unsupported = other96.unsupported;
+  leader_beat = other96.leader_beat;
+  store_call = other96.store_call;
+  store_answer = other96.store_answer;
+  __isset = other96.__isset;
+}
+Body::Body(Body&& other97) noexcept {
+  heartbeat = std::move(other97.heartbeat);
+  configuration_pull = std::move(other97.configuration_pull);
+  configuration_documents = std::move(other97.configuration_documents);
+  job_notice = std::move(other97.job_notice);
+  state_query = std::move(other97.state_query);
+  state_answer = std::move(other97.state_answer);
+  acknowledged = std::move(other97.acknowledged);
+  unsupported = std::move(other97.unsupported);
+  leader_beat = std::move(other97.leader_beat);
+  store_call = std::move(other97.store_call);
+  store_answer = std::move(other97.store_answer);
+  __isset = other97.__isset;
+}
+Body& Body::operator=(const Body& other98) {
+  heartbeat = other98.heartbeat;
+  configuration_pull = other98.configuration_pull;
+  configuration_documents = other98.configuration_documents;
+  job_notice = other98.job_notice;
+  state_query = other98.state_query;
+  state_answer = other98.state_answer;
+  acknowledged = other98.acknowledged;
+  unsupported = other98.unsupported;
+  leader_beat = other98.leader_beat;
+  store_call = other98.store_call;
+  store_answer = other98.store_answer;
+  __isset = other98.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other93) noexcept {
-  heartbeat = std::move(other93.heartbeat);
-  configuration_pull = std::move(other93.configuration_pull);
-  configuration_documents = std::move(other93.configuration_documents);
-  job_notice = std::move(other93.job_notice);
-  state_query = std::move(other93.state_query);
-  state_answer = std::move(other93.state_answer);
-  acknowledged = std::move(other93.acknowledged);
-  unsupported = std::move(other93.unsupported);
-  leader_beat = std::move(other93.leader_beat);
-  store_call = std::move(other93.store_call);
-  store_answer = std::move(other93.store_answer);
-  __isset = other93.__isset;
+Body& Body::operator=(Body&& other99) noexcept {
+  heartbeat = std::move(other99.heartbeat);
+  configuration_pull = std::move(other99.configuration_pull);
+  configuration_documents = std::move(other99.configuration_documents);
+  job_notice = std::move(other99.job_notice);
+  state_query = std::move(other99.state_query);
+  state_answer = std::move(other99.state_answer);
+  acknowledged = std::move(other99.acknowledged);
+  unsupported = std::move(other99.unsupported);
+  leader_beat = std::move(other99.leader_beat);
+  store_call = std::move(other99.store_call);
+  store_answer = std::move(other99.store_answer);
+  __isset = other99.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -2617,34 +2659,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other94) {
-  protocol = other94.protocol;
-  id = other94.id;
-  answer = other94.answer;
-  body = other94.body;
-  __isset = other94.__isset;
-}
-Envelope::Envelope(Envelope&& other95) noexcept {
-  protocol = other95.protocol;
-  id = other95.id;
-  answer = other95.answer;
-  body = std::move(other95.body);
-  __isset = other95.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other96) {
-  protocol = other96.protocol;
-  id = other96.id;
-  answer = other96.answer;
-  body = other96.body;
-  __isset = other96.__isset;
+Envelope::Envelope(const Envelope& other100) {
+  protocol = other100.protocol;
+  id = other100.id;
+  answer = other100.answer;
+  body = other100.body;
+  __isset = other100.__isset;
+}
+Envelope::Envelope(Envelope&& other101) noexcept {
+  protocol = other101.protocol;
+  id = other101.id;
+  answer = other101.answer;
+  body = std::move(other101.body);
+  __isset = other101.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other102) {
+  protocol = other102.protocol;
+  id = other102.id;
+  answer = other102.answer;
+  body = other102.body;
+  __isset = other102.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other97) noexcept {
-  protocol = other97.protocol;
-  id = other97.id;
-  answer = other97.answer;
-  body = std::move(other97.body);
-  __isset = other97.__isset;
+Envelope& Envelope::operator=(Envelope&& other103) noexcept {
+  protocol = other103.protocol;
+  id = other103.id;
+  answer = other103.answer;
+  body = std::move(other103.body);
+  __isset = other103.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/hickoryquay/inner/gen/inner_types.h
+++ b/hickoryquay/inner/gen/inner_types.h
@@ -589,13 +589,14 @@
 std::ostream& operator<<(std::ostream& out, const PhaseChange& obj);
 
 typedef struct _LeaderBeat__isset {
-  _LeaderBeat__isset() : instance(false), epoch(false), sequence(false), phases(false), pending(false), ready(false) {}
+  _LeaderBeat__isset() : instance(false), epoch(false), sequence(false), phases(false), pending(false), ready(false), pass_on(false) {}
   bool instance :1;
   bool epoch :1;
   bool sequence :1;
   bool phases :1;
   bool pending :1;
   bool ready :1;
+  bool pass_on :1;
 } _LeaderBeat__isset;
 
 class LeaderBeat : public virtual ::apache::thrift::TBase {
@@ -619,6 +620,7 @@
   std::vector<PhaseChange>  phases;
   std::map<std::string, int32_t>  pending;
   bool ready;
+  std::vector<std::string>  pass_on;
 
   _LeaderBeat__isset __isset;
 
@@ -634,6 +636,8 @@
 
   void __set_ready(const bool val);
 
+  void __set_pass_on(const std::vector<std::string> & val);
+
   bool operator == (const LeaderBeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -648,6 +652,8 @@
       return false;
     if (!(ready == rhs.ready))
       return false;
+    if (!(pass_on == rhs.pass_on))
+      return false;
     return true;
   }
   bool operator != (const LeaderBeat &rhs) const {
--- a/hickoryquay/inner/inner.thrift
+++ b/hickoryquay/inner/inner.thrift
@@ -65,7 +65,7 @@
   2: i32 phase,
 }
 
-// From the leader to every instance, some times a second and whenever a phase changed; answered with Acknowledged.
+// From the leader to every instance, some times a second and soon after a job ended; answered with Acknowledged.
 struct LeaderBeat {
   1: string instance,
   2: i64 epoch,
@@ -73,6 +73,7 @@
   4: list<PhaseChange> phases,
   5: map<string, i32> pending,  // Accepted jobs of which nothing has started, by queue.
   6: bool ready,                // The leader has read all rows, so `pending` counts them.
+  7: list<string> pass_on,      // Inner addresses of instances to which the receiver sends the same, without this list.
 }
 
 // A call to the platform's store for an instance that can't reach it; answered with StoreAnswer.
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -109,6 +109,21 @@
       });
   m_peers->Start(m_parts.m_timers);
   m_peers->Beat();
+  BeatParts beats;
+  beats.m_self = m_self;
+  beats.m_timers = m_parts.m_timers;
+  beats.m_clock = m_parts.m_clock;
+  beats.m_metrics = m_parts.m_metrics;
+  beats.m_phases = &m_intake->Phases();
+  beats.m_send = send;
+  beats.m_peers = [this] { return m_peers->Peers(); };
+  beats.m_status = [this]() -> std::optional<LeaderStatus> {
+    if (!m_leadership->Leading() || !m_driver) return std::nullopt;
+    return LeaderStatus{m_leadership->CurrentEpoch(), m_driver->Ready(), m_driver->Pending()};
+  };
+  beats.m_on_leader = [this](Epoch epoch) { m_leadership->OnHeartbeat(epoch); };
+  beats.m_random_seed = std::random_device{}();
+  m_beats = std::make_shared<LeaderBeats>(std::move(beats), BeatSettings{});
 
   store::FollowerSettings configuration;
   configuration.m_table = m_settings.m_platform.m_configuration;
@@ -146,9 +161,7 @@
   m_intake->SetOnStoreAvailable([weak] {
     if (const auto self = weak.lock()) self->m_leadership->OnStoreAvailable();
   });
-  m_heartbeat_timer = m_parts.m_timers->Every(m_settings.m_heartbeat_interval, [weak] {
-    if (const auto self = weak.lock()) self->SendHeartbeat();
-  });
+  m_beats->Start();
   m_expiry_timer = m_parts.m_timers->Every(kExpiryInterval, [weak] {
     if (const auto self = weak.lock()) self->m_intake->Phases().RemoveExpired(self->m_parts.m_clock->Now());
   });
@@ -179,7 +192,7 @@
   m_driver.reset();
   m_configuration_rows->Stop();
   m_member_rows->Stop();
-  m_heartbeat_timer.Cancel();
+  m_beats->Stop();
   m_expiry_timer.Cancel();
   m_member_retry.Cancel();
 }
@@ -254,7 +267,7 @@
       std::make_shared<SchedulerDriver>(parts, m_leadership, MakeDriverSettings(m_settings),
                                         SchedulerDriver::Events{[weak](const std::vector<jobs::PhaseChange>& phases) {
                                                                   if (const auto self = weak.lock())
-                                                                    self->OnPhases(phases);
+                                                                    self->m_beats->AddPhases(phases);
                                                                 },
                                                                 [weak](const std::string& why) {
                                                                   if (const auto self = weak.lock())
@@ -262,9 +275,7 @@
                                                                 }});
   if (m_intake->Configuration()) m_driver->SetConfiguration(m_intake->Configuration());
   m_driver->Start();
-  m_heartbeat_sequence = 0;
-  m_unsent_phases.clear();
-  SendHeartbeat();
+  m_beats->Begin();
 }
 
 void JobService::OnDeposed(const std::string&) {
@@ -276,67 +287,13 @@
   m_intake->Phases().DropUnfinished();
 }
 
-void JobService::OnPhases(const std::vector<jobs::PhaseChange>& phases) {
-  const Instant now = m_parts.m_clock->Now();
-  for (const jobs::PhaseChange& change : phases) m_intake->Phases().Set(change.m_job, change.m_phase, now);
-  m_unsent_phases.insert(m_unsent_phases.end(), phases.begin(), phases.end());
-  const bool ended = std::any_of(phases.begin(), phases.end(),
-                                 [](const jobs::PhaseChange& change) { return jobs::Ended(change.m_phase); });
-  if (ended) SendHeartbeat();  // Callers may be waiting for the end of a job.
-}
-
-void JobService::SendHeartbeat() {
-  if (!m_leadership->Leading() || !m_driver) return;
-  wire::LeaderBeat heartbeat;
-  heartbeat.__set_instance(m_self.m_value);
-  heartbeat.__set_epoch(static_cast<std::int64_t>(Raw(m_leadership->CurrentEpoch())));
-  heartbeat.__set_sequence(++m_heartbeat_sequence);
-  heartbeat.__set_ready(m_driver->Ready());
-  std::vector<wire::PhaseChange> phases;
-  for (const jobs::PhaseChange& change : std::exchange(m_unsent_phases, {})) {
-    wire::PhaseChange& phase = phases.emplace_back();
-    phase.__set_job(static_cast<std::int64_t>(Raw(change.m_job)));
-    phase.__set_phase(static_cast<std::int32_t>(change.m_phase));
-  }
-  heartbeat.__set_phases(phases);
-  std::map<std::string, std::int32_t> pending;
-  for (const auto& [queue, count] : m_driver->Pending()) pending[queue.m_value] = count;
-  heartbeat.__set_pending(pending);
-  if (heartbeat.ready) m_intake->Phases().SetPending(m_driver->Pending(), m_parts.m_clock->Now());
-  m_intake->Phases().NoteHeartbeat(m_parts.m_clock->Now());
-  for (const peers::Peer& peer : m_peers->Peers()) {
-    m_inner_client->Call(peer.m_inner, heartbeat, m_settings.m_heartbeat_timeout,
-                         [](const Result<inner::Message, inner::InnerError>&) {
-                           // A receiver detects a lost heartbeat by the gap in the sequence and reads the store.
-                         });
-  }
-}
-
 void JobService::OnMessage(const inner::Message& message, const inner::Answer& answer) {
   if (const auto* heartbeat = std::get_if<wire::LeaderBeat>(&message)) {
-    OnHeartbeat(*heartbeat);
+    m_beats->Receive(*heartbeat);
     return answer(wire::Acknowledged{});
   }
   if (const auto* call = std::get_if<wire::StoreCall>(&message)) return m_parts.m_relay->Handle(*call, answer);
   if (!m_peers->Handle(message, answer)) answer(wire::Unsupported{});
 }
 
-void JobService::OnHeartbeat(const wire::LeaderBeat& heartbeat) {
-  if (heartbeat.epoch < m_last_epoch) return;
-  PhaseCache& cache = m_intake->Phases();
-  const Instant now = m_parts.m_clock->Now();
-  m_leadership->OnHeartbeat(Epoch{static_cast<std::uint64_t>(heartbeat.epoch)});
-  if (heartbeat.epoch != m_last_epoch || heartbeat.sequence != m_last_sequence + 1) cache.DropUnfinished();
-  m_last_epoch = heartbeat.epoch;
-  m_last_sequence = heartbeat.sequence;
-  for (const wire::PhaseChange& change : heartbeat.phases) {
-    if (change.phase < 0 || change.phase > static_cast<std::int32_t>(jobs::JobPhase::kCancelled)) continue;
-    cache.Set(JobId{static_cast<std::uint64_t>(change.job)}, static_cast<jobs::JobPhase>(change.phase), now);
-  }
-  std::map<jobs::QueueName, int> pending;
-  for (const auto& [queue, count] : heartbeat.pending) pending[jobs::QueueName{queue}] = count;
-  if (heartbeat.ready) cache.SetPending(std::move(pending), now);
-  cache.NoteHeartbeat(now);
-}
-
 }  // namespace hickoryquay::service
--- a/hickoryquay/service/job_service.h
+++ b/hickoryquay/service/job_service.h
@@ -18,6 +18,7 @@
 #include "hickoryquay/jobs/worker_api.h"
 #include "hickoryquay/peers/peer_service.h"
 #include "hickoryquay/service/intake.h"
+#include "hickoryquay/service/leader_beats.h"
 #include "hickoryquay/service/leadership.h"
 #include "hickoryquay/service/queue_documents.h"
 #include "hickoryquay/service/scheduler_driver.h"
@@ -42,8 +43,6 @@
   settings::NodeSettings m_node;
   PlatformTables m_platform;
   std::string m_members_table = "hq-members";  // Lists the running instances, for discovery.
-  Millis m_heartbeat_interval{200};            // Of the leader's heartbeats to every instance.
-  Millis m_heartbeat_timeout{600};             // Of one heartbeat call.
   Millis m_release_timeout{1'500};             // Limit for releasing leadership on a planned stop.
 };
 
@@ -86,10 +85,7 @@
   void OnMemberRows(const std::vector<store::StoredRow>& rows, bool whole);
   void OnElected(Epoch epoch);
   void OnDeposed(const std::string& why);
-  void OnPhases(const std::vector<jobs::PhaseChange>& phases);
   void OnMessage(const inner::Message& message, const inner::Answer& answer);
-  void OnHeartbeat(const inner::wire::LeaderBeat& heartbeat);
-  void SendHeartbeat();
   void WriteMember();
 
   JobServiceParts m_parts;
@@ -105,13 +101,9 @@
   std::shared_ptr<store::TableFollower> m_configuration_rows;
   std::shared_ptr<store::TableFollower> m_member_rows;
   std::map<std::string, peers::PeerInfo> m_members;
-  std::vector<jobs::PhaseChange> m_unsent_phases;
-  std::int64_t m_heartbeat_sequence = 0;
-  std::int64_t m_last_epoch = 0;     // Of the last heartbeat processed.
-  std::int64_t m_last_sequence = 0;  // Of the same heartbeat.
+  std::shared_ptr<LeaderBeats> m_beats;
   bool m_store_reachable = false;
   bool m_leaving = false;
-  Subscription m_heartbeat_timer;
   Subscription m_member_retry;
   Subscription m_expiry_timer;
 };
