Service: ended jobs leave the tables that a takeover reads

Change: JobArchive replaces the rows of a job that has ended, and of which nothing runs, by one row in hq-ended, in one transaction; its state rows are deleted after that. Callers' questions look in the state table, among accepted jobs and in the archive, in the order in which a job moves. A repeated request for an archived job is not stored again. Archived rows are deleted 10 s after their time, those of earlier leaders too. Rows whose job is archived are deleted at a takeover. Deletions no longer crowd rows of steps out of a transaction. The simulated cluster has links, call times that adapt and notices the end of an outage as JobService does.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr log::Part kLog{"scheduler"};
-constexpr Millis kExpiryCheckInterval{1'000};  // Ended jobs are kept for minutes, so this is frequent enough.
 
 }  // namespace
 
@@ -187,28 +186,41 @@
   }
 }
 
-void Scheduler::RemoveExpiredJobs(Now now) {
-  if (now.m_steady < m_next_expiry_check) return;
-  m_next_expiry_check = now.m_steady + kExpiryCheckInterval;
-  std::vector<JobId> old;
+std::vector<SettledJob> Scheduler::TakeSettledJobs() {
+  std::set<JobId> unsettled;
+  for (const Unit* unit : m_active) unsettled.insert(unit->m_step->m_key.m_job);
+  for (const StepKey& step : m_changed_steps) unsettled.insert(step.m_job);
+  for (const auto& [job, phase] : m_changed_phases) unsettled.insert(job);
+  std::vector<SettledJob> settled;
   for (const auto& [id, job] : m_jobs) {
-    if (!Ended(job->m_phase) || now.m_wall - job->m_ended < m_settings.m_keep_ended) continue;
-    const JobState* state = job.get();
-    const bool active = std::any_of(m_active.begin(), m_active.end(),
-                                    [state](const Unit* unit) { return unit->m_step->m_job == state; });
-    if (!active && !m_changed_phases.contains(id)) old.push_back(id);
+    if (!Ended(job->m_phase) || job->m_settled || !job->m_phase_stored || unsettled.contains(id)) continue;
+    job->m_settled = true;
+    settled.push_back({id, PhaseRow{job->m_phase, job->m_ended}});
   }
-  for (const JobId id : old) {
+  return settled;
+}
+
+void Scheduler::OnArchived(const std::vector<JobId>& jobs, Now now) {
+  for (const JobId id : jobs) {
     JobState* job = Find(id);
-    for (const auto& steps : job->m_steps) {
+    if (job == nullptr) continue;
+    for (auto& steps : job->m_steps) {
       for (const auto& step : steps) {
-        m_changed_steps.erase(step->m_key);
         if (step->m_stored) m_removed_rows.push_back(ToText(step->m_key));
       }
+      steps.clear();
     }
     m_removed_rows.push_back(HexText(id));
-    m_deleted_jobs.push_back(id);
-    m_jobs.erase(id);
+    job->m_payload.reset();
+    m_archived.emplace_back(now.m_steady, id);
+  }
+}
+
+// An archived job is remembered for a while, since the feed of the accepted jobs may still repeat it.
+void Scheduler::ForgetArchivedJobs(Now now) {
+  while (!m_archived.empty() && now.m_steady - m_archived.front().first >= m_settings.m_forget_after) {
+    m_jobs.erase(m_archived.front().second);
+    m_archived.pop_front();
   }
 }
 
@@ -282,11 +294,6 @@
 
 Batch Scheduler::TakeBatch(std::size_t max_rows, std::size_t max_bytes) {
   Batch batch;
-  while (!m_removed_rows.empty() && batch.m_rows.size() < max_rows) {
-    batch.m_rows.push_back({std::move(m_removed_rows.back()), std::nullopt});
-    m_removed_rows.pop_back();
-  }
-  if (m_removed_rows.empty()) batch.m_deleted_jobs.swap(m_deleted_jobs);
   // Steps are written before phases, so that a job is not reported as ended before its ends are stored.
   std::set<StepKey> taken;
   std::size_t bytes = 0;
@@ -322,6 +329,11 @@
       batch.m_recorded_ends.push_back({id, slot->m_processed_ends});
     }
   }
+  // Deletions fill what is left, since nothing waits for them.
+  while (!m_removed_rows.empty() && batch.m_rows.size() < max_rows) {
+    batch.m_rows.push_back({std::move(m_removed_rows.back()), std::nullopt});
+    m_removed_rows.pop_back();
+  }
   std::erase_if(m_unsent_starts, [&](StartCommand& command) {
     if (!taken.contains(command.m_task.m_step)) return false;
     batch.m_starts.push_back(std::move(command));
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -16,6 +16,7 @@
 //   [SECTION] Scheduler
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -54,7 +55,7 @@
   Millis m_stop_timeout{1'000};      // Time within which a worker ends a stopped task.
   double m_remote_factor = 3.0;      // Slowdown of a gang that spans racks, or of a task away from its data.
   Millis m_restore{250};             // Cost of a start from a checkpoint.
-  Millis m_keep_ended{120'000};      // Time that the rows of an ended job are kept.
+  Millis m_forget_after{30'000};     // An archived job is forgotten then: longer than the store keeps its history.
   Millis m_stop_retry_delay{300};    // Time after which a stop without an answer is sent again.
   Millis m_avoid_refusing_for{500};  // Time that a worker gets no start after it refused one.
   int m_max_start_resends = 3;       // Resends of a start without an answer, before the run is stopped.
@@ -126,9 +127,14 @@
   std::vector<StartCommand> m_starts;
   std::vector<RecordedEnds> m_recorded_ends;
   std::vector<PhaseChange> m_phases;
-  std::vector<JobId> m_deleted_jobs;  // Jobs whose intake rows may be deleted as well.
 
-  bool Empty() const { return m_rows.empty() && m_recorded_ends.empty() && m_deleted_jobs.empty(); }
+  bool Empty() const { return m_rows.empty() && m_recorded_ends.empty(); }
+};
+
+// A job that has ended and of which nothing runs.
+struct SettledJob {
+  JobId m_id{};
+  PhaseRow m_end;
 };
 
 //-------------------------------------------------------------------------------------------------
@@ -180,6 +186,13 @@
   // Empty if nothing changed. A single row is returned even if it exceeds max_bytes.
   Batch TakeBatch(std::size_t max_rows, std::size_t max_bytes);
   std::vector<StopCommand> TakeStops(Now now);  // May be sent immediately.
+
+  // Returns each job once. Call only when every batch taken so far is stored.
+  std::vector<SettledJob> TakeSettledJobs();
+  // These jobs are known elsewhere now: the next batches delete their rows.
+  void OnArchived(const std::vector<JobId>& jobs, Now now);
+  void DeleteRow(std::string key) { m_removed_rows.push_back(std::move(key)); }
+
   // False if the run was stopped after its start was handed out.
   bool IsStillPlanned(const StartCommand& command) const;
   bool IsBusy(const WorkerId& worker) const;  // A run is or may be there.
@@ -201,7 +214,7 @@
   void SetPhase(JobState* job, JobPhase phase, Now now);
   void FinishIfComplete(JobState* job, Now now);
   void EndJob(JobState* job, JobPhase phase, Now now);
-  void RemoveExpiredJobs(Now now);
+  void ForgetArchivedJobs(Now now);
   StepRow MakeStepRow(const StepState& step) const;
 
   // scheduler_runs.cc
@@ -261,14 +274,13 @@
   std::vector<StartCommand> m_unsent_starts;   // Wait until their rows are stored.
   std::vector<StartCommand> m_resends;         // Their rows are stored already.
   std::vector<std::string> m_removed_rows;     // Keys of rows to delete.
-  std::vector<JobId> m_deleted_jobs;           // Jobs whose rows are deleted.
   UnitSet m_active;                            // Units with a member that has resources allocated.
   std::set<std::pair<WorkerId, std::pair<TaskKey, RunNumber>>> m_unrecorded_runs;  // In no row.
   // Caches, filled on demand and valid until the end of the current Decide.
   std::map<std::pair<PoolName, std::string>, WorkerTable::RackMap> m_racks;  // By pool and label.
   std::map<AccountId, int> m_urgent_demand;  // Accelerators of all jobs of priority 0 that have not ended.
   bool m_urgent_demand_valid = false;
-  Instant m_next_expiry_check;  // Steady time.
+  std::deque<std::pair<Instant, JobId>> m_archived;  // With the steady time.
   int m_starts = 0;
   int m_preemptions = 0;
 };
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -144,7 +144,7 @@
 }
 
 void Scheduler::Decide(Now now) {
-  RemoveExpiredJobs(now);
+  ForgetArchivedJobs(now);
   EvacuateDraining(now);
   for (const auto& [id, slot] : m_workers.All()) {
     Unit* unit = slot->m_reserved_for;
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -35,6 +35,7 @@
   const auto job = m_jobs.find(command.m_task.m_step.m_job);
   if (job == m_jobs.end()) return false;
   const auto& steps = job->second->m_steps[static_cast<std::size_t>(command.m_task.m_step.m_occurrence)];
+  if (static_cast<std::size_t>(command.m_task.m_step.m_step) >= steps.size()) return false;  // The job is archived.
   const Unit* unit = steps[static_cast<std::size_t>(command.m_task.m_step.m_step)]->FindUnit(command.m_task.m_index);
   if (unit == nullptr || !unit->m_active || unit->m_run != command.m_run) return false;
   const Member& member = unit->m_members[static_cast<std::size_t>(command.m_task.m_index - unit->m_first)];
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -92,6 +92,7 @@
   JobPhase m_phase = JobPhase::kQueued;
   bool m_has_run = false;  // A worker has confirmed at least one run.
   bool m_phase_stored = false;
+  bool m_settled = false;     // Returned by TakeSettledJobs.
   Instant m_ended;            // Wall time.
   Millis m_critical_path{0};  // By the caller's estimates.
   int m_occurrences = 1;
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -29,6 +29,31 @@
   return "";
 }
 
+std::optional<jobs::JobPhase> StoredPhase(std::string_view value) {
+  const auto row = jobs::ReadPhaseRow(value);
+  return Ok(row) ? std::optional(ValueOf(row).m_phase) : std::nullopt;
+}
+
+// Where the phase of a job is found. In this order, since a job moves from the first to the last (see job_archive.h).
+struct Place {
+  store::RowKey (*m_key)(const TableNames& tables, JobId job);
+  std::optional<jobs::JobPhase> (*m_phase)(std::string_view value);
+};
+constexpr Place kPlaces[] = {
+    {[](const TableNames& tables, JobId job) {
+       return store::RowKey{tables.m_state, tables.m_leader_part, jobs::HexText(job)};
+     },
+     &StoredPhase},
+    {[](const TableNames& tables, JobId job) {
+       return store::RowKey{tables.m_intake, tables.m_intake_part, JobRowKey(job)};
+     },
+     [](std::string_view) { return std::optional(jobs::JobPhase::kQueued); }},
+    {[](const TableNames& tables, JobId job) {
+       return store::RowKey{tables.m_ended, tables.m_intake_part, jobs::HexText(job)};
+     },
+     &StoredPhase},
+};
+
 }  // namespace
 
 //-------------------------------------------------------------------------------------------------
@@ -130,11 +155,13 @@
   auto write = std::make_shared<Write>();
   write->m_log_text = "Submission answered";
   write->m_id = id;
+  const TableNames& tables = m_settings.m_tables;
   write->m_transaction.m_checks.push_back({IntakeKey(JobRowKey(id)), Version{}});
+  write->m_transaction.m_checks.push_back({{tables.m_ended, tables.m_intake_part, jobs::HexText(id)}, Version{}});
   write->m_transaction.m_puts.push_back({IntakeKey(JobRowKey(id)), jobs::Write(job)});
   write->m_started = m_clock->Now();
   write->m_until = write->m_started + std::max(Millis{0}, time - m_settings.m_answer_margin);
-  // The row exists already: an earlier attempt, of the caller or of this instance, stored the same job.
+  // The job is known already: an earlier attempt, of the caller or of this instance, stored the same job.
   write->m_on_conflict = [](const store::RowsDiffer&) { return Result<Done, IntakeError>(Done{}); };
   write->m_callback = [this, id, callback = std::move(callback)](Result<Done, IntakeError> result) {
     if (Ok(result) && !m_phases.Find(id, m_clock->Now())) m_phases.Set(id, jobs::JobPhase::kQueued, m_clock->Now());
@@ -281,47 +308,32 @@
 
 void Intake::State(JobId id, Millis time, PhaseCallback callback) {
   if (const auto phase = m_phases.Find(id, m_clock->Now())) return callback(*phase);
-  ReadPhase(id, m_clock->Now() + std::max(Millis{0}, time - m_settings.m_answer_margin), std::move(callback));
+  LookUp(id, 0, m_clock->Now() + std::max(Millis{0}, time - m_settings.m_answer_margin), std::move(callback));
 }
 
-void Intake::ReadPhase(JobId id, Instant until, PhaseCallback callback) {
-  const std::string key = jobs::HexText(id);
-  m_store->Read(
-      {m_settings.m_tables.m_state, m_settings.m_tables.m_leader_part, key, key + '\0'}, 1, m_settings.m_call_timeout,
-      [this, self = shared_from_this(), id, until, callback](const Result<store::RowPage, store::ReadError>& page) {
-        if (!Ok(page)) {
-          return Retry(
-              until, [this, id, until, callback] { ReadPhase(id, until, callback); },
-              [this, callback] { callback(IntakeError{Refusal("the store does not answer")}); });
-        }
-        NoteStoreAnswer();
-        if (ValueOf(page).m_rows.empty()) return ReadAccepted(id, until, callback);
-        const auto row = jobs::ReadPhaseRow(ValueOf(page).m_rows.front().m_value);
-        if (!Ok(row)) {
-          log::Error(kLog, "Phase row of a job can't be read", {{"job", jobs::HexText(id)}});
-          return callback(IntakeError{Refusal("the job's row can't be read")});
-        }
-        m_phases.Set(id, ValueOf(row).m_phase, m_clock->Now());
-        callback(ValueOf(row).m_phase);
-      });
-}
-
-void Intake::ReadAccepted(JobId id, Instant until, PhaseCallback callback) {
-  const std::string key = JobRowKey(id);
-  const store::RowKey row = IntakeKey(key);
-  m_store->Read(
-      {row.m_table, row.m_part, key, key + '\0'}, 1, m_settings.m_call_timeout,
-      [this, self = shared_from_this(), id, until, callback](const Result<store::RowPage, store::ReadError>& page) {
-        if (!Ok(page)) {
-          return Retry(
-              until, [this, id, until, callback] { ReadAccepted(id, until, callback); },
-              [this, callback] { callback(IntakeError{Refusal("the store does not answer")}); });
-        }
-        NoteStoreAnswer();
-        if (ValueOf(page).m_rows.empty()) return callback(IntakeError{NoSuchJob{}});
-        m_phases.Set(id, jobs::JobPhase::kQueued, m_clock->Now());
-        callback(jobs::JobPhase::kQueued);
-      });
+// Reads one place after the other until one knows the job.
+void Intake::LookUp(JobId id, std::size_t place, Instant until, PhaseCallback callback) {
+  if (place == std::size(kPlaces)) return callback(IntakeError{NoSuchJob{}});
+  const store::RowKey key = kPlaces[place].m_key(m_settings.m_tables, id);
+  m_store->Read({key.m_table, key.m_part, key.m_key, key.m_key + '\0'}, 1, m_settings.m_call_timeout,
+                [this, self = shared_from_this(), id, place, until,
+                 callback](const Result<store::RowPage, store::ReadError>& page) {
+                  if (!Ok(page)) {
+                    return Retry(
+                        until, [this, id, place, until, callback] { LookUp(id, place, until, callback); },
+                        [this, callback] { callback(IntakeError{Refusal("the store does not answer")}); });
+                  }
+                  NoteStoreAnswer();
+                  if (ValueOf(page).m_rows.empty()) return LookUp(id, place + 1, until, callback);
+                  const store::StoredRow& row = ValueOf(page).m_rows.front();
+                  const auto phase = kPlaces[place].m_phase(row.m_value);
+                  if (!phase) {
+                    log::Error(kLog, "Phase row of a job can't be read", {{"key", row.m_key.m_key}});
+                    return callback(IntakeError{Refusal("the job's row can't be read")});
+                  }
+                  m_phases.Set(id, *phase, m_clock->Now());
+                  callback(*phase);
+                });
 }
 
 Result<int, IntakeError> Intake::Pending(const jobs::QueueName& queue) const {
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -17,7 +17,7 @@
 #include "hickoryquay/base/metrics.h"
 #include "hickoryquay/base/timer_service.h"
 #include "hickoryquay/jobs/job.h"
-#include "hickoryquay/service/scheduler_driver.h"
+#include "hickoryquay/service/table_names.h"
 #include "hickoryquay/store/row_store.h"
 
 namespace hickoryquay::service {
@@ -137,8 +137,7 @@
   bool AnsweredSince(Instant sent) const { return m_last_answer > sent; }
   void Finish(const std::shared_ptr<Write>& write, Result<Done, IntakeError> result);
   void CancelUntil(JobId id, Instant until, SubmitCallback callback);
-  void ReadPhase(JobId id, Instant until, PhaseCallback callback);
-  void ReadAccepted(JobId id, Instant until, PhaseCallback callback);
+  void LookUp(JobId id, std::size_t place, Instant until, PhaseCallback callback);
   void Retry(Instant until, std::function<void()> again, std::function<void()> give_up);
   store::RowKey IntakeKey(std::string key) const;
   TryLater Refusal(const char* why) const { return {m_settings.m_retry_after, why}; }
--- /dev/null
+++ b/hickoryquay/service/job_archive.h
@@ -0,0 +1,74 @@
+// JobArchive: the rows of ended jobs, apart from those that a leader reads when it takes over.
+//
+// Once a job has ended, its phase is stored and nothing of it runs, one transaction replaces the rows of the job and of
+// its cancel by one row in the table of ended jobs. A takeover thus reads only jobs that have not ended, however many
+// are kept. The row is deleted when the job's phase no longer has to be known.
+//
+// Order of writes: phase in the state table, then the archive, then the deletion of the job's rows in the state table.
+// Whoever looks for a job in the state table, among the accepted jobs and in the archive, in this order, finds it.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "hickoryquay/base/metrics.h"
+#include "hickoryquay/base/timer_service.h"
+#include "hickoryquay/jobs/scheduler.h"
+#include "hickoryquay/service/table_names.h"
+#include "hickoryquay/store/row_store.h"
+
+namespace hickoryquay::service {
+
+struct ArchiveSettings {
+  TableNames m_tables;
+  Millis m_keep{120'000};        // Of a row, from the end of its job.
+  Millis m_keep_margin{10'000};  // Added to that, since instances' clocks differ.
+  Millis m_call_timeout{2'000};
+  Millis m_retry_delay{500};        // After a call that failed.
+  Millis m_expiry_interval{1'000};  // Between deletions of expired rows.
+  int m_scan_rows = 100;            // Rows of earlier leaders read every m_expiry_interval.
+};
+
+// Not thread-safe. Of one term of leadership. `store`, `timers`, `clock` and `metrics` must outlive it.
+class JobArchive : public std::enable_shared_from_this<JobArchive> {
+ public:
+  using OnArchived = std::function<void(const std::vector<JobId>& jobs)>;  // Their rows are stored in the archive now.
+
+  JobArchive(store::RowStore* store, TimerService* timers, const Clock* clock, Metrics* metrics,
+             const ArchiveSettings& settings, OnArchived on_archived);
+
+  void Start();
+  void Stop();
+  void Add(const std::vector<jobs::SettledJob>& jobs);
+
+ private:
+  void SendNext();
+  void OnAnswer(const std::vector<jobs::SettledJob>& moved, const Result<Version, store::TransactError>& result);
+  void DeleteExpired();
+  void ScanNext();
+  void OnPage(const Result<store::RowPage, store::ReadError>& page);
+  store::RowKey Key(JobId job) const;
+
+  store::RowStore* m_store;
+  TimerService* m_timers;
+  const Clock* m_clock;
+  ArchiveSettings m_settings;
+  OnArchived m_on_archived;
+  std::deque<jobs::SettledJob> m_waiting;
+  bool m_sending = false;
+  bool m_deleting = false;
+  bool m_scanning = false;
+  bool m_scanned = false;            // All rows of earlier leaders are in m_ended.
+  std::string m_scan_from;           // Key of the next page.
+  std::map<JobId, Instant> m_ended;  // Archived jobs with the wall time of their end.
+  bool m_stopped = false;
+  Subscription m_retry;
+  Subscription m_tick;
+  Counter* m_archived_total;
+};
+
+}  // namespace hickoryquay::service
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -50,7 +50,7 @@
   driver.m_scheduler.m_stop_timeout = terms.m_stop_timeout;
   driver.m_scheduler.m_remote_factor = terms.m_remote_factor;
   driver.m_scheduler.m_restore = terms.m_restore;
-  driver.m_scheduler.m_keep_ended = terms.m_keep_ended;
+  driver.m_keep_ended = terms.m_keep_ended;
   driver.m_sessions.m_lease = std::min(driver.m_sessions.m_lease, terms.m_longest_lease);
   // The previous leader may have extended leases until m_grant_window after its last renewal. The takeover came at
   // least m_takeover_after after that renewal.
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -18,7 +18,7 @@
 constexpr std::size_t kLeaderRowOps = 2;  // Check and write of the leader's row in each transaction.
 // Workers whose rows expired during a store outage write them again within about 2 s of its end.
 constexpr Millis kRowReturnWindow{2'500};
-constexpr Millis kDeleteTimeout{2'000};  // Of the deletion of intake rows. Nothing waits for it.
+constexpr Millis kArchiveInterval{1'000};  // Between searches for jobs to archive. Nothing waits for it.
 constexpr std::string_view kJobPrefix = "j/";
 constexpr std::string_view kCancelPrefix = "c/";
 
@@ -94,6 +94,7 @@
     if (follower) follower->Stop();
   }
   if (m_sessions) m_sessions->Stop();
+  if (m_archive) m_archive->Stop();
 }
 
 void SchedulerDriver::SetConfiguration(std::shared_ptr<const jobs::QueueConfiguration> configuration) {
@@ -191,9 +192,11 @@
 
 void SchedulerDriver::BeginIfLoaded() {
   if (m_ready || !m_intake_read || !m_state_read || !m_workers_read) return;
+  std::set<JobId> accepted;
   for (const auto& row : m_buffered_intake) {
     const auto id = ParseIntakeKey(row, kJobPrefix);
     if (!id) continue;
+    accepted.insert(*id);
     const auto job = jobs::ReadAcceptedJob(*id, row.m_value);
     if (Ok(job)) {
       m_scheduler.RestoreJob(ValueOf(job));
@@ -202,12 +205,20 @@
     }
   }
   std::vector<jobs::StepRow> steps;
+  // Rows of jobs that an earlier leader archived, and whose deletion it did not live to see.
+  const auto archived = [&](const store::StoredRow& row, JobId job) {
+    if (accepted.contains(job)) return false;
+    m_scheduler.DeleteRow(row.m_key.m_key);
+    return true;
+  };
   for (const auto& row : m_state_rows) {
     if (const auto id = jobs::ParseHexJobId(row.m_key.m_key)) {
+      if (archived(row, *id)) continue;
       const auto phase = jobs::ReadPhaseRow(row.m_value);
       Ok(phase) ? m_scheduler.RestorePhase(*id, ValueOf(phase).m_phase, ValueOf(phase).m_since)
                 : ReportUnreadable("phase", row.m_key.m_key, ErrorOf(phase).m_field);
     } else if (const auto key = jobs::ParseStepKey(row.m_key.m_key)) {
+      if (archived(row, key->m_job)) continue;
       auto step = jobs::ReadStepRow(*key, row.m_value);
       Ok(step) ? steps.push_back(TakeValue(std::move(step)))
                : ReportUnreadable("step", row.m_key.m_key, ErrorOf(step).m_field);
@@ -233,6 +244,13 @@
   ListWorkers();
   for (const auto& [id, address] : m_scheduler.OccupiedWorkers()) m_sessions->AddUnlisted(id, address);
   m_sessions->Start();
+  ArchiveSettings archive;
+  archive.m_tables = m_settings.m_tables;
+  archive.m_keep = m_settings.m_keep_ended;
+  m_archive =
+      std::make_shared<JobArchive>(m_parts.m_store, m_parts.m_timers, m_parts.m_clock, m_parts.m_metrics, archive,
+                                   [this](const std::vector<JobId>& jobs) { m_scheduler.OnArchived(jobs, Time()); });
+  m_archive->Start();
   OnIntakeRows(buffered, false);  // For the cancels; the jobs were restored above.
   m_tick = m_parts.m_timers->Every(kRoundInterval, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->RunRound();
@@ -262,6 +280,7 @@
   for (const jobs::StopCommand& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
   for (const jobs::StartCommand& start : m_scheduler.TakeResends()) m_sessions->Send(start);
   if (!m_write_pending) {
+    ArchiveSettled();
     jobs::Batch batch = m_scheduler.TakeBatch(store::kMaxTransactionRows - kLeaderRowOps, store::kMaxTransactionBytes);
     if (!batch.Empty()) {
       LeaderWrite write;
@@ -287,6 +306,14 @@
   m_sessions->Update();
 }
 
+// Call only while no write is in flight, so that all rows of a settled job are stored.
+void SchedulerDriver::ArchiveSettled() {
+  if (m_last_round - m_last_archiving < kArchiveInterval) return;
+  m_last_archiving = m_last_round;
+  const auto settled = m_scheduler.TakeSettledJobs();
+  if (!settled.empty()) m_archive->Add(settled);
+}
+
 void SchedulerDriver::OnStored(const jobs::Batch& batch) {
   for (const jobs::StartCommand& command : batch.m_starts) {
     if (!m_scheduler.IsStillPlanned(command)) continue;
@@ -299,7 +326,6 @@
     CountPhases(batch.m_phases);
     m_events.m_phases(batch.m_phases);
   }
-  if (!batch.m_deleted_jobs.empty()) DeleteIntakeRows(batch.m_deleted_jobs);
   ScheduleRound();
 }
 
@@ -321,23 +347,4 @@
   m_parts.m_metrics->GetCounter("hq_rows_unreadable_total", {{"row", row}}).Add();
 }
 
-void SchedulerDriver::DeleteIntakeRows(const std::vector<JobId>& forgotten) {
-  const auto row = [this](std::string key) {
-    return store::RowKey{m_settings.m_tables.m_intake, m_settings.m_tables.m_intake_part, std::move(key)};
-  };
-  store::Transaction transaction;
-  const auto send = [&] {
-    m_parts.m_store->Transact(transaction, kDeleteTimeout, [](const Result<Version, store::TransactError>& result) {
-      if (!Ok(result)) log::Warn(kLog, "Could not delete old intake rows", {{"why", ToString(ErrorOf(result))}});
-    });
-    transaction.m_removals.clear();
-  };
-  for (const JobId job : forgotten) {
-    transaction.m_removals.push_back(row(JobRowKey(job)));
-    transaction.m_removals.push_back(row(CancelRowKey(job)));
-    if (transaction.m_removals.size() + 2 > store::kMaxTransactionRows) send();
-  }
-  if (!transaction.m_removals.empty()) send();
-}
-
 }  // namespace hickoryquay::service
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -10,24 +10,14 @@
 #include <vector>
 
 #include "hickoryquay/jobs/scheduler.h"
+#include "hickoryquay/service/job_archive.h"
 #include "hickoryquay/service/leadership.h"
+#include "hickoryquay/service/table_names.h"
 #include "hickoryquay/service/worker_sessions.h"
 #include "hickoryquay/store/table_follower.h"
 
 namespace hickoryquay::service {
 
-// Tables of the service and the parts in which their rows are stored. See docs/design/platform.md.
-struct TableNames {
-  std::string m_intake = "hq-intake";  // Accepted jobs and cancels, written by all instances.
-  std::string m_intake_part = "intake";
-  std::string m_state = "hq-state";      // State of jobs and steps, written by the leader.
-  std::string m_leader_part = "leader";  // Holds the leader's row too, so that one transaction covers both.
-};
-
-// Keys of the intake table.
-std::string JobRowKey(JobId job);     // "j/HEX"
-std::string CancelRowKey(JobId job);  // "c/HEX"
-
 // Parses a row of the platform's worker table; empty if it can't be parsed.
 using ReadWorkerRow = std::function<std::optional<jobs::WorkerEntry>(const store::StoredRow&)>;
 
@@ -36,6 +26,7 @@
   std::string m_worker_table;  // Written by the platform.
   jobs::SchedulerSettings m_scheduler;
   SessionSettings m_sessions;
+  Millis m_keep_ended{120'000};  // Phases of ended jobs are kept this long.
 };
 
 struct DriverParts {
@@ -80,7 +71,7 @@
   void RunRound();
   void OnStored(const jobs::Batch& batch);
   void CountPhases(const std::vector<jobs::PhaseChange>& phases);
-  void DeleteIntakeRows(const std::vector<JobId>& jobs);
+  void ArchiveSettled();
   void ReportUnreadable(const char* row, const std::string& key, const std::string& field);
   jobs::Now Time() const { return {m_parts.m_clock->Now(), m_parts.m_clock->Wall()}; }
 
@@ -90,6 +81,7 @@
   Events m_events;
   jobs::Scheduler m_scheduler;
   std::shared_ptr<WorkerSessions> m_sessions;
+  std::shared_ptr<JobArchive> m_archive;
   std::shared_ptr<store::TableFollower> m_intake;
   std::shared_ptr<store::TableFollower> m_state;  // Only read at the start of the term.
   std::shared_ptr<store::TableFollower> m_worker_rows;
@@ -104,8 +96,9 @@
   bool m_ready = false;
   bool m_stopped = false;
   bool m_write_pending = false;
-  Instant m_started;     // Time of the election.
-  Instant m_last_round;  // Time of the last scheduling round.
+  Instant m_started;         // Time of the election.
+  Instant m_last_round;      // Time of the last scheduling round.
+  Instant m_last_archiving;  // When settled jobs were last looked for.
   Subscription m_tick;
   Subscription m_round_timer;
   Distribution* m_store_ms;
--- a/tests/service/faults_test.cc
+++ b/tests/service/faults_test.cc
@@ -277,9 +277,12 @@
     for (int i = 0; i < 120; ++i) m_cluster->Submit(i % 3, Tasks(1, 0), Millis{100});
     m_cluster->Run(Millis{5'000});
     for (const JobId job : m_cluster->Submitted()) CheckPhase(job, JobPhase::kCompleted);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{120}, m_cluster->Store().Rows(TableNames{}.m_intake).size());
-    m_cluster->Run(Millis{125'000});
-    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_cluster->Store().Rows(TableNames{}.m_intake).size());
+    const TableNames tables;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{120}, m_cluster->Store().Rows(tables.m_ended).size());
+    m_cluster->Run(Millis{135'000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_cluster->Store().Rows(tables.m_intake).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_cluster->Store().Rows(tables.m_ended).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_cluster->Store().Rows(tables.m_state).size());  // The leader's.
   }
 
   // Known red: such a row was skipped without a word.
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "hickoryquay/jobs/rows.h"
 #include "hickoryquay/store/adaptive_store.h"
 #include "standin/sim_store.h"
 
@@ -18,6 +19,8 @@
 class IntakeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(IntakeTest);
   CPPUNIT_TEST(ResubmittedJobIsStoredOnce);
+  CPPUNIT_TEST(ResubmittedArchivedJobIsNotStoredAgain);
+  CPPUNIT_TEST(PhaseOfAnArchivedJobIsFound);
   CPPUNIT_TEST(SilentStoreIsProbedBeforeWrite);
   CPPUNIT_TEST(SubmitDuringKnownOutageIsRefusedAtOnce);
   CPPUNIT_TEST(UnansweredWriteIsReportedUnknown);
@@ -57,6 +60,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store->Rows(TableNames{}.m_intake).size());
   }
 
+  // A caller that heard nothing may repeat its request after the job has ended.
+  void ResubmittedArchivedJobIsNotStoredAgain() {
+    const TableNames tables;
+    m_store->Put({tables.m_ended, tables.m_intake_part, jobs::HexText(JobId{1})},
+                 jobs::Write(jobs::PhaseRow{jobs::JobPhase::kCompleted, m_clock.Wall()}));
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, kCallerTimeout));
+    CPPUNIT_ASSERT(m_store->Rows(tables.m_intake).empty());
+  }
+
+  void PhaseOfAnArchivedJobIsFound() {
+    const TableNames tables;
+    m_store->Put({tables.m_ended, tables.m_intake_part, jobs::HexText(JobId{1})},
+                 jobs::Write(jobs::PhaseRow{jobs::JobPhase::kFailed, m_clock.Wall()}));
+    std::optional<jobs::JobPhase> phase;
+    m_intake->State(JobId{1}, kCallerTimeout, [&](const Result<jobs::JobPhase, IntakeError>& result) {
+      if (Ok(result)) phase = ValueOf(result);
+    });
+    m_timers.Advance(Millis{100});
+    CPPUNIT_ASSERT(phase == jobs::JobPhase::kFailed);
+  }
+
   // A call lost in an outage timed out after the store had returned; the store was then taken to be down again, and
   // callers were refused.
   void LostCallIsIgnoredOnceALaterOneIsAnswered() {
--- a/tests/service/sim_cluster.cc
+++ b/tests/service/sim_cluster.cc
@@ -44,6 +44,7 @@
   }
   for (int i = 0; i < settings.m_instances; ++i) {
     m_clients.push_back(std::make_unique<standin::SimStoreClient>(m_store.get()));
+    m_clients.back()->SetLink(settings.m_link_bytes_per_ms);
     m_instances.emplace_back();
     StartInstance(i);
   }
@@ -60,7 +61,9 @@
   Instance* self = instance.get();
   self->m_incarnation = ++m_incarnations;
   self->m_timers = std::make_unique<GatedTimers>(self->m_gate, &m_timers);
-  self->m_store = std::make_unique<GatedStore>(self->m_gate, m_clients[Slot(index)].get());
+  self->m_gated_store = std::make_unique<GatedStore>(self->m_gate, m_clients[Slot(index)].get());
+  self->m_store = std::make_unique<store::AdaptiveStore>(self->m_gated_store.get(), &m_clock, &m_metrics,
+                                                         store::AdaptiveSettings{});
   self->m_port = std::make_unique<GatedWorkers>(self->m_gate, m_workers.get());
   self->m_intake =
       std::make_shared<Intake>(self->m_store.get(), self->m_timers.get(), &m_clock, &m_metrics, IntakeSettings{});
@@ -101,6 +104,19 @@
   self->m_leadership = std::make_shared<Leadership>(self->m_store.get(), self->m_timers.get(), &m_clock, leadership,
                                                     Leadership::Events{elected, deposed});
   self->m_leadership->Start();
+  const auto available = [self] { self->m_leadership->OnStoreAvailable(); };
+  self->m_intake->SetOnStoreAvailable(available);
+  store::FollowerSettings configuration;
+  configuration.m_table = "configuration";
+  configuration.m_wait = Millis{700};
+  configuration.m_timeout = Millis{500};
+  self->m_configuration_rows = std::make_shared<store::TableFollower>(
+      self->m_store.get(), self->m_timers.get(), &m_clock, configuration,
+      [](const std::vector<store::StoredRow>&, bool) {},
+      [available](bool reachable) {
+        if (reachable) available();
+      });
+  self->m_configuration_rows->Start();
   m_instances[Slot(index)] = std::move(instance);
 }
 
@@ -108,6 +124,7 @@
   auto instance = std::move(m_instances[Slot(index)]);
   instance->m_gate->Kill();
   instance->m_leadership->Stop();
+  instance->m_configuration_rows->Stop();
   if (instance->m_driver) instance->m_driver->Stop();
   m_killed_instances.push_back(std::move(instance));
 }
@@ -169,6 +186,14 @@
   AddWorker(as, rack);
 }
 
+void SimCluster::AddEndedJobs(int count) {
+  const TableNames tables;
+  for (int i = 0; i < count; ++i) {
+    m_store->Put({tables.m_ended, tables.m_intake_part, jobs::HexText(JobId{m_next_ended_job++})},
+                 jobs::Write(jobs::PhaseRow{jobs::JobPhase::kCompleted, m_clock.Wall()}));
+  }
+}
+
 JobId SimCluster::Submit(int instance, const jobs::StepSpec& step, Millis work, int priority, int failing_runs) {
   const JobId id = SubmitSteps(instance, {step}, work, priority);
   standin::StepTruth truth;
@@ -193,7 +218,7 @@
     m_workers->Know({id, 0, static_cast<int>(i)}, truth);
   }
   jobs::JobRequest request;
-  request.m_payload = "payload";
+  request.m_payload = std::string(m_settings.m_payload_bytes, 'p');
   request.m_steps = steps;
   m_submitted.push_back(id);
   // Refused jobs and unknown outcomes are not submitted again, so such jobs are not in m_accepted.
@@ -223,10 +248,12 @@
 }
 
 std::optional<jobs::JobPhase> SimCluster::StoredPhase(JobId job) const {
-  for (const store::StoredRow& row : m_store->Rows(TableNames{}.m_state)) {
-    if (row.m_key.m_key != jobs::HexText(job)) continue;
-    const auto phase = jobs::ReadPhaseRow(row.m_value);
-    if (Ok(phase)) return ValueOf(phase).m_phase;
+  for (const std::string& table : {TableNames{}.m_state, TableNames{}.m_ended}) {
+    for (const store::StoredRow& row : m_store->Rows(table)) {
+      if (row.m_key.m_key != jobs::HexText(job)) continue;
+      const auto phase = jobs::ReadPhaseRow(row.m_value);
+      if (Ok(phase)) return ValueOf(phase).m_phase;
+    }
   }
   return std::nullopt;
 }
--- a/tests/service/sim_cluster.h
+++ b/tests/service/sim_cluster.h
@@ -11,6 +11,7 @@
 
 #include "hickoryquay/service/intake.h"
 #include "hickoryquay/service/scheduler_driver.h"
+#include "hickoryquay/store/adaptive_store.h"
 #include "standin/sim_store.h"
 #include "standin/sim_workers.h"
 #include "tests/service/gate.h"
@@ -23,6 +24,8 @@
   int m_workers_per_rack = 4;
   std::vector<double> m_speeds{1.0};  // Of the workers of a rack; repeated if there are more workers.
   standin::SimSettings m_workers;
+  int m_link_bytes_per_ms = 0;  // Of each instance, to the store; 0: answers arrive at once.
+  std::size_t m_payload_bytes = 7;
   std::uint64_t m_random_seed = 1;
 };
 
@@ -51,6 +54,9 @@
   void RestartWorker(const WorkerId& id, const WorkerId& as);
   const std::vector<WorkerId>& Workers() const { return m_worker_ids; }
 
+  // Puts rows of jobs that ended now, as if an earlier leader had archived them.
+  void AddEndedJobs(int count);
+
   // Jobs. `work` is the true duration of every task.
   JobId Submit(int instance, const jobs::StepSpec& step, Millis work, int priority = 1, int failing_runs = 0);
   JobId SubmitSteps(int instance, const std::vector<jobs::StepSpec>& steps, Millis work, int priority);
@@ -72,9 +78,11 @@
   struct Instance {
     SharedGate m_gate = std::make_shared<Gate>();
     std::unique_ptr<GatedTimers> m_timers;
-    std::unique_ptr<GatedStore> m_store;
+    std::unique_ptr<GatedStore> m_gated_store;
+    std::unique_ptr<store::AdaptiveStore> m_store;
     std::unique_ptr<GatedWorkers> m_port;
     std::shared_ptr<Intake> m_intake;
+    std::shared_ptr<store::TableFollower> m_configuration_rows;  // Only to notice the end of an outage.
     std::shared_ptr<Leadership> m_leadership;
     std::shared_ptr<SchedulerDriver> m_driver;
     int m_incarnation = 0;
@@ -98,6 +106,7 @@
   std::vector<JobId> m_submitted;
   std::set<JobId> m_accepted;
   std::uint64_t m_next_job = 1;
+  std::uint64_t m_next_ended_job = 1'000'000;
   int m_incarnations = 0;
 };
 
--- /dev/null
+++ b/tests/service/takeover_test.cc
@@ -0,0 +1,146 @@
+// Pattern: the leader dies while many jobs wait and thousands of ended ones are kept, and every other instance sits
+// behind a slow link. Virtual time, no network.
+//
+// Target: 3 s from the loss of a leader to the first start by the next one at 2 Mbit/s.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tests/service/sim_cluster.h"
+
+namespace hickoryquay::service {
+namespace {
+
+using jobs::JobPhase;
+
+constexpr Millis kStartup{3'000};
+constexpr Millis kTarget{3'000};
+constexpr int kSlowLink = 250;  // Bytes a millisecond: 2 Mbit/s.
+
+jobs::StepSpec Tasks(int count, int accelerators, Millis estimate) {
+  jobs::StepSpec step;
+  step.m_tasks = count;
+  step.m_task = Resources{accelerators, 1'000, 1'000};
+  step.m_estimate = estimate;
+  return step;
+}
+
+class TakeoverTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TakeoverTest);
+  CPPUNIT_TEST(JobsOfTheDayDoNotDelayATakeover);
+  CPPUNIT_TEST(KeptJobsDoNotDelayATakeover);
+  CPPUNIT_TEST(WaitingJobsAreLoadedOverASlowLink);
+  CPPUNIT_TEST(ArchiveSurvivesLostAnswers);
+  CPPUNIT_TEST(RowsLeftByACrashAreDeleted);
+  CPPUNIT_TEST(RowsOfEarlierLeadersExpire);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Fifteen jobs a second for 40 s, of 1 KB each, as on a day of the large deployment's small twin, many times over.
+  void JobsOfTheDayDoNotDelayATakeover() {
+    Build(kSlowLink);
+    for (int i = 0; i < 600; ++i) {
+      m_cluster->Submit(i % 3, Tasks(2, 0, Millis{200}), Millis{200});
+      m_cluster->Run(Millis{66});
+    }
+    m_cluster->Run(Millis{2'000});
+    CheckTakeover();
+  }
+
+  void KeptJobsDoNotDelayATakeover() {
+    Build(kSlowLink);
+    m_cluster->AddEndedJobs(10'000);
+    CheckTakeover();
+  }
+
+  // More waits here than can be loaded in the target's time; it must be loaded all the same.
+  void WaitingJobsAreLoadedOverASlowLink() {
+    Build(kSlowLink);
+    std::vector<JobId> jobs;
+    for (int i = 0; i < 400; ++i) {
+      jobs.push_back(m_cluster->Submit(i % 3, Tasks(1, 8, Millis{200}), Millis{200}));
+      if (i % 20 == 0) m_cluster->Run(Millis{10});
+    }
+    m_cluster->Run(Millis{1'000});
+    m_cluster->KillInstance(*m_cluster->Leader());
+    m_cluster->Run(Millis{40'000});
+    for (const JobId job : jobs) {
+      if (m_cluster->Accepted(job)) CPPUNIT_ASSERT(m_cluster->StoredPhase(job) == JobPhase::kCompleted);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->Violations());
+  }
+
+  void ArchiveSurvivesLostAnswers() {
+    Build(0);
+    for (int i = 0; i < 3; ++i) m_cluster->StoreOf(i).SetMood(standin::StoreMood::kLosesWrites, 0.3);
+    for (int i = 0; i < 60; ++i) m_cluster->Submit(i % 3, Tasks(1, 0, Millis{200}), Millis{200});
+    m_cluster->Run(Millis{20'000});
+    for (int i = 0; i < 3; ++i) m_cluster->StoreOf(i).SetMood(standin::StoreMood::kServes);
+    m_cluster->Run(Millis{10'000});
+    CheckOnlyEnded(60);
+  }
+
+  // The leader dies after it archived jobs and before it deleted their rows.
+  void RowsLeftByACrashAreDeleted() {
+    Build(0);
+    const JobId job = m_cluster->Submit(0, Tasks(3, 1, Millis{200}), Millis{200});
+    m_cluster->Run(Millis{5'000});
+    CheckOnlyEnded(1);
+    const TableNames tables;
+    m_cluster->Store().Put({tables.m_state, tables.m_leader_part, jobs::HexText(job)},
+                           jobs::Write(jobs::PhaseRow{JobPhase::kCompleted, m_cluster->Time().Wall()}));
+    m_cluster->Store().Put({tables.m_state, tables.m_leader_part, jobs::HexText(job) + ".0.0"},
+                           R"({"units":[{"run":1,"done":true}]})");
+    const int starts = m_cluster->Sim().Starts();
+    m_cluster->KillInstance(*m_cluster->Leader());
+    m_cluster->Run(Millis{5'000});
+    CheckOnlyEnded(1);
+    CPPUNIT_ASSERT_EQUAL(starts, m_cluster->Sim().Starts());
+  }
+
+  void RowsOfEarlierLeadersExpire() {
+    Build(0);
+    m_cluster->AddEndedJobs(1'000);
+    m_cluster->KillInstance(*m_cluster->Leader());
+    m_cluster->Run(Millis{100'000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1'000}, m_cluster->Store().Rows(TableNames{}.m_ended).size());
+    m_cluster->Run(Millis{60'000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_cluster->Store().Rows(TableNames{}.m_ended).size());
+  }
+
+ private:
+  void Build(int link) {
+    ClusterSettings settings;
+    settings.m_link_bytes_per_ms = link;
+    settings.m_payload_bytes = 1'000;
+    m_cluster = std::make_unique<SimCluster>(settings);
+    m_cluster->Run(kStartup);
+    CPPUNIT_ASSERT(m_cluster->Leader());
+  }
+
+  // Kills the leader and hands in a job. Its first task must start within the target.
+  void CheckTakeover() {
+    const int leader = *m_cluster->Leader();
+    m_cluster->KillInstance(leader);
+    const int starts = m_cluster->Sim().Starts();
+    m_cluster->Submit((leader + 1) % 3, Tasks(1, 0, Millis{200}), Millis{200});
+    m_cluster->Run(kTarget);
+    CPPUNIT_ASSERT(m_cluster->Sim().Starts() > starts);
+    m_cluster->Run(Millis{2'000});
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->Violations());
+  }
+
+  // All jobs have ended and are archived; nothing else is left of them.
+  void CheckOnlyEnded(std::size_t jobs) {
+    const TableNames tables;
+    CPPUNIT_ASSERT_EQUAL(jobs, m_cluster->Store().Rows(tables.m_ended).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_cluster->Store().Rows(tables.m_intake).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_cluster->Store().Rows(tables.m_state).size());  // The leader's.
+  }
+
+  std::unique_ptr<SimCluster> m_cluster;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverTest);
+
+}  // namespace
+}  // namespace hickoryquay::service
