Service: the ablest instance leads, and a released leadership is taken at once

Cause: whichever instance wrote first became the leader. After a planned release nobody led for 0.6 s, since instances that had just heard a heartbeat did not read the row; without a leader each instance read it every 50 ms. Change: instances know their share of a processor and their link ([capacity]) and tell them in their member rows. Each waits 50 ms longer for every abler one before it takes over, 400 ms at most. A leader gives the role up (service/handover.h) to an instance of twice its fitness that answers it, also when it can't load its tables in 4 s, at growing intervals. The last heartbeat of a term says that it was released.

--- a/hickoryquay/inner/gen/inner_types.cpp
+++ b/hickoryquay/inner/gen/inner_types.cpp
@@ -1436,6 +1436,10 @@
 void LeaderBeat::__set_pass_on(const std::vector<std::string> & val) {
   this->pass_on = val;
 }
+
+void LeaderBeat::__set_released(const bool val) {
+  this->released = val;
+}
 std::ostream& operator<<(std::ostream& out, const LeaderBeat& obj)
 {
   obj.printTo(out);
@@ -1559,6 +1563,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->released);
+          this->__isset.released = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1629,6 +1641,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("released", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->released);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1643,6 +1659,7 @@
   swap(a.pending, b.pending);
   swap(a.ready, b.ready);
   swap(a.pass_on, b.pass_on);
+  swap(a.released, b.released);
   swap(a.__isset, b.__isset);
 }
 
@@ -1654,6 +1671,7 @@
   pending = other76.pending;
   ready = other76.ready;
   pass_on = other76.pass_on;
+  released = other76.released;
   __isset = other76.__isset;
 }
 LeaderBeat::LeaderBeat(LeaderBeat&& other77) noexcept {
@@ -1664,6 +1682,7 @@
   pending = std::move(other77.pending);
   ready = other77.ready;
   pass_on = std::move(other77.pass_on);
+  released = other77.released;
   __isset = other77.__isset;
 }
 LeaderBeat& LeaderBeat::operator=(const LeaderBeat& other78) {
@@ -1674,6 +1693,7 @@
   pending = other78.pending;
   ready = other78.ready;
   pass_on = other78.pass_on;
+  released = other78.released;
   __isset = other78.__isset;
   return *this;
 }
@@ -1685,6 +1705,7 @@
   pending = std::move(other79.pending);
   ready = other79.ready;
   pass_on = std::move(other79.pass_on);
+  released = other79.released;
   __isset = other79.__isset;
   return *this;
 }
@@ -1698,6 +1719,7 @@
   out << ", " << "pending=" << to_string(pending);
   out << ", " << "ready=" << to_string(ready);
   out << ", " << "pass_on=" << to_string(pass_on);
+  out << ", " << "released=" << to_string(released);
   out << ")";
 }
 
--- a/hickoryquay/inner/gen/inner_types.h
+++ b/hickoryquay/inner/gen/inner_types.h
@@ -589,7 +589,7 @@
 std::ostream& operator<<(std::ostream& out, const PhaseChange& obj);
 
 typedef struct _LeaderBeat__isset {
-  _LeaderBeat__isset() : instance(false), epoch(false), sequence(false), phases(false), pending(false), ready(false), pass_on(false) {}
+  _LeaderBeat__isset() : instance(false), epoch(false), sequence(false), phases(false), pending(false), ready(false), pass_on(false), released(false) {}
   bool instance :1;
   bool epoch :1;
   bool sequence :1;
@@ -597,6 +597,7 @@
   bool pending :1;
   bool ready :1;
   bool pass_on :1;
+  bool released :1;
 } _LeaderBeat__isset;
 
 class LeaderBeat : public virtual ::apache::thrift::TBase {
@@ -610,7 +611,8 @@
              : instance(),
                epoch(0),
                sequence(0),
-               ready(0) {
+               ready(0),
+               released(0) {
   }
 
   virtual ~LeaderBeat() noexcept;
@@ -621,6 +623,7 @@
   std::map<std::string, int32_t>  pending;
   bool ready;
   std::vector<std::string>  pass_on;
+  bool released;
 
   _LeaderBeat__isset __isset;
 
@@ -638,6 +641,8 @@
 
   void __set_pass_on(const std::vector<std::string> & val);
 
+  void __set_released(const bool val);
+
   bool operator == (const LeaderBeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -654,6 +659,8 @@
       return false;
     if (!(pass_on == rhs.pass_on))
       return false;
+    if (!(released == rhs.released))
+      return false;
     return true;
   }
   bool operator != (const LeaderBeat &rhs) const {
--- a/hickoryquay/inner/inner.thrift
+++ b/hickoryquay/inner/inner.thrift
@@ -74,6 +74,7 @@
   5: map<string, i32> pending,  // Accepted jobs of which nothing has started, by queue.
   6: bool ready,                // The leader has read all rows, so `pending` counts them.
   7: list<string> pass_on,      // Inner addresses of instances to which the receiver sends the same, without this list.
+  8: bool released,             // The sender gave the leadership up: the last beat of its term.
 }
 
 // A call to the platform's store for an instance that can't reach it; answered with StoreAnswer.
--- a/hickoryquay/peers/membership.cc
+++ b/hickoryquay/peers/membership.cc
@@ -28,6 +28,7 @@
     peer.m_domain = info.m_domain;
     peer.m_inner = info.m_inner;
     peer.m_listed = true;
+    peer.m_fitness = info.m_fitness;
     peer.m_leaving = peer.m_leaving || info.m_leaving;
     if (peer.m_leaving) peer.m_state = PeerState::kLeaving;
   }
--- a/hickoryquay/peers/membership.h
+++ b/hickoryquay/peers/membership.h
@@ -37,6 +37,7 @@
   std::int64_t m_sequence = 0;
   bool m_listed = false;
   bool m_leaving = false;  // For good: it stays so while it is suspect.
+  double m_fitness = 0.0;  // To lead, by the list: higher is better. 0: unknown.
 };
 
 // An instance as described by the list, its own heartbeat or another peer.
@@ -45,6 +46,7 @@
   DomainId m_domain;
   net::Endpoint m_inner;
   bool m_leaving = false;
+  double m_fitness = 0.0;  // See Peer.
 };
 
 // Not thread-safe.
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -24,6 +24,7 @@
 constexpr Millis kConfigurationTimeout{500};
 constexpr Millis kMemberWait{5'000};  // Of a feed call; may be long, since new instances also send heartbeats.
 constexpr int kHexDigits = 16;
+constexpr double kMostFitness = 1e9;
 
 std::string RandomHex() {
   std::random_device device;
@@ -122,6 +123,7 @@
     return LeaderStatus{m_leadership->CurrentEpoch(), m_driver->Ready(), m_driver->Pending()};
   };
   beats.m_on_leader = [this](Epoch epoch) { m_leadership->OnHeartbeat(epoch); };
+  beats.m_on_released = [this](Epoch epoch) { m_leadership->OnReleased(epoch); };
   beats.m_random_seed = std::random_device{}();
   m_beats = std::make_shared<LeaderBeats>(std::move(beats), BeatSettings{});
 
@@ -153,15 +155,19 @@
   m_member_rows->Start();
   WriteMember();
 
-  m_leadership = std::make_shared<Leadership>(m_parts.m_store, m_parts.m_timers, m_parts.m_clock,
-                                              MakeLeadershipSettings(m_settings, m_self),
-                                              Leadership::Events{[this](Epoch epoch) { OnElected(epoch); },
-                                                                 [this](const std::string& why) { OnDeposed(why); }});
+  m_leadership = std::make_shared<Leadership>(
+      m_parts.m_store, m_parts.m_timers, m_parts.m_clock, MakeLeadershipSettings(m_settings, m_self),
+      Leadership::Events{[this](Epoch epoch) { OnElected(epoch); }, [this](const std::string& why) { OnDeposed(why); },
+                         [this](Epoch epoch) { m_beats->SendReleased(epoch); }});
+  m_leadership->SetRank([this] { return Rank(); });
   m_leadership->Start();
   m_intake->SetOnStoreAvailable([weak] {
     if (const auto self = weak.lock()) self->m_leadership->OnStoreAvailable();
   });
   m_beats->Start();
+  m_handover_timer = m_parts.m_timers->Every(m_settings.m_handover_interval, [weak] {
+    if (const auto self = weak.lock()) self->ConsiderHandover();
+  });
   m_expiry_timer = m_parts.m_timers->Every(kExpiryInterval, [weak] {
     if (const auto self = weak.lock()) self->m_intake->Phases().RemoveExpired(self->m_parts.m_clock->Now());
   });
@@ -193,6 +199,7 @@
   m_configuration_rows->Stop();
   m_member_rows->Stop();
   m_beats->Stop();
+  m_handover_timer.Cancel();
   m_expiry_timer.Cancel();
   m_member_retry.Cancel();
 }
@@ -213,10 +220,11 @@
 void JobService::WriteMember() {
   const settings::NodeSection& node = m_settings.m_node.m_node;
   store::Transaction member;
-  member.m_puts.push_back(
-      {{m_settings.m_members_table, "", node.m_name},
-       boost::json::serialize(boost::json::object{
-           {"instance", m_self.m_value}, {"domain", node.m_domain.m_value}, {"inner", net::ToString(node.m_inner)}})});
+  member.m_puts.push_back({{m_settings.m_members_table, "", node.m_name},
+                           boost::json::serialize(boost::json::object{{"instance", m_self.m_value},
+                                                                      {"domain", node.m_domain.m_value},
+                                                                      {"inner", net::ToString(node.m_inner)},
+                                                                      {"fitness", Fitness()}})});
   m_parts.m_store->Transact(member, kMemberTimeout,
                             [weak = weak_from_this()](const Result<Version, store::TransactError>& result) {
                               const auto self = weak.lock();
@@ -241,6 +249,7 @@
       reader.Read("instance", &sighting.m_id);
       reader.Read("domain", &sighting.m_domain);
       reader.Read("inner", &inner);
+      reader.Read("fitness", &sighting.m_fitness, 0.0, kMostFitness, FieldReader::Need::kOptional);
     }
     const auto address = net::ParseEndpoint(inner);
     if (reader.Failed() || !Ok(address)) {
@@ -259,7 +268,36 @@
 // Leading
 //-------------------------------------------------------------------------------------------------
 
+double JobService::Fitness() const {
+  const settings::CapacitySection& capacity = m_settings.m_node.m_capacity;
+  return capacity.m_processor_share * capacity.m_link_mbit_s;
+}
+
+int JobService::Rank() const {
+  const auto leads_rather = [this](const peers::Peer& peer) {
+    // Instances of other failure domains are heard too seldom to tell whether they live.
+    const bool silent =
+        peer.m_domain == m_settings.m_node.m_node.m_domain && peer.m_state == peers::PeerState::kSuspect;
+    if (peer.m_leaving || !peer.m_listed || silent) return false;
+    return peer.m_fitness > Fitness() || (peer.m_fitness == Fitness() && peer.m_id < m_self);
+  };
+  const std::vector<peers::Peer> peers = m_peers->Peers();
+  return static_cast<int>(std::count_if(peers.begin(), peers.end(), leads_rather));
+}
+
+void JobService::ConsiderHandover() {
+  if (!m_leadership->Leading() || !m_driver || m_leaving) return;
+  const double best = m_beats->BestAnswering();
+  if (!m_handover.IsDue(m_parts.m_clock->Now(), m_driver->Ready(), Fitness(), best)) return;
+  log::Info(kLog, "An abler instance answers, giving the leadership up",
+            {{"fitness", std::to_string(Fitness())},
+             {"best", std::to_string(best)},
+             {"loaded", m_driver->Ready() ? "yes" : "no"}});
+  m_leadership->Release(m_settings.m_release_timeout, [] {});
+}
+
 void JobService::OnElected(Epoch) {
+  m_handover.OnElected(m_parts.m_clock->Now());
   const auto weak = weak_from_this();
   DriverParts parts{m_parts.m_store, m_parts.m_workers, m_parts.m_directory,  m_parts.m_timers,
                     m_parts.m_clock, m_parts.m_metrics, m_parts.m_read_worker};
--- a/hickoryquay/service/job_service.h
+++ b/hickoryquay/service/job_service.h
@@ -17,6 +17,7 @@
 #include "hickoryquay/inner/channel.h"
 #include "hickoryquay/jobs/worker_api.h"
 #include "hickoryquay/peers/peer_service.h"
+#include "hickoryquay/service/handover.h"
 #include "hickoryquay/service/intake.h"
 #include "hickoryquay/service/leader_beats.h"
 #include "hickoryquay/service/leadership.h"
@@ -44,6 +45,7 @@
   PlatformTables m_platform;
   std::string m_members_table = "hq-members";  // Lists the running instances, for discovery.
   Millis m_release_timeout{1'500};             // Limit for releasing leadership on a planned stop.
+  Millis m_handover_interval{500};             // Between looks for an abler instance.
 };
 
 struct JobServiceParts {
@@ -83,6 +85,9 @@
  private:
   void OnConfigurationRows(const std::vector<store::StoredRow>& rows);
   void OnMemberRows(const std::vector<store::StoredRow>& rows, bool whole);
+  double Fitness() const;  // To lead, of this instance.
+  int Rank() const;        // Number of listed instances that should lead rather than this one.
+  void ConsiderHandover();
   void OnElected(Epoch epoch);
   void OnDeposed(const std::string& why);
   void OnMessage(const inner::Message& message, const inner::Answer& answer);
@@ -102,9 +107,11 @@
   std::shared_ptr<store::TableFollower> m_member_rows;
   std::map<std::string, peers::PeerInfo> m_members;
   std::shared_ptr<LeaderBeats> m_beats;
+  Handover m_handover{HandoverSettings{}};
   bool m_store_reachable = false;
   bool m_leaving = false;
   Subscription m_member_retry;
+  Subscription m_handover_timer;
   Subscription m_expiry_timer;
 };
 
--- a/hickoryquay/service/leader_beats.cc
+++ b/hickoryquay/service/leader_beats.cc
@@ -40,6 +40,7 @@
 void LeaderBeats::Begin() {
   m_sequence = 0;
   m_unsent.clear();
+  m_answered_at.clear();
   Send();
 }
 
@@ -83,11 +84,35 @@
   beat.__set_pending(pending);
   if (status->m_ready) m_parts.m_phases->SetPending(status->m_pending, now);
   m_parts.m_phases->NoteHeartbeat(now);
+  SendToAll(beat);
+}
+
+void LeaderBeats::SendReleased(Epoch epoch) {
+  wire::LeaderBeat beat;
+  beat.__set_instance(m_parts.m_self.m_value);
+  beat.__set_epoch(static_cast<std::int64_t>(Raw(epoch)));
+  beat.__set_sequence(++m_sequence);
+  beat.__set_released(true);
+  SendToAll(beat);
+}
 
+double LeaderBeats::BestAnswering() const {
+  double best = 0.0;
+  const Instant now = m_parts.m_clock->Now();
+  for (const peers::Peer& peer : m_parts.m_peers()) {
+    const auto answered = m_answered_at.find(peer.m_inner);
+    const bool answers = answered != m_answered_at.end() && now - answered->second <= m_settings.m_answered_within;
+    if (answers && !peer.m_leaving) best = std::max(best, peer.m_fitness);
+  }
+  return best;
+}
+
+void LeaderBeats::SendToAll(const wire::LeaderBeat& beat) {
+  const Instant now = m_parts.m_clock->Now();
   std::erase_if(m_silent_until, [now](const auto& entry) { return entry.second <= now; });
   const std::vector<peers::Peer> peers = m_parts.m_peers();
   const auto may_head = [this](const peers::Peer& peer) {
-    return peer.m_state != peers::PeerState::kLeaving && !m_silent_until.contains(peer.m_inner);
+    return !peer.m_leaving && !m_silent_until.contains(peer.m_inner);
   };
   m_last_sent = now;
   m_peer_count = peers.size();
@@ -106,7 +131,11 @@
   m_parts.m_send(group.m_head, message, m_settings.m_call_timeout,
                  [weak = weak_from_this(), group, beat](const inner::Message* answer) {
                    const auto self = weak.lock();
-                   if (!self || answer != nullptr) return;
+                   if (!self) return;
+                   if (answer != nullptr) {
+                     self->m_answered_at[group.m_head] = self->m_parts.m_clock->Now();
+                     return;
+                   }
                    // The gap in the sequence tells a receiver that it missed one.
                    self->m_silent_total->Add();
                    self->m_silent_until[group.m_head] =
@@ -131,7 +160,9 @@
   if (!overtaken) {
     m_received_epoch = beat.epoch;
     m_received_sequence = beat.sequence;
-    m_parts.m_on_leader(Epoch{static_cast<std::uint64_t>(beat.epoch)});
+    const Epoch epoch{static_cast<std::uint64_t>(beat.epoch)};
+    if (beat.released) return m_parts.m_on_released(epoch);
+    m_parts.m_on_leader(epoch);
   }
   for (const wire::PhaseChange& change : beat.phases) {
     if (change.phase < 0 || change.phase > static_cast<std::int32_t>(jobs::JobPhase::kCancelled)) continue;
--- a/hickoryquay/service/leader_beats.h
+++ b/hickoryquay/service/leader_beats.h
@@ -29,6 +29,7 @@
   // are called directly, ends are sent at once.
   Millis m_pause{100};
   Millis m_avoid_silent_for{3'000};  // A peer that did not answer passes nothing on for this long.
+  Millis m_answered_within{5'000};   // See BestAnswering().
   std::size_t m_max_pass_on = 128;   // A message that asks for more is passed on to this many.
   peers::BroadcastSettings m_broadcast;
 };
@@ -50,6 +51,7 @@
   std::function<std::vector<peers::Peer>()> m_peers;
   std::function<std::optional<LeaderStatus>()> m_status;  // Empty while this instance does not lead.
   std::function<void(Epoch)> m_on_leader;                 // A heartbeat of the leader of this epoch came.
+  std::function<void(Epoch)> m_on_released;               // The leader of this epoch gave the leadership up.
   std::uint64_t m_random_seed = 1;
 };
 
@@ -65,12 +67,17 @@
   void Begin();
   // Leader: phases that are stored now.
   void AddPhases(const std::vector<jobs::PhaseChange>& phases);
+  // Leader: its term of `epoch` is over because it gave the leadership up.
+  void SendReleased(Epoch epoch);
+  // Leader: the highest fitness among peers that answered within m_answered_within; 0 if there are none.
+  double BestAnswering() const;
 
   // Handles a heartbeat of the leader, and passes it on where it says so.
   void Receive(const inner::wire::LeaderBeat& beat);
 
  private:
   void Send();
+  void SendToAll(const inner::wire::LeaderBeat& beat);
   void SendTo(const peers::BroadcastGroup& group, const inner::wire::LeaderBeat& beat);
   void PassOn(const inner::wire::LeaderBeat& beat);
   Millis Pause() const;  // Between heartbeats, however many jobs end.
@@ -83,8 +90,9 @@
   Instant m_last_sent;
   std::size_t m_peer_count = 0;                     // When it was sent.
   std::map<net::Endpoint, Instant> m_silent_until;  // Peers that did not answer.
-  std::int64_t m_received_epoch = 0;                // Of the newest heartbeat received.
-  std::int64_t m_received_sequence = 0;             // Of the same heartbeat.
+  std::map<net::Endpoint, Instant> m_answered_at;
+  std::int64_t m_received_epoch = 0;     // Of the newest heartbeat received.
+  std::int64_t m_received_sequence = 0;  // Of the same heartbeat.
   Subscription m_timer;
   Subscription m_early;  // The next heartbeat, ahead of the interval.
   Counter* m_sent_total;
--- a/hickoryquay/service/leadership.cc
+++ b/hickoryquay/service/leadership.cc
@@ -82,8 +82,23 @@
     return;
   }
   const bool leader_alive = m_last_heartbeat.m_ms > 0 && now - m_last_heartbeat < m_settings.m_heartbeat_valid;
-  if (leader_alive || m_call_pending) return;
-  if (!m_watching || now - m_watched_since >= m_settings.m_watch_interval) Watch();
+  if (!leader_alive && !m_call_pending && now >= m_next_watch) Watch();
+}
+
+void Leadership::OnReleased(Epoch epoch) {
+  if (m_leading || epoch < m_heartbeat_epoch) return;
+  m_heartbeat_epoch = epoch;
+  m_last_heartbeat = Instant{};
+  m_release_heard = m_clock->Now();
+  m_released_epoch = epoch;
+  m_next_watch = m_release_heard + RankDelay();
+  m_retry = m_timers->After(RankDelay(), [weak = weak_from_this()] {
+    if (const auto self = weak.lock(); self && !self->m_stopped) self->Tick();
+  });
+}
+
+Millis Leadership::RankDelay() const {
+  return std::min(m_rank(), m_settings.m_max_rank) * m_settings.m_rank_delay;
 }
 
 //-------------------------------------------------------------------------------------------------
@@ -111,7 +126,7 @@
     if (Ok(result)) return OnRowRead(ValueOf(result));
     // Restarts the takeover timer: the row may have changed while it could not be read.
     m_watching = false;
-    m_watched_since = m_clock->Now();
+    m_next_watch = m_clock->Now() + m_settings.m_watch_interval;
   });
 }
 
@@ -132,15 +147,11 @@
   m_epoch = std::max(m_epoch, leader.m_epoch);
   // Held by an earlier run of this process, which is dead: no need to wait.
   const bool previous_run = leader.m_node == m_settings.m_node && leader.m_holder != m_settings.m_self;
-  const bool expired = now - m_watched_since >= m_settings.m_takeover_after;
-  if (previous_run || leader.m_released || expired) return TakeOver(row->m_version, leader.m_epoch);
-  m_retry = m_timers->After(m_settings.m_watch_interval, [weak = weak_from_this()] {
-    const auto self = weak.lock();
-    if (!self || self->m_stopped || self->m_leading || self->m_call_pending) return;
-    const bool leader_alive = self->m_last_heartbeat.m_ms > 0 &&
-                              self->m_clock->Now() - self->m_last_heartbeat < self->m_settings.m_heartbeat_valid;
-    if (!leader_alive) self->Watch();
-  });
+  const bool release_heard = leader.m_released && leader.m_epoch == m_released_epoch;
+  const Instant since = release_heard ? std::min(m_release_heard, m_watched_since) : m_watched_since;
+  const Instant due = since + (leader.m_released ? Millis{0} : m_settings.m_takeover_after) + RankDelay();
+  if (previous_run || now >= due) return TakeOver(row->m_version, leader.m_epoch);
+  m_next_watch = std::min(due, now + m_settings.m_watch_interval);
 }
 
 void Leadership::TakeOver(Version expected, Epoch last) {
@@ -164,7 +175,7 @@
   if (!Ok(result)) {
     log::Info(kLog, "Takeover failed", {{"epoch", Text(row.m_epoch)}, {"why", ToString(ErrorOf(result))}});
     m_watching = false;
-    m_watched_since = m_clock->Now();
+    m_next_watch = m_clock->Now() + m_settings.m_watch_interval;
     if (!std::holds_alternative<store::StoreSilent>(ErrorOf(result))) return;
     // The write may have taken effect; the row shows it.
     return ReadRow([this, row](Result<std::optional<store::StoredRow>, store::ReadError> read) {
@@ -289,6 +300,7 @@
     m_last_heartbeat = m_clock->Now();  // Delays the own takeover, so that another instance takes over first.
     log::Info(kLog, "Released leadership", {{"epoch", Text(m_epoch)}});
     m_events.m_deposed("released");
+    m_events.m_released(m_epoch);
   }
   if (written.m_stored) written.m_stored();
   if (m_leading && !m_writing) SendNext();
@@ -301,7 +313,7 @@
   m_pending.clear();
   m_retry.Cancel();
   m_watching = false;
-  m_watched_since = m_clock->Now();
+  m_next_watch = m_clock->Now() + m_settings.m_watch_interval;
   log::Warn(kLog, "Lost leadership", {{"epoch", Text(m_epoch)}, {"why", why}});
   m_events.m_deposed(why);
 }
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -5,7 +5,9 @@
 // delayed duplicate has no effect, and a deposed leader can't write.
 //
 // Other instances watch the row. One that saw it unchanged for m_takeover_after, by its own steady clock, takes over.
-// The leader renews the row when it has nothing else to write. Wall clocks are never compared.
+// The leader renews the row when it has nothing else to write. Wall clocks are never compared. Instances are ranked:
+// each waits a little longer than those before it, so that the ablest one that lives takes over and the others don't
+// compete with it.
 //
 // Index of this file:
 //   [SECTION] Settings
@@ -39,6 +41,8 @@
   Millis m_renew_interval{350};    // A third of m_takeover_after, so that two renewals may be lost.
   Millis m_takeover_after{1'100};  // A row unchanged for this long is taken over. Limits the time without starts.
   Millis m_watch_interval{250};    // Between reads of the row while no heartbeats arrive.
+  Millis m_rank_delay{50};         // For each rank an instance waits this much longer before it takes over,
+  int m_max_rank = 8;              // up to this rank.
   Millis m_heartbeat_valid{700};   // After a heartbeat the row is not read for this long. Heartbeats come every 200 ms.
   Millis m_call_timeout{2'500};    // Upper limit of a store call; AdaptiveStore usually sets a much shorter one.
   Millis m_retry_delay{40};        // After a refused write or a failed read.
@@ -78,6 +82,7 @@
   struct Events {
     std::function<void(Epoch)> m_elected;
     std::function<void(const std::string& why)> m_deposed;
+    std::function<void(Epoch)> m_released = [](Epoch) {};  // After m_deposed: the row says so.
   };
 
   Leadership(store::RowStore* store, TimerService* timers, const Clock* clock, const LeadershipSettings& settings,
@@ -86,6 +91,12 @@
   void Start();
   void Stop();
 
+  // `rank` returns how many other instances should lead rather than this one.
+  void SetRank(std::function<int()> rank) { m_rank = std::move(rank); }
+
+  // Handles the news that the leader of `epoch` gave the leadership up.
+  void OnReleased(Epoch epoch);
+
   // Handles a heartbeat of the leader of `epoch`.
   void OnHeartbeat(Epoch epoch);
 
@@ -115,6 +126,7 @@
   };
 
   void Tick();
+  Millis RankDelay() const;
   void Watch();
   void OnRowRead(const std::optional<store::StoredRow>& row);
   void TakeOver(Version expected, Epoch last);
@@ -148,6 +160,10 @@
   Version m_watched_version{};  // Of the row, as last read while not leading.
   Instant m_watched_since;
   bool m_watching = false;
+  Instant m_next_watch;      // When to read the row again.
+  Instant m_release_heard;   // When the news of the last release came.
+  Epoch m_released_epoch{};  // Of that release.
+  std::function<int()> m_rank = [] { return 0; };
   Subscription m_tick;
   Subscription m_retry;
 };
--- a/hickoryquay/settings/node_settings.cc
+++ b/hickoryquay/settings/node_settings.cc
@@ -11,6 +11,8 @@
 using All = NodeSettings;
 
 constexpr double kMostRemote = 100.0;
+constexpr double kMostCores = 1'000.0;
+constexpr double kMostMbitS = 1'000'000.0;
 
 Key<All>::Reader Text(std::string NodeSection::*value) {
   return [value](const std::string& text, All* all) -> std::string {
@@ -20,13 +22,15 @@
   };
 }
 
-Key<All>::Reader Factor(double TermsSection::*value) {
-  return [value](const std::string& text, All* all) -> std::string {
-    double factor = 0.0;
-    const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), factor);
+// `expected` says which numbers are taken: those from `low` to `high`.
+template <typename Section>
+Key<All>::Reader Number(Section All::*section, double Section::*value, double low, double high, const char* expected) {
+  return [at = Member(section, value), low, high, expected](const std::string& text, All* all) -> std::string {
+    double number = 0.0;
+    const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number);
     const bool whole = error == std::errc{} && stop == text.data() + text.size();
-    if (!whole || factor < 1.0 || factor > kMostRemote) return "expected a number from 1 to 100";
-    all->m_terms.*value = factor;
+    if (!whole || !(number >= low && number <= high)) return expected;
+    *at(all) = number;
     return "";
   };
 }
@@ -63,6 +67,12 @@
 
 std::vector<Key<All>> StoreKeys() {
   return {{"store", "address", Need::kRequired, Address(&All::m_store, &StoreSection::m_address)},
+          {"capacity", "processor_share", Need::kOptional,
+           Number(&All::m_capacity, &CapacitySection::m_processor_share, 0.001, kMostCores,
+                  "expected a number of cores, such as 0.25")},
+          {"capacity", "link_mbit_s", Need::kOptional,
+           Number(&All::m_capacity, &CapacitySection::m_link_mbit_s, 0.001, kMostMbitS,
+                  "expected a number of megabits a second, such as 20")},
           {"machines", "address", Need::kOptional, Address(&All::m_machines, &MachinesSection::m_address)}};
 }
 
@@ -72,7 +82,8 @@
           {"terms", "stop_timeout", Need::kOptional, FractionOf(&All::m_terms, &S::m_stop_timeout)},
           {"terms", "restore", Need::kOptional, FractionOf(&All::m_terms, &S::m_restore)},
           {"terms", "keep_ended", Need::kOptional, FractionOf(&All::m_terms, &S::m_keep_ended)},
-          {"terms", "remote_factor", Need::kOptional, Factor(&S::m_remote_factor)}};
+          {"terms", "remote_factor", Need::kOptional,
+           Number(&All::m_terms, &S::m_remote_factor, 1.0, kMostRemote, "expected a number from 1 to 100")}};
 }
 
 const std::vector<Key<All>>& Keys() {
--- a/hickoryquay/settings/node_settings.h
+++ b/hickoryquay/settings/node_settings.h
@@ -39,6 +39,12 @@
   net::Endpoint m_address;  // Required.
 };
 
+// [capacity]: what the machine has, so that an able one leads.
+struct CapacitySection {
+  double m_processor_share = 1.0;  // Of a core.
+  double m_link_mbit_s = 1'000.0;  // Of its network link.
+};
+
 // [machines]
 struct MachinesSection {
   net::Endpoint m_address;  // Where the platform lists its machines; without it only leases prove a worker clear.
@@ -60,6 +66,7 @@
 struct NodeSettings {
   NodeSection m_node;
   StoreSection m_store;
+  CapacitySection m_capacity;
   MachinesSection m_machines;
   TermsSection m_terms;
   log::Settings m_log;
--- a/standin/sim_store.cc
+++ b/standin/sim_store.cc
@@ -121,6 +121,7 @@
 }
 
 void SimStoreClient::Read(const store::RowRange& range, int limit, Millis timeout, store::ReadCallback callback) {
+  ++m_reads;
   TimerService* timers = m_store->m_timers;
   const bool slow = m_store->m_settings.m_latency > timeout;
   if (slow || m_mood == StoreMood::kSilent || m_mood == StoreMood::kRefuses) {
--- a/standin/sim_store.h
+++ b/standin/sim_store.h
@@ -76,6 +76,7 @@
   // Answers arrive one after another at this rate; 0: at once. A call whose answer has not arrived whole in time fails.
   void SetLink(int bytes_per_ms) { m_bytes_per_ms = bytes_per_ms; }
   std::int64_t ReceivedBytes() const { return m_received_bytes; }
+  std::int64_t Reads() const { return m_reads; }
 
   void Transact(const store::Transaction& transaction, Millis timeout, store::TransactCallback callback) override;
   void Read(const store::RowRange& range, int limit, Millis timeout, store::ReadCallback callback) override;
@@ -92,6 +93,7 @@
   int m_bytes_per_ms = 0;
   Instant m_link_free;  // When the answers under way have arrived.
   std::int64_t m_received_bytes = 0;
+  std::int64_t m_reads = 0;
 };
 
 }  // namespace hickoryquay::standin
--- a/tests/service/leader_beats_test.cc
+++ b/tests/service/leader_beats_test.cc
@@ -44,6 +44,8 @@
 
   void Run(Millis time) { m_timers.Advance(time); }
   void End(JobId job) { m_all.front()->AddPhases({PhaseChange{job, JobPhase::kCompleted, 0, {}}}); }
+  void Release() { m_all.front()->SendReleased(Epoch{7}); }
+  int Released() const { return m_released; }  // Instances that know of the release.
   void Kill(std::size_t index) { m_dead[index] = true; }
   std::size_t Count() const { return m_peers.size(); }
   std::int64_t CallsOf(std::size_t index) const { return m_calls[index]; }
@@ -78,6 +80,7 @@
       return LeaderStatus{Epoch{7}, true, {}};
     };
     parts.m_on_leader = [this, index](Epoch) { m_heard[index] = m_clock.Now(); };
+    parts.m_on_released = [this](Epoch) { ++m_released; };
     parts.m_send = [this, index](const net::Endpoint& to, inner::Message message, Millis timeout,
                                  std::function<void(const inner::Message*)> callback) {
       ++m_calls[index];
@@ -107,6 +110,7 @@
   std::vector<std::int64_t> m_calls;
   std::vector<Instant> m_heard;
   std::vector<bool> m_dead;
+  int m_released = 0;
 };
 
 class LeaderBeatsTest : public CppUnit::TestFixture {
@@ -115,6 +119,7 @@
   CPPUNIT_TEST(FewInstancesAreToldAtOnce);
   CPPUNIT_TEST(ManyEndsCostTheLeaderLittle);
   CPPUNIT_TEST(DeadInstancesSilenceNoOthers);
+  CPPUNIT_TEST(ReleaseReachesAllInstancesSoon);
   CPPUNIT_TEST(OvertakenHeartbeatBringsOnlyEnds);
   CPPUNIT_TEST(GapDropsUnfinishedPhases);
   CPPUNIT_TEST(GroupsCoverEveryPeerOnce);
@@ -173,6 +178,14 @@
     }
   }
 
+  void ReleaseReachesAllInstancesSoon() {
+    Instances instances(147);
+    instances.Run(kSecond);
+    instances.Release();
+    instances.Run(Millis{10});
+    CPPUNIT_ASSERT_EQUAL(146, instances.Released());
+  }
+
   void OvertakenHeartbeatBringsOnlyEnds() {
     Receiver receiver;
     receiver.Take(1, {});
--- a/tests/settings/node_settings_test.cc
+++ b/tests/settings/node_settings_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(NodeSettingsTest);
   CPPUNIT_TEST(LeastThatIsNeeded);
   CPPUNIT_TEST(TermsTakeFractions);
+  CPPUNIT_TEST(CapacityTakesFractions);
   CPPUNIT_TEST(WrongValuesNameTheirKey);
   CPPUNIT_TEST_SUITE_END();
 
@@ -37,7 +38,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ValueOf(read).m_node.m_seeds.size());
   }
 
+  void CapacityTakesFractions() {
+    const auto read = Read(std::string(kNode) + kStore + "[capacity]\nprocessor_share = 0.12\nlink_mbit_s = 2.0\n");
+    CPPUNIT_ASSERT_MESSAGE(Ok(read) ? "" : ToString(ErrorOf(read)), Ok(read));
+    CPPUNIT_ASSERT_EQUAL(0.12, ValueOf(read).m_capacity.m_processor_share);
+    CPPUNIT_ASSERT_EQUAL(2.0, ValueOf(read).m_capacity.m_link_mbit_s);
+  }
+
   void WrongValuesNameTheirKey() {
+    for (const char* wrong : {"0", "-1", "nan", "much", "1e99", ""}) {
+      CheckWrong("processor_share", std::string(kNode) + kStore + "[capacity]\nprocessor_share = " + wrong + "\n");
+      CheckWrong("link_mbit_s", std::string(kNode) + kStore + "[capacity]\nlink_mbit_s = " + wrong + "\n");
+    }
     CheckWrong("name", kStore);
     CheckWrong("address", kNode);
     CheckWrong("restore", std::string(kNode) + kStore + "[terms]\nrestore = ms\n");
