Service: commands go to workers as the leader's link carries them

Cause: all starts of a batch went out at once. A start carries its job's payload, so 300 of them take 1.8 s over 2 Mbit/s; none was answered in 350 ms, each was sent up to three times more, and polls waited behind them. Change: CommandQueue keeps a window of commands in flight, which shrinks while answers take over 120 ms and grows while they are quick. Stops go first, then starts by priority. A start that waits is withdrawn if its run is stopped. Result: 300 starts over 2 Mbit/s are all answered in time, 3,000 over 200 Mbit/s take under half a second; in virtual time, tests.

--- a/bench/jobs/trial.cc
+++ b/bench/jobs/trial.cc
@@ -161,11 +161,7 @@
 
   void OnStored(const jobs::Batch& batch) {
     m_storing = false;
-    for (const jobs::StartCommand& order : batch.m_starts) {
-      if (!m_scheduler.IsStillPlanned(order)) continue;
-      m_scheduler.OnStartSent(order, Time());
-      m_sessions->Send(order);
-    }
+    for (const jobs::StartCommand& order : batch.m_starts) m_sessions->Send(order);
     for (const jobs::RecordedEnds& known : batch.m_recorded_ends)
       m_sessions->SetRecordedEnds(known.m_worker, known.m_number);
     for (const jobs::PhaseChange& change : batch.m_phases) {
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -4,7 +4,7 @@
 // Order of the actions on a worker:
 //   1. A run is placed and its step is marked as changed; nothing is sent.
 //   2. TakeBatch returns the changed rows and the starts that depend on them; the driver stores the rows.
-//   3. The starts are sent after the rows are stored, unless the run was stopped meanwhile (see IsStillPlanned).
+//   3. The starts are sent after the rows are stored, unless the run was stopped meanwhile (see MaySend).
 //   4. An end that a worker lists also changes a row; the worker may drop the end once that row is stored.
 // So the rows name every run that may exist after a takeover, and an end is always known to the rows or the worker.
 //
@@ -100,6 +100,7 @@
   RunNumber m_run{};
   std::shared_ptr<const std::string> m_payload;
   std::string m_checkpoint;
+  int m_priority = 0;  // Of its queue: lower ones are sent first.
 };
 
 struct StopCommand {
@@ -193,8 +194,8 @@
   void OnArchived(const std::vector<JobId>& jobs, Now now);
   void DeleteRow(std::string key) { m_removed_rows.push_back(std::move(key)); }
 
-  // False if the run was stopped after its start was handed out.
-  bool IsStillPlanned(const StartCommand& command) const;
+  // False if the run was stopped after its start was handed out. True for a resend while its run is not stopped.
+  bool MaySend(const StartCommand& command) const;
   bool IsBusy(const WorkerId& worker) const;  // A run is or may be there.
   // The state of a run there can only be resolved by a poll sent after `last`.
   bool NeedsPoll(const WorkerId& worker, Instant last) const;
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -288,7 +288,8 @@
     member.m_since = now.m_steady;
     m_workers.Allocate(slots[i], unit, i);
     if (slots[i]->m_reserved_for == unit) slots[i]->m_reserved_for = nullptr;
-    m_unsent_starts.push_back({slots[i]->m_entry.m_id, unit->Key(i), unit->m_run, job->m_payload, unit->m_checkpoint});
+    m_unsent_starts.push_back(
+        {slots[i]->m_entry.m_id, unit->Key(i), unit->m_run, job->m_payload, unit->m_checkpoint, job->m_job.m_priority});
     log::Info(kLog, "Run placed",
               {{"task", ToText(unit->Key(i))},
                {"run", std::to_string(Raw(unit->m_run))},
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -31,7 +31,7 @@
 // Answers
 //-------------------------------------------------------------------------------------------------
 
-bool Scheduler::IsStillPlanned(const StartCommand& command) const {
+bool Scheduler::MaySend(const StartCommand& command) const {
   const auto job = m_jobs.find(command.m_task.m_step.m_job);
   if (job == m_jobs.end()) return false;
   const auto& steps = job->second->m_steps[static_cast<std::size_t>(command.m_task.m_step.m_occurrence)];
@@ -39,7 +39,7 @@
   const Unit* unit = steps[static_cast<std::size_t>(command.m_task.m_step.m_step)]->FindUnit(command.m_task.m_index);
   if (unit == nullptr || !unit->m_active || unit->m_run != command.m_run) return false;
   const Member& member = unit->m_members[static_cast<std::size_t>(command.m_task.m_index - unit->m_first)];
-  return member.m_state == MemberState::kPlanned && !unit->m_stopping;
+  return (member.m_state == MemberState::kPlanned || member.m_state == MemberState::kSent) && !unit->m_stopping;
 }
 
 // Returns the unit of a task and the index of its member; nullptr if the job or its step is unknown.
@@ -65,7 +65,7 @@
 
 void Scheduler::OnStartSent(const StartCommand& command, Now now) {
   const auto [unit, index] = FindMember(command.m_task);
-  if (unit == nullptr) return;
+  if (unit == nullptr || unit->m_members[index].m_state != MemberState::kPlanned) return;  // A resend.
   SetState(&unit->m_members[index], MemberState::kSent, now.m_steady);
   ++m_starts;
 }
--- /dev/null
+++ b/hickoryquay/service/command_queue.h
@@ -0,0 +1,54 @@
+// CommandQueue: the order in which the leader's commands go to workers, and how many of them at a time.
+//
+// A start carries the payload of its job. On a slow link many starts at once hold each other up until none of them is
+// answered in time, all are sent again, and the polls that extend leases wait behind them. So only a window of commands
+// is in flight. It shrinks while answers are slow or missing and grows while they are quick. Stops go before starts,
+// and starts in the order of their priorities. Pure: no I/O, no clock.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <variant>
+
+#include "hickoryquay/jobs/scheduler.h"
+
+namespace hickoryquay::service {
+
+struct CommandWindow {
+  double m_first = 16.0;
+  double m_least = 8.0;
+  double m_most = 512.0;
+  Millis m_slow{120};       // Answers that take longer mean that the link is full: a round trip takes a few ms.
+  double m_cut = 0.7;       // Factor of the window then,
+  Millis m_cut_every{100};  // at most this often.
+};
+
+// Not thread-safe.
+class CommandQueue {
+ public:
+  using Command = std::variant<jobs::StopCommand, jobs::StartCommand>;
+
+  explicit CommandQueue(const CommandWindow& window) : m_settings(window), m_window(window.m_first) {}
+
+  void Add(const jobs::StopCommand& stop) { m_stops.push_back(stop); }
+  void Add(const jobs::StartCommand& start) { m_starts[start.m_priority].push_back(start); }
+
+  // Removes and returns the next command; empty if there is none or the window is full.
+  std::optional<Command> Next();
+  void OnSent() { ++m_in_flight; }
+  void OnAnswer(Millis took, Instant now);  // Also when a command gets no answer.
+
+  int Window() const { return static_cast<int>(m_window); }
+  int InFlight() const { return m_in_flight; }
+
+ private:
+  CommandWindow m_settings;
+  double m_window;
+  int m_in_flight = 0;
+  Instant m_last_cut;
+  std::deque<jobs::StopCommand> m_stops;
+  std::map<int, std::deque<jobs::StartCommand>> m_starts;  // By priority.
+};
+
+}  // namespace hickoryquay::service
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -315,11 +315,7 @@
 }
 
 void SchedulerDriver::OnStored(const jobs::Batch& batch) {
-  for (const jobs::StartCommand& command : batch.m_starts) {
-    if (!m_scheduler.IsStillPlanned(command)) continue;
-    m_scheduler.OnStartSent(command, Time());
-    m_sessions->Send(command);
-  }
+  for (const jobs::StartCommand& command : batch.m_starts) m_sessions->Send(command);
   for (const jobs::RecordedEnds& known : batch.m_recorded_ends)
     m_sessions->SetRecordedEnds(known.m_worker, known.m_number);
   if (!batch.m_phases.empty()) {
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -106,17 +106,43 @@
 }
 
 void WorkerSessions::Send(const jobs::StartCommand& command) {
+  m_commands.Add(command);
+  SendCommands();
+}
+
+void WorkerSessions::Send(const jobs::StopCommand& command) {
+  m_commands.Add(command);
+  SendCommands();
+}
+
+void WorkerSessions::SendCommands() {
+  while (const auto command = m_commands.Next()) {
+    std::visit([this](const auto& next) { SendNow(next); }, *command);
+  }
+}
+
+void WorkerSessions::OnCommandAnswer(Instant sent) {
+  const Instant now = m_clock->Now();
+  m_commands.OnAnswer(now - sent, now);
+  SendCommands();
+}
+
+void WorkerSessions::SendNow(const jobs::StartCommand& command) {
+  if (!m_scheduler->MaySend(command)) return;
+  m_scheduler->OnStartSent(command, Time());
   const auto found = m_sessions.find(command.m_worker);
   if (found == m_sessions.end()) return m_scheduler->OnStartAnswer(command, jobs::StartOutcome::kNotSent, Time());
   const auto session = found->second;
   jobs::StartCall call{
       command.m_task, command.m_run, command.m_payload, command.m_checkpoint, GrantLease(session.get()), m_epoch};
   const Instant sent = m_clock->Now();
+  m_commands.OnSent();
   m_api->Start(session->m_target, call, m_settings.m_command_timeout,
                [weak = weak_from_this(), command, session, sent](const jobs::StartReply& reply) {
                  const auto self = weak.lock();
                  if (!self || self->m_stopped) return;
                  self->m_start_ms->Add(static_cast<double>((self->m_clock->Now() - sent).count()));
+                 self->OnCommandAnswer(sent);
                  if (reply.m_outcome == jobs::StartOutcome::kFenced) return self->m_events.m_fenced();
                  self->m_scheduler->OnStartAnswer(command, reply.m_outcome, self->Time());
                  if (reply.m_outcome == jobs::StartOutcome::kOtherIncarnation)
@@ -125,14 +151,16 @@
                });
 }
 
-void WorkerSessions::Send(const jobs::StopCommand& command) {
+void WorkerSessions::SendNow(const jobs::StopCommand& command) {
   const auto found = m_sessions.find(command.m_worker);
   if (found == m_sessions.end()) return m_scheduler->OnStopAnswer(command, jobs::StopOutcome::kNoAnswer, Time());
   const auto session = found->second;
+  m_commands.OnSent();
   m_api->Stop(session->m_target, {command.m_task, command.m_run, m_epoch}, m_settings.m_command_timeout,
-              [weak = weak_from_this(), command, session](jobs::StopOutcome outcome) {
+              [weak = weak_from_this(), command, session, sent = m_clock->Now()](jobs::StopOutcome outcome) {
                 const auto self = weak.lock();
                 if (!self || self->m_stopped) return;
+                self->OnCommandAnswer(sent);
                 if (outcome == jobs::StopOutcome::kFenced) return self->m_events.m_fenced();
                 self->m_scheduler->OnStopAnswer(command, outcome, self->Time());
                 if (outcome == jobs::StopOutcome::kOtherIncarnation)
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -18,6 +18,7 @@
 #include "hickoryquay/base/timer_service.h"
 #include "hickoryquay/jobs/scheduler.h"
 #include "hickoryquay/jobs/worker_api.h"
+#include "hickoryquay/service/command_queue.h"
 
 namespace hickoryquay::service {
 
@@ -62,6 +63,7 @@
   // its answer or failure decides.
   void MarkSuspect(const WorkerId& worker);
 
+  // Commands are sent as the link carries them (see command_queue.h), starts unless they are withdrawn before.
   void Send(const jobs::StartCommand& command);
   void Send(const jobs::StopCommand& command);
   void SetRecordedEnds(const WorkerId& worker, std::int64_t number);
@@ -89,6 +91,10 @@
   using Sessions = std::map<WorkerId, std::shared_ptr<Session>>;
 
   bool IsUnreachable(const WorkerId& id, const Session& session) const;
+  void SendCommands();
+  void SendNow(const jobs::StartCommand& command);
+  void SendNow(const jobs::StopCommand& command);
+  void OnCommandAnswer(Instant sent);
   void ListWorkerIds();
   void OnWorkerIds(const std::set<WorkerId>& worker_ids, Instant asked);
   void UpdateOne(const WorkerId& id, const std::shared_ptr<Session>& session);
@@ -110,6 +116,7 @@
   Epoch m_epoch;
   Events m_events;
   Sessions m_sessions;
+  CommandQueue m_commands{CommandWindow{}};
   Instant m_started;
   Instant m_last_listing;  // When the ids of live workers were last requested.
   bool m_listing = false;
--- /dev/null
+++ b/tests/service/command_queue_test.cc
@@ -0,0 +1,118 @@
+// Pattern: a job of hundreds of tasks starts while the leader sits behind a slow link. No network.
+
+#include "hickoryquay/service/command_queue.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+
+namespace hickoryquay::service {
+namespace {
+
+constexpr int kBytesOfStart = 1'500;
+constexpr Millis kRoundTrip{4};
+constexpr Millis kTimeout{350};  // Of a command, see SessionSettings.
+
+// A link that carries commands one after another.
+class Link {
+ public:
+  explicit Link(int bytes_per_ms) : m_bytes_per_ms(bytes_per_ms) {}
+
+  // Sends `commands` starts in virtual time. Returns how many were not answered in time.
+  int Send(CommandQueue* queue, int commands) {
+    for (int i = 0; i < commands; ++i) queue->Add(jobs::StartCommand{});
+    int late = 0;
+    while (true) {
+      while (queue->Next()) {
+        queue->OnSent();
+        m_free = std::max(m_free, m_now) + Millis{kBytesOfStart / m_bytes_per_ms};
+        m_sent.emplace_back(m_now, m_free + kRoundTrip);
+        m_longest_queue = std::max(m_longest_queue, m_free - m_now);
+      }
+      if (m_sent.empty()) return late;
+      const auto [sent, answered] = m_sent.front();
+      m_sent.pop_front();
+      m_now = std::max(m_now, answered);
+      late += answered - sent > kTimeout ? 1 : 0;
+      queue->OnAnswer(answered - sent, m_now);
+    }
+  }
+  Millis LongestQueue() const { return m_longest_queue; }  // What a poll would have waited for.
+  Instant Now() const { return m_now; }
+
+ private:
+  int m_bytes_per_ms;
+  Instant m_now{1'000'000};
+  Instant m_free;
+  Millis m_longest_queue{0};
+  std::deque<std::pair<Instant, Instant>> m_sent;  // With the time of the answer.
+};
+
+class CommandQueueTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CommandQueueTest);
+  CPPUNIT_TEST(SlowLinkIsNotFlooded);
+  CPPUNIT_TEST(FastLinkIsUsed);
+  CPPUNIT_TEST(StopsGoFirstThenUrgentStarts);
+  CPPUNIT_TEST(DeadWorkersDoNotStallTheOthers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // All were sent at once before: at 2 Mbit/s 300 starts take 1.8 s, so most got no answer within 350 ms.
+  void SlowLinkIsNotFlooded() {
+    Link link(250);
+    CommandQueue queue{CommandWindow{}};
+    CPPUNIT_ASSERT_EQUAL(0, link.Send(&queue, 300));
+    CPPUNIT_ASSERT(link.LongestQueue() < Millis{250});
+    CPPUNIT_ASSERT_EQUAL(0, queue.InFlight());
+  }
+
+  void FastLinkIsUsed() {
+    Link link(25'000);  // 200 Mbit/s.
+    CommandQueue queue{CommandWindow{}};
+    const Instant begin = link.Now();
+    CPPUNIT_ASSERT_EQUAL(0, link.Send(&queue, 3'000));
+    CPPUNIT_ASSERT(link.Now() - begin < Millis{500});
+  }
+
+  void StopsGoFirstThenUrgentStarts() {
+    CommandQueue queue{CommandWindow{}};
+    for (const int priority : {2, 0, 1, 0}) {
+      jobs::StartCommand start;
+      start.m_priority = priority;
+      queue.Add(start);
+    }
+    queue.Add(jobs::StopCommand{});
+    CPPUNIT_ASSERT(std::holds_alternative<jobs::StopCommand>(*queue.Next()));
+    for (const int priority : {0, 0, 1, 2}) {
+      CPPUNIT_ASSERT_EQUAL(priority, std::get<jobs::StartCommand>(*queue.Next()).m_priority);
+    }
+    CPPUNIT_ASSERT(!queue.Next());
+  }
+
+  // A fifth of the workers does not answer, as after the loss of a failure domain.
+  void DeadWorkersDoNotStallTheOthers() {
+    CommandQueue queue{CommandWindow{}};
+    Instant now{1'000'000};
+    std::multimap<Instant, Millis> answers;
+    constexpr int kCommands = 2'000;
+    for (int i = 0; i < kCommands; ++i) queue.Add(jobs::StartCommand{});
+    int sent = 0;
+    while (sent < kCommands || !answers.empty()) {
+      while (queue.Next()) {
+        queue.OnSent();
+        const Millis takes = ++sent % 5 == 0 ? kTimeout : kRoundTrip;
+        answers.emplace(now + takes, takes);
+      }
+      now = answers.begin()->first;
+      queue.OnAnswer(answers.begin()->second, now);
+      answers.erase(answers.begin());
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string((now - Instant{1'000'000}).count()),
+                           now - Instant{1'000'000} < Millis{12'000});
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CommandQueueTest);
+
+}  // namespace
+}  // namespace hickoryquay::service
