Driver: a load says how far it has come

Cause: a leader that read its tables for minutes looked in its log like one that had nothing to do. Change: once a second while it loads, one line and the gauge hq_load_rows by table. Result: the takeover test reads the gauge amid a load.

--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr log::Part kLog{"driver"};
+constexpr Millis kLoadReportInterval{1'000};
 constexpr Millis kRoundInterval{100};  // For work that becomes due without an event, such as timed jobs and retries.
 // Shortest time between scheduling rounds, per thousand workers. A round takes about 0.7 ms per thousand workers, so
 // rounds use about a thirtieth of a core however many events arrive. Rounds to 0 for less than 50 workers.
@@ -84,10 +85,14 @@
       [weak](bool reachable) {
         if (const auto self = weak.lock(); self && reachable) self->m_reachable_since = self->m_parts.m_clock->Now();
       });
+  m_load_timer = m_parts.m_timers->Every(kLoadReportInterval, [weak] {
+    if (const auto self = weak.lock()) self->ReportLoading();
+  });
 }
 
 void SchedulerDriver::Stop() {
   m_stopped = true;
+  m_load_timer.Cancel();
   m_tick.Cancel();
   m_round_timer.Cancel();
   for (const auto& follower : {m_state, m_intake, m_worker_rows}) {
@@ -190,6 +195,20 @@
   m_sessions->SetListed(workers);
 }
 
+// Tells how far the load has come, so that a slow one can be told from one that stands still.
+void SchedulerDriver::ReportLoading() {
+  const auto rows = [this](const char* table, bool read, std::size_t loaded, const auto& follower) {
+    const std::size_t count = read ? loaded : follower->Scanned();
+    m_parts.m_metrics->GetGauge("hq_load_rows", {{"table", table}}).Set(static_cast<double>(count));
+    return std::to_string(count) + (read ? " (all)" : "");
+  };
+  log::Info(kLog, "Loading tables",
+            {{"state", rows("state", m_state_read, m_state_rows.size(), m_state)},
+             {"intake", rows("intake", m_intake_read, m_buffered_intake.size(), m_intake)},
+             {"workers", rows("workers", m_workers_read, m_workers.size(), m_worker_rows)},
+             {"ms", std::to_string((m_parts.m_clock->Now() - m_started).count())}});
+}
+
 void SchedulerDriver::BeginIfLoaded() {
   if (m_ready || !m_intake_read || !m_state_read || !m_workers_read) return;
   std::set<JobId> accepted;
@@ -225,6 +244,7 @@
     }
   }
   for (const jobs::StepRow& step : steps) m_scheduler.RestoreStep(step);
+  m_load_timer.Cancel();
   m_ready = true;
   m_parts.m_metrics->GetCounter("hq_takeovers_total").Add();
   m_parts.m_metrics->GetDistribution("hq_takeover_ms")
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -66,6 +66,7 @@
   void OnWorkerRowRemoved(const std::string& key);
   void DropExpiredWorkers();
   void ListWorkers();
+  void ReportLoading();
   void BeginIfLoaded();
   void ScheduleRound();
   void RunRound();
@@ -99,6 +100,7 @@
   Instant m_started;         // Time of the election.
   Instant m_last_round;      // Time of the last scheduling round.
   Instant m_last_archiving;  // When settled jobs were last looked for.
+  Subscription m_load_timer;
   Subscription m_tick;
   Subscription m_round_timer;
   Distribution* m_store_ms;
--- a/hickoryquay/store/table_follower.h
+++ b/hickoryquay/store/table_follower.h
@@ -41,7 +41,8 @@
 
   void Start();
   void Stop();
-  bool Synced() const { return m_synced; }  // The whole table was read at some time.
+  std::size_t Scanned() const { return m_scanned.size(); }  // Rows read by the scan that is under way.
+  bool Synced() const { return m_synced; }                  // The whole table was read at some time.
 
  private:
   void Scan(std::string from);
--- a/tests/service/takeover_test.cc
+++ b/tests/service/takeover_test.cc
@@ -62,7 +62,10 @@
     }
     m_cluster->Run(Millis{1'000});
     m_cluster->KillInstance(*m_cluster->Leader());
-    m_cluster->Run(Millis{40'000});
+    m_cluster->Run(Millis{3'500});
+    const std::string loading = m_cluster->MetricsText();  // Operators see how far the load has come.
+    CPPUNIT_ASSERT_MESSAGE(loading, loading.find("hq_load_rows{table=\"intake\"} ") != std::string::npos);
+    m_cluster->Run(Millis{36'500});
     for (const JobId job : jobs) {
       if (m_cluster->Accepted(job)) CPPUNIT_ASSERT(m_cluster->StoredPhase(job) == JobPhase::kCompleted);
     }
