--- a/tests/service/load_test.cc
+++ b/tests/service/load_test.cc
@@ -13,14 +13,6 @@
 constexpr int kWorkers = 16;
 constexpr int kAccelerators = 8 * kWorkers;
 
-jobs::StepSpec Tasks(int count, int accelerators, Millis estimate) {
-  jobs::StepSpec step;
-  step.m_tasks = count;
-  step.m_task = Resources{accelerators, 1'000, 1'000};
-  step.m_estimate = estimate;
-  return step;
-}
-
 jobs::StepSpec RackGang(int count, int accelerators, Millis estimate) {
   jobs::StepSpec step = Tasks(count, accelerators, estimate);
   step.m_gang = true;
--- a/tests/service/sim_cluster.cc
+++ b/tests/service/sim_cluster.cc
@@ -20,6 +20,14 @@
 
 }  // namespace
 
+jobs::StepSpec Tasks(int count, int accelerators, Millis estimate) {
+  jobs::StepSpec step;
+  step.m_tasks = count;
+  step.m_task = Resources{accelerators, 1'000, 1'000};
+  step.m_estimate = estimate;
+  return step;
+}
+
 SimCluster::SimCluster(const ClusterSettings& settings) : m_settings(settings) {
   m_clock.Set(Instant{1'000'000});
   standin::SimStoreSettings store;
--- a/tests/service/sim_cluster.h
+++ b/tests/service/sim_cluster.h
@@ -18,6 +18,9 @@
 
 namespace hickoryquay::service {
 
+// A step of `count` single tasks.
+jobs::StepSpec Tasks(int count, int accelerators, Millis estimate);
+
 struct ClusterSettings {
   int m_instances = 3;
   int m_racks = 2;
--- a/tests/service/takeover_test.cc
+++ b/tests/service/takeover_test.cc
@@ -16,14 +16,6 @@
 constexpr Millis kTarget{3'000};
 constexpr int kSlowLink = 250;  // Bytes a millisecond: 2 Mbit/s.
 
-jobs::StepSpec Tasks(int count, int accelerators, Millis estimate) {
-  jobs::StepSpec step;
-  step.m_tasks = count;
-  step.m_task = Resources{accelerators, 1'000, 1'000};
-  step.m_estimate = estimate;
-  return step;
-}
-
 class TakeoverTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TakeoverTest);
   CPPUNIT_TEST(JobsOfTheDayDoNotDelayATakeover);
