Relay: only answers tell how long a call may be silent

Cause: a call that timed out raised the time after which the next one is hedged, so lost answers made an instance wait longer each time. Change: timed-out calls don't count. Result: a test with lost answers fails without the change and passes with it.

--- a/hickoryquay/service/store_relay.cc
+++ b/hickoryquay/service/store_relay.cc
@@ -116,7 +116,7 @@
 void StoreRelay::OnDirectAnswer(const std::shared_ptr<Call>& call, Result<net::HttpResponse, net::NetError> result) {
   call->m_direct_pending = false;
   call->m_silence.Cancel();
-  if (!call->m_request.m_may_wait) m_call_time.Answered(m_clock->Now() - call->m_sent_direct);
+  if (Ok(result) && !call->m_request.m_may_wait) m_call_time.Answered(m_clock->Now() - call->m_sent_direct);
   if (!IsUnavailable(result)) {
     MarkReachable();
     return Finish(call, std::move(result));
--- a/tests/service/relay_test.cc
+++ b/tests/service/relay_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(SilenceMovesWaitingCallsToPeers);
   CPPUNIT_TEST(SlowStoreIsNotAskedTwice);
   CPPUNIT_TEST(LateDirectAnswerIsIgnored);
+  CPPUNIT_TEST(LostAnswersDoNotDelayHedges);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -218,6 +219,21 @@
     CPPUNIT_ASSERT_EQUAL(1, m_peer_calls);  // For the first one only.
   }
 
+  // A call that timed out says nothing of the time that answers take.
+  void LostAnswersDoNotDelayHedges() {
+    m_hold = true;
+    for (int i = 0; i < 3; ++i) {
+      std::optional<HttpResult> answer;
+      SendAsync("GET", &answer);
+      m_timers.Advance(Millis{150});
+      CPPUNIT_ASSERT(answer);
+      m_timers.Advance(Millis{800});
+      m_held.back()(net::NetError{net::TimedOut{true}});
+      m_relay->Send()(kStore, Request("GET", false), kTimeout, [](const HttpResult&) {});
+      if (m_held.size() > 1) m_held.back()(Status(200));  // The store answers others, so it is not taken for away.
+    }
+  }
+
   void LateDirectAnswerIsIgnored() {
     m_hold = true;
     int answers = 0;
