Leadership: a renewal counts from the last proof that it was not stored

Cause: a write that got no answer is sent again when its row does not show it. Where the first copy is stored while that read's answer is on its way, the leader counted its grants of leases from the repetition, later than its successor does: by up to the way back of an answer, 150 ms at a store that takes 400 ms. Change: grants count from when the read that did not find the write was sent. Also: a read whose peers are used up waits for the store and is not ended by silence. SimStore answers reads as of half their time. Result: a test for each, which fails without its change.

--- a/hickoryquay/service/leadership.cc
+++ b/hickoryquay/service/leadership.cc
@@ -199,6 +199,7 @@
   m_version = ValueOf(result);
   m_write_count = 0;
   m_last_renewal = m_write_sent;
+  m_copy_in_doubt = false;
   m_pending.clear();
   m_writing = false;
   m_watching = false;
@@ -239,6 +240,7 @@
   transaction.m_puts.push_back({m_settings.m_row, Write(row)});
   transaction.m_removals = next.m_write.m_removals;
   m_write_sent = m_clock->Now();
+  if (!m_copy_in_doubt) m_applied_after = m_write_sent;
   // A read may be answered through a peer while the write waits for a connection that went silent.
   m_verify = m_timers->After(m_write_time.Allow(m_settings.m_call_timeout), [weak = weak_from_this()] {
     if (const auto self = weak.lock(); self && self->m_leading && self->m_writing) self->VerifyWrite();
@@ -268,25 +270,27 @@
 
 // Reads the row to learn whether the write in flight was stored. Sends it again if not, which is always safe.
 void Leadership::VerifyWrite() {
-  ReadRow(
-      [this, epoch = m_epoch, call = ++m_call_number](Result<std::optional<store::StoredRow>, store::ReadError> read) {
-        if (!m_leading || m_epoch != epoch || m_call_number != call) return;
-        if (!Ok(read)) {
-          m_retry = m_timers->After(m_settings.m_retry_delay, [weak = weak_from_this()] {
-            if (const auto self = weak.lock(); self && self->m_leading) self->VerifyWrite();
-          });
-          return;
-        }
-        const auto& row = ValueOf(read);
-        const auto parsed = row ? ReadLeaderRow(row->m_value) : Parsed<LeaderRow>(FieldError{"", "absent"});
-        if (!Ok(parsed)) return Depose("the leader's row can't be read");
-        const LeaderRow& leader = ValueOf(parsed);
-        if (leader.m_holder != m_settings.m_self || leader.m_epoch != m_epoch) {
-          return Depose("instance " + leader.m_holder.m_value + " took over with epoch " + Text(leader.m_epoch));
-        }
-        if (leader.m_write == m_write_count + 1) return CompleteWrite(row->m_version);
-        SendNext();
+  m_copy_in_doubt = true;
+  ReadRow([this, epoch = m_epoch, call = ++m_call_number,
+           sent = m_clock->Now()](Result<std::optional<store::StoredRow>, store::ReadError> read) {
+    if (!m_leading || m_epoch != epoch || m_call_number != call) return;
+    if (!Ok(read)) {
+      m_retry = m_timers->After(m_settings.m_retry_delay, [weak = weak_from_this()] {
+        if (const auto self = weak.lock(); self && self->m_leading) self->VerifyWrite();
       });
+      return;
+    }
+    const auto& row = ValueOf(read);
+    const auto parsed = row ? ReadLeaderRow(row->m_value) : Parsed<LeaderRow>(FieldError{"", "absent"});
+    if (!Ok(parsed)) return Depose("the leader's row can't be read");
+    const LeaderRow& leader = ValueOf(parsed);
+    if (leader.m_holder != m_settings.m_self || leader.m_epoch != m_epoch) {
+      return Depose("instance " + leader.m_holder.m_value + " took over with epoch " + Text(leader.m_epoch));
+    }
+    if (leader.m_write == m_write_count + 1) return CompleteWrite(row->m_version);
+    m_applied_after = sent;
+    SendNext();
+  });
 }
 
 void Leadership::OnStoreAvailable() {
@@ -299,9 +303,10 @@
 void Leadership::CompleteWrite(Version version) {
   m_verify.Cancel();
   m_write_time.Answered(m_clock->Now() - m_write_sent);
+  m_copy_in_doubt = false;
   m_version = version;
   ++m_write_count;
-  m_last_renewal = m_write_sent;
+  m_last_renewal = m_applied_after;
   m_writing = false;
   Pending written = std::move(m_pending.front());
   m_pending.pop_front();
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -155,11 +155,13 @@
   std::int64_t m_write_count = 0;
   std::deque<Pending> m_pending;  // The first one is in flight while m_writing.
   bool m_writing = false;
-  Instant m_write_started;   // When the write in flight was first sent.
-  Instant m_write_sent;      // When the write in flight was last sent.
-  int m_call_number = 0;     // Of the last store call for that write; answers to earlier calls are ignored.
-  Instant m_last_renewal;    // When the last successful write was sent.
-  Instant m_last_heartbeat;  // When the last one arrived.
+  Instant m_applied_after;       // No copy of the write in flight was stored before this.
+  bool m_copy_in_doubt = false;  // A copy of it got no answer and may still be stored.
+  Instant m_write_started;       // When the write in flight was first sent.
+  Instant m_write_sent;          // When the write in flight was last sent.
+  int m_call_number = 0;         // Of the last store call for that write; answers to earlier calls are ignored.
+  Instant m_last_renewal;        // The last successful write was stored after this.
+  Instant m_last_heartbeat;      // When the last one arrived.
   Epoch m_heartbeat_epoch{};
   Version m_watched_version{};  // Of the row, as last read while not leading.
   Instant m_watched_since;
--- a/hickoryquay/service/store_relay.cc
+++ b/hickoryquay/service/store_relay.cc
@@ -147,7 +147,8 @@
 
 // Sends a read that is on its way to the store through a peer as well.
 void StoreRelay::Hedge(const std::shared_ptr<Call>& call) {
-  if (call->m_finished || !call->m_direct_pending || call->m_peer_pending || m_peers().empty()) return;
+  const bool tried = call->m_peer_pending || call->m_peers_tried == m_settings.m_peers_per_call;
+  if (call->m_finished || !call->m_direct_pending || tried || m_peers().empty()) return;
   m_hedged->Add();
   SendThroughPeer(call);
 }
--- a/standin/sim_store.cc
+++ b/standin/sim_store.cc
@@ -141,8 +141,14 @@
   }
   const Instant until = m_store->m_clock->Now() + timeout;
   timers
-      ->After(m_store->m_settings.m_latency,
-              [this, range, limit, until, callback] { Deliver(m_store->Page(range, limit), until, callback); })
+      ->After(m_store->m_settings.m_latency / 2,
+              [this, timers, range, limit, until, callback] {
+                timers
+                    ->After(
+                        m_store->m_settings.m_latency - m_store->m_settings.m_latency / 2,
+                        [this, page = m_store->Page(range, limit), until, callback] { Deliver(page, until, callback); })
+                    .Detach();
+              })
       .Detach();
 }
 
--- a/tests/service/leadership_test.cc
+++ b/tests/service/leadership_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(WriteWaitsForTimeoutWithoutNotification);
   CPPUNIT_TEST(LateDuplicateWriteIsRejected);
   CPPUNIT_TEST(StoreReturnIsIgnoredWithoutStaleWrite);
+  CPPUNIT_TEST(RenewalCountsFromTheLastProofThatItWasNotStored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -67,6 +68,26 @@
     CPPUNIT_ASSERT(m_leadership->Leading());
   }
 
+  // A write without an answer is applied while the answer to the read that did not find it is on its way. It is sent
+  // again after that. A successor counts from when it was applied; leases must not be extended any longer.
+  void RenewalCountsFromTheLastProofThatItWasNotStored() {
+    m_store->SetLatency(Millis{400});
+    m_store->SetTransactionTime(Millis{300});
+    m_client->SetMood(StoreMood::kLosesWrites);
+    const Instant applied = m_clock.Now() + Millis{500};
+    Write("value");
+    m_timers.Advance(Millis{300});
+    CPPUNIT_ASSERT_EQUAL(std::string(), ValueOfRow());
+    m_client->SetMood(StoreMood::kServes);
+    m_timers.Advance(Millis{700});
+    m_client->SetMood(StoreMood::kSilent);  // For further renewals. The answer that finds the write is on its way.
+    m_timers.Advance(Millis{200});
+    CPPUNIT_ASSERT_EQUAL(1, m_stored);
+    // The earliest takeover comes 1,100 ms after that; the successor takes grants to end 400 ms later.
+    m_timers.Advance(applied + Millis{1'100 + 400 + 10} - m_clock.Now());
+    CPPUNIT_ASSERT(!m_leadership->MayGrant());
+  }
+
   void StoreReturnIsIgnoredWithoutStaleWrite() {
     m_leadership->OnStoreAvailable();
     Write("value");
--- a/tests/service/relay_test.cc
+++ b/tests/service/relay_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(SlowStoreIsNotAskedTwice);
   CPPUNIT_TEST(LateDirectAnswerIsIgnored);
   CPPUNIT_TEST(LostAnswersDoNotDelayHedges);
+  CPPUNIT_TEST(CallThatPeersFailedWaitsForTheStore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -234,6 +235,22 @@
     }
   }
 
+  // Its peers are used up: silence must not end it before its time.
+  void CallThatPeersFailedWaitsForTheStore() {
+    m_direct = Status(503);
+    for (int i = 0; i < RelaySettings{}.m_failure_threshold; ++i) Send("GET");
+    m_peer = std::nullopt;
+    m_hold = true;
+    m_clock.Set(m_clock.Now() + Millis{1});
+    std::optional<HttpResult> answer;
+    SendAsync("GET", &answer);
+    m_timers.Advance(Millis{300});
+    CPPUNIT_ASSERT(!answer);
+    m_held.back()(Status(200));
+    CPPUNIT_ASSERT(answer);
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(*answer));
+  }
+
   void LateDirectAnswerIsIgnored() {
     m_hold = true;
     int answers = 0;
