Leadership: copies of a write are spaced as the store takes them

Cause: a write that a slow store had queued was looked for and sent again every 150 ms, and a refused one every 40 ms. Copies queue up behind each other in the leader's part of the store, which made it slower still. Change: the time after which a write is looked for doubles with each look, and follows what writes took from their first sending; the pause after a refusal doubles to 640 ms.

--- a/hickoryquay/service/leadership.cc
+++ b/hickoryquay/service/leadership.cc
@@ -200,6 +200,7 @@
   m_write_count = 0;
   m_last_renewal = m_write_sent;
   m_copy_in_doubt = false;
+  m_refusals = 0;
   m_pending.clear();
   m_writing = false;
   m_watching = false;
@@ -242,8 +243,12 @@
   m_write_sent = m_clock->Now();
   if (!m_copy_in_doubt) m_applied_after = m_write_sent;
   // A read may be answered through a peer while the write waits for a connection that went silent.
-  m_verify = m_timers->After(m_write_time.Allow(m_settings.m_call_timeout), [weak = weak_from_this()] {
-    if (const auto self = weak.lock(); self && self->m_leading && self->m_writing) self->VerifyWrite();
+  const Millis allowed = m_write_time.Allow(m_settings.m_call_timeout);
+  m_verify = m_timers->After(allowed, [weak = weak_from_this(), allowed] {
+    const auto self = weak.lock();
+    if (!self || !self->m_leading || !self->m_writing) return;
+    self->m_write_time.TimedOut(allowed);
+    self->VerifyWrite();
   });
   m_store->Transact(
       transaction, m_settings.m_call_timeout,
@@ -260,7 +265,11 @@
   if (Ok(result)) return CompleteWrite(ValueOf(result));
   const store::TransactError& error = ErrorOf(result);
   if (std::holds_alternative<store::StoreRefused>(error)) {
-    m_retry = m_timers->After(m_settings.m_retry_delay, [weak = weak_from_this()] {
+    // Further copies would only wait behind what the store is refusing this one for.
+    const Millis delay =
+        std::min(m_settings.m_retry_delay * (1 << std::min(m_refusals, 8)), m_settings.m_longest_retry);
+    ++m_refusals;
+    m_retry = m_timers->After(delay, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->SendNext();
     });
     return;
@@ -302,8 +311,9 @@
 
 void Leadership::CompleteWrite(Version version) {
   m_verify.Cancel();
-  m_write_time.Answered(m_clock->Now() - m_write_sent);
+  m_write_time.Answered(m_clock->Now() - m_write_started);
   m_copy_in_doubt = false;
+  m_refusals = 0;
   m_version = version;
   ++m_write_count;
   m_last_renewal = m_applied_after;
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -46,7 +46,8 @@
   int m_max_rank = 8;              // up to this rank.
   Millis m_heartbeat_valid{700};   // After a heartbeat the row is not read for this long. Heartbeats come every 200 ms.
   Millis m_call_timeout{2'500};    // Upper limit of a store call; AdaptiveStore usually sets a much shorter one.
-  Millis m_retry_delay{40};        // After a refused write or a failed read.
+  Millis m_retry_delay{40};        // After a refused write or a failed read; doubles with each refusal of a write
+  Millis m_longest_retry{640};     // up to this.
   // How long a write may be silent before its row is read: at least m_least, and m_spread times what writes took lately
   // plus m_slack.
   store::AdaptiveSettings m_silence{Millis{150}, 3.0, Millis{50}, 0.1};
@@ -156,6 +157,7 @@
   std::deque<Pending> m_pending;  // The first one is in flight while m_writing.
   bool m_writing = false;
   Instant m_applied_after;       // No copy of the write in flight was stored before this.
+  int m_refusals = 0;            // Of the write in flight, in succession.
   bool m_copy_in_doubt = false;  // A copy of it got no answer and may still be stored.
   Instant m_write_started;       // When the write in flight was first sent.
   Instant m_write_sent;          // When the write in flight was last sent.
--- a/standin/sim_store.cc
+++ b/standin/sim_store.cc
@@ -93,6 +93,7 @@
 }
 
 void SimStoreClient::Transact(const store::Transaction& transaction, Millis timeout, store::TransactCallback callback) {
+  ++m_transactions;
   TimerService* timers = m_store->m_timers;
   const Millis half = m_store->m_settings.m_latency / 2;
   const auto silent = [timers, timeout, callback] {
--- a/standin/sim_store.h
+++ b/standin/sim_store.h
@@ -81,6 +81,7 @@
   void SetLink(int bytes_per_ms) { m_bytes_per_ms = bytes_per_ms; }
   std::int64_t ReceivedBytes() const { return m_received_bytes; }
   std::int64_t Reads() const { return m_reads; }
+  std::int64_t Transactions() const { return m_transactions; }  // Calls, whatever became of them.
 
   void Transact(const store::Transaction& transaction, Millis timeout, store::TransactCallback callback) override;
   void Read(const store::RowRange& range, int limit, Millis timeout, store::ReadCallback callback) override;
@@ -98,6 +99,7 @@
   Instant m_link_free;  // When the answers under way have arrived.
   std::int64_t m_received_bytes = 0;
   std::int64_t m_reads = 0;
+  std::int64_t m_transactions = 0;
 };
 
 }  // namespace hickoryquay::standin
