Jobs: an archived job reserves no workers

Cause: an urgent job that is cancelled while others are stopped for it left its reservation on their workers. Its units end when it is archived, up to a second later, and the next decision read them. Change: archiving a job takes its reservations back.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -208,6 +208,10 @@
   for (const JobId id : jobs) {
     JobState* job = Find(id);
     if (job == nullptr) continue;
+    for (const auto& [worker, slot] : m_workers.All()) {  // A job may be cancelled while room is made for it.
+      const Unit* reserved = slot->m_reserved_for;
+      if (reserved != nullptr && reserved->m_step->m_job == job) slot->m_reserved_for = nullptr;
+    }
     for (auto& steps : job->m_steps) {
       for (const auto& step : steps) {
         for (const int part : step->m_stored_parts) m_removed_rows.push_back(ToText(StepPart{step->m_key, part}));
--- a/tests/jobs/restore_test.cc
+++ b/tests/jobs/restore_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(RowsOfAStepRoundTrip);
   CPPUNIT_TEST(EndOfOneTaskRewritesLittle);
   CPPUNIT_TEST(RowOfAnEarlierVersionIsSplitUp);
+  CPPUNIT_TEST(ArchivedJobReservesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -206,7 +207,45 @@
     CPPUNIT_ASSERT(keys == (std::vector<std::string>{ToText(whole) + "/2", ToText(whole) + "/1", ToText(whole)}));
   }
 
+  // Found by the fuzz under AddressSanitizer: an urgent job is cancelled while others are stopped for it, and its units
+  // are gone before the reservation of their workers ends.
+  void ArchivedJobReservesNothing() {
+    Submit(JobId{1}, 2);
+    const Batch first = m_scheduler->TakeBatch(store::kMaxTransactionRows, store::kMaxTransactionBytes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.m_starts.size());
+    m_scheduler->OnStartSent(first.m_starts.front(), kNow);
+    m_scheduler->OnStartAnswer(first.m_starts.front(), StartOutcome::kAccepted, kNow);
+    Submit(JobId{2}, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_scheduler->TakeStops(kNow).size());
+    m_scheduler->OnCancel(JobId{2}, kNow);
+    m_scheduler->TakeBatch(store::kMaxTransactionRows, store::kMaxTransactionBytes);
+    const auto settled = m_scheduler->TakeSettledJobs();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, settled.size());
+    m_scheduler->OnArchived({settled.front().m_id}, kNow);
+    PollReply ended;
+    ended.m_ended = {{1, first.m_starts.front().m_task, first.m_starts.front().m_run, EndKind::kStopped, ""}};
+    m_scheduler->OnPollReply(kWorker, ended, kNow.m_steady, kNow);
+    m_scheduler->Decide(kNow);  // The worker is free for the first job again.
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1},
+        m_scheduler->TakeBatch(store::kMaxTransactionRows, store::kMaxTransactionBytes).m_starts.size());
+  }
+
  private:
+  // A job that takes the whole worker of setUp(), and a decision.
+  void Submit(JobId id, int priority) {
+    AcceptedJob job;
+    job.m_id = id;
+    job.m_pool = kPool;
+    job.m_priority = priority;
+    StepSpec step;
+    step.m_task = Resources{8, 1, 1};
+    step.m_estimate = Millis{5'000};
+    job.m_request.m_steps = {step};
+    m_scheduler->OnJob(job, kNow);
+    m_scheduler->Decide(kNow);
+  }
+
   void AddWorkers(int count) {
     for (int i = 0; i < count; ++i) {
       WorkerEntry worker;
