Wording: rows of a step have keys, settings say what they limit

Cause: read as a newcomer, "part" was a part of the store and a part of a step; two settings were explained by one sentence over two lines; a comment had lost that a gap makes an instance read the store; tests named faults that are mended "known red". Change: StepPart is StepRowKey, its members follow; comments are whole sentences. The comment on reads of the leader's row says what its test checks.

--- a/hickoryquay/jobs/rows.cc
+++ b/hickoryquay/jobs/rows.cc
@@ -231,20 +231,20 @@
   });
 }
 
-std::string ToText(const StepPart& part) {
-  return part.m_part == 0 ? ToText(part.m_step) : ToText(part.m_step) + '/' + std::to_string(part.m_part);
+std::string ToText(const StepRowKey& key) {
+  return key.m_index == 0 ? ToText(key.m_step) : ToText(key.m_step) + '/' + std::to_string(key.m_index);
 }
 
-std::optional<StepPart> ParseStepPart(std::string_view text) {
+std::optional<StepRowKey> ParseStepRowKey(std::string_view text) {
   const std::size_t slash = text.find('/');
   const auto step = ParseStepKey(text.substr(0, slash));
   if (!step) return std::nullopt;
-  StepPart part{*step, 0};
-  if (slash == std::string_view::npos) return part;
+  StepRowKey key{*step, 0};
+  if (slash == std::string_view::npos) return key;
   const std::string_view number = text.substr(slash + 1);
-  const auto [stop, error] = std::from_chars(number.data(), number.data() + number.size(), part.m_part);
+  const auto [stop, error] = std::from_chars(number.data(), number.data() + number.size(), key.m_index);
   const bool whole = error == std::errc{} && stop == number.data() + number.size();
-  return whole && part.m_part > 0 ? std::optional(part) : std::nullopt;
+  return whole && key.m_index > 0 ? std::optional(key) : std::nullopt;
 }
 
 // Three lists: "done" has ranges of units that are done, "placed" has workers with the units that run on them, and
@@ -281,10 +281,10 @@
   return json::serialize(object);
 }
 
-Parsed<StepRow> ReadStepRow(const StepPart& part, std::string_view text) {
-  return ReadRow<StepRow>(text, [&part](FieldReader* reader, StepRow* row) {
-    row->m_key = part.m_step;
-    row->m_part = part.m_part;
+Parsed<StepRow> ReadStepRow(const StepRowKey& key, std::string_view text) {
+  return ReadRow<StepRow>(text, [&key](FieldReader* reader, StepRow* row) {
+    row->m_key = key.m_step;
+    row->m_index = key.m_index;
     row->m_units = ReadObjects(reader, "units", Need::kRequired, ReadUnit);
     ReadDone(reader, &row->m_units);
     for (const json::value& element : reader->Array("placed", Need::kOptional)) {
--- a/hickoryquay/jobs/rows.h
+++ b/hickoryquay/jobs/rows.h
@@ -37,25 +37,25 @@
 // The tasks of a wide step are spread over several rows, so that the end of one task rewrites little.
 constexpr int kUnitsPerRow = 32;
 
-// Names one row of a step: the one of units from m_part * kUnitsPerRow on.
-struct StepPart {
+// Names one row of a step: that of the units from m_index * kUnitsPerRow on.
+struct StepRowKey {
   StepKey m_step;
-  int m_part = 0;
+  int m_index = 0;
 
-  bool operator==(const StepPart&) const = default;
-  // Later parts of a step first. Part 0 has the key under which earlier versions wrote the whole step; it is
-  // overwritten only after the other parts are stored.
-  bool operator<(const StepPart& other) const {
-    return m_step != other.m_step ? m_step < other.m_step : m_part > other.m_part;
+  bool operator==(const StepRowKey&) const = default;
+  // Later rows of a step first. The first row has the key under which earlier versions wrote the whole step; it is
+  // overwritten only after the other rows are stored.
+  bool operator<(const StepRowKey& other) const {
+    return m_step != other.m_step ? m_step < other.m_step : m_index > other.m_index;
   }
 };
-std::string ToText(const StepPart& part);  // "JOB.OCCURRENCE.STEP", with "/PART" behind it for all but part 0.
-std::optional<StepPart> ParseStepPart(std::string_view text);
+std::string ToText(const StepRowKey& key);  // "JOB.OCCURRENCE.STEP", with "/INDEX" behind it for all but the first.
+std::optional<StepRowKey> ParseStepRowKey(std::string_view text);
 
 struct StepRow {
   StepKey m_key;
   std::vector<UnitRow> m_units;
-  int m_part = 0;  // Rows of earlier versions hold the units of all parts in part 0.
+  int m_index = 0;  // See StepRowKey. A row of an earlier version has the index 0 and holds all units.
 };
 
 struct PhaseRow {
@@ -64,11 +64,11 @@
 };
 
 std::string Write(const AcceptedJob& job);
-std::string Write(const StepRow& row);  // The key and the part are not in the text.
+std::string Write(const StepRow& row);  // Key and index are not in the text.
 std::string Write(const PhaseRow& row);
 
 Parsed<AcceptedJob> ReadAcceptedJob(JobId id, std::string_view text);
-Parsed<StepRow> ReadStepRow(const StepPart& part, std::string_view text);
+Parsed<StepRow> ReadStepRow(const StepRowKey& key, std::string_view text);
 Parsed<PhaseRow> ReadPhaseRow(std::string_view text);
 
 }  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -45,13 +45,13 @@
   if (job == nullptr) return log::Warn(kLog, "Stored step belongs to no known job", {{"step", ToText(row.m_key)}});
   StepState* step = FindOrCreateStep(job, row.m_key.m_occurrence, row.m_key.m_step);
   if (step == nullptr) return log::Warn(kLog, "Stored step does not exist in its job", {{"step", ToText(row.m_key)}});
-  step->m_stored_parts.insert(row.m_part);
+  step->m_stored_rows.insert(row.m_index);
   for (const UnitRow& unit_row : row.m_units) {
     Unit* unit = step->FindUnit(unit_row.m_first);
     if (unit == nullptr) continue;
-    if (PartOf(*unit).m_part != row.m_part) {  // Written by an earlier version: it is split up.
+    if (RowOf(*unit).m_index != row.m_index) {  // Written by an earlier version: it is split up.
       MarkChanged(*unit);
-      m_changed_parts.insert({step->m_key, row.m_part});
+      m_changed_rows.insert({step->m_key, row.m_index});
     }
     unit->m_run = unit_row.m_run;
     unit->m_failed_runs = unit_row.m_failed_runs;
@@ -193,7 +193,7 @@
 std::vector<SettledJob> Scheduler::TakeSettledJobs() {
   std::set<JobId> unsettled;
   for (const Unit* unit : m_active) unsettled.insert(unit->m_step->m_key.m_job);
-  for (const StepPart& part : m_changed_parts) unsettled.insert(part.m_step.m_job);
+  for (const StepRowKey& row : m_changed_rows) unsettled.insert(row.m_step.m_job);
   for (const auto& [job, phase] : m_changed_phases) unsettled.insert(job);
   std::vector<SettledJob> settled;
   for (const auto& [id, job] : m_jobs) {
@@ -214,7 +214,7 @@
     }
     for (auto& steps : job->m_steps) {
       for (const auto& step : steps) {
-        for (const int part : step->m_stored_parts) m_removed_rows.push_back(ToText(StepPart{step->m_key, part}));
+        for (const int index : step->m_stored_rows) m_removed_rows.push_back(ToText(StepRowKey{step->m_key, index}));
       }
       steps.clear();
     }
@@ -303,25 +303,25 @@
 Batch Scheduler::TakeBatch(std::size_t max_rows, std::size_t max_bytes) {
   Batch batch;
   // Steps are written before phases, so that a job is not reported as ended before its ends are stored.
-  std::set<StepPart> taken;
+  std::set<StepRowKey> taken;
   std::size_t bytes = 0;
   bool full = false;
-  while (!m_changed_parts.empty() && batch.m_rows.size() < max_rows && !full) {
-    const StepPart part = *m_changed_parts.begin();
-    JobState* job = Find(part.m_step.m_job);
+  while (!m_changed_rows.empty() && batch.m_rows.size() < max_rows && !full) {
+    const StepRowKey row = *m_changed_rows.begin();
+    JobState* job = Find(row.m_step.m_job);
     if (job != nullptr) {
-      StepState* step = FindOrCreateStep(job, part.m_step.m_occurrence, part.m_step.m_step);
-      std::string value = Write(MakeStepRow(*step, part.m_part));
+      StepState* step = FindOrCreateStep(job, row.m_step.m_occurrence, row.m_step.m_step);
+      std::string value = Write(MakeStepRow(*step, row.m_index));
       full = !batch.m_rows.empty() && bytes + value.size() > max_bytes;
       if (full) break;  // It is part of the next batch.
       bytes += value.size();
-      step->m_stored_parts.insert(part.m_part);
-      batch.m_rows.push_back({ToText(part), std::move(value)});
-      taken.insert(part);
+      step->m_stored_rows.insert(row.m_index);
+      batch.m_rows.push_back({ToText(row), std::move(value)});
+      taken.insert(row);
     }
-    m_changed_parts.erase(m_changed_parts.begin());
+    m_changed_rows.erase(m_changed_rows.begin());
   }
-  if (m_changed_parts.empty()) {
+  if (m_changed_rows.empty()) {
     while (!m_changed_phases.empty() && batch.m_rows.size() < max_rows) {
       const auto [id, phase] = *m_changed_phases.begin();
       m_changed_phases.erase(m_changed_phases.begin());
@@ -344,16 +344,16 @@
   }
   std::erase_if(m_unsent_starts, [&](StartCommand& command) {
     const Unit* unit = FindMember(command.m_task).first;
-    if (unit == nullptr || !taken.contains(PartOf(*unit))) return false;
+    if (unit == nullptr || !taken.contains(RowOf(*unit))) return false;
     batch.m_starts.push_back(std::move(command));
     return true;
   });
   return batch;
 }
 
-StepRow Scheduler::MakeStepRow(const StepState& step, int part) const {
-  StepRow row{step.m_key, {}, part};
-  const std::size_t begin = static_cast<std::size_t>(part) * kUnitsPerRow;
+StepRow Scheduler::MakeStepRow(const StepState& step, int index) const {
+  StepRow row{step.m_key, {}, index};
+  const std::size_t begin = static_cast<std::size_t>(index) * kUnitsPerRow;
   const std::size_t end = std::min(begin + kUnitsPerRow, step.m_units.size());
   for (std::size_t u = begin; u < end; ++u) {
     const Unit* unit = step.m_units[u].get();
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -211,13 +211,13 @@
   JobState* Find(JobId job);
   StepState* FindOrCreateStep(JobState* job, int occurrence, int step);
   void CreateDueSteps(JobState* job, Now now);
-  static StepPart PartOf(const Unit& unit) { return {unit.m_step->m_key, unit.m_first / kUnitsPerRow}; }
-  void MarkChanged(const Unit& unit) { m_changed_parts.insert(PartOf(unit)); }
+  static StepRowKey RowOf(const Unit& unit) { return {unit.m_step->m_key, unit.m_first / kUnitsPerRow}; }
+  void MarkChanged(const Unit& unit) { m_changed_rows.insert(RowOf(unit)); }
   void SetPhase(JobState* job, JobPhase phase, Now now);
   void FinishIfComplete(JobState* job, Now now);
   void EndJob(JobState* job, JobPhase phase, Now now);
   void ForgetArchivedJobs(Now now);
-  StepRow MakeStepRow(const StepState& step, int part) const;
+  StepRow MakeStepRow(const StepState& step, int index) const;
 
   // scheduler_runs.cc
   void OnTaskEnd(WorkerSlot* slot, const EndedTask& end, Now now);
@@ -271,7 +271,7 @@
   std::shared_ptr<const QueueConfiguration> m_configuration;
   std::map<JobId, std::unique_ptr<JobState>> m_jobs;
   WorkerTable m_workers;
-  std::set<StepPart> m_changed_parts;          // Their rows must be written.
+  std::set<StepRowKey> m_changed_rows;         // Their rows must be written.
   std::map<JobId, JobPhase> m_changed_phases;  // Their rows must be written.
   std::vector<StartCommand> m_unsent_starts;   // Wait until their rows are stored.
   std::vector<StartCommand> m_resends;         // Their rows are stored already.
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -78,9 +78,9 @@
   JobState* m_job = nullptr;
   const StepSpec* m_spec = nullptr;
   std::vector<std::unique_ptr<Unit>> m_units;
-  int m_units_left = 0;          // Units that are not done.
-  std::set<int> m_stored_parts;  // Of which a row is stored.
-  double m_work_sum = 0.0;       // Sum of log(work) of finished tasks; work in ms on a worker of average speed.
+  int m_units_left = 0;         // Units that are not done.
+  std::set<int> m_stored_rows;  // Of which a row is stored.
+  double m_work_sum = 0.0;      // Sum of log(work) of finished tasks; work in ms on a worker of average speed.
   int m_work_samples = 0;
 
   Unit* FindUnit(int task) const;
--- a/hickoryquay/service/command_queue.h
+++ b/hickoryquay/service/command_queue.h
@@ -16,12 +16,12 @@
 namespace hickoryquay::service {
 
 struct CommandWindow {
-  double m_first = 16.0;
-  double m_least = 8.0;
-  double m_most = 512.0;
+  double m_first = 16.0;    // Commands in flight at first.
+  double m_least = 8.0;     // Lower limit.
+  double m_most = 512.0;    // Upper limit.
   Millis m_slow{120};       // Answers that take longer mean that the link is full: a round trip takes a few ms.
-  double m_cut = 0.7;       // Factor of the window then,
-  Millis m_cut_every{100};  // at most this often.
+  double m_cut = 0.7;       // Factor by which a slow answer shrinks the window.
+  Millis m_cut_every{100};  // Least time between two cuts.
 };
 
 // Not thread-safe.
--- a/hickoryquay/service/job_archive.h
+++ b/hickoryquay/service/job_archive.h
@@ -30,10 +30,10 @@
   Millis m_call_timeout{2'000};
   Millis m_retry_delay{500};        // After a call that failed.
   Millis m_expiry_interval{1'000};  // Between deletions of expired rows.
-  int m_scan_rows = 100;            // Rows of earlier leaders read every m_expiry_interval.
+  int m_scan_rows = 100;            // Of a page of rows that earlier leaders left; one every m_expiry_interval.
 };
 
-// Not thread-safe. Of one term of leadership. `store`, `timers`, `clock` and `metrics` must outlive it.
+// Not thread-safe. One object per term. `store`, `timers`, `clock` and `metrics` must outlive it.
 class JobArchive : public std::enable_shared_from_this<JobArchive> {
  public:
   using PartOf = std::function<std::string(JobId)>;                        // Part of the job's rows.
--- a/hickoryquay/service/leader_beats.cc
+++ b/hickoryquay/service/leader_beats.cc
@@ -136,7 +136,7 @@
                      self->m_answered_at[group.m_head] = self->m_parts.m_clock->Now();
                      return;
                    }
-                   // The gap in the sequence tells a receiver that it missed one.
+                   // A receiver that missed one finds the gap in the sequence and reads the store.
                    self->m_silent_total->Add();
                    self->m_silent_until[group.m_head] =
                        self->m_parts.m_clock->Now() + self->m_settings.m_avoid_silent_for;
--- a/hickoryquay/service/leader_beats.h
+++ b/hickoryquay/service/leader_beats.h
@@ -67,7 +67,7 @@
   void Begin();
   // Leader: phases that are stored now.
   void AddPhases(const std::vector<jobs::PhaseChange>& phases);
-  // Leader: its term of `epoch` is over because it gave the leadership up.
+  // Leader: tells that it gave up the leadership of `epoch`.
   void SendReleased(Epoch epoch);
   // Leader: the highest fitness among peers that answered within m_answered_within; 0 if there are none.
   double BestAnswering() const;
@@ -89,10 +89,10 @@
   std::int64_t m_sequence = 0;  // Of the last heartbeat sent in this term.
   Instant m_last_sent;
   std::size_t m_peer_count = 0;                     // When it was sent.
-  std::map<net::Endpoint, Instant> m_silent_until;  // Peers that did not answer.
-  std::map<net::Endpoint, Instant> m_answered_at;
-  std::int64_t m_received_epoch = 0;     // Of the newest heartbeat received.
-  std::int64_t m_received_sequence = 0;  // Of the same heartbeat.
+  std::map<net::Endpoint, Instant> m_silent_until;  // Peers that did not answer pass nothing on until then.
+  std::map<net::Endpoint, Instant> m_answered_at;   // The last answer of each peer in this term.
+  std::int64_t m_received_epoch = 0;                // Of the newest heartbeat received.
+  std::int64_t m_received_sequence = 0;             // Of the same heartbeat.
   Subscription m_timer;
   Subscription m_early;  // The next heartbeat, ahead of the interval.
   Counter* m_sent_total;
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -42,12 +42,12 @@
   Millis m_renew_interval{350};    // A third of m_takeover_after, so that two renewals may be lost.
   Millis m_takeover_after{1'100};  // A row unchanged for this long is taken over. Limits the time without starts.
   Millis m_watch_interval{250};    // Between reads of the row while no heartbeats arrive.
-  Millis m_rank_delay{50};         // For each rank an instance waits this much longer before it takes over,
-  int m_max_rank = 8;              // up to this rank.
+  Millis m_rank_delay{50};         // Added to m_takeover_after for each instance that should lead rather than this one.
+  int m_max_rank = 8;              // More of them add no more.
   Millis m_heartbeat_valid{700};   // After a heartbeat the row is not read for this long. Heartbeats come every 200 ms.
   Millis m_call_timeout{2'500};    // Upper limit of a store call; AdaptiveStore usually sets a much shorter one.
-  Millis m_retry_delay{40};        // After a refused write or a failed read; doubles with each refusal of a write
-  Millis m_longest_retry{640};     // up to this.
+  Millis m_retry_delay{40};        // After a failed read or a refused write; doubles with each refusal of a write.
+  Millis m_longest_retry{640};     // After a refused write.
   // How long a write may be silent before its row is read: at least m_least, and m_spread times what writes took lately
   // plus m_slack.
   store::AdaptiveSettings m_silence{Millis{150}, 3.0, Millis{50}, 0.1};
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -238,7 +238,7 @@
       const auto phase = jobs::ReadPhaseRow(row.m_value);
       Ok(phase) ? m_scheduler.RestorePhase(*id, ValueOf(phase).m_phase, ValueOf(phase).m_since)
                 : ReportUnreadable("phase", row.m_key.m_key, ErrorOf(phase).m_field);
-    } else if (const auto key = jobs::ParseStepPart(row.m_key.m_key)) {
+    } else if (const auto key = jobs::ParseStepRowKey(row.m_key.m_key)) {
       if (archived(row, key->m_step.m_job)) continue;
       auto step = jobs::ReadStepRow(*key, row.m_value);
       Ok(step) ? steps.push_back(TakeValue(std::move(step)))
--- a/tests/jobs/restore_test.cc
+++ b/tests/jobs/restore_test.cc
@@ -38,7 +38,7 @@
     m_scheduler->SetWorkerUsable(kWorker, true);
   }
 
-  // Known red: a timed job of which only the last occurrence has a row never completed, since the others were taken for
+  // A timed job of which only the last occurrence has a row never completed, since the others were taken for
   // created.
   void EarlierOccurrencesWithoutRowsAreCreated() {
     AcceptedJob job;
@@ -73,11 +73,11 @@
     CPPUNIT_ASSERT(m_scheduler->Phase(job.m_id) == JobPhase::kCompleted);
   }
 
-  // Known red: elements of another type were skipped, so that the job got attempts that it had used up.
+  // Elements of another type were skipped, so that the job got attempts that it had used up.
   void WrongFailedRunMakesTheRowUnreadable() {
-    const StepPart part{StepKey{JobId{7}, 0, 0}, 0};
-    const auto read = [&part](const std::string& failed) {
-      return ReadStepRow(part, R"({"units":[{"run":4,"failed":)" + failed + "}]}");
+    const StepRowKey key{StepKey{JobId{7}, 0, 0}, 0};
+    const auto read = [&key](const std::string& failed) {
+      return ReadStepRow(key, R"({"units":[{"run":4,"failed":)" + failed + "}]}");
     };
     const auto good = read("[1,3]");
     CPPUNIT_ASSERT(Ok(good));
@@ -90,16 +90,16 @@
   }
 
   void WrongShortFormsMakeTheRowUnreadable() {
-    const StepPart part{StepKey{JobId{7}, 0, 0}, 0};
+    const StepRowKey key{StepKey{JobId{7}, 0, 0}, 0};
     for (const char* wrong : {R"("done":[1,2])", R"("done":[0,1,"x"])", R"("done":[0,1,-1])", R"("done":[0,1000001,1])",
                               R"("done":7)", R"("placed":[["w"]])", R"("placed":[["w","a",1]])",
                               R"("placed":[["w","a",1,-1]])", R"("placed":[[1,"a",1,1]])", R"("placed":["w"])"}) {
-      const auto row = ReadStepRow(part, std::string(R"({"units":[],)") + wrong + "}");
+      const auto row = ReadStepRow(key, std::string(R"({"units":[],)") + wrong + "}");
       CPPUNIT_ASSERT_MESSAGE(wrong, !Ok(row));
     }
     for (const char* wrong : {"0000000000000007.0.0/", "0000000000000007.0.0/0", "0000000000000007.0.0/x",
                               "0000000000000007.0/1", "0000000000000007.0.0/1/2"}) {
-      CPPUNIT_ASSERT_MESSAGE(wrong, !ParseStepPart(wrong));
+      CPPUNIT_ASSERT_MESSAGE(wrong, !ParseStepRowKey(wrong));
     }
   }
 
@@ -117,10 +117,10 @@
       if (i == 20) unit.m_members = {{WorkerId{}, "", true}};
       row.m_units.push_back(unit);
     }
-    CPPUNIT_ASSERT(ParseStepPart(ToText(StepPart{row.m_key, 3})) == (StepPart{row.m_key, 3}));
-    const auto read = ReadStepRow(StepPart{row.m_key, 3}, Write(row));
+    CPPUNIT_ASSERT(ParseStepRowKey(ToText(StepRowKey{row.m_key, 3})) == (StepRowKey{row.m_key, 3}));
+    const auto read = ReadStepRow(StepRowKey{row.m_key, 3}, Write(row));
     CPPUNIT_ASSERT(Ok(read));
-    CPPUNIT_ASSERT_EQUAL(3, ValueOf(read).m_part);
+    CPPUNIT_ASSERT_EQUAL(3, ValueOf(read).m_index);
     CPPUNIT_ASSERT_EQUAL(row.m_units.size(), ValueOf(read).m_units.size());
     for (const UnitRow& unit : row.m_units) {
       const auto& units = ValueOf(read).m_units;
@@ -174,7 +174,7 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(bytes), bytes > 0 && bytes < 2'000);
   }
 
-  // Its part 0 holds all units. The other parts are stored before it is overwritten.
+  // Its first row holds all units. The other rows are stored before it is overwritten.
   void RowOfAnEarlierVersionIsSplitUp() {
     AcceptedJob job;
     job.m_id = JobId{7};
@@ -189,7 +189,7 @@
       text += std::string(i == 0 ? "" : ",") + R"({"first":)" + std::to_string(i) + R"(,"run":2,"done":)" +
               (i < 80 ? "true" : "false") + "}";
     }
-    const StepPart whole{StepKey{job.m_id, 0, 0}, 0};
+    const StepRowKey whole{StepKey{job.m_id, 0, 0}, 0};
     const auto row = ReadStepRow(whole, text + "]}");
     CPPUNIT_ASSERT(Ok(row));
     m_scheduler->RestoreStep(ValueOf(row));
@@ -199,9 +199,9 @@
       if (batch.Empty()) break;
       for (const RowChange& change : batch.m_rows) {
         keys.push_back(change.m_key);
-        const auto part = ReadStepRow(*ParseStepPart(change.m_key), *change.m_value);
-        CPPUNIT_ASSERT(Ok(part));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{kUnitsPerRow}, ValueOf(part).m_units.size());
+        const auto read = ReadStepRow(*ParseStepRowKey(change.m_key), *change.m_value);
+        CPPUNIT_ASSERT(Ok(read));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{kUnitsPerRow}, ValueOf(read).m_units.size());
       }
     }
     CPPUNIT_ASSERT(keys == (std::vector<std::string>{ToText(whole) + "/2", ToText(whole) + "/1", ToText(whole)}));
--- a/tests/peers/membership_test.cc
+++ b/tests/peers/membership_test.cc
@@ -66,7 +66,7 @@
     CPPUNIT_ASSERT(m_membership.Peers().contains(InstanceId("c")));
   }
 
-  // Known red: such a peer stayed for good, since only a heartbeat starts its timeout.
+  // Such a peer stayed for good, since only a heartbeat starts its timeout.
   void ListedLeaverWithoutHeartbeatIsRemovedWithItsRow() {
     PeerInfo leaving = MakePeerInfo("b");
     leaving.m_leaving = true;
@@ -76,7 +76,7 @@
     CPPUNIT_ASSERT(m_membership.Peers().empty());
   }
 
-  // Known red: a leaving peer that fell silent became suspect, and a late heartbeat made it alive.
+  // A leaving peer that fell silent became suspect, and a late heartbeat made it alive.
   void SilentLeaverDoesNotBecomeAliveAgain() {
     PeerInfo leaving = MakePeerInfo("b");
     leaving.m_leaving = true;
@@ -88,7 +88,7 @@
     CPPUNIT_ASSERT_EQUAL(1, m_membership.LiveCount(m_domain));
   }
 
-  // Known red: the list lags by seconds, so a peer that another one has just named is not on it yet.
+  // The list lags by seconds, so a peer that another one has just named is not on it yet.
   void HintSurvivesAListThatLacksIt() {
     m_membership.AddHint(MakePeerInfo("b"), m_now);
     m_membership.ApplyList({});
--- a/tests/routing/path_test.cc
+++ b/tests/routing/path_test.cc
@@ -412,7 +412,7 @@
     CPPUNIT_ASSERT(Dumped(loop, all_returned));
   }
 
-  // Known red: the end of the io_context destroys a pending read, whose connection returned memory to a budget that was
+  // The end of the io_context destroys a pending read, whose connection returned memory to a budget that was
   // gone by then. Shows under a sanitizer.
   void PendingAnswerEndsWithItsThread() {
     Loopback loop;
--- a/tests/service/election_test.cc
+++ b/tests/service/election_test.cc
@@ -129,7 +129,7 @@
     CPPUNIT_ASSERT_EQUAL(2, candidates.Elections());
   }
 
-  // Two to three reads of each instance in the second without a leader; it read the row every 50 ms before.
+  // Without heartbeats an instance reads the row four times a second, not at each tick of 50 ms.
   void InstancesReadTheRowSeldom() {
     Candidates candidates(20);
     candidates.Run(Millis{5'000});
--- a/tests/service/faults_test.cc
+++ b/tests/service/faults_test.cc
@@ -271,7 +271,7 @@
     CheckInvariants();
   }
 
-  // Known red: the deletion stopped at the limit of one transaction, and the other rows stayed for good.
+  // The deletion stopped at the limit of one transaction, and the other rows stayed for good.
   void RowsOfManyExpiredJobsAreAllDeleted() {
     m_cluster->Run(kStartup);
     for (int i = 0; i < 120; ++i) m_cluster->Submit(i % 3, Tasks(1, 0), Millis{100});
@@ -285,7 +285,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_cluster->Store().Rows(tables.m_state).size());  // The leader's.
   }
 
-  // Known red: such a row was skipped without a word.
+  // Such a row was skipped without a word.
   void UnreadablePhaseRowIsReported() {
     m_cluster->Run(kStartup);
     const JobId job = m_cluster->Submit(0, Tasks(1, 1), kTaskTime);
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -175,7 +175,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("no such job"), outcome);
   }
 
-  // Known red: each retry derived the deadline anew, which was right only where the retry delay equals the margin.
+  // Each retry derived the deadline anew, which was right only where the retry delay equals the margin.
   void CancelKeepsItsDeadlineOverRetries() {
     IntakeSettings settings;
     settings.m_retry_delay = Millis{300};
--- a/tests/service/takeover_test.cc
+++ b/tests/service/takeover_test.cc
@@ -1,5 +1,5 @@
-// Pattern: the leader dies while many jobs wait and thousands of ended ones are kept, and every other instance sits
-// behind a slow link. Virtual time, no network.
+// Pattern: the leader dies while many jobs wait and thousands of ended ones are kept, and all instances sit behind slow
+// links. Virtual time, no network.
 //
 // Target: 3 s from the loss of a leader to the first start by the next one at 2 Mbit/s.
 
@@ -27,7 +27,7 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // Fifteen jobs a second for 40 s, of 1 KB each, as on a day of the large deployment's small twin, many times over.
+  // Fifteen jobs of 1 KB a second for 40 s. All have ended; to read their rows would take longer than the target.
   void JobsOfTheDayDoNotDelayATakeover() {
     Build(kSlowLink);
     for (int i = 0; i < 600; ++i) {
