--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -62,6 +62,14 @@
 
 }  // namespace
 
+store::FollowerSettings ConfigurationFollower(const std::string& table) {
+  store::FollowerSettings settings;
+  settings.m_table = table;
+  settings.m_wait = kConfigurationWait;
+  settings.m_timeout = kConfigurationTimeout;
+  return settings;
+}
+
 JobService::JobService(const JobServiceParts& parts, const JobServiceSettings& settings)
     : m_parts(parts), m_settings(settings), m_self(settings.m_node.m_node.m_name + "-" + RandomHex()) {
   m_intake = std::make_shared<Intake>(parts.m_store, parts.m_timers, parts.m_clock, parts.m_metrics, IntakeSettings{});
@@ -127,12 +135,8 @@
   beats.m_random_seed = std::random_device{}();
   m_beats = std::make_shared<LeaderBeats>(std::move(beats), BeatSettings{});
 
-  store::FollowerSettings configuration;
-  configuration.m_table = m_settings.m_platform.m_configuration;
-  configuration.m_wait = kConfigurationWait;
-  configuration.m_timeout = kConfigurationTimeout;
   m_configuration_rows = std::make_shared<store::TableFollower>(
-      m_parts.m_store, m_parts.m_timers, m_parts.m_clock, configuration,
+      m_parts.m_store, m_parts.m_timers, m_parts.m_clock, ConfigurationFollower(m_settings.m_platform.m_configuration),
       [weak](const std::vector<store::StoredRow>& rows, bool) {
         if (const auto self = weak.lock()) self->OnConfigurationRows(rows);
       },
--- a/hickoryquay/service/job_service.h
+++ b/hickoryquay/service/job_service.h
@@ -48,6 +48,9 @@
   Millis m_handover_interval{500};             // Between looks for an abler instance.
 };
 
+// How an instance follows the operators' documents.
+store::FollowerSettings ConfigurationFollower(const std::string& table);
+
 struct JobServiceParts {
   boost::asio::io_context* m_io = nullptr;
   store::RowStore* m_store = nullptr;  // Sends its calls through m_relay.
--- a/hickoryquay/store/table_follower.cc
+++ b/hickoryquay/store/table_follower.cc
@@ -127,8 +127,7 @@
 
 void TableFollower::MarkUnreachable(const char* call, const ReadError& error) {
   if (!std::exchange(m_reachable, false)) return;
-  log::Warn(kLog, "Store is not reachable",
-            {{"table", m_settings.m_table}, {"call", call}, {"why", ToString(error)}});
+  log::Warn(kLog, "Store is not reachable", {{"table", m_settings.m_table}, {"call", call}, {"why", ToString(error)}});
   if (m_on_reachable) m_on_reachable(false);
 }
 
--- a/tests/service/sim_cluster.cc
+++ b/tests/service/sim_cluster.cc
@@ -4,6 +4,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "hickoryquay/model/json.h"
+#include "hickoryquay/service/job_service.h"
 
 namespace hickoryquay::service {
 
@@ -114,12 +115,8 @@
   self->m_leadership->Start();
   const auto available = [self] { self->m_leadership->OnStoreAvailable(); };
   self->m_intake->SetOnStoreAvailable(available);
-  store::FollowerSettings configuration;
-  configuration.m_table = "configuration";
-  configuration.m_wait = Millis{700};
-  configuration.m_timeout = Millis{500};
   self->m_configuration_rows = std::make_shared<store::TableFollower>(
-      self->m_store.get(), self->m_timers.get(), &m_clock, configuration,
+      self->m_store.get(), self->m_timers.get(), &m_clock, ConfigurationFollower("configuration"),
       [](const std::vector<store::StoredRow>&, bool) {},
       [available](bool reachable) {
         if (reachable) available();
