Net: the time limit of a large answer bounds its pauses, not the whole

Cause: a call to the store had one time limit for its whole answer, and nobody bounded the size of the answer. A configuration of 4,200 routes is 1.1 MB, 0.9 s on such a link; a feed call of 1.2 s may have half of its time left when the change comes, and each further one got 0.6 s. It was broken off and asked for anew, the link stayed full, the copy through a peer shared it, and the instance took the store for unreachable.

The relay learns that an answer is arriving: no hedge, the store counts as reachable, and the time to the first bytes is what calls take. The answer of a probe is used. SimStore follows the same rule.

--- a/hickoryquay/net/client.cc
+++ b/hickoryquay/net/client.cc
@@ -29,6 +29,9 @@
 struct Call {
   http::request<http::string_body> m_request;
   Deadline m_deadline;
+  Millis m_timeout;
+  bool m_large_answer = false;
+  std::function<void(int status)> m_on_progress;
   ResponseCallback m_callback;
 };
 
@@ -91,7 +94,7 @@
   void Run(std::shared_ptr<Call> call) {
     asio::dispatch(m_stream.get_executor(), [self = shared_from_this(), call = std::move(call)]() mutable {
       self->m_call = std::move(call);
-      self->m_sent = false;
+      self->m_started = std::chrono::steady_clock::now();
       self->m_stream.expires_at(self->m_call->m_deadline);
       if (self->m_stream.socket().is_open() && self->ClosedByPeer()) self->m_stream.socket().close();
       self->m_stream.socket().is_open() ? self->Write() : self->Connect();
@@ -125,7 +128,6 @@
   }
 
   void Write() {
-    m_sent = true;
     http::async_write(m_stream, m_call->m_request,
                       [self = shared_from_this()](const beast::error_code& error, std::size_t written) {
                         if (error && written == 0) return self->Fail(NotSent{error.message()});
@@ -137,11 +139,29 @@
   void Read() {
     m_parser.emplace();
     m_parser->body_limit(m_client->m_settings.m_max_body_bytes);
-    http::async_read(m_stream, m_buffer, *m_parser,
-                     [self = shared_from_this()](const beast::error_code& error, std::size_t received) {
-                       if (error) return self->FailAfterSending(error, received);
-                       self->Succeed();
-                     });
+    m_parser->eager(true);
+    m_received = 0;
+    ReadSome();
+  }
+
+  void ReadSome() {
+    http::async_read_some(m_stream, m_buffer, *m_parser,
+                          [self = shared_from_this()](const beast::error_code& error, std::size_t received) {
+                            self->m_received += received;
+                            if (error) return self->FailAfterSending(error);
+                            if (self->m_parser->is_done()) return self->Succeed();
+                            self->OnProgress();
+                            self->ReadSome();
+                          });
+  }
+
+  void OnProgress() {
+    if (m_call->m_large_answer) {
+      const Deadline longest = m_started + m_client->m_settings.m_longest_answer;
+      m_stream.expires_at(std::min(longest, std::chrono::steady_clock::now() + m_call->m_timeout));
+    }
+    if (m_call->m_on_progress && m_parser->is_header_done())
+      m_call->m_on_progress(static_cast<int>(m_parser->get().result_int()));
   }
 
   void Succeed() {
@@ -154,8 +174,8 @@
     call->m_callback(FromBeast(std::move(message)));
   }
 
-  void FailAfterSending(const beast::error_code& error, std::size_t received = 0) {
-    if (error == beast::error::timeout) return Fail(TimedOut{true, received});
+  void FailAfterSending(const beast::error_code& error) {
+    if (error == beast::error::timeout) return Fail(TimedOut{true, m_received});
     const bool http_error = error.category() == make_error_code(http::error::bad_method).category();
     const bool ended = error == http::error::end_of_stream || error == http::error::partial_message;
     if (http_error && !ended) return Fail(Garbled{error.message()});
@@ -175,12 +195,16 @@
   beast::flat_buffer m_buffer;
   std::shared_ptr<Call> m_call;
   std::optional<http::response_parser<http::string_body>> m_parser;
-  bool m_sent = false;
+  std::size_t m_received = 0;  // Bytes of the answer.
+  Deadline m_started;          // Of the call.
   std::chrono::steady_clock::time_point m_idle_since;
 };
 
 void HttpClient::Impl::Send(const Endpoint& to, HttpRequest request, Millis timeout, ResponseCallback callback) {
   auto call = std::make_shared<Call>();
+  call->m_timeout = timeout;
+  call->m_large_answer = request.m_large_answer;
+  call->m_on_progress = std::move(request.m_on_progress);
   call->m_request = ToBeast(to, std::move(request));
   call->m_deadline = std::chrono::steady_clock::now() + timeout;
   call->m_callback = std::move(callback);
--- a/hickoryquay/net/http.h
+++ b/hickoryquay/net/http.h
@@ -50,6 +50,10 @@
   std::vector<Header> m_headers;
   std::string m_body;
   bool m_may_wait = false;  // The server may hold its answer back until it has news: silence means nothing.
+  // The answer may be of any size. The time limit then bounds the wait for its first bytes and for any further ones,
+  // not the answer as a whole: one that was broken off for its size would be as large the next time.
+  bool m_large_answer = false;
+  std::function<void(int status)> m_on_progress = nullptr;  // A part of an answer arrived that is not whole yet.
 };
 
 struct HttpResponse {
@@ -58,6 +62,9 @@
   std::string m_body;
 };
 
+// A GET whose answer may be of any size.
+HttpRequest LargeRead(std::string target);
+
 // The first header of that name in any letter case; nullptr where there is none.
 const std::string* FindHeader(const std::vector<Header>& headers, std::string_view name);
 
@@ -81,7 +88,7 @@
   std::string m_why;
 };
 
-// The deadline passed.
+// The time limit passed.
 struct TimedOut {
   bool m_sent = false;
   std::size_t m_received = 0;  // Bytes of the answer until then, its head included.
@@ -151,7 +158,8 @@
 struct ClientSettings {
   int m_max_connections_per_endpoint = 4;  // Further calls wait within their deadline.
   std::size_t m_max_body_bytes = 16 * 1024 * 1024;
-  Millis m_idle_timeout{30'000};  // An idle connection older than this is not used again.
+  Millis m_idle_timeout{30'000};    // An idle connection older than this is not used again.
+  Millis m_longest_answer{60'000};  // Of a large answer as a whole, from the sending of its request.
 };
 
 using ResponseCallback = std::function<void(Result<HttpResponse, NetError>)>;
@@ -162,7 +170,8 @@
   HttpClient(boost::asio::io_context* io, const ClientSettings& settings);
   ~HttpClient();
 
-  // Calls back exactly once, on a thread of the io_context, at the latest when `timeout` is over.
+  // Calls back exactly once, on a thread of the io_context: at the latest when `timeout` is over, or for a large answer
+  // when nothing of it arrived for that long.
   void Send(const Endpoint& to, HttpRequest request, Millis timeout, ResponseCallback callback);
 
  private:
--- a/hickoryquay/net/message.cc
+++ b/hickoryquay/net/message.cc
@@ -65,6 +65,13 @@
   return Endpoint{host, port};
 }
 
+HttpRequest LargeRead(std::string target) {
+  HttpRequest request;
+  request.m_target = std::move(target);
+  request.m_large_answer = true;
+  return request;
+}
+
 const std::string* FindHeader(const std::vector<Header>& headers, std::string_view name) {
   const auto found =
       std::find_if(headers.begin(), headers.end(), [&](const Header& h) { return SameLetters(h.m_name, name); });
--- a/hickoryquay/service/store_relay.cc
+++ b/hickoryquay/service/store_relay.cc
@@ -15,9 +15,12 @@
 constexpr int kUnavailable = 503;
 constexpr std::size_t kMaxLoggedTarget = 60;  // Characters of path and query written to the log.
 
+bool IsUnavailable(int status) {
+  return status == kTooManyCalls || status == kUnavailable;
+}
+
 bool IsUnavailable(const Result<net::HttpResponse, net::NetError>& result) {
-  if (!Ok(result)) return true;
-  return ValueOf(result).m_status == kTooManyCalls || ValueOf(result).m_status == kUnavailable;
+  return !Ok(result) || IsUnavailable(ValueOf(result).m_status);
 }
 
 }  // namespace
@@ -30,6 +33,7 @@
   bool m_maybe_applied = false;  // A write was sent but not answered.
   bool m_last_direct = false;
   bool m_direct_pending = false;
+  bool m_arriving = false;  // The direct answer has begun.
   bool m_peer_pending = false;
   bool m_counted = false;  // As a failure of the direct way.
   bool m_finished = false;
@@ -69,22 +73,30 @@
 }
 
 void StoreRelay::Begin(const std::shared_ptr<Call>& call) {
-  if (StoreUnreachable() && call->m_read) ProbeStore(*call);
+  if (StoreUnreachable() && call->m_read) ProbeStore(call);
   StoreUnreachable() && m_send ? SendThroughPeer(call) : SendDirect(call);
 }
 
 // Sends a copy of a read directly to the store, at most once per m_direct_interval, to detect when it is reachable
-// again. The caller does not wait for the answer: if packets are dropped silently, it would wait for its whole timeout.
-void StoreRelay::ProbeStore(const Call& like) {
+// again. The caller does not wait for the answer, if packets are dropped silently it would wait for its whole timeout,
+// but takes it if it comes first.
+void StoreRelay::ProbeStore(const std::shared_ptr<Call>& call) {
   const Instant now = m_clock->Now();
   if (m_probing || now - m_last_direct < m_settings.m_direct_interval) return;
   m_probing = true;
   m_last_direct = now;
-  m_direct(m_store, like.m_request, like.m_until - now,
-           [self = shared_from_this()](const Result<net::HttpResponse, net::NetError>& result) {
+  net::HttpRequest request = call->m_request;
+  request.m_on_progress = [weak = weak_from_this()](int status) {
+    const auto self = weak.lock();
+    if (self && !IsUnavailable(status)) self->MarkReachable();
+  };
+  m_direct(m_store, std::move(request), call->m_until - now,
+           [self = shared_from_this(), call](Result<net::HttpResponse, net::NetError> result) {
              self->m_probing = false;
              self->CountDiscarded(result);
-             if (!IsUnavailable(result)) self->MarkReachable();
+             if (IsUnavailable(result)) return;
+             self->MarkReachable();
+             Finish(call, std::move(result));
            });
 }
 
@@ -109,17 +121,32 @@
                                         if (self && silent) self->OnSilence(silent);
                                       });
   }
-  m_direct(m_store, call->m_request, call->m_until - m_last_direct,
+  net::HttpRequest request = call->m_request;
+  request.m_on_progress = [weak = weak_from_this(), weak_call = std::weak_ptr(call)](int status) {
+    const auto self = weak.lock();
+    const auto arriving = weak_call.lock();
+    if (self && arriving) self->OnProgress(arriving, status);
+  };
+  m_direct(m_store, std::move(request), call->m_until - m_last_direct,
            [self = shared_from_this(), call](Result<net::HttpResponse, net::NetError> result) {
              self->OnDirectAnswer(call, std::move(result));
            });
 }
 
+void StoreRelay::OnProgress(const std::shared_ptr<Call>& call, int status) {
+  if (IsUnavailable(status)) return;
+  MarkReachable();
+  if (std::exchange(call->m_arriving, true)) return;
+  call->m_silence.Cancel();
+  if (!call->m_request.m_may_wait) m_call_time.Answered(m_clock->Now() - call->m_sent_direct);
+}
+
 void StoreRelay::OnDirectAnswer(const std::shared_ptr<Call>& call, Result<net::HttpResponse, net::NetError> result) {
   call->m_direct_pending = false;
   call->m_silence.Cancel();
   CountDiscarded(result);
-  if (Ok(result) && !call->m_request.m_may_wait) m_call_time.Answered(m_clock->Now() - call->m_sent_direct);
+  if (Ok(result) && !call->m_request.m_may_wait && !call->m_arriving)
+    m_call_time.Answered(m_clock->Now() - call->m_sent_direct);
   if (!IsUnavailable(result)) {
     MarkReachable();
     return Finish(call, std::move(result));
@@ -155,6 +182,7 @@
 
 // Sends a read that is on its way to the store through a peer as well.
 void StoreRelay::Hedge(const std::shared_ptr<Call>& call) {
+  if (call->m_arriving) return;
   const bool tried = call->m_peer_pending || call->m_peers_tried == m_settings.m_peers_per_call;
   if (call->m_finished || !call->m_direct_pending || tried || m_peers().empty()) return;
   m_hedged->Add();
@@ -224,6 +252,7 @@
   request.m_method = call.method;
   request.m_target = call.target;
   request.m_body = call.body;
+  request.m_large_answer = call.method == "GET";
   if (!call.body.empty()) request.m_headers.push_back({"Content-Type", "application/json"});
   m_direct(m_store, std::move(request), Millis{call.timeout_ms},
            [self = shared_from_this(), answer](const Result<net::HttpResponse, net::NetError>& result) {
--- a/hickoryquay/service/store_relay.h
+++ b/hickoryquay/service/store_relay.h
@@ -6,7 +6,8 @@
 //
 // A read that takes much longer than calls usually do is sent through a peer as well, and the first answer counts:
 // where the store serves others, an instance that is cut off in silence goes on within a fraction of a second. The
-// silence of a read or write also sends all reads that wait for news through peers.
+// silence of a read or write also sends all reads that wait for news through peers. An answer that is arriving is left
+// to arrive, however long it takes: a second copy would share the link with it.
 #pragma once
 
 #include <functional>
@@ -54,7 +55,7 @@
   struct Call;
 
   void Begin(const std::shared_ptr<Call>& call);
-  void ProbeStore(const Call& like);
+  void ProbeStore(const std::shared_ptr<Call>& call);
   void MarkReachable();
   void CountFailure(const Call& call, const std::string& why);
   void CountDiscarded(const Result<net::HttpResponse, net::NetError>& result);
@@ -62,6 +63,7 @@
   void Hedge(const std::shared_ptr<Call>& call);
   static void Finish(const std::shared_ptr<Call>& call, Result<net::HttpResponse, net::NetError> result);
   void SendDirect(const std::shared_ptr<Call>& call);
+  void OnProgress(const std::shared_ptr<Call>& call, int status);
   void OnDirectAnswer(const std::shared_ptr<Call>& call, Result<net::HttpResponse, net::NetError> result);
   void SendThroughPeer(const std::shared_ptr<Call>& call);
   void OnPeerAnswer(const std::shared_ptr<Call>& call, const inner::Message* answer);
--- a/hickoryquay/store/instance_list.cc
+++ b/hickoryquay/store/instance_list.cc
@@ -163,7 +163,7 @@
   m_age_s.Set(static_cast<double>((m_parts.m_clock->Now() - m_answered).count()) / 1000.0);
   if (m_polling) return;
   m_polling = true;
-  net::HttpRequest request{"GET", TargetOf(m_settings), {}, ""};
+  net::HttpRequest request = net::LargeRead(TargetOf(m_settings));
   if (!m_tag.empty()) request.m_headers.push_back({"If-None-Match", m_tag});
   m_parts.m_send(m_settings.m_endpoint, std::move(request), m_settings.m_timeout,
                  [self = shared_from_this()](auto result) {
--- a/hickoryquay/store/object_store.cc
+++ b/hickoryquay/store/object_store.cc
@@ -53,7 +53,7 @@
 }
 
 void ObjectStore::Get(const std::string& name, ObjectCallback callback) const {
-  m_send(m_settings.m_endpoint, {"GET", TargetOf(name), {}, ""}, m_settings.m_timeout,
+  m_send(m_settings.m_endpoint, net::LargeRead(TargetOf(name)), m_settings.m_timeout,
          [callback = std::move(callback)](const Result<net::HttpResponse, net::NetError>& result) {
            if (!Ok(result)) return callback(FromNet(ErrorOf(result)));
            const net::HttpResponse& response = ValueOf(result);
--- a/hickoryquay/store/row_store.h
+++ b/hickoryquay/store/row_store.h
@@ -90,7 +90,9 @@
 using TransactCallback = std::function<void(Result<Version, TransactError>)>;
 using ReadCallback = std::function<void(Result<RowPage, ReadError>)>;
 
-// Every call answers exactly once, never inside the call itself. Nothing is retried.
+// Every call answers exactly once, never inside the call itself. Nothing is retried. The timeout of a read or feed
+// bounds how long nothing arrives: the time that a link needs for an answer depends on its size, which the reader can't
+// know.
 class RowStore {
  public:
   virtual ~RowStore() = default;
--- a/hickoryquay/store/table_codec.cc
+++ b/hickoryquay/store/table_codec.cc
@@ -81,14 +81,14 @@
 }  // namespace
 
 net::HttpRequest GetRequest(const std::string& key) {
-  return {"GET", "/table/row?key=" + net::PercentEncode(key), {}, ""};
+  return net::LargeRead("/table/row?key=" + net::PercentEncode(key));
 }
 
 net::HttpRequest ScanRequest(const std::string& prefix, const std::string& after, int limit) {
   std::string target = "/table/scan?prefix=" + net::PercentEncode(prefix);
   target += "&after=" + net::PercentEncode(after);
   target += "&limit=" + std::to_string(limit);
-  return {"GET", std::move(target), {}, ""};
+  return net::LargeRead(std::move(target));
 }
 
 net::HttpRequest CommitRequest(const Commit& commit) {
--- a/standin/sim_store.h
+++ b/standin/sim_store.h
@@ -77,7 +77,7 @@
     m_share = share;
   }
 
-  // Answers arrive one after another at this rate; 0: at once. A call whose answer has not arrived whole in time fails.
+  // Answers arrive one after another at this rate; 0: at once. A call whose answer has not begun in time fails.
   void SetLink(int bytes_per_ms) { m_bytes_per_ms = bytes_per_ms; }
   std::int64_t ReceivedBytes() const { return m_received_bytes; }
   std::int64_t Reads() const { return m_reads; }
--- a/tests/net/net_test.cc
+++ b/tests/net/net_test.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <optional>
@@ -60,6 +61,60 @@
   bool m_close;
 };
 
+// Answers with one byte of the body at a time, and stops for good after some of them.
+class DrippingServer {
+ public:
+  static constexpr Millis kPause{50};
+
+  DrippingServer(asio::io_context* io, int bytes, int stop_after = -1)
+      : m_acceptor(*io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)), m_bytes(bytes), m_stop_after(stop_after) {
+    Accept();
+  }
+  Endpoint Local() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+
+ private:
+  struct Session {
+    explicit Session(tcp::socket socket) : m_socket(std::move(socket)), m_timer(m_socket.get_executor()) {}
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::array<char, 4096> m_read{};
+  };
+
+  void Accept() {
+    m_acceptor.async_accept([this](const error_code& error, tcp::socket socket) {
+      if (error) return;
+      const auto session = std::make_shared<Session>(std::move(socket));
+      session->m_socket.async_read_some(
+          asio::buffer(session->m_read), [this, session](const error_code& failed, std::size_t) {
+            if (failed) return;
+            error_code ignored;
+            const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(m_bytes) + "\r\n\r\n";
+            asio::write(session->m_socket, asio::buffer(head), ignored);
+            Drip(session, 0);
+          });
+      Accept();
+    });
+  }
+  void Drip(const std::shared_ptr<Session>& session, int sent) {
+    if (sent == m_bytes) return;
+    if (sent == m_stop_after) {
+      m_stopped = session;
+      return;
+    }
+    session->m_timer.expires_after(kPause);
+    session->m_timer.async_wait([this, session, sent](const error_code&) {
+      error_code error;
+      asio::write(session->m_socket, asio::buffer("x", 1), error);
+      if (!error) Drip(session, sent + 1);
+    });
+  }
+
+  tcp::acceptor m_acceptor;
+  int m_bytes;
+  int m_stop_after;
+  std::shared_ptr<Session> m_stopped;  // Kept open.
+};
+
 }  // namespace
 
 class NetTest : public CppUnit::TestFixture {
@@ -69,6 +124,8 @@
   CPPUNIT_TEST(ErrorsTellWhetherTheCallMayHaveBeenSent);
   CPPUNIT_TEST(ConnectionClosedWhileIdleIsNotUsed);
   CPPUNIT_TEST(CallsBeyondTheConnectionsWait);
+  CPPUNIT_TEST(LargeAnswerMayTakeLongerThanItsLimit);
+  CPPUNIT_TEST(LargeAnswerThatStopsTimesOut);
   CPPUNIT_TEST(DrainAnswersWhatIsInFlight);
   CPPUNIT_TEST(TargetsAndEndpoints);
   CPPUNIT_TEST_SUITE_END();
@@ -141,6 +198,23 @@
     CPPUNIT_ASSERT_EQUAL(20, m_handled);
   }
 
+  // The time limit bounds the pauses in a large answer, not the whole.
+  void LargeAnswerMayTakeLongerThanItsLimit() {
+    DrippingServer server(&m_io, 12);
+    int parts = 0;
+    HttpRequest request = LargeRead("/");
+    request.m_on_progress = [&](int status) { parts += status == 200 ? 1 : 0; };
+    CPPUNIT_ASSERT(Ok(Call(server.Local(), request, 4 * DrippingServer::kPause)));
+    CPPUNIT_ASSERT(parts > 4);
+    CPPUNIT_ASSERT(std::holds_alternative<TimedOut>(ErrorOf(Call(server.Local(), {}, 4 * DrippingServer::kPause))));
+  }
+
+  void LargeAnswerThatStopsTimesOut() {
+    DrippingServer server(&m_io, 12, 3);
+    const auto result = Call(server.Local(), LargeRead("/"), 4 * DrippingServer::kPause);
+    CPPUNIT_ASSERT(std::get<TimedOut>(ErrorOf(result)).m_received > 0);
+  }
+
   // A handler that keeps its responder must not keep the drain.
   void DrainAnswersWhatIsInFlight() {
     Serve();
