Inner: a call waits for the end of a frame that is arriving

Change: a call that is overdue while a frame arrives on its connection waits for the end of that frame, as long as parts of it keep coming.

Measured: ChannelTest::LargeAnswerMayTakeLongerThanItsLimit and CallIsNotKeptByAnotherAnswer failed before and pass.

--- a/hickoryquay/inner/channel.h
+++ b/hickoryquay/inner/channel.h
@@ -56,7 +56,8 @@
   explicit InnerClient(boost::asio::io_context* io);
   ~InnerClient();
 
-  // Calls back exactly once, at the latest when `timeout` is over.
+  // Calls back exactly once, at the latest when `timeout` is over. If a frame is arriving then, which may be the
+  // answer, the call waits for its end as long as parts of it arrive within `timeout` of each other.
   void Call(const net::Endpoint& peer, Message message, Millis timeout, AnswerCallback callback);
 
   // Closes the connection to a peer that is gone.
--- a/hickoryquay/inner/client.cc
+++ b/hickoryquay/inner/client.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/strand.hpp>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -38,26 +39,48 @@
   struct Pending {
     AnswerCallback m_callback;
     std::shared_ptr<asio::steady_timer> m_timer;
-    std::uint64_t m_received_before = 0;  // Frames of the connection when the call was made.
+    Millis m_timeout;
+    std::uint64_t m_received_before = 0;             // Frames of the connection when the call was made.
+    std::optional<std::uint64_t> m_awaited_frame{};  // Number of the frame that was arriving when the time was over.
+    std::uint64_t m_received_bytes = 0;              // Of the connection when this was looked at last.
   };
 
   void Add(Message message, Millis timeout, AnswerCallback callback) {
     const std::int64_t id = ++m_last_id;
-    auto timer = std::make_shared<asio::steady_timer>(m_strand, timeout);
-    timer->async_wait([self = shared_from_this(), id](const error_code& error) {
-      if (!error) self->OnTimeout(id);
-    });
-    m_pending[id] = Pending{std::move(callback), timer, m_received};
+    auto timer = std::make_shared<asio::steady_timer>(m_strand);
+    m_pending[id] = Pending{std::move(callback), timer, timeout, m_received};
+    StartTimer(id);
     const Frame frame{kProtocol, id, false, std::move(message)};
     if (m_stream && !m_connecting) return m_stream->Write(frame);
     m_unsent.push_back(frame);
     if (!m_stream) Connect();
   }
 
+  void StartTimer(std::int64_t id) {
+    const Pending& pending = m_pending.at(id);
+    pending.m_timer->expires_after(pending.m_timeout);
+    pending.m_timer->async_wait([self = shared_from_this(), id](const error_code& error) {
+      if (!error) self->OnTimeout(id);
+    });
+  }
+
+  // Whether a frame is arriving that may hold the answer of an overdue call. Only the first such frame counts, and only
+  // as long as it makes progress.
+  bool AnswerMayBeArriving(Pending* pending) const {
+    if (!m_stream || !m_stream->FrameArriving()) return false;
+    const bool first = !pending->m_awaited_frame;
+    if (!first && *pending->m_awaited_frame != m_received) return false;
+    if (!first && pending->m_received_bytes == m_stream->ReceivedBytes()) return false;
+    pending->m_awaited_frame = m_received;
+    pending->m_received_bytes = m_stream->ReceivedBytes();
+    return true;
+  }
+
   // A connection that delivered nothing since the call is taken for dead: the next call opens another.
   void OnTimeout(std::int64_t id) {
     const auto found = m_pending.find(id);
     if (found == m_pending.end()) return;
+    if (AnswerMayBeArriving(&found->second)) return StartTimer(id);
     const bool silent = found->second.m_received_before == m_received;
     Finish(id, NoAnswer{"timed out"});
     if (silent) Break("silent");
--- a/hickoryquay/inner/frame_stream.cc
+++ b/hickoryquay/inner/frame_stream.cc
@@ -32,10 +32,17 @@
 
 void FrameStream::ReadBody(std::uint32_t length) {
   m_body.resize(length);
-  asio::async_read(m_socket, asio::buffer(m_body), [self = shared_from_this()](const error_code& error, std::size_t) {
-    if (error) return self->Close(error.message());
-    self->Deliver();
-  });
+  m_frame_arriving = true;
+  const auto count = [self = shared_from_this(), before = m_received_bytes](const error_code& error, std::size_t size) {
+    self->m_received_bytes = before + size;
+    return error ? 0 : self->m_body.size() - size;
+  };
+  asio::async_read(m_socket, asio::buffer(m_body), count,
+                   [self = shared_from_this()](const error_code& error, std::size_t) {
+                     if (error) return self->Close(error.message());
+                     self->m_frame_arriving = false;
+                     self->Deliver();
+                   });
 }
 
 void FrameStream::Deliver() {
--- a/hickoryquay/inner/frame_stream.h
+++ b/hickoryquay/inner/frame_stream.h
@@ -36,6 +36,9 @@
 
   boost::asio::ip::tcp::socket& Socket() { return m_socket; }
 
+  bool FrameArriving() const { return m_frame_arriving; }           // Its length has come, its end has not.
+  std::uint64_t ReceivedBytes() const { return m_received_bytes; }  // Of bodies, that of the arriving frame included.
+
  private:
   static constexpr std::size_t kMaxQueuedBytes = 8 * 1024 * 1024;
 
@@ -50,6 +53,8 @@
   OnClosed m_on_closed;
   std::array<unsigned char, kLengthBytes> m_length{};
   std::string m_body;
+  bool m_frame_arriving = false;
+  std::uint64_t m_received_bytes = 0;
   std::deque<std::string> m_queue;
   std::size_t m_queued_bytes = 0;
   bool m_closed = false;
--- a/tests/inner/channel_test.cc
+++ b/tests/inner/channel_test.cc
@@ -2,8 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
 #include <thread>
@@ -16,6 +18,49 @@
 constexpr Millis kLong{10'000};
 constexpr Millis kShort{100};
 
+// Answers the first call on its only connection, in parts with pauses, and stops after some of them.
+class SlowPeer {
+ public:
+  static constexpr Millis kPause{40};
+  static constexpr int kParts = 16;
+  static constexpr std::size_t kBytes = 400'000;
+
+  explicit SlowPeer(int parts) : m_thread([this, parts] { Serve(parts); }) {}
+  ~SlowPeer() {
+    boost::system::error_code ignored;
+    m_socket.shutdown(boost::asio::socket_base::shutdown_both, ignored);
+    m_thread.join();
+  }
+  net::Endpoint Local() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+
+ private:
+  void Serve(int parts) {
+    boost::system::error_code error;
+    m_acceptor.accept(m_socket, error);
+    std::array<unsigned char, kLengthBytes> length{};
+    boost::asio::read(m_socket, boost::asio::buffer(length), error);
+    std::string body(length.back(), '\0');  // A notice is short.
+    boost::asio::read(m_socket, boost::asio::buffer(body), error);
+    const auto call = Decode(body);
+    if (error || !Ok(call)) return;
+    wire::StoreAnswer answer;
+    answer.__set_body(std::string(kBytes, 'x'));
+    const std::string bytes = Encode({kProtocol, ValueOf(call).m_id, true, answer});
+    const std::size_t part = bytes.size() / kParts + 1;
+    for (std::size_t sent = 0; sent < part * static_cast<std::size_t>(parts) && sent < bytes.size(); sent += part) {
+      std::this_thread::sleep_for(kPause);
+      boost::asio::write(m_socket, boost::asio::buffer(bytes.data() + sent, std::min(part, bytes.size() - sent)),
+                         error);
+    }
+    boost::asio::read(m_socket, boost::asio::buffer(body), error);  // Until the connection ends.
+  }
+
+  boost::asio::io_context m_io;
+  boost::asio::ip::tcp::acceptor m_acceptor{m_io, {boost::asio::ip::address_v4::loopback(), 0}};
+  boost::asio::ip::tcp::socket m_socket{m_io};
+  std::thread m_thread;
+};
+
 class ChannelTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ChannelTest);
   CPPUNIT_TEST(CallsAreAnsweredEachByItsOwn);
@@ -23,6 +68,9 @@
   CPPUNIT_TEST(SilentPeerTimesOutAndIsReconnected);
   CPPUNIT_TEST(AbsentPeerGivesNoAnswer);
   CPPUNIT_TEST(OversizedFrameEndsOnlyItsConnection);
+  CPPUNIT_TEST(LargeAnswerMayTakeLongerThanItsLimit);
+  CPPUNIT_TEST(LargeAnswerThatStopsTimesOut);
+  CPPUNIT_TEST(CallIsNotKeptByAnotherAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -89,6 +137,29 @@
     CPPUNIT_ASSERT(Ok(Call(m_server->Local(), Notice(3), kLong).get()));
   }
 
+  // Guards against large documents and relayed answers of the store that never arrive over a small link.
+  void LargeAnswerMayTakeLongerThanItsLimit() {
+    SlowPeer peer(SlowPeer::kParts);
+    const Outcome outcome = Call(peer.Local(), Notice(1), 4 * SlowPeer::kPause).get();
+    CPPUNIT_ASSERT(Ok(outcome));
+    CPPUNIT_ASSERT_EQUAL(SlowPeer::kBytes, std::get<wire::StoreAnswer>(ValueOf(outcome)).body.size());
+  }
+
+  void LargeAnswerThatStopsTimesOut() {
+    SlowPeer peer(SlowPeer::kParts / 2);
+    const Outcome outcome = Call(peer.Local(), Notice(1), 4 * SlowPeer::kPause).get();
+    CPPUNIT_ASSERT(std::holds_alternative<NoAnswer>(ErrorOf(outcome)));
+  }
+
+  // The peer answers the first call only.
+  void CallIsNotKeptByAnotherAnswer() {
+    SlowPeer peer(SlowPeer::kParts);
+    auto answered = Call(peer.Local(), Notice(1), 4 * SlowPeer::kPause);
+    auto lost = Call(peer.Local(), Notice(2), 4 * SlowPeer::kPause);
+    CPPUNIT_ASSERT(Ok(answered.get()));
+    CPPUNIT_ASSERT(std::holds_alternative<NoAnswer>(ErrorOf(lost.get())));
+  }
+
  private:
   static Message Notice(int job) {
     wire::JobNotice notice;
