Peers: instances send large documents compressed

Cause: an instance with a small link reads a changed configuration from the store and from its peers at the same time, as plain text: 1.1 MB and 0.8 MB for 4,200 routes, which is 8 s on a link of 2 Mbit/s.

Change: documents of 4 kB and more go compressed (Zstandard) to peers whose pull says that they take them so; the compressed form is kept for the next pull. Peers of the version before get plain text.

--- a/hickoryquay/inner/gen/inner_types.cpp
+++ b/hickoryquay/inner/gen/inner_types.cpp
@@ -519,6 +519,10 @@
 void MarketDocument::__set_dropped(const bool val) {
   this->dropped = val;
 }
+
+void MarketDocument::__set_compressed(const std::string& val) {
+  this->compressed = val;
+}
 std::ostream& operator<<(std::ostream& out, const MarketDocument& obj)
 {
   obj.printTo(out);
@@ -579,6 +583,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->compressed);
+          this->__isset.compressed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -612,6 +624,10 @@
   xfer += oprot->writeBool(this->dropped);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("compressed", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->compressed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -623,6 +639,7 @@
   swap(a.version, b.version);
   swap(a.json, b.json);
   swap(a.dropped, b.dropped);
+  swap(a.compressed, b.compressed);
   swap(a.__isset, b.__isset);
 }
 
@@ -631,6 +648,7 @@
   version = other14.version;
   json = other14.json;
   dropped = other14.dropped;
+  compressed = other14.compressed;
   __isset = other14.__isset;
 }
 MarketDocument::MarketDocument(MarketDocument&& other15) noexcept {
@@ -638,6 +656,7 @@
   version = other15.version;
   json = std::move(other15.json);
   dropped = other15.dropped;
+  compressed = std::move(other15.compressed);
   __isset = other15.__isset;
 }
 MarketDocument& MarketDocument::operator=(const MarketDocument& other16) {
@@ -645,6 +664,7 @@
   version = other16.version;
   json = other16.json;
   dropped = other16.dropped;
+  compressed = other16.compressed;
   __isset = other16.__isset;
   return *this;
 }
@@ -653,6 +673,7 @@
   version = other17.version;
   json = std::move(other17.json);
   dropped = other17.dropped;
+  compressed = std::move(other17.compressed);
   __isset = other17.__isset;
   return *this;
 }
@@ -663,6 +684,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "json=" << to_string(json);
   out << ", " << "dropped=" << to_string(dropped);
+  out << ", " << "compressed=" << to_string(compressed);
   out << ")";
 }
 
@@ -674,6 +696,10 @@
 void ConfigurationPull::__set_versions(const std::map<std::string, int64_t> & val) {
   this->versions = val;
 }
+
+void ConfigurationPull::__set_accepts_compressed(const bool val) {
+  this->accepts_compressed = val;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigurationPull& obj)
 {
   obj.printTo(out);
@@ -725,6 +751,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepts_compressed);
+          this->__isset.accepts_compressed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -755,6 +789,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("accepts_compressed", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->accepts_compressed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -763,24 +801,29 @@
 void swap(ConfigurationPull &a, ConfigurationPull &b) {
   using ::std::swap;
   swap(a.versions, b.versions);
+  swap(a.accepts_compressed, b.accepts_compressed);
   swap(a.__isset, b.__isset);
 }
 
 ConfigurationPull::ConfigurationPull(const ConfigurationPull& other26) {
   versions = other26.versions;
+  accepts_compressed = other26.accepts_compressed;
   __isset = other26.__isset;
 }
 ConfigurationPull::ConfigurationPull(ConfigurationPull&& other27) noexcept {
   versions = std::move(other27.versions);
+  accepts_compressed = other27.accepts_compressed;
   __isset = other27.__isset;
 }
 ConfigurationPull& ConfigurationPull::operator=(const ConfigurationPull& other28) {
   versions = other28.versions;
+  accepts_compressed = other28.accepts_compressed;
   __isset = other28.__isset;
   return *this;
 }
 ConfigurationPull& ConfigurationPull::operator=(ConfigurationPull&& other29) noexcept {
   versions = std::move(other29.versions);
+  accepts_compressed = other29.accepts_compressed;
   __isset = other29.__isset;
   return *this;
 }
@@ -788,6 +831,7 @@
   using ::apache::thrift::to_string;
   out << "ConfigurationPull(";
   out << "versions=" << to_string(versions);
+  out << ", " << "accepts_compressed=" << to_string(accepts_compressed);
   out << ")";
 }
 
--- a/hickoryquay/inner/gen/inner_types.h
+++ b/hickoryquay/inner/gen/inner_types.h
@@ -227,11 +227,12 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _MarketDocument__isset {
-  _MarketDocument__isset() : market(false), version(false), json(false), dropped(false) {}
+  _MarketDocument__isset() : market(false), version(false), json(false), dropped(false), compressed(false) {}
   bool market :1;
   bool version :1;
   bool json :1;
   bool dropped :1;
+  bool compressed :1;
 } _MarketDocument__isset;
 
 class MarketDocument : public virtual ::apache::thrift::TBase {
@@ -245,7 +246,8 @@
                  : market(),
                    version(0),
                    json(),
-                   dropped(0) {
+                   dropped(0),
+                   compressed() {
   }
 
   virtual ~MarketDocument() noexcept;
@@ -253,6 +255,7 @@
   int64_t version;
   std::string json;
   bool dropped;
+  std::string compressed;
 
   _MarketDocument__isset __isset;
 
@@ -264,6 +267,8 @@
 
   void __set_dropped(const bool val);
 
+  void __set_compressed(const std::string& val);
+
   bool operator == (const MarketDocument & rhs) const
   {
     if (!(market == rhs.market))
@@ -274,6 +279,8 @@
       return false;
     if (!(dropped == rhs.dropped))
       return false;
+    if (!(compressed == rhs.compressed))
+      return false;
     return true;
   }
   bool operator != (const MarketDocument &rhs) const {
@@ -293,8 +300,9 @@
 std::ostream& operator<<(std::ostream& out, const MarketDocument& obj);
 
 typedef struct _ConfigurationPull__isset {
-  _ConfigurationPull__isset() : versions(false) {}
+  _ConfigurationPull__isset() : versions(false), accepts_compressed(false) {}
   bool versions :1;
+  bool accepts_compressed :1;
 } _ConfigurationPull__isset;
 
 class ConfigurationPull : public virtual ::apache::thrift::TBase {
@@ -304,20 +312,26 @@
   ConfigurationPull(ConfigurationPull&&) noexcept;
   ConfigurationPull& operator=(const ConfigurationPull&);
   ConfigurationPull& operator=(ConfigurationPull&&) noexcept;
-  ConfigurationPull() noexcept {
+  ConfigurationPull() noexcept
+                    : accepts_compressed(0) {
   }
 
   virtual ~ConfigurationPull() noexcept;
   std::map<std::string, int64_t>  versions;
+  bool accepts_compressed;
 
   _ConfigurationPull__isset __isset;
 
   void __set_versions(const std::map<std::string, int64_t> & val);
 
+  void __set_accepts_compressed(const bool val);
+
   bool operator == (const ConfigurationPull & rhs) const
   {
     if (!(versions == rhs.versions))
       return false;
+    if (!(accepts_compressed == rhs.accepts_compressed))
+      return false;
     return true;
   }
   bool operator != (const ConfigurationPull &rhs) const {
--- a/hickoryquay/inner/inner.thrift
+++ b/hickoryquay/inner/inner.thrift
@@ -2,6 +2,8 @@
 //
 // Compatibility: fields are only added, always optional in meaning; an unknown body is answered with Unsupported. So two
 // versions run side by side during a rolling upgrade.
+//
+// The code in gen/: thrift --gen cpp:moveable_types -out hickoryquay/inner/gen hickoryquay/inner/inner.thrift
 
 namespace cpp hickoryquay.inner.wire
 
@@ -31,11 +33,13 @@
   2: i64 version,
   3: string json,
   4: bool dropped,
+  5: binary compressed,  // Instead of json: the same text, compressed with Zstandard.
 }
 
 // Asks for every document that is newer than the versions named, or not named.
 struct ConfigurationPull {
   1: map<string, i64> versions,
+  2: bool accepts_compressed,
 }
 
 struct ConfigurationDocuments {
--- a/hickoryquay/peers/peer_service.cc
+++ b/hickoryquay/peers/peer_service.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "hickoryquay/base/log.h"
+#include "hickoryquay/peers/compression.h"
 
 namespace hickoryquay::peers {
 
@@ -13,8 +14,23 @@
 namespace {
 
 constexpr log::Part kLog{"peers"};
-constexpr std::size_t kMinPeers = 2;       // With fewer, asks peers for more and contacts the seeds.
-constexpr std::size_t kMaxPeersSent = 32;  // Limit on peer addresses in the answer to a joining instance.
+constexpr std::size_t kMinPeers = 2;              // With fewer, asks peers for more and contacts the seeds.
+constexpr std::size_t kMaxPeersSent = 32;         // Limit on peer addresses in the answer to a joining instance.
+constexpr std::size_t kLargeDocument = 4 * 1024;  // Bytes from which a document is compressed.
+constexpr std::size_t kMaxDocumentBytes = 16UL * 1024 * 1024;  // Of an uncompressed document from a peer.
+
+// Puts the text of a compressed document in its place. False, with a log line, if it can't be unpacked.
+bool Unpack(wire::MarketDocument* document) {
+  if (document->compressed.empty()) return true;
+  auto text = Decompress(document->compressed, kMaxDocumentBytes);
+  if (!Ok(text)) {
+    log::Error(kLog, "Compressed document can't be read", {{"market", document->market}, {"why", ErrorOf(text)}});
+    return false;
+  }
+  document->json = TakeValue(std::move(text));
+  document->compressed.clear();
+  return true;
+}
 
 }  // namespace
 
@@ -128,14 +144,36 @@
     return true;
   }
   if (const auto* pull = std::get_if<wire::ConfigurationPull>(&message)) {
-    wire::ConfigurationDocuments documents;
-    documents.__set_documents(m_exchange->NewerThan(pull->versions));
-    answer(documents);
+    answer(DocumentsFor(*pull));
     return true;
   }
   return false;
 }
 
+wire::ConfigurationDocuments PeerService::DocumentsFor(const wire::ConfigurationPull& pull) {
+  std::vector<wire::MarketDocument> newer = m_exchange->NewerThan(pull.versions);
+  if (pull.accepts_compressed) {
+    for (wire::MarketDocument& document : newer) {
+      if (document.json.size() >= kLargeDocument) CompressDocument(&document);
+    }
+  }
+  wire::ConfigurationDocuments documents;
+  documents.__set_documents(newer);
+  return documents;
+}
+
+// Many peers ask for the same document after a change, so its compressed form is kept.
+void PeerService::CompressDocument(wire::MarketDocument* document) {
+  const std::scoped_lock lock(m_mutex);
+  wire::MarketDocument& kept = m_compressed[document->market];
+  if (kept.version != document->version || kept.compressed.empty()) {
+    kept = *document;
+    kept.json.clear();
+    kept.__set_compressed(Compress(document->json));
+  }
+  if (!kept.compressed.empty()) *document = kept;
+}
+
 void PeerService::PullFrom(const net::Endpoint& peer) {
   {
     const std::scoped_lock lock(m_mutex);
@@ -145,6 +183,7 @@
   }
   wire::ConfigurationPull pull;
   pull.__set_versions(m_exchange->Versions());
+  pull.__set_accepts_compressed(true);
   m_send(peer, pull, m_settings.m_call_timeout, [weak = weak_from_this()](const inner::Message* answer) {
     const auto self = weak.lock();
     if (!self) return;
@@ -155,7 +194,9 @@
     if (answer == nullptr) return;
     const auto* documents = std::get_if<wire::ConfigurationDocuments>(answer);
     if (documents == nullptr) return;
-    for (const wire::MarketDocument& document : documents->documents) self->m_exchange->Offer(document);
+    for (wire::MarketDocument document : documents->documents) {
+      if (Unpack(&document)) self->m_exchange->Offer(document);
+    }
   });
 }
 
--- a/hickoryquay/peers/peer_service.h
+++ b/hickoryquay/peers/peer_service.h
@@ -2,7 +2,8 @@
 //
 // Every period an instance sends a heartbeat to each peer of its failure domain and to a few random peers of other
 // domains. Heartbeats carry a digest of the configuration; where digests differ, the sender pulls the newer documents.
-// A change thus reaches all instances within a few periods, even while the platform can't be reached.
+// A change thus reaches all instances within a few periods, even while the platform can't be reached. Large documents
+// are sent compressed: over a small link that is far quicker than reading them from the store.
 #pragma once
 
 #include <boost/json/object.hpp>
@@ -81,6 +82,8 @@
   void ApplyHeartbeat(const inner::wire::Heartbeat& heartbeat);
   void SendHeartbeat(const net::Endpoint& to);
   void PullFrom(const net::Endpoint& peer);
+  inner::wire::ConfigurationDocuments DocumentsFor(const inner::wire::ConfigurationPull& pull);
+  void CompressDocument(inner::wire::MarketDocument* document);
   std::vector<net::Endpoint> ChooseTargets();
   void UpdatePlacerView(const PlacerView& view);
   net::Endpoint AddressOf(const inner::wire::Heartbeat& heartbeat) const;
@@ -97,6 +100,7 @@
   std::int64_t m_sequence = 0;
   bool m_leaving = false;
   bool m_pulling = false;
+  std::map<std::string, inner::wire::MarketDocument> m_compressed;  // The last one sent of each market.
   std::uint64_t m_pulls = 0;
   Subscription m_heartbeat_timer;
 };
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build make ccache clang-format clang-tidy python3 curl openssl
   libboost1.81-dev libboost-program-options1.81-dev libboost-json1.81-dev
-  libthrift-dev thrift-compiler libeasyloggingpp-dev libcppunit-dev librapidcheck-dev
+  libthrift-dev thrift-compiler libzstd-dev libeasyloggingpp-dev libcppunit-dev librapidcheck-dev
   liburcu-dev libssl-dev libedit-dev)
 
 missing=()
--- a/tests/peers/spread_test.cc
+++ b/tests/peers/spread_test.cc
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <utility>
 #include <vector>
@@ -22,7 +23,7 @@
 constexpr Millis kPeriod{1000};
 constexpr int kPeriodsToConverge = 9;  // One second each: in force everywhere within 9 s.
 
-// Keeps the highest version offered of each market.
+// Keeps the highest version offered of each market, and its text.
 class FakeExchange final : public ConfigurationExchange {
  public:
   std::int64_t Digest() const override {
@@ -39,16 +40,20 @@
       inner::wire::MarketDocument document;
       document.__set_market(market);
       document.__set_version(version);
+      const auto text = m_texts.find(market);
+      if (text != m_texts.end()) document.__set_json(text->second);
       newer.push_back(document);
     }
     return newer;
   }
   void Offer(const inner::wire::MarketDocument& document) override {
     std::int64_t& version = m_versions[document.market];
+    if (document.version > version) m_texts[document.market] = document.json;
     version = std::max(version, document.version);
   }
 
   std::map<std::string, std::int64_t> m_versions;
+  std::map<std::string, std::string> m_texts;
 };
 
 struct Delivery {
@@ -92,10 +97,11 @@
   }
 
   // A change that the platform accepted and delivered to one instance only.
-  void Change(int index, int market) {
+  void Change(int index, int market, const std::string& text = "") {
     inner::wire::MarketDocument document;
     document.__set_market("m" + std::to_string(market));
     document.__set_version(++m_last_version);
+    document.__set_json(text);
     m_exchanges[index]->Offer(document);
     m_accepted[document.market] = m_last_version;
   }
@@ -113,6 +119,7 @@
   void Deliver(const Delivery& delivery) {
     if (IsPartitioned(delivery.m_from, delivery.m_to)) return delivery.m_callback(nullptr);
     m_services[delivery.m_to]->Handle(delivery.m_message, [&](const inner::Message& answer) {
+      m_largest_answer = std::max(m_largest_answer, inner::Encode({inner::kProtocol, 1, true, answer}).size());
       delivery.m_callback(m_lose_answers ? nullptr : &answer);
     });
   }
@@ -146,6 +153,7 @@
   std::deque<Delivery> m_queue;
   std::set<std::pair<int, int>> m_partitions;
   bool m_lose_answers = false;
+  std::size_t m_largest_answer = 0;  // Bytes.
   int m_incarnations = 0;
   std::int64_t m_last_version = 0;
 };
@@ -156,6 +164,8 @@
   CPPUNIT_TEST(NeverRevertsUnderFaults);
   CPPUNIT_TEST(RestartedInstanceLearnsFromPeersAlone);
   CPPUNIT_TEST(HigherEpochOfPlacerWins);
+  CPPUNIT_TEST(LargeDocumentTravelsCompressed);
+  CPPUNIT_TEST(PeerOfAnEarlierVersionGetsPlainText);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -230,7 +240,42 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, network.m_services.at(other_domain)->Placer().m_epoch);
   }
 
+  // Guards against configurations that take seconds to reach instances with small links: one of 4,200 routes is 0.8 MB.
+  void LargeDocumentTravelsCompressed() {
+    PeerNetwork network(7);
+    network.Beat();
+    const std::string text = Routes(4'200);
+    network.Change(0, 0, text);
+    for (int beat = 0; beat < kPeriodsToConverge; ++beat) network.Beat();
+    for (const auto& [index, exchange] : network.m_exchanges) CPPUNIT_ASSERT(exchange->m_texts.at("m0") == text);
+    CPPUNIT_ASSERT(network.m_largest_answer < text.size() / 4);
+  }
+
+  void PeerOfAnEarlierVersionGetsPlainText() {
+    PeerNetwork network(7);
+    network.Change(0, 0, Routes(100));
+    inner::wire::ConfigurationDocuments documents;
+    network.m_services.at(0)->Handle(inner::wire::ConfigurationPull{}, [&](const inner::Message& answer) {
+      documents = std::get<inner::wire::ConfigurationDocuments>(answer);
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, documents.documents.size());
+    CPPUNIT_ASSERT(documents.documents.front().json == Routes(100));
+    CPPUNIT_ASSERT(documents.documents.front().compressed.empty());
+  }
+
  private:
+  // A document of so many routes, whose names are as different as names in use are.
+  static std::string Routes(int count) {
+    std::mt19937_64 random(1);
+    std::string text = "{\"routes\":[";
+    for (int i = 0; i < count; ++i) {
+      const std::string name = std::to_string(random());
+      text += R"({"name":"r-)" + name + R"(","host":"h)" + std::to_string(i % 100) + R"(.example","pathPrefix":"/)" +
+              name.substr(0, 8) + R"(/","service":"workers","priority":1,"maxAttempts":2,"stretch":3.0},)";
+    }
+    return text + "{}]}";
+  }
+
   using Versions = std::vector<std::map<std::string, std::int64_t>>;
 
   static Versions Snapshot(const PeerNetwork& network) {
