--- a/scripts/soak/proxy.py
+++ b/scripts/soak/proxy.py
@@ -1,10 +1,14 @@
-"""A loopback proxy that delays, resets, cuts one way or silences the connections through it."""
+"""A loopback proxy that delays, resets, cuts one way or silences the connections through it, and limits their rate."""
 import asyncio
+import time
+
+CHUNK = 16384
 
 
 class Proxy:
-    def __init__(self, target):
+    def __init__(self, target, rate=0):
         self.target, self.delay, self.silent, self.one_way, self.pairs = target, 0.0, False, False, []
+        self.rate, self.free = rate, {True: 0.0, False: 0.0}  # Bytes a second each way, 0: any; when the link is free.
 
     async def start(self):
         self.server = await asyncio.start_server(self.session, "127.0.0.1", 0)
@@ -34,7 +38,10 @@
 
     async def pump(self, reader, writer, answers):
         try:
-            while data := await reader.read(65536):
+            while data := await reader.read(CHUNK if self.rate else 65536):
+                if self.rate:
+                    self.free[answers] = max(self.free[answers], time.monotonic()) + len(data) / self.rate
+                    await asyncio.sleep(self.free[answers] - time.monotonic())
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 if self.silent or (self.one_way and answers):
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -17,6 +17,9 @@
 from stand_ins import Farm, Store, Worker
 
 SETTLE_S, HEAL_S = 3.0, 45.0  # Election and first looks; leases, takeovers and all work that is left.
+SMALL_LINK = 1_250_000        # Bytes a second between the store and an instance with a small link.
+ROUTES_ADDED, MAX_ROUTES = 1400, 5600
+IN_FORCE_S = 10.0             # For the last configuration to be in force everywhere, once all faults are over.
 KEY = {"Host": "soak.example", "Authorization": "Token key", "X-Deadline-Ms": "3000"}
 
 
@@ -38,7 +41,7 @@
         self.log = open(os.path.join(soak.directory, f"node-{index}.log"), "ab")
 
     async def start(self):
-        self.proxy = Proxy(self.soak.store_port)
+        self.proxy = Proxy(self.soak.store_port, SMALL_LINK if self.soak.all_small or self.index % 2 else 0)
         store = await self.proxy.start()
         self.settings = os.path.join(self.soak.directory, f"node-{self.index}.ini")
         seeds = ", ".join(f"{i.host}:{INNER}" for i in self.soak.instances[:3])
@@ -75,16 +78,14 @@
         self.binary = os.path.abspath(options.binary)
         self.random = random.Random(options.seed)
         self.farm, self.store, self.instances, self.proxies, self.jobs = Farm(), Store(), [], [], {}
-        self.faults = []
+        self.faults, self.version, self.routes = [], 0, 0
+        self.operator_random = random.Random(options.seed)
+        self.all_small = self.operator_random.random() < 0.5  # Otherwise every other instance.
 
     async def build(self):
         self.store_port = await self.store.start()
         self.machines_port = port_of(await serve(self.farm.machines))
-        await self.store.put("op", "config", {
-            "version": 1, "routes": [{"name": f"q{p}", "host": "soak.example", "pathPrefix": f"/q{p}/", "service": "pool",
-                                      "priority": p, "maxAttempts": 3, "stretch": 2.0, "latencySloMs": 500}
-                                     for p in range(3)],
-            "services": [{"name": "pool"}], "tenants": [{"name": "t", "apiKeys": ["key"], "guaranteed": {"gpu": 16}}]})
+        await self.configure()
         for i in range(self.options.workers):
             worker = Worker(self.farm, f"w{i}", f"r{i // 4}")
             proxy = Proxy(await worker.start())
@@ -98,6 +99,25 @@
             await instance.start()
             self.background.append(asyncio.ensure_future(instance.keep_alive()))
 
+    async def configure(self):
+        """A new version. Its last route names it, so that callers can tell which one is in force."""
+        self.version += 1
+        names = [f"q{p}" for p in range(3)] + [f"route-{i:05}-{i * 2654435761 % 2 ** 32:032x}" for i in range(self.routes)]
+        names.append(f"version-{self.version}")
+        await self.store.put("op", "config", {
+            "version": self.version,
+            "routes": [{"name": name, "host": "soak.example", "pathPrefix": f"/{name}/", "service": "pool",
+                        "priority": min(number, 2), "maxAttempts": 3, "stretch": 2.0, "latencySloMs": 500}
+                       for number, name in enumerate(names)],
+            "services": [{"name": "pool"}], "tenants": [{"name": "t", "apiKeys": ["key"], "guaranteed": {"gpu": 16}}]})
+
+    async def operator(self):
+        """Adds routes by the thousand, and makes small changes once there are many."""
+        while not self.over:
+            await asyncio.sleep(self.operator_random.uniform(1.0, 3.0))
+            self.routes = min(self.routes + ROUTES_ADDED, MAX_ROUTES)
+            await self.configure()
+
     async def client(self, number):
         """Hands jobs in one after another over a connection that it keeps, and follows some of them."""
         link = Client(self.random.choice(self.instances).callers)
@@ -170,6 +190,7 @@
         await self.build()
         await asyncio.sleep(SETTLE_S)
         clients = [asyncio.ensure_future(self.client(i)) for i in range(self.options.clients)]
+        clients.append(asyncio.ensure_future(self.operator()))
         running = []
         while time.monotonic() - self.begun < self.options.seconds:
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
@@ -178,12 +199,29 @@
         await asyncio.gather(*clients, *running)
         for instance in self.instances:
             instance.signal(signal.SIGCONT)
+        await self.check_configuration()
         await self.check()
         for task in self.background:
             task.cancel()
         for instance in self.instances:
             instance.signal(signal.SIGKILL)
 
+    async def check_configuration(self):
+        """The last version is in force at every instance."""
+        deadline = time.monotonic() + IN_FORCE_S
+
+        async def ask(instance):
+            status = 0
+            while status != 200 and time.monotonic() < deadline:
+                link = Client(instance.callers)
+                status, _, _ = await link.call("GET", f"/version-{self.version}/", headers=KEY)
+                link.close()
+                await asyncio.sleep(0.1)
+            if status != 200:
+                self.farm.wrong.append(f"version {self.version} is not in force at node-{instance.index}: {status}")
+
+        await asyncio.gather(*(ask(instance) for instance in self.instances))
+
     async def check(self):
         """Every accepted job ends, and is shown as it ended; every refused one never ran."""
         wrong, deadline = self.farm.wrong, time.monotonic() + HEAL_S
--- a/scripts/soak/stand_ins.py
+++ b/scripts/soak/stand_ins.py
@@ -73,7 +73,9 @@
         end = time.monotonic() + wait
         async with self.changed:
             while True:
-                rows = [row for row in self.history if row["ver"] > after and row["table"] == table]
+                newest = {(row["part"], row["key"]): row for row in self.history
+                          if row["ver"] > after and row["table"] == table}
+                rows = sorted(newest.values(), key=lambda row: row["ver"])
                 left = end - time.monotonic()
                 if rows or left <= 0:
                     return 200, {"rows": rows, "ver": self.version, "nowMs": now_ms()}
