Policy: a pass is bounded by its searches alone

Each start takes a search at least, and kMaxSearches bounds these.

Change: the limit that did nothing is gone; behaviour is the same.

--- a/hickoryquay/policy/policy_impl.h
+++ b/hickoryquay/policy/policy_impl.h
@@ -120,9 +120,8 @@
     std::optional<PlanKind> m_kind;  // Empty: a search in available room.
   };
 
-  // Work of one pass, limited by kMaxStarts and kMaxSearches.
+  // Work of one pass, limited by kMaxSearches: each start takes a search at least.
   struct Budget {
-    int m_starts = 0;
     int m_searches = 0;
   };
 
--- a/hickoryquay/policy/policy_schedule.cc
+++ b/hickoryquay/policy/policy_schedule.cc
@@ -9,8 +9,7 @@
 namespace hickoryquay::policy {
 namespace {
 
-constexpr int kMaxStarts = 64;     // Starts per event; the next event continues.
-constexpr int kMaxSearches = 128;  // Searches for room per event.
+constexpr int kMaxSearches = 128;  // Searches for room per event; the next event continues.
 constexpr int kMaxHeadsTried = 3;  // Jobs of one queue that are tried in one pass while none starts.
 constexpr std::size_t kMaxPlans = 96;
 constexpr std::size_t kMaxFailedSearches = 64;
@@ -79,7 +78,7 @@
   m_pass_due = false;
   Budget budget;
   std::vector<JobIndex> blocked;
-  while (!queues.empty() && budget.m_starts < kMaxStarts && budget.m_searches < kMaxSearches) {
+  while (!queues.empty() && budget.m_searches < kMaxSearches) {
     const int queue = queues.top().second;
     queues.pop();
     bool started = false;
