--- a/hickoryquay/service/store_relay.cc
+++ b/hickoryquay/service/store_relay.cc
@@ -78,8 +78,8 @@
 }
 
 // Sends a copy of a read directly to the store, at most once per m_direct_interval, to detect when it is reachable
-// again. The caller does not wait for the answer, if packets are dropped silently it would wait for its whole timeout,
-// but takes it if it comes first.
+// again. The call goes through a peer meanwhile, since with packets dropped silently it would wait for its whole
+// timeout. The first answer counts.
 void StoreRelay::ProbeStore(const std::shared_ptr<Call>& call) {
   const Instant now = m_clock->Now();
   if (m_probing || now - m_last_direct < m_settings.m_direct_interval) return;
--- a/hickoryquay/store/http_table.h
+++ b/hickoryquay/store/http_table.h
@@ -24,8 +24,8 @@
 struct HttpTableSettings {
   net::Endpoint m_endpoint;
   std::string m_token_prefix;         // Unique to the process, such as its instance id.
-  Millis m_attempt_timeout{2'000};    // Of one HTTP call.
-  Millis m_read_deadline{3'000};      // Of Get and Scan with their retries.
+  Millis m_attempt_timeout{2'000};    // Of one HTTP call; the answer to a read may take longer while it is arriving.
+  Millis m_read_deadline{3'000};      // Of Get and Scan with their retries: none is sent later.
   Millis m_commit_deadline{6'000};    // Of a commit with its retries and read-backs.
   Millis m_retry_base{40};            // First delay; doubles, with full jitter.
   Millis m_retry_cap{1'000};          // Longest delay.
