--- a/tests/service/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -1,4 +1,4 @@
-#include "tests/service/sim_cluster.h"
+#include "standin/sim_cluster.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
--- a/tests/service/sim_cluster.h
+++ b/standin/sim_cluster.h
@@ -12,9 +12,9 @@
 #include "hickoryquay/service/intake.h"
 #include "hickoryquay/service/scheduler_driver.h"
 #include "hickoryquay/store/adaptive_store.h"
+#include "standin/gate.h"
 #include "standin/sim_store.h"
 #include "standin/sim_workers.h"
-#include "tests/service/gate.h"
 
 namespace hickoryquay::service {
 
--- a/tests/service/fuzz_test.cc
+++ b/tests/service/fuzz_test.cc
@@ -9,7 +9,7 @@
 #include <random>
 
 #include "hickoryquay/base/log.h"
-#include "tests/service/sim_cluster.h"
+#include "standin/sim_cluster.h"
 
 namespace hickoryquay::service {
 namespace {
--- a/tests/service/takeover_test.cc
+++ b/tests/service/takeover_test.cc
@@ -5,7 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "tests/service/sim_cluster.h"
+#include "standin/sim_cluster.h"
 
 namespace hickoryquay::service {
 namespace {
