--- a/hickoryquay/peers/compression.cc
+++ b/hickoryquay/peers/compression.cc
@@ -2,6 +2,8 @@
 
 #include <zstd.h>
 
+#include <cstdint>
+
 namespace hickoryquay::peers {
 
 std::string Compress(std::string_view text) {
@@ -13,7 +15,7 @@
 
 Result<std::string, std::string> Decompress(std::string_view bytes, std::size_t max_bytes) {
   using Text = Result<std::string, std::string>;
-  const unsigned long long announced = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
+  const std::uint64_t announced = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
   if (announced == ZSTD_CONTENTSIZE_ERROR || announced == ZSTD_CONTENTSIZE_UNKNOWN)
     return Text(std::in_place_index<1>, "no Zstandard frame of a known size");
   if (announced > max_bytes) return Text(std::in_place_index<1>, "too large: " + std::to_string(announced) + " bytes");
