Tests: slow peers on busy machines, and one that ends without a race

ThreadSanitizer also named a race of the test itself: the socket of the slow peer was shut down by another thread than its own.

Change: pauses of 10 and 20 ms and limits of 400 ms, so that the answer as a whole still takes over twice the limit; the peer's thread is told to end.

Measured: inner_test and net_test under ThreadSanitizer pass.

--- a/tests/inner/channel_test.cc
+++ b/tests/inner/channel_test.cc
@@ -21,14 +21,14 @@
 // Answers the first call on its only connection, in parts with pauses, and stops after some of them.
 class SlowPeer {
  public:
-  static constexpr Millis kPause{40};
-  static constexpr int kParts = 16;
+  static constexpr Millis kPause{10};
+  static constexpr int kParts = 100;
+  static constexpr Millis kLimit{400};  // Of a call: longer than a pause on a busy machine, shorter than the answer.
   static constexpr std::size_t kBytes = 400'000;
 
   explicit SlowPeer(int parts) : m_thread([this, parts] { Serve(parts); }) {}
   ~SlowPeer() {
-    boost::system::error_code ignored;
-    m_socket.shutdown(boost::asio::socket_base::shutdown_both, ignored);
+    m_over.set_value();
     m_thread.join();
   }
   net::Endpoint Local() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
@@ -52,12 +52,13 @@
       boost::asio::write(m_socket, boost::asio::buffer(bytes.data() + sent, std::min(part, bytes.size() - sent)),
                          error);
     }
-    boost::asio::read(m_socket, boost::asio::buffer(body), error);  // Until the connection ends.
+    m_over.get_future().wait();
   }
 
   boost::asio::io_context m_io;
   boost::asio::ip::tcp::acceptor m_acceptor{m_io, {boost::asio::ip::address_v4::loopback(), 0}};
   boost::asio::ip::tcp::socket m_socket{m_io};
+  std::promise<void> m_over;
   std::thread m_thread;
 };
 
@@ -140,22 +141,22 @@
   // Guards against large documents and relayed answers of the store that never arrive over a small link.
   void LargeAnswerMayTakeLongerThanItsLimit() {
     SlowPeer peer(SlowPeer::kParts);
-    const Outcome outcome = Call(peer.Local(), Notice(1), 4 * SlowPeer::kPause).get();
+    const Outcome outcome = Call(peer.Local(), Notice(1), SlowPeer::kLimit).get();
     CPPUNIT_ASSERT(Ok(outcome));
     CPPUNIT_ASSERT_EQUAL(SlowPeer::kBytes, std::get<wire::StoreAnswer>(ValueOf(outcome)).body.size());
   }
 
   void LargeAnswerThatStopsTimesOut() {
     SlowPeer peer(SlowPeer::kParts / 2);
-    const Outcome outcome = Call(peer.Local(), Notice(1), 4 * SlowPeer::kPause).get();
+    const Outcome outcome = Call(peer.Local(), Notice(1), SlowPeer::kLimit).get();
     CPPUNIT_ASSERT(std::holds_alternative<NoAnswer>(ErrorOf(outcome)));
   }
 
   // The peer answers the first call only.
   void CallIsNotKeptByAnotherAnswer() {
     SlowPeer peer(SlowPeer::kParts);
-    auto answered = Call(peer.Local(), Notice(1), 4 * SlowPeer::kPause);
-    auto lost = Call(peer.Local(), Notice(2), 4 * SlowPeer::kPause);
+    auto answered = Call(peer.Local(), Notice(1), SlowPeer::kLimit);
+    auto lost = Call(peer.Local(), Notice(2), SlowPeer::kLimit);
     CPPUNIT_ASSERT(Ok(answered.get()));
     CPPUNIT_ASSERT(std::holds_alternative<NoAnswer>(ErrorOf(lost.get())));
   }
--- a/tests/net/net_test.cc
+++ b/tests/net/net_test.cc
@@ -64,7 +64,9 @@
 // Answers with one byte of the body at a time, and stops for good after some of them.
 class DrippingServer {
  public:
-  static constexpr Millis kPause{50};
+  static constexpr Millis kPause{20};
+  static constexpr int kBytes = 50;
+  static constexpr Millis kLimit{400};  // Of a call: longer than a pause on a busy machine, shorter than the answer.
 
   DrippingServer(asio::io_context* io, int bytes, int stop_after = -1)
       : m_acceptor(*io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)), m_bytes(bytes), m_stop_after(stop_after) {
@@ -200,18 +202,18 @@
 
   // The time limit bounds the pauses in a large answer, not the whole.
   void LargeAnswerMayTakeLongerThanItsLimit() {
-    DrippingServer server(&m_io, 12);
+    DrippingServer server(&m_io, DrippingServer::kBytes);
     int parts = 0;
     HttpRequest request = LargeRead("/");
     request.m_on_progress = [&](int status) { parts += status == 200 ? 1 : 0; };
-    CPPUNIT_ASSERT(Ok(Call(server.Local(), request, 4 * DrippingServer::kPause)));
+    CPPUNIT_ASSERT(Ok(Call(server.Local(), request, DrippingServer::kLimit)));
     CPPUNIT_ASSERT(parts > 4);
-    CPPUNIT_ASSERT(std::holds_alternative<TimedOut>(ErrorOf(Call(server.Local(), {}, 4 * DrippingServer::kPause))));
+    CPPUNIT_ASSERT(std::holds_alternative<TimedOut>(ErrorOf(Call(server.Local(), {}, DrippingServer::kLimit))));
   }
 
   void LargeAnswerThatStopsTimesOut() {
-    DrippingServer server(&m_io, 12, 3);
-    const auto result = Call(server.Local(), LargeRead("/"), 4 * DrippingServer::kPause);
+    DrippingServer server(&m_io, DrippingServer::kBytes, 3);
+    const auto result = Call(server.Local(), LargeRead("/"), DrippingServer::kLimit);
     CPPUNIT_ASSERT(std::get<TimedOut>(ErrorOf(result)).m_received > 0);
   }
 
