Soak: feeds of the stand-in's store wait without a lock

Change: no lock, since nothing waits between a check and its write; feeds wait for an event that the next change replaces.

--- a/scripts/soak/stand_ins.py
+++ b/scripts/soak/stand_ins.py
@@ -14,24 +14,29 @@
 
 
 class Store:
+    """Nothing waits between a check and its write, so no lock is needed. A feed that waits must hold none: one that is
+    cancelled as its time ends would leave it locked for good."""
+
     def __init__(self):
-        self.rows, self.history, self.version, self.changed = {}, [], 1, asyncio.Condition()
+        self.rows, self.history, self.version, self.changed = {}, [], 1, asyncio.Event()
 
     async def start(self):
         self.server = await serve(self.handle)
         return port_of(self.server)
 
     async def put(self, table, key, value):
-        async with self.changed:
-            self.version += 1
-            self._set((table, "", key), base64.b64encode(json.dumps(value).encode()).decode())
-            self.changed.notify_all()
+        self.version += 1
+        self._set((table, "", key), base64.b64encode(json.dumps(value).encode()).decode())
+        self._wake_feeds()
 
     async def remove(self, table, key):
-        async with self.changed:
-            self.version += 1
-            self._drop((table, "", key))
-            self.changed.notify_all()
+        self.version += 1
+        self._drop((table, "", key))
+        self._wake_feeds()
+
+    def _wake_feeds(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def _set(self, key, value):
         self.rows[key] = {"table": key[0], "part": key[1], "key": key[2], "value": value, "ver": self.version}
@@ -57,32 +62,29 @@
 
     async def transact(self, body):
         key_of = lambda row: (row["table"], row.get("part", ""), row["key"])
-        async with self.changed:
-            differ = [row for row in body["expectedRev"] if self.rows.get(key_of(row), {}).get("ver", 0) != row["ver"]]
-            if differ:
-                return 412, {"rows": [self.rows[key_of(r)] for r in differ if key_of(r) in self.rows], "ver": self.version}
-            self.version += 1
-            for row in body["puts"]:
-                self._set(key_of(row), row["value"])
-            for row in body["remove"]:
-                self._drop(key_of(row))
-            self.changed.notify_all()
+        differ = [row for row in body["expectedRev"] if self.rows.get(key_of(row), {}).get("ver", 0) != row["ver"]]
+        if differ:
+            return 412, {"rows": [self.rows[key_of(r)] for r in differ if key_of(r) in self.rows], "ver": self.version}
+        self.version += 1
+        for row in body["puts"]:
+            self._set(key_of(row), row["value"])
+        for row in body["remove"]:
+            self._drop(key_of(row))
+        self._wake_feeds()
         return 200, {"ver": self.version, "nowMs": now_ms()}
 
     async def feed(self, table, after, wait):
         end = time.monotonic() + wait
-        async with self.changed:
-            while True:
-                newest = {(row["part"], row["key"]): row for row in self.history
-                          if row["ver"] > after and row["table"] == table}
-                rows = sorted(newest.values(), key=lambda row: row["ver"])
-                left = end - time.monotonic()
-                if rows or left <= 0:
-                    return 200, {"rows": rows, "ver": self.version, "nowMs": now_ms()}
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    pass
+        while True:
+            newest = {(row["part"], row["key"]): row for row in self.history
+                      if row["ver"] > after and row["table"] == table}
+            rows, left = sorted(newest.values(), key=lambda row: row["ver"]), end - time.monotonic()
+            if rows or left <= 0:
+                return 200, {"rows": rows, "ver": self.version, "nowMs": now_ms()}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
 
 
 class Worker:
