Read as a newcomer: names that said less than the code does

Cause: a function named like a question that extends a call, a time of start with the type of a deadline, settings named like the follower, a function that takes the link and is named after what it returns; the soak's store had begun to give the newest version of a row only, which is milder than before.

--- a/hickoryquay/inner/client.cc
+++ b/hickoryquay/inner/client.cc
@@ -40,9 +40,10 @@
     AnswerCallback m_callback;
     std::shared_ptr<asio::steady_timer> m_timer;
     Millis m_timeout;
-    std::uint64_t m_received_before = 0;             // Frames of the connection when the call was made.
-    std::optional<std::uint64_t> m_awaited_frame{};  // Number of the frame that was arriving when the time was over.
-    std::uint64_t m_received_bytes = 0;              // Of the connection when this was looked at last.
+    std::uint64_t m_received_before = 0;  // Frames of the connection when the call was made.
+    std::optional<std::uint64_t>
+        m_awaited_frame{};               // Number of the frame that was arriving when the time was first over.
+    std::uint64_t m_received_bytes = 0;  // Of the connection when the call was last extended.
   };
 
   void Add(Message message, Millis timeout, AnswerCallback callback) {
@@ -64,9 +65,9 @@
     });
   }
 
-  // Whether a frame is arriving that may hold the answer of an overdue call. Only the first such frame counts, and only
-  // as long as it makes progress.
-  bool AnswerMayBeArriving(Pending* pending) const {
+  // Gives an overdue call more time if a frame is arriving, since that may hold its answer: until the first such frame
+  // has ended, as long as it makes progress. False if the call's time is over for good.
+  bool TryExtend(Pending* pending) const {
     if (!m_stream || !m_stream->FrameArriving()) return false;
     const bool first = !pending->m_awaited_frame;
     if (!first && *pending->m_awaited_frame != m_received) return false;
@@ -80,7 +81,7 @@
   void OnTimeout(std::int64_t id) {
     const auto found = m_pending.find(id);
     if (found == m_pending.end()) return;
-    if (AnswerMayBeArriving(&found->second)) return StartTimer(id);
+    if (TryExtend(&found->second)) return StartTimer(id);
     const bool silent = found->second.m_received_before == m_received;
     Finish(id, NoAnswer{"timed out"});
     if (silent) Break("silent");
--- a/hickoryquay/net/client.cc
+++ b/hickoryquay/net/client.cc
@@ -157,8 +157,8 @@
 
   void OnProgress() {
     if (m_call->m_large_answer) {
-      const Deadline longest = m_started + m_client->m_settings.m_longest_answer;
-      m_stream.expires_at(std::min(longest, std::chrono::steady_clock::now() + m_call->m_timeout));
+      const Deadline latest = m_started + m_client->m_settings.m_longest_answer;
+      m_stream.expires_at(std::min(latest, std::chrono::steady_clock::now() + m_call->m_timeout));
     }
     if (m_call->m_on_progress && m_parser->is_header_done())
       m_call->m_on_progress(static_cast<int>(m_parser->get().result_int()));
@@ -195,8 +195,8 @@
   beast::flat_buffer m_buffer;
   std::shared_ptr<Call> m_call;
   std::optional<http::response_parser<http::string_body>> m_parser;
-  std::size_t m_received = 0;  // Bytes of the answer.
-  Deadline m_started;          // Of the call.
+  std::size_t m_received = 0;                       // Bytes of the answer.
+  std::chrono::steady_clock::time_point m_started;  // When the call was taken up.
   std::chrono::steady_clock::time_point m_idle_since;
 };
 
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -62,7 +62,7 @@
 
 }  // namespace
 
-store::FollowerSettings ConfigurationFollower(const std::string& table) {
+store::FollowerSettings ConfigurationFollowerSettings(const std::string& table) {
   store::FollowerSettings settings;
   settings.m_table = table;
   settings.m_wait = kConfigurationWait;
@@ -136,7 +136,8 @@
   m_beats = std::make_shared<LeaderBeats>(std::move(beats), BeatSettings{});
 
   m_configuration_rows = std::make_shared<store::TableFollower>(
-      m_parts.m_store, m_parts.m_timers, m_parts.m_clock, ConfigurationFollower(m_settings.m_platform.m_configuration),
+      m_parts.m_store, m_parts.m_timers, m_parts.m_clock,
+      ConfigurationFollowerSettings(m_settings.m_platform.m_configuration),
       [weak](const std::vector<store::StoredRow>& rows, bool) {
         if (const auto self = weak.lock()) self->OnConfigurationRows(rows);
       },
--- a/hickoryquay/service/job_service.h
+++ b/hickoryquay/service/job_service.h
@@ -49,7 +49,7 @@
 };
 
 // How an instance follows the operators' documents.
-store::FollowerSettings ConfigurationFollower(const std::string& table);
+store::FollowerSettings ConfigurationFollowerSettings(const std::string& table);
 
 struct JobServiceParts {
   boost::asio::io_context* m_io = nullptr;
--- a/scripts/soak/stand_ins.py
+++ b/scripts/soak/stand_ins.py
@@ -76,9 +76,8 @@
     async def feed(self, table, after, wait):
         end = time.monotonic() + wait
         while True:
-            newest = {(row["part"], row["key"]): row for row in self.history
-                      if row["ver"] > after and row["table"] == table}
-            rows, left = sorted(newest.values(), key=lambda row: row["ver"]), end - time.monotonic()
+            rows = [row for row in self.history if row["ver"] > after and row["table"] == table]
+            left = end - time.monotonic()
             if rows or left <= 0:
                 return 200, {"rows": rows, "ver": self.version, "nowMs": now_ms()}
             try:
--- a/standin/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -116,7 +116,7 @@
   const auto available = [self] { self->m_leadership->OnStoreAvailable(); };
   self->m_intake->SetOnStoreAvailable(available);
   self->m_configuration_rows = std::make_shared<store::TableFollower>(
-      self->m_store.get(), self->m_timers.get(), &m_clock, ConfigurationFollower("configuration"),
+      self->m_store.get(), self->m_timers.get(), &m_clock, ConfigurationFollowerSettings("configuration"),
       [](const std::vector<store::StoredRow>&, bool) {},
       [available](bool reachable) {
         if (reachable) available();
--- a/standin/sim_store.cc
+++ b/standin/sim_store.cc
@@ -92,8 +92,9 @@
   return page;
 }
 
-// Until the link has carried it. A call that times out first closes its connection.
-Millis SimStoreClient::TimeToLeave(const store::Transaction& transaction, Millis timeout) {
+// Takes the link for the time that it needs to carry the transaction, and returns how long it is until that is done. A
+// call that times out first closes its connection and frees the link.
+Millis SimStoreClient::ReserveUplink(const store::Transaction& transaction, Millis timeout) {
   if (m_bytes_per_ms == 0) return Millis{0};
   std::int64_t bytes = 0;
   for (const store::RowPut& put : transaction.m_puts) bytes += BytesOf({put.m_key, put.m_value, Version{}, false});
@@ -106,7 +107,7 @@
 
 void SimStoreClient::Transact(const store::Transaction& transaction, Millis timeout, store::TransactCallback callback) {
   ++m_transactions;
-  const Millis upload = TimeToLeave(transaction, timeout);
+  const Millis upload = ReserveUplink(transaction, timeout);
   if (upload.count() > 0) {
     const bool late = upload > timeout;
     m_store->m_timers
--- a/standin/sim_store.h
+++ b/standin/sim_store.h
@@ -91,7 +91,7 @@
 
  private:
   void Arrive(const store::Transaction& transaction, Millis timeout, store::TransactCallback callback);
-  Millis TimeToLeave(const store::Transaction& transaction, Millis timeout);
+  Millis ReserveUplink(const store::Transaction& transaction, Millis timeout);
   void PollFeed(const std::string& table, Version after, Millis left, Instant until, store::ReadCallback callback);
   void Deliver(Result<store::RowPage, store::ReadError> page, Instant until, const store::ReadCallback& callback);
 
--- a/tests/platform/small_link_test.cc
+++ b/tests/platform/small_link_test.cc
@@ -175,7 +175,7 @@
  private:
   void Follow() {
     m_follower = std::make_shared<store::TableFollower>(
-        m_adaptive.get(), &m_timers, &m_clock, service::ConfigurationFollower(kTable),
+        m_adaptive.get(), &m_timers, &m_clock, service::ConfigurationFollowerSettings(kTable),
         [this](const std::vector<store::StoredRow>& rows, bool) {
           for (const store::StoredRow& row : rows) m_received = row.m_value.size();
         },
