Worker rows: the start of an incarnation and the time that it stays cold

Cause: a worker may restart under its id, told by the field born of its row, and rows tell how much longer a worker is slow; neither was read. Change: WorkerEntry::m_born and m_cold_left. A row in which one of them has another type names no worker.

--- a/hickoryquay/jobs/job.h
+++ b/hickoryquay/jobs/job.h
@@ -160,6 +160,9 @@
   Resources m_capacity;
   bool m_draining = false;
   std::optional<Millis> m_remaining;  // Least time until a draining worker is removed.
+  std::optional<Millis> m_cold_left;  // How much longer it is slow after its start.
+  // Wall time of the start of this incarnation, if the platform tells it. A worker may then restart under its id.
+  std::optional<Instant> m_born;
 
   bool operator==(const WorkerEntry&) const = default;
 };
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -103,14 +103,15 @@
   }
 
   void WorkerRowIsRead() {
-    const auto worker = ReadWorker(
-        Row(R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":8,"state":"draining",)"
-            R"("coldLeftMs":0,"capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],"remainingMs":4500,)"
-            R"("clockMs":482113,"seq":4})"));
+    const auto worker = ReadWorker(Row(
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":8,"state":"draining",)"
+        R"("coldLeftMs":700,"capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],"remainingMs":4500,)"
+        R"("clockMs":482113,"seq":4,"born":1775519749021})"));
     CPPUNIT_ASSERT(worker.has_value());
     CPPUNIT_ASSERT(worker->m_draining && worker->m_remaining == Millis{4'500});
     CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), worker->m_rack);
     CPPUNIT_ASSERT((worker->m_capacity == Resources{8, 16'000, 32'768}));
+    CPPUNIT_ASSERT(worker->m_cold_left == Millis{700} && worker->m_born == Instant{1'775'519'749'021});
     CPPUNIT_ASSERT_EQUAL(std::string("i-1"), worker->m_id.m_value);
   }
 
@@ -120,7 +121,9 @@
           R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"asleep","capacity":{}})",
           R"({"service":"s","address":"nowhere","zone":"z","state":"ready","capacity":{}})",
           R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":[]})",
-          R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"labels":[1]})"}) {
+          R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"labels":[1]})",
+          R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"born":"1"})",
+          R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"coldLeftMs":[]})"}) {
       CPPUNIT_ASSERT_MESSAGE(text, !ReadWorker(Row(text)).has_value());
     }
   }
