Evacuations: nothing is started in a failure domain that the operator evacuates

Change: the follower of the operators' table keeps the set of evacuated domains; the scheduler does not place there, withdraws what is placed and not sent, and sends no start again there.

--- a/bench/jobs/trial.cc
+++ b/bench/jobs/trial.cc
@@ -148,7 +148,7 @@
     m_result.m_slowest_decide_us = std::max(m_result.m_slowest_decide_us, took);
     ++m_decisions;
     for (const jobs::StopCommand& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
-    for (const jobs::StartCommand& start : m_scheduler.TakeResends()) m_sessions->Send(start);
+    for (const jobs::StartCommand& start : m_scheduler.TakeResends(m_clock.Now())) m_sessions->Send(start);
     if (!m_storing) {
       jobs::Batch batch = m_scheduler.TakeBatch(kRowsOfBatch, store::kMaxTransactionBytes);
       if (!batch.Empty()) {
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -241,6 +241,20 @@
   WorkerSlot* slot = m_workers.Find(worker.m_id);
   slot->m_leaves_at.reset();
   if (worker.m_draining && worker.m_remaining) slot->m_leaves_at = now.m_steady + *worker.m_remaining;
+  slot->m_evacuated = m_evacuated.contains(worker.m_domain);
+}
+
+void Scheduler::SetEvacuated(std::set<DomainId> domains, Now now) {
+  m_evacuated = std::move(domains);
+  for (const auto& [id, slot] : m_workers.All()) {
+    slot->m_evacuated = m_evacuated.contains(slot->m_entry.m_domain);
+    if (!slot->m_evacuated) continue;
+    if (Unit* unit = std::exchange(slot->m_reserved_for, nullptr)) unit->m_reserved_until = now.m_steady;
+    const UnitMemberSet members = slot->m_members;
+    for (const auto& [unit, member] : members) {
+      if (unit->m_members[member].m_state == MemberState::kPlanned) StopRun(unit, "its failure domain is evacuated");
+    }
+  }
 }
 
 void Scheduler::OnWorkerUnlisted(const WorkerId& worker) {
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -171,6 +171,10 @@
   void OnWorkerUnlisted(const WorkerId& worker);              // Gets no new tasks; running ones continue.
   void SetWorkerUsable(const WorkerId& worker, bool usable);  // It answers and has accepted this scheduler's epoch.
 
+  // Sets the failure domains to which nothing new may be sent. Runs there go on; those that are not sent yet are
+  // withdrawn and placed elsewhere.
+  void SetEvacuated(std::set<DomainId> domains, Now now);
+
   // All runs that were placed on the worker have ended and can't start again.
   void OnWorkerCleared(const WorkerId& worker);
   void OnPollReply(const WorkerId& worker, const PollReply& reply, Instant sent, Now now);
@@ -182,7 +186,7 @@
   void Decide(Now now);
 
   // Starts without an answer, to be sent again unchanged; a worker that already has the run accepts them.
-  std::vector<StartCommand> TakeResends();
+  std::vector<StartCommand> TakeResends(Instant now);
 
   // Empty if nothing changed. A single row is returned even if it exceeds max_bytes.
   Batch TakeBatch(std::size_t max_rows, std::size_t max_bytes);
@@ -196,7 +200,8 @@
 
   // False if the run was stopped after its start was handed out. True for a resend while its run is not stopped.
   bool MaySend(const StartCommand& command) const;
-  bool IsBusy(const WorkerId& worker) const;  // A run is or may be there.
+  void OnStartWithheld(const StartCommand& command, Instant now);  // It was handed out and not sent, see MaySend.
+  bool IsBusy(const WorkerId& worker) const;                       // A run is or may be there.
   // The state of a run there can only be resolved by a poll sent after `last`.
   bool NeedsPoll(const WorkerId& worker, Instant last) const;
   // With their addresses; includes workers of restored runs.
@@ -271,6 +276,7 @@
   std::shared_ptr<const QueueConfiguration> m_configuration;
   std::map<JobId, std::unique_ptr<JobState>> m_jobs;
   WorkerTable m_workers;
+  std::set<DomainId> m_evacuated;
   std::set<StepRowKey> m_changed_rows;         // Their rows must be written.
   std::map<JobId, JobPhase> m_changed_phases;  // Their rows must be written.
   std::vector<StartCommand> m_unsent_starts;   // Wait until their rows are stored.
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -39,7 +39,8 @@
   const Unit* unit = steps[static_cast<std::size_t>(command.m_task.m_step.m_step)]->FindUnit(command.m_task.m_index);
   if (unit == nullptr || !unit->m_active || unit->m_run != command.m_run) return false;
   const Member& member = unit->m_members[static_cast<std::size_t>(command.m_task.m_index - unit->m_first)];
-  return (member.m_state == MemberState::kPlanned || member.m_state == MemberState::kSent) && !unit->m_stopping;
+  return (member.m_state == MemberState::kPlanned || member.m_state == MemberState::kSent) && !unit->m_stopping &&
+         !member.m_slot->m_evacuated;
 }
 
 // Returns the unit of a task and the index of its member; nullptr if the job or its step is unknown.
@@ -52,17 +53,28 @@
   return {unit, unit == nullptr ? 0 : static_cast<std::size_t>(task.m_index - unit->m_first)};
 }
 
-std::vector<StartCommand> Scheduler::TakeResends() {
+std::vector<StartCommand> Scheduler::TakeResends(Instant now) {
   std::vector<StartCommand> resends;
   for (StartCommand& command : std::exchange(m_resends, {})) {
     const auto [unit, index] = FindMember(command.m_task);
     const bool wanted = unit != nullptr && unit->m_active && unit->m_run == command.m_run && !unit->m_stopping &&
                         unit->m_members[index].m_state == MemberState::kSent;
-    if (wanted) resends.push_back(std::move(command));
+    if (!wanted) continue;
+    Member& member = unit->m_members[index];
+    // A run in an evacuated domain that the worker does not list is stopped; see SettleAbsent.
+    member.m_slot->m_evacuated ? SetState(&member, MemberState::kUnknown, now) : resends.push_back(std::move(command));
   }
   return resends;
 }
 
+void Scheduler::OnStartWithheld(const StartCommand& command, Instant now) {
+  const auto [unit, index] = FindMember(command.m_task);
+  if (unit == nullptr || unit->m_run != command.m_run) return;
+  // The copy that was sent before got no answer.
+  Member& member = unit->m_members[index];
+  if (member.m_state == MemberState::kSent) SetState(&member, MemberState::kUnknown, now);
+}
+
 void Scheduler::OnStartSent(const StartCommand& command, Now now) {
   const auto [unit, index] = FindMember(command.m_task);
   if (unit == nullptr || unit->m_members[index].m_state != MemberState::kPlanned) return;  // A resend.
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -14,8 +14,9 @@
 
 struct WorkerSlot {
   WorkerEntry m_entry;
-  bool m_listed = false;  // Listed by the platform.
-  bool m_usable = false;  // Answers, and has accepted this scheduler's epoch.
+  bool m_listed = false;     // Listed by the platform.
+  bool m_usable = false;     // Answers, and has accepted this scheduler's epoch.
+  bool m_evacuated = false;  // Its failure domain is evacuated: nothing new may be sent to it.
   Resources m_free;
   UnitMemberSet m_members;             // Members that have resources allocated here.
   std::int64_t m_processed_ends = 0;   // Number of the last end that was processed.
@@ -32,7 +33,7 @@
 
   static constexpr double kSpeedPrior = 3.0;  // Weight, in samples, of the prior assumption of equal speeds.
 
-  bool IsSchedulable() const { return m_listed && m_usable && !m_entry.m_draining; }
+  bool IsSchedulable() const { return m_listed && m_usable && !m_entry.m_draining && !m_evacuated; }
 };
 
 // The address of a slot is stable until the slot is erased.
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -138,8 +138,8 @@
   m_configuration_rows = std::make_shared<store::TableFollower>(
       m_parts.m_store, m_parts.m_timers, m_parts.m_clock,
       ConfigurationFollowerSettings(m_settings.m_platform.m_configuration),
-      [weak](const std::vector<store::StoredRow>& rows, bool) {
-        if (const auto self = weak.lock()) self->OnConfigurationRows(rows);
+      [weak](const std::vector<store::StoredRow>& rows, bool whole) {
+        if (const auto self = weak.lock()) self->OnConfigurationRows(rows, whole);
       },
       [weak](bool reachable) {
         const auto self = weak.lock();
@@ -213,13 +213,31 @@
 // Rows
 //-------------------------------------------------------------------------------------------------
 
-void JobService::OnConfigurationRows(const std::vector<store::StoredRow>& rows) {
+void JobService::OnConfigurationRows(const std::vector<store::StoredRow>& rows, bool whole) {
   m_store_reachable = true;
   for (const store::StoredRow& row : rows) {
     if (!row.m_removed && row.m_key.m_key == m_settings.m_platform.m_configuration_key) {
       m_documents->Take(row.m_value, "store");
     }
   }
+  UpdateEvacuated(rows, whole);
+}
+
+void JobService::UpdateEvacuated(const std::vector<store::StoredRow>& rows, bool whole) {
+  const std::string& prefix = m_settings.m_platform.m_evacuation_prefix;
+  std::set<DomainId> evacuated;
+  if (!whole) evacuated = m_evacuated;
+  for (const store::StoredRow& row : rows) {
+    if (!row.m_key.m_key.starts_with(prefix)) continue;
+    const DomainId domain{row.m_key.m_key.substr(prefix.size())};
+    row.m_removed ? evacuated.erase(domain) : evacuated.insert(domain).second;
+  }
+  if (evacuated == m_evacuated) return;
+  std::string names;
+  for (const DomainId& domain : evacuated) names += (names.empty() ? "" : " ") + domain.m_value;
+  log::Info(kLog, "Evacuated failure domains have changed", {{"domains", names}});
+  m_evacuated = std::move(evacuated);
+  if (m_driver) m_driver->SetEvacuated(m_evacuated);
 }
 
 void JobService::WriteMember() {
@@ -317,6 +335,7 @@
                                                                     self->m_leadership->StepDown(why);
                                                                 }});
   if (m_intake->Configuration()) m_driver->SetConfiguration(m_intake->Configuration());
+  m_driver->SetEvacuated(m_evacuated);
   m_driver->Start();
   m_beats->Begin();
 }
--- a/hickoryquay/service/job_service.h
+++ b/hickoryquay/service/job_service.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,7 @@
 struct PlatformTables {
   std::string m_configuration;      // Table of the operators' documents.
   std::string m_configuration_key;  // Key of the queue configuration in that table.
+  std::string m_evacuation_prefix;  // Of keys in that table; the name of a failure domain to evacuate follows.
   std::string m_workers;
 };
 
@@ -86,7 +88,8 @@
   bool Leading() const { return m_leadership->Leading(); }
 
  private:
-  void OnConfigurationRows(const std::vector<store::StoredRow>& rows);
+  void OnConfigurationRows(const std::vector<store::StoredRow>& rows, bool whole);
+  void UpdateEvacuated(const std::vector<store::StoredRow>& rows, bool whole);
   void OnMemberRows(const std::vector<store::StoredRow>& rows, bool whole);
   double Fitness() const;  // To lead, of this instance.
   int Rank() const;        // Number of listed instances that should lead rather than this one.
@@ -109,6 +112,7 @@
   std::shared_ptr<store::TableFollower> m_configuration_rows;
   std::shared_ptr<store::TableFollower> m_member_rows;
   std::map<std::string, peers::PeerInfo> m_members;
+  std::set<DomainId> m_evacuated;  // Failure domains to which nothing new may be sent.
   std::shared_ptr<LeaderBeats> m_beats;
   Handover m_handover{HandoverSettings{}};
   bool m_store_reachable = false;
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -108,6 +108,11 @@
   ScheduleRound();
 }
 
+void SchedulerDriver::SetEvacuated(const std::set<DomainId>& domains) {
+  m_scheduler.SetEvacuated(domains, Time());
+  ScheduleRound();
+}
+
 //-------------------------------------------------------------------------------------------------
 // Rows
 //-------------------------------------------------------------------------------------------------
@@ -304,7 +309,7 @@
   m_last_round = m_parts.m_clock->Now();
   m_scheduler.Decide(Time());
   for (const jobs::StopCommand& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
-  for (const jobs::StartCommand& start : m_scheduler.TakeResends()) m_sessions->Send(start);
+  for (const jobs::StartCommand& start : m_scheduler.TakeResends(m_last_round)) m_sessions->Send(start);
   if (!m_write_pending) {
     ArchiveSettled();
     jobs::Batch batch = m_scheduler.TakeBatch(store::kMaxTransactionRows - kLeaderRowOps, store::kMaxTransactionBytes);
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -55,6 +55,7 @@
   void Start();
   void Stop();
   void SetConfiguration(std::shared_ptr<const jobs::QueueConfiguration> configuration);
+  void SetEvacuated(const std::set<DomainId>& domains);
   bool Ready() const { return m_ready; }  // All tables are loaded.
   std::map<jobs::QueueName, int> Pending() const { return m_scheduler.Pending(); }
   jobs::SchedulerCounts Counts() const { return m_scheduler.Counts(); }
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -128,7 +128,7 @@
 }
 
 void WorkerSessions::SendNow(const jobs::StartCommand& command) {
-  if (!m_scheduler->MaySend(command)) return;
+  if (!m_scheduler->MaySend(command)) return m_scheduler->OnStartWithheld(command, m_clock->Now());
   m_scheduler->OnStartSent(command, Time());
   const auto found = m_sessions.find(command.m_worker);
   if (found == m_sessions.end()) return m_scheduler->OnStartAnswer(command, jobs::StartOutcome::kNotSent, Time());
