Bench: pattern uneven-workers

Cause: no pattern of hqbench jobs has workers whose speeds differ so much that an urgent gang misses its objective on the slow ones. Objectives of gangs follow the usual work of the step.

--- a/bench/jobs/load.cc
+++ b/bench/jobs/load.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int kWorkersPerRack = 8;
+constexpr double kUsualWorkers = 48.0;
 constexpr int kAccelerators = 8;  // Of a worker.
 constexpr std::int64_t kMillicores = 64'000;
 constexpr std::int64_t kMemoryMb = 131'072;
@@ -19,8 +20,8 @@
 constexpr double kWorkWorth = 0.7;    // Of one of its queue's mean work.
 constexpr double kLargestWorth = 4;   // Times the worth of its queue.
 constexpr double kCoresPerAccelerator = 8.0;
-constexpr double kSwing = 0.15;  // Of arrivals, in waves.
 constexpr double kWaveSeconds = 11.0;
+constexpr double kStragglerFactor = 7.0;
 
 using Random = std::mt19937_64;
 
@@ -123,10 +124,10 @@
   Draw(DayLoad* day, std::uint64_t seed) : m_day(day), m_random(seed) {}
 
   void AddArrivals(const QueueLoad& queue) {
-    double at_s = 0.0;
+    double at_s = static_cast<double>(m_day->m_first_arrival.m_ms) / 1000.0;
     const double until_s = static_cast<double>(m_day->m_arrivals.count()) / 1000.0;
     while (true) {
-      const double wave = 1.0 + kSwing * std::sin(2.0 * M_PI * at_s / kWaveSeconds);
+      const double wave = 1.0 + m_day->m_swing * std::sin(2.0 * M_PI * at_s / kWaveSeconds);
       at_s += std::exponential_distribution<>(queue.m_per_second * wave)(m_random);
       if (at_s >= until_s) return;
       AddJob(queue, Instant{static_cast<std::int64_t>(at_s * 1000.0)});
@@ -149,10 +150,12 @@
     job.m_request.m_payload = "payload";
     const int steps = Chance(&m_random, queue.m_second_step) ? 2 : 1;
     double core_seconds = 0.0;
+    Millis nominal{0};
     for (int i = 0; i < steps; ++i) {
       planned.m_truths.push_back(MakeStep(queue, i));
       const standin::StepTruth& truth = planned.m_truths.back();
       const Millis longest = *std::max_element(truth.m_work.begin(), truth.m_work.end());
+      nominal += m_nominal;
       planned.m_critical_path += longest + truth.m_failing_runs * longest / 2;  // A run that fails does so halfway.
       for (const Millis work : truth.m_work) {
         core_seconds += CoreSeconds(truth.m_spec.m_task, static_cast<double>(work.count()));
@@ -164,8 +167,8 @@
     const double size = std::min(kLargestWorth, kBaseWorth + kWorkWorth * core_seconds / mean);
     planned.m_worth = queue.m_worth * size;
     planned.m_late_worth = queue.m_late_worth * size;
-    const auto stretched =
-        static_cast<std::int64_t>(queue.m_queue.m_stretch * static_cast<double>(planned.m_critical_path.count()));
+    const Millis promised = queue.m_nominal_objective ? nominal : planned.m_critical_path;
+    const auto stretched = static_cast<std::int64_t>(queue.m_queue.m_stretch * static_cast<double>(promised.count()));
     planned.m_objective = Millis{stretched} + queue.m_queue.m_objective;
     if (Chance(&m_random, queue.m_cancelled)) {
       planned.m_cancel_at = at + Millis{std::uniform_int_distribution<>(200, 6'000)(m_random)};
@@ -208,8 +211,11 @@
         std::min<int>(kAccelerators / accelerators, static_cast<int>(kMillicores / queue.m_millicores));
     if (spec.m_rack_local) spec.m_tasks = std::min(spec.m_tasks, of_worker * kWorkersPerRack);
     const double mean = std::min(queue.m_max_work_ms, LogNormal(&m_random, queue.m_mean_work_ms, queue.m_work_spread));
+    m_nominal = Millis{static_cast<std::int64_t>(mean)};
     for (int i = 0; i < spec.m_tasks; ++i) {
-      const double own = spec.m_gang ? 1.0 : LogNormal(&m_random, 1.0, 0.15);
+      double own = spec.m_gang ? 1.0 : LogNormal(&m_random, 1.0, 0.15);
+      if (spec.m_gang && queue.m_member_spread > 0.0) own = LogNormal(&m_random, 1.0, queue.m_member_spread);
+      if (!spec.m_gang && queue.m_stragglers > 0.0 && Chance(&m_random, queue.m_stragglers)) own *= kStragglerFactor;
       truth.m_work.push_back(Millis{std::max<std::int64_t>(100, static_cast<std::int64_t>(mean * own))});
     }
     const double off = std::log(1.0 + queue.m_estimate_off);
@@ -223,6 +229,7 @@
 
   DayLoad* m_day;
   Random m_random;
+  Millis m_nominal{0};  // Usual work of a task of the last step.
 };
 
 //-------------------------------------------------------------------------------------------------
@@ -246,6 +253,65 @@
   }
 }
 
+// Workers of 0.6, 1.0 and 1.6 of the usual speed in every rack, with room for all work: only the choice of workers
+// decides whether an urgent gang meets its objective. Modelled on gan-lisboa-grown (docs/design/hard-load.md).
+void PrepareUneven(DayLoad* day) {
+  constexpr int kUnevenWorkers = 350;
+  constexpr int kUnevenPerRack = 12;
+  constexpr std::int64_t kUnevenMemoryMb = 262'144;
+  constexpr double kUnevenSpeeds[] = {0.6, 1.0, 1.6};
+  const double load = day->m_queues[0].m_per_second / MakeQueues()[0].m_per_second;  // As asked, times workers / 48.
+  const double asked = load * kUsualWorkers / static_cast<double>(day->m_workers.size());
+  day->m_workers = MakeWorkers(kUnevenWorkers);
+  Random speeds(1);
+  for (int i = 0; i < kUnevenWorkers; ++i) {
+    standin::SimWorkerSettings& worker = day->m_workers[static_cast<std::size_t>(i)];
+    worker.m_entry.m_rack = "r" + std::to_string(i / kUnevenPerRack);
+    worker.m_entry.m_domain = DomainId{"d" + std::to_string(i / kUnevenPerRack % 3)};
+    worker.m_entry.m_labels = {worker.m_entry.m_rack};
+    worker.m_entry.m_capacity.m_memory_mb = kUnevenMemoryMb;
+    worker.m_speed = kUnevenSpeeds[std::uniform_int_distribution<>(0, 2)(speeds)];
+  }
+  for (jobs::Account& account : day->m_accounts) {
+    account.m_guaranteed_accelerators = static_cast<int>(kUnevenWorkers * kAccelerators * kGuaranteed / kAccounts);
+  }
+  QueueLoad& urgent = day->m_queues[0];
+  urgent.m_per_second = 4.3 * asked;
+  urgent.m_mean_tasks = 5.4;
+  urgent.m_mean_work_ms = 2'100.0;
+  urgent.m_memory_mb = 39'000;
+  urgent.m_estimate_off = 0.2;
+  urgent.m_member_spread = 0.25;
+  QueueLoad& large = day->m_queues[1];
+  large.m_per_second = 1.0 * asked;
+  large.m_mean_tasks = 13.0;
+  large.m_mean_work_ms = 7'200.0;
+  large.m_memory_mb = 140'000;
+  large.m_estimate_off = 0.5;
+  large.m_member_spread = 0.25;
+  QueueLoad& batch = day->m_queues[2];
+  batch.m_per_second = 0.8 * asked;
+  batch.m_mean_tasks = 39.0;
+  batch.m_mean_work_ms = 8'100.0;
+  batch.m_memory_mb = 16'000;
+  batch.m_stragglers = 0.03;
+  urgent.m_nominal_objective = true;
+  large.m_nominal_objective = true;
+  day->m_first_arrival = Instant{7'000};
+  day->m_swing = 0.55;
+  day->m_arrivals = Millis{41'000};
+  day->m_after = Millis{70'000};  // A straggler of the batch queue takes about a minute.
+}
+
+// Lower priorities occupy workers before the first urgent job arrives.
+void AddEarlyWork(DayLoad* day, Draw* draw) {
+  constexpr int kEarlyJobs = 10;  // Of each of the two lower queues.
+  for (int i = 0; i < kEarlyJobs; ++i) {
+    draw->AddJob(day->m_queues[1], Instant{100 * i});
+    draw->AddJob(day->m_queues[2], Instant{100 * i});
+  }
+}
+
 struct Pattern {
   const char* m_name;
   const char* m_summary;
@@ -313,6 +379,8 @@
          planned.m_critical_path *= 4;
        }
      }},
+    {"uneven-workers", "350 workers of 0.6 to 1.6 of the usual speed, with room for all work", &PrepareUneven,
+     &AddEarlyWork},
     {"cancel-wave", "many jobs are cancelled a moment after they came", nullptr,
      [](DayLoad* day, Draw* draw) {
        for (DayJob& planned : day->m_jobs) {
@@ -335,7 +403,6 @@
   const auto pattern = std::find_if(std::begin(kPatterns), std::end(kPatterns),
                                     [&](const Pattern& entry) { return name == entry.m_name; });
   if (pattern == std::end(kPatterns)) return std::nullopt;
-  constexpr double kUsualWorkers = 48.0;
   DayLoad day;
   day.m_workers = MakeWorkers(workers);
   day.m_queues = MakeQueues();
--- a/bench/jobs/load.h
+++ b/bench/jobs/load.h
@@ -30,9 +30,12 @@
   std::vector<int> m_accelerators;  // Of a task; one is drawn for each job.
   std::int64_t m_millicores = 1'000;
   std::int64_t m_memory_mb = 1'000;
-  double m_estimate_off = 0.9;  // Estimates lie between 1 / (1 + this) and 1 + this times the truth.
-  double m_gangs = 0.0;         // Shares of its jobs from here on.
-  double m_rack_local = 0.0;    // Of gangs.
+  double m_estimate_off = 0.9;       // Estimates lie between 1 / (1 + this) and 1 + this times the truth.
+  double m_member_spread = 0.0;      // Of the work of a gang's members: of the logarithm.
+  double m_stragglers = 0.0;         // Share of single tasks that take seven times as long.
+  bool m_nominal_objective = false;  // The objective follows the step's usual work instead of its longest task.
+  double m_gangs = 0.0;              // Shares of its jobs from here on.
+  double m_rack_local = 0.0;         // Of gangs.
   double m_checkpoints = 0.0;
   double m_second_step = 0.0;
   double m_faulty = 0.05;  // The first run fails by its own fault.
@@ -64,7 +67,9 @@
   std::vector<jobs::Account> m_accounts;
   std::vector<DayJob> m_jobs;  // In order of acceptance.
   std::vector<WorkerTrouble> m_troubles;
-  Millis m_arrivals{40'000};  // Jobs come for this long.
+  Instant m_first_arrival;    // Time of the day at which regular arrivals begin.
+  double m_swing = 0.15;      // Of arrivals, in waves.
+  Millis m_arrivals{40'000};  // Jobs come until then.
   Millis m_after{15'000};     // Played on for this long behind the last arrival.
 };
 
