Scheduler: workers are chosen by the speed learned from progress

Cause: speeds were learned only from the ends of single tasks and used only among workers that were equal otherwise. Urgent gangs landed on workers that are too slow for their objective. Change: worker_speed learns a normal belief of log speed for each worker from the progress of every run, together with the pace of each step. worker_choice ranks workers by the chance of meeting the objective where a pool is uneven: urgent work takes the best chance, other work leaves fast workers free. A rack-local gang takes the rack with the best slowest member. Replaces the samples of log speed.

--- a/bench/jobs/jobs_experiment.cc
+++ b/bench/jobs/jobs_experiment.cc
@@ -57,7 +57,6 @@
       {"keep-free-batch", &jobs::SchedulerSettings::m_min_free_share_batch},
       {"keep-free-pressing", &jobs::SchedulerSettings::m_min_free_share_tight},
       {"pressing-slack", &jobs::SchedulerSettings::m_tight_slack_share},
-      {"speed-step", &jobs::SchedulerSettings::m_speed_step},
       {"spread-after", &jobs::SchedulerSettings::m_spread_after},
       {"may-waste", &jobs::SchedulerSettings::m_max_lost_core_s},
       {"may-waste-share", &jobs::SchedulerSettings::m_max_lost_share},
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -29,6 +29,7 @@
 #include "hickoryquay/jobs/rows.h"
 #include "hickoryquay/jobs/units.h"
 #include "hickoryquay/jobs/worker_api.h"
+#include "hickoryquay/jobs/worker_choice.h"
 #include "hickoryquay/jobs/worker_table.h"
 
 namespace hickoryquay::jobs {
@@ -80,9 +81,7 @@
   // Time without new tasks for a worker on which most tasks are slow. More than 2 s, the time after which a poll
   // without news is answered.
   Millis m_avoid_slow_for{2'500};
-  int m_speed_min_tasks = 4;    // Steps with fewer tasks are not used to compare workers.
-  int m_speed_min_samples = 3;  // Finished tasks of a step before further ones are compared with them.
-  double m_speed_step = 0.1;    // Resolution of log(speed); smaller differences are ignored.
+  ChoiceSettings m_choice;
 };
 
 struct Now {
@@ -224,7 +223,8 @@
   void OnRunning(WorkerSlot* slot, const RunningTask& running, Now now);
   void CheckPace(WorkerSlot* slot, const PollReply& reply, Now now);
   std::pair<Unit*, std::size_t> FindMember(const TaskKey& task);
-  void RecordSpeed(const Unit& unit, const Member& member, Now now);
+  void RecordProgress(WorkerSlot* slot, const PollReply& reply, Now now);
+  void RecordSpeed(const Unit& unit, Member* member, Now now);
   void RecordFailure(Unit* unit, RunNumber run, Now now);
   void RecordDone(Unit* unit, Now now);
   void Settle(Unit* unit, std::size_t member);
@@ -253,7 +253,8 @@
   Instant ObjectiveDeadline(const JobState& job, int occurrence) const;
   std::vector<StepState*> ReadySteps(Now now);
   const WorkerTable::RackMap& RacksFor(const Unit& unit);
-  std::vector<WorkerSlot*> ChooseWorkers(const Unit& unit, const std::vector<WorkerSlot*>& candidates, Now now) const;
+  const PoolPace& PaceOf(const PoolName& pool, Now now);
+  Choice ChooseFor(const Unit& unit, const std::vector<WorkerSlot*>& candidates, Now now);
   void PlaceStep(StepState* step, AcceleratorCount* accelerators, Now now);
   bool TryPlace(Unit* unit, Now now);
   bool PlaceOn(Unit* unit, const std::vector<WorkerSlot*>& slots, Now now);
@@ -280,6 +281,7 @@
   std::set<std::pair<WorkerId, std::pair<TaskKey, RunNumber>>> m_unrecorded_runs;  // In no row.
   // Caches, filled on demand and valid until the end of the current Decide.
   std::map<std::pair<PoolName, std::string>, WorkerTable::RackMap> m_racks;  // By pool and label.
+  std::map<PoolName, PoolPace> m_paces;
   std::map<AccountId, int> m_urgent_demand;  // Accelerators of all jobs of priority 0 that have not ended.
   bool m_urgent_demand_valid = false;
   std::deque<std::pair<Instant, JobId>> m_archived;  // With the steady time.
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -1,9 +1,9 @@
 // Placement: the order of waiting steps, the choice of workers, and preemption.
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 #include "hickoryquay/base/log.h"
 #include "hickoryquay/jobs/scheduler.h"
@@ -21,28 +21,6 @@
   return static_cast<double>(task.m_millicores) / 1000.0 + kCoresPerAccelerator * task.m_accelerators;
 }
 
-int CountFitting(const Resources& room, const Resources& task) {
-  auto times = std::numeric_limits<std::int64_t>::max();
-  const auto limit_by = [&times](std::int64_t available, std::int64_t needed) {
-    if (needed > 0) times = std::min(times, available / needed);
-  };
-  limit_by(room.m_accelerators, task.m_accelerators);
-  limit_by(room.m_millicores, task.m_millicores);
-  limit_by(room.m_memory_mb, task.m_memory_mb);
-  return static_cast<int>(std::clamp<std::int64_t>(times, 0, std::numeric_limits<int>::max()));
-}
-
-// Number of tasks of the unit's step on the worker.
-int CountTasksOfStep(const WorkerSlot& slot, const Unit& unit) {
-  return static_cast<int>(std::count_if(slot.m_members.begin(), slot.m_members.end(),
-                                        [&](const auto& held) { return held.first->m_step == unit.m_step; }));
-}
-
-int LimitPerWorker(const WorkerSlot& slot, const Unit& unit, int fitting) {
-  const int limit = unit.m_step->m_spec->m_max_per_worker;
-  return limit == 0 ? fitting : std::min(fitting, std::max(0, limit - CountTasksOfStep(slot, unit)));
-}
-
 }  // namespace
 
 //-------------------------------------------------------------------------------------------------
@@ -152,6 +130,7 @@
       slot->m_reserved_for = nullptr;
   }
   m_racks.clear();
+  m_paces.clear();
   m_urgent_demand_valid = false;
   AcceleratorCount accelerators = CountAccelerators();
   for (StepState* step : ReadySteps(now)) PlaceStep(step, &accelerators, now);
@@ -182,34 +161,34 @@
 // Workers
 //-------------------------------------------------------------------------------------------------
 
-// Slots for all members of the unit, those with the fewest free accelerators first; empty if there are not enough.
-std::vector<WorkerSlot*> Scheduler::ChooseWorkers(const Unit& unit, const std::vector<WorkerSlot*>& candidates,
-                                                  Now now) const {
-  struct Option {
-    WorkerSlot* m_slot;
-    int m_times;
-  };
-  std::vector<Option> options;
-  for (WorkerSlot* slot : candidates) {
-    if (slot->m_reserved_for != nullptr && slot->m_reserved_for != &unit) continue;
-    if (now.m_steady < slot->m_avoid_until) continue;
-    const int times = LimitPerWorker(*slot, unit, CountFitting(slot->m_free, unit.m_step->m_spec->m_task));
-    if (times > 0) options.push_back({slot, times});
+// The pool's workers in the view of its urgent queue with the least stretch.
+const PoolPace& Scheduler::PaceOf(const PoolName& pool, Now now) {
+  const auto [entry, added] = m_paces.try_emplace(pool);
+  if (!added || !m_configuration) return entry->second;
+  std::optional<double> tightest;
+  for (const Queue& queue : m_configuration->m_queues) {
+    if (queue.m_pool == pool && queue.m_priority == 0)
+      tightest = std::min(queue.m_stretch, tightest.value_or(queue.m_stretch));
   }
-  // Urgent work prefers fast workers, batch work slow ones.
-  const int priority = unit.m_step->m_job->m_job.m_priority;
-  const double sign = priority == 0 ? -1.0 : priority == 1 ? 0.0 : 1.0;
-  const auto rank = [&](const Option& option) {
-    const auto speed = static_cast<int>(std::lround(sign * option.m_slot->LogSpeed() / m_settings.m_speed_step));
-    return std::tuple(option.m_slot->m_failures, option.m_slot->m_free.m_accelerators, speed);
-  };
-  std::stable_sort(options.begin(), options.end(), [&](const Option& a, const Option& b) { return rank(a) < rank(b); });
-  std::vector<WorkerSlot*> chosen;
-  for (const Option& option : options) {
-    for (int i = 0; i < option.m_times && chosen.size() < unit.m_members.size(); ++i) chosen.push_back(option.m_slot);
+  if (!tightest) return entry->second;
+  std::vector<const WorkerSlot*> workers;
+  for (const auto& [id, slot] : m_workers.All()) {
+    if (slot->m_entry.m_pool == pool && slot->IsSchedulable()) workers.push_back(slot.get());
   }
-  if (chosen.size() < unit.m_members.size()) chosen.clear();
-  return chosen;
+  entry->second = JudgePool(workers, *tightest, now.m_steady, m_settings.m_choice);
+  return entry->second;
+}
+
+Choice Scheduler::ChooseFor(const Unit& unit, const std::vector<WorkerSlot*>& candidates, Now now) {
+  const JobState& job = *unit.m_step->m_job;
+  ChoiceInput input;
+  input.m_unit = &unit;
+  input.m_priority = job.m_job.m_priority;
+  input.m_estimate = unit.m_step->m_spec->m_estimate;
+  input.m_budget = ObjectiveDeadline(job, unit.m_step->m_key.m_occurrence) - now.m_wall;
+  input.m_pace = PaceOf(job.m_job.m_pool, now);
+  input.m_now = now.m_steady;
+  return ChooseWorkers(input, candidates, m_settings.m_choice);
 }
 
 namespace {
@@ -243,26 +222,28 @@
   const StepSpec& spec = *unit->m_step->m_spec;
   const auto& racks = RacksFor(*unit);
   if (spec.m_rack_local && unit->m_members.size() > 1) {
-    std::vector<WorkerSlot*> best;
-    int best_free = std::numeric_limits<int>::max();
+    Choice best;
+    auto best_key = std::pair(std::numeric_limits<int>::max(), std::numeric_limits<int>::max());
+    const bool uneven = PaceOf(unit->m_step->m_job->m_job.m_pool, now).m_uneven;
     bool fits_any = false;
     for (const auto& [name, slots] : racks) {
       fits_any = fits_any || FitsWhenEmpty(slots, *unit);
       const int free = FreeAccelerators(slots);
-      if (free >= best_free) continue;
-      auto chosen = ChooseWorkers(*unit, slots, now);
-      if (chosen.empty()) continue;
+      if (!uneven && free >= best_key.second) continue;
+      Choice chosen = ChooseFor(*unit, slots, now);
+      const auto key = std::pair(chosen.m_rank, free);
+      if (chosen.m_slots.empty() || key >= best_key) continue;
       best = std::move(chosen);
-      best_free = free;
+      best_key = key;
     }
-    if (!best.empty()) return PlaceOn(unit, best, now);
+    if (!best.m_slots.empty()) return PlaceOn(unit, best.m_slots, now);
     const bool may_spread =
         WithinGuarantee(*unit) && now.m_wall - unit->m_step->m_job->m_job.m_accepted > m_settings.m_spread_after;
     if (fits_any && !may_spread) return false;
   } else if (!spec.m_data_rack.empty()) {
     const auto rack = racks.find(spec.m_data_rack);
     if (rack != racks.end()) {
-      const auto chosen = ChooseWorkers(*unit, rack->second, now);
+      const auto chosen = ChooseFor(*unit, rack->second, now).m_slots;
       if (!chosen.empty()) return PlaceOn(unit, chosen, now);
       const Instant deadline = ObjectiveDeadline(*unit->m_step->m_job, unit->m_step->m_key.m_occurrence);
       const auto remote_ms =
@@ -270,7 +251,7 @@
       if (now.m_wall + Millis{remote_ms} < deadline) return false;  // There is time to wait for the rack of the data.
     }
   }
-  const auto chosen = ChooseWorkers(*unit, Flatten(racks), now);
+  const auto chosen = ChooseFor(*unit, Flatten(racks), now).m_slots;
   return !chosen.empty() && PlaceOn(unit, chosen, now);
 }
 
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -1,7 +1,7 @@
 // Lifecycle of a run: start, answers, poll replies, end, and how it is established that a run can't exist any more.
 
 #include <algorithm>
-#include <cmath>
+#include <optional>
 
 #include "hickoryquay/base/log.h"
 #include "hickoryquay/jobs/scheduler.h"
@@ -25,6 +25,34 @@
   member->m_since = since;
 }
 
+// False where the pace depends on more than the worker: away from the data, or in a rack-local gang across racks.
+bool TellsSpeed(const Unit& unit) {
+  const StepSpec& spec = *unit.m_step->m_spec;
+  const auto on_rack = [](const Member& member, const std::string& rack) {
+    return member.m_slot == nullptr || member.m_slot->m_entry.m_rack == rack;
+  };
+  const auto all_on = [&](const std::string& rack) {
+    return std::all_of(unit.m_members.begin(), unit.m_members.end(),
+                       [&](const Member& member) { return on_rack(member, rack); });
+  };
+  if (!spec.m_data_rack.empty() && !all_on(spec.m_data_rack)) return false;
+  const WorkerSlot* first = unit.m_members.front().m_slot;
+  return !spec.m_rack_local || first == nullptr || all_on(first->m_entry.m_rack);
+}
+
+// Steady time at which all members had started; empty if some have not. Instant{} if the run may have resumed from a
+// checkpoint or was started by an earlier scheduler, so that its progress did not begin at 0 then.
+std::optional<Instant> WorkBegan(const Unit& unit) {
+  Instant begin;
+  bool fresh = Raw(unit.m_run) == 1;
+  for (const Member& member : unit.m_members) {
+    if (member.m_state != MemberState::kRunning) return std::nullopt;
+    begin = std::max(begin, member.m_since);
+    fresh = fresh && !member.m_restored;
+  }
+  return fresh ? begin : Instant{};
+}
+
 }  // namespace
 
 //-------------------------------------------------------------------------------------------------
@@ -144,6 +172,7 @@
   }
   for (const RunningTask& running : reply.m_running) OnRunning(slot, running, now);
   CheckPace(slot, reply, now);
+  RecordProgress(slot, reply, now);
   SettleAbsent(slot, reply, sent);
 }
 
@@ -182,7 +211,7 @@
     unit->m_checkpoint = end.m_checkpoint;
   if (end.m_kind == EndKind::kDone) slot->m_failures = 0;
   if (end.m_kind == EndKind::kDone && !lasts) {
-    if (current) RecordSpeed(*unit, unit->m_members[index], now);
+    if (current) RecordSpeed(*unit, &unit->m_members[index], now);
     RecordDone(unit, now);
     if (!current && unit->m_active) StopRun(unit, "an earlier run is done");
   } else if (end.m_kind == EndKind::kFailed) {
@@ -268,23 +297,27 @@
   slot->m_avoid_until = std::max(slot->m_avoid_until, now.m_steady + m_settings.m_avoid_slow_for);
 }
 
-// Updates the worker's speed. Tasks of one step have about the same work, so their durations show the relative speeds
-// of their workers.
-void Scheduler::RecordSpeed(const Unit& unit, const Member& member, Now now) {
-  StepState* step = unit.m_step;
-  const bool comparable = unit.m_members.size() == 1 && step->m_spec->m_tasks >= m_settings.m_speed_min_tasks &&
-                          member.m_state == MemberState::kRunning && Raw(unit.m_run) == 1 &&
-                          step->m_spec->m_data_rack.empty();
-  const double took = static_cast<double>((now.m_steady - member.m_since).count());
-  if (!comparable || took <= 0.0) return;
-  WorkerSlot* slot = member.m_slot;
-  const double work = std::log(took) + slot->LogSpeed();
-  if (step->m_work_samples >= m_settings.m_speed_min_samples) {
-    slot->m_speed_sum += step->m_work_sum / step->m_work_samples - std::log(took);
-    ++slot->m_speed_samples;
+// Learns the worker's speed from the progress of its tasks.
+void Scheduler::RecordProgress(WorkerSlot* slot, const PollReply& reply, Now now) {
+  for (const RunningTask& running : reply.m_running) {
+    const auto [unit, index] = FindMember(running.m_task);
+    if (unit == nullptr || unit->m_run != running.m_run || unit->m_members[index].m_slot != slot) continue;
+    if (unit->m_stopping || unit->m_step->m_spec->m_long_running) continue;
+    if (!TellsSpeed(*unit)) continue;
+    const std::optional<Instant> begin = WorkBegan(*unit);
+    if (!begin) continue;
+    ObserveProgress(running.m_percent, *begin, unit->m_step->m_spec->m_estimate, now.m_steady,
+                    m_settings.m_choice.m_speed, &slot->m_speed, &unit->m_step->m_pace, &unit->m_members[index].m_pace);
   }
-  step->m_work_sum += work;
-  ++step->m_work_samples;
+}
+
+// Learns the worker's speed from the duration of a task that is done. Members of a gang end together.
+void Scheduler::RecordSpeed(const Unit& unit, Member* member, Now now) {
+  const bool tells = unit.m_members.size() == 1 && member->m_state == MemberState::kRunning && TellsSpeed(unit) &&
+                     Raw(unit.m_run) == 1 && !member->m_restored;
+  if (!tells) return;
+  ObservePace(1.0, now.m_steady - member->m_since, unit.m_step->m_spec->m_estimate, now.m_steady,
+              m_settings.m_choice.m_speed, &member->m_slot->m_speed, &unit.m_step->m_pace, &member->m_pace);
 }
 
 void Scheduler::RecordFailure(Unit* unit, RunNumber run, Now now) {
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -11,6 +11,7 @@
 
 #include "hickoryquay/jobs/job.h"
 #include "hickoryquay/jobs/worker_api.h"
+#include "hickoryquay/jobs/worker_speed.h"
 
 namespace hickoryquay::jobs {
 
@@ -39,7 +40,8 @@
   Instant m_since;               // Steady time of the last change of m_state.
   int m_percent = 0;             // Progress reported at m_percent_at, 0 to 100.
   Instant m_percent_at;          // Steady time; 0: not reported yet.
-  Instant m_stop_at;             // Steady time: of the answer in kAcknowledged, of the next attempt in kRequested.
+  RunPace m_pace;
+  Instant m_stop_at;  // Steady time: of the answer in kAcknowledged, of the next attempt in kRequested.
 };
 
 struct Unit {
@@ -80,8 +82,7 @@
   std::vector<std::unique_ptr<Unit>> m_units;
   int m_units_left = 0;         // Units that are not done.
   std::set<int> m_stored_rows;  // Of which a row is stored.
-  double m_work_sum = 0.0;      // Sum of log(work) of finished tasks; work in ms on a worker of average speed.
-  int m_work_samples = 0;
+  StepPace m_pace;
 
   Unit* FindUnit(int task) const;
 };
--- /dev/null
+++ b/hickoryquay/jobs/worker_choice.cc
@@ -0,0 +1,102 @@
+#include "hickoryquay/jobs/worker_choice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <tuple>
+
+namespace hickoryquay::jobs {
+
+namespace {
+
+struct Option {
+  WorkerSlot* m_slot = nullptr;
+  int m_times = 0;
+  int m_rank = 0;
+  int m_speed = 0;
+};
+
+// Number of tasks of the unit's step on the worker.
+int CountTasksOfStep(const WorkerSlot& slot, const Unit& unit) {
+  return static_cast<int>(std::count_if(slot.m_members.begin(), slot.m_members.end(),
+                                        [&](const auto& held) { return held.first->m_step == unit.m_step; }));
+}
+
+// Lower ranks are preferred. Urgent work takes the best chance. Other work leaves fast workers free: it takes those
+// that are too slow for urgent work first, then unknown ones, if its own objective allows that.
+int RankOf(const ChoiceInput& input, const LogBelief& speed, const ChoiceSettings& settings) {
+  if (!input.m_pace.m_uneven) return 0;
+  const double chance =
+      ChanceToMeet(input.m_estimate, input.m_budget, speed, settings.m_duration_spread, settings.m_duration_bias);
+  if (input.m_priority == 0) return static_cast<int>(std::lround((1.0 - chance) / settings.m_chance_step));
+  enum Tier { kTooSlowForUrgent, kUnknown, kFast, kMissesObjective };
+  if (chance < settings.m_enough_chance && input.m_budget > Millis{0}) return kMissesObjective;
+  if (speed.m_mean < input.m_pace.m_too_slow) return kTooSlowForUrgent;
+  const double known = settings.m_speed.m_known_spread * settings.m_speed.m_known_spread;
+  return speed.m_variance >= known ? kUnknown : kFast;
+}
+
+}  // namespace
+
+PoolPace JudgePool(const std::vector<const WorkerSlot*>& workers, double tightest_stretch, Instant now,
+                   const ChoiceSettings& settings) {
+  PoolPace pace;
+  pace.m_too_slow = -std::log(std::max(1.0, tightest_stretch));
+  int measured = 0;
+  int slow = 0;
+  for (const WorkerSlot* slot : workers) {
+    if (!slot->m_speed.IsMeasured(now, settings.m_speed)) continue;
+    ++measured;
+    if (slot->m_speed.At(now, settings.m_speed).m_mean < pace.m_too_slow) ++slow;
+  }
+  pace.m_uneven = slow >= settings.m_min_slow_workers && slow >= settings.m_min_slow_share * measured;
+  return pace;
+}
+
+int CountFitting(const Resources& room, const Resources& task) {
+  auto times = std::numeric_limits<std::int64_t>::max();
+  const auto limit_by = [&times](std::int64_t available, std::int64_t needed) {
+    if (needed > 0) times = std::min(times, available / needed);
+  };
+  limit_by(room.m_accelerators, task.m_accelerators);
+  limit_by(room.m_millicores, task.m_millicores);
+  limit_by(room.m_memory_mb, task.m_memory_mb);
+  return static_cast<int>(std::clamp<std::int64_t>(times, 0, std::numeric_limits<int>::max()));
+}
+
+int LimitPerWorker(const WorkerSlot& slot, const Unit& unit, int fitting) {
+  const int limit = unit.m_step->m_spec->m_max_per_worker;
+  return limit == 0 ? fitting : std::min(fitting, std::max(0, limit - CountTasksOfStep(slot, unit)));
+}
+
+Choice ChooseWorkers(const ChoiceInput& input, const std::vector<WorkerSlot*>& candidates,
+                     const ChoiceSettings& settings) {
+  const Unit& unit = *input.m_unit;
+  // At equal rank and room, urgent work prefers fast workers, batch work slow ones.
+  const double sign = input.m_priority == 0 ? -1.0 : input.m_priority == 1 ? 0.0 : 1.0;
+  std::vector<Option> options;
+  for (WorkerSlot* slot : candidates) {
+    if (slot->m_reserved_for != nullptr && slot->m_reserved_for != &unit) continue;
+    if (input.m_now < slot->m_avoid_until) continue;
+    const int times = LimitPerWorker(*slot, unit, CountFitting(slot->m_free, unit.m_step->m_spec->m_task));
+    if (times <= 0) continue;
+    const LogBelief speed = slot->m_speed.At(input.m_now, settings.m_speed);
+    options.push_back({slot, times, RankOf(input, speed, settings),
+                       static_cast<int>(std::lround(sign * speed.m_mean / settings.m_speed_step))});
+  }
+  const auto key = [](const Option& option) {
+    return std::tuple(option.m_slot->m_failures, option.m_rank, option.m_slot->m_free.m_accelerators, option.m_speed);
+  };
+  std::stable_sort(options.begin(), options.end(), [&](const Option& a, const Option& b) { return key(a) < key(b); });
+  Choice choice;
+  for (const Option& option : options) {
+    for (int i = 0; i < option.m_times && choice.m_slots.size() < unit.m_members.size(); ++i) {
+      choice.m_slots.push_back(option.m_slot);
+      choice.m_rank = std::max(choice.m_rank, option.m_rank);
+    }
+  }
+  if (choice.m_slots.size() < unit.m_members.size()) return {};
+  return choice;
+}
+
+}  // namespace hickoryquay::jobs
--- /dev/null
+++ b/hickoryquay/jobs/worker_choice.h
@@ -0,0 +1,56 @@
+// The choice of workers for a unit, in the order of the chance that the unit meets its objective there. Pure.
+#pragma once
+
+#include <vector>
+
+#include "hickoryquay/jobs/units.h"
+#include "hickoryquay/jobs/worker_table.h"
+
+namespace hickoryquay::jobs {
+
+struct ChoiceSettings {
+  SpeedSettings m_speed;
+  // A gang waits for its longest member: it took 0.7 to 1.9 times its estimate on the workers' speed, with a median
+  // above 1, and starts take time. Both are of the logarithm.
+  double m_duration_spread = 0.35;
+  double m_duration_bias = 0.3;
+  double m_chance_step = 0.1;     // Smaller differences in chance are ignored, so that packing decides.
+  double m_enough_chance = 0.75;  // A worker with at least this chance is good enough for work of lower priority.
+  double m_speed_step = 0.1;      // Resolution of log(speed) among workers that are equal otherwise.
+  int m_min_slow_workers = 3;     // A pool with fewer workers that are too slow counts as even.
+  double m_min_slow_share = 0.1;  // As above, of its measured workers.
+};
+
+// The workers of a pool as seen by its tightest queue, the one of priority 0 with the least stretch.
+struct PoolPace {
+  bool m_uneven = false;    // Some workers are too slow for the tightest queue.
+  double m_too_slow = 0.0;  // Logarithm of the speed below which a worker is too slow.
+};
+PoolPace JudgePool(const std::vector<const WorkerSlot*>& workers, double tightest_stretch, Instant now,
+                   const ChoiceSettings& settings);
+
+// What the choice depends on beside the workers.
+struct ChoiceInput {
+  const Unit* m_unit = nullptr;
+  int m_priority = 0;
+  Millis m_estimate{0};
+  Millis m_budget{0};  // Left until the unit's objective.
+  PoolPace m_pace;
+  Instant m_now;  // Steady time.
+};
+
+struct Choice {
+  std::vector<WorkerSlot*> m_slots;  // One for each member; empty if there are not enough.
+  int m_rank = 0;                    // Of the slowest member's worker; lower ones are better. 0 in even pools.
+};
+
+// Number of tasks of this kind that fit into the resources.
+int CountFitting(const Resources& room, const Resources& task);
+// At most `fitting`, and at most what the step allows on one worker.
+int LimitPerWorker(const WorkerSlot& slot, const Unit& unit, int fitting);
+
+// Within a rank, workers with the fewest free accelerators come first.
+Choice ChooseWorkers(const ChoiceInput& input, const std::vector<WorkerSlot*>& candidates,
+                     const ChoiceSettings& settings);
+
+}  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -24,13 +24,7 @@
   std::optional<Instant> m_leaves_at;  // Earliest steady time at which a draining worker is removed.
   int m_failures = 0;                  // Consecutive failed tasks; a successful one resets it.
   Instant m_avoid_until;               // Steady time until which nothing new is placed here.
-  double m_speed_sum = 0.0;            // Sum of log(speed) samples, one per finished task.
-  int m_speed_samples = 0;
-
-  // Logarithm of its speed relative to the other workers; biased towards 0 while there are few samples.
-  double LogSpeed() const { return m_speed_sum / (m_speed_samples + kSpeedPrior); }
-
-  static constexpr double kSpeedPrior = 3.0;  // Weight, in samples, of the prior assumption of equal speeds.
+  WorkerSpeed m_speed;
 
   bool IsSchedulable() const { return m_listed && m_usable && !m_entry.m_draining; }
 };
