Evacuations: pure set and paced return; starts that are withheld are settled

Cause: a lifted domain came back whole, so waiting work was all placed on workers that were idle or cold; a start withheld from a worker whose row had moved to an evacuated domain kept its room forever; a start could wait in the command queue without limit; cold workers ranked as warm ones. The evacuation code of the scheduler is in scheduler_evacuation.cc. Starts that wait longer than SessionSettings::m_longest_queued (0: no limit) are taken out of the queue. Urgent work takes a cold worker only where no warm one fits; other work prefers warm ones at equal rank.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -237,26 +237,17 @@
 //-------------------------------------------------------------------------------------------------
 
 void Scheduler::OnWorkerListed(const WorkerEntry& worker, Now now) {
+  // All workers are listed again when the row of one changes: only a new value tells how long this one stays cold.
+  const WorkerSlot* known = m_workers.Find(worker.m_id);
+  const bool reported = known == nullptr || known->m_entry.m_cold_left != worker.m_cold_left;
   m_workers.Update(worker);
   WorkerSlot* slot = m_workers.Find(worker.m_id);
+  if (reported) slot->m_cold_until = now.m_steady + worker.m_cold_left.value_or(Millis{0});
   slot->m_leaves_at.reset();
   if (worker.m_draining && worker.m_remaining) slot->m_leaves_at = now.m_steady + *worker.m_remaining;
   slot->m_evacuated = m_evacuated.contains(worker.m_domain);
 }
 
-void Scheduler::SetEvacuated(std::set<DomainId> domains, Now now) {
-  m_evacuated = std::move(domains);
-  for (const auto& [id, slot] : m_workers.All()) {
-    slot->m_evacuated = m_evacuated.contains(slot->m_entry.m_domain);
-    if (!slot->m_evacuated) continue;
-    if (Unit* unit = std::exchange(slot->m_reserved_for, nullptr)) unit->m_reserved_until = now.m_steady;
-    const UnitMemberSet members = slot->m_members;
-    for (const auto& [unit, member] : members) {
-      if (unit->m_members[member].m_state == MemberState::kPlanned) StopRun(unit, "its failure domain is evacuated");
-    }
-  }
-}
-
 void Scheduler::OnWorkerUnlisted(const WorkerId& worker) {
   WorkerSlot* slot = m_workers.Find(worker);
   if (slot == nullptr) return;
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -151,6 +151,13 @@
   int m_accelerators = 0;
 };
 
+// State of a failure domain that is evacuated.
+struct EvacuatedDomain {
+  int m_workers = 0;
+  int m_runs = 0;        // That are or may be there.
+  int m_unanswered = 0;  // Of these, the ones that are not known to run: their start may still arrive.
+};
+
 // Not thread-safe.
 class Scheduler {
  public:
@@ -172,8 +179,9 @@
   void SetWorkerUsable(const WorkerId& worker, bool usable);  // It answers and has accepted this scheduler's epoch.
 
   // Sets the failure domains to which nothing new may be sent. Runs there go on; those that are not sent yet are
-  // withdrawn and placed elsewhere.
+  // withdrawn and placed elsewhere. Workers of a domain that is lifted return in steps, see evacuation.h.
   void SetEvacuated(std::set<DomainId> domains, Now now);
+  std::map<DomainId, EvacuatedDomain> EvacuatedDomains() const;  // Includes domains that no worker has.
 
   // All runs that were placed on the worker have ended and can't start again.
   void OnWorkerCleared(const WorkerId& worker);
@@ -200,8 +208,8 @@
 
   // False if the run was stopped after its start was handed out. True for a resend while its run is not stopped.
   bool MaySend(const StartCommand& command) const;
-  void OnStartWithheld(const StartCommand& command, Instant now);  // It was handed out and not sent, see MaySend.
-  bool IsBusy(const WorkerId& worker) const;                       // A run is or may be there.
+  void OnStartWithheld(const StartCommand& command, Now now);  // It was handed out and not sent, see MaySend.
+  bool IsBusy(const WorkerId& worker) const;                   // A run is or may be there.
   // The state of a run there can only be resolved by a poll sent after `last`.
   bool NeedsPoll(const WorkerId& worker, Instant last) const;
   // With their addresses; includes workers of restored runs.
@@ -237,6 +245,9 @@
   void StopRun(Unit* unit, const char* why);
   void ResetUnit(Unit* unit);
 
+  // scheduler_evacuation.cc
+  void ReturnWorkers(Now now);
+
   // scheduler_place.cc
   struct HostOption;
 
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -146,6 +146,7 @@
 void Scheduler::Decide(Now now) {
   ForgetArchivedJobs(now);
   EvacuateDraining(now);
+  ReturnWorkers(now);
   for (const auto& [id, slot] : m_workers.All()) {
     Unit* unit = slot->m_reserved_for;
     if (unit != nullptr && (!unit->IsWaiting() || unit->m_reserved_until <= now.m_steady))
@@ -183,6 +184,7 @@
 //-------------------------------------------------------------------------------------------------
 
 // Slots for all members of the unit, those with the fewest free accelerators first; empty if there are not enough.
+// Warm workers are taken first at equal rank; urgent work takes a cold one only where no warm one fits.
 std::vector<WorkerSlot*> Scheduler::ChooseWorkers(const Unit& unit, const std::vector<WorkerSlot*>& candidates,
                                                   Now now) const {
   struct Option {
@@ -201,7 +203,9 @@
   const double sign = priority == 0 ? -1.0 : priority == 1 ? 0.0 : 1.0;
   const auto rank = [&](const Option& option) {
     const auto speed = static_cast<int>(std::lround(sign * option.m_slot->LogSpeed() / m_settings.m_speed_step));
-    return std::tuple(option.m_slot->m_failures, option.m_slot->m_free.m_accelerators, speed);
+    const bool cold = now.m_steady < option.m_slot->m_cold_until;
+    return std::tuple(priority == 0 && cold, option.m_slot->m_failures, option.m_slot->m_free.m_accelerators, speed,
+                      cold);
   };
   std::stable_sort(options.begin(), options.end(), [&](const Option& a, const Option& b) { return rank(a) < rank(b); });
   std::vector<WorkerSlot*> chosen;
@@ -226,6 +230,11 @@
   return free;
 }
 
+bool AnyCold(const std::vector<WorkerSlot*>& slots, Now now) {
+  return std::any_of(slots.begin(), slots.end(),
+                     [now](const WorkerSlot* slot) { return now.m_steady < slot->m_cold_until; });
+}
+
 // Returns true if the rack could hold the unit if nothing else ran there.
 bool FitsWhenEmpty(const std::vector<WorkerSlot*>& slots, const Unit& unit) {
   int times = 0;
@@ -245,15 +254,19 @@
   if (spec.m_rack_local && unit->m_members.size() > 1) {
     std::vector<WorkerSlot*> best;
     int best_free = std::numeric_limits<int>::max();
+    bool best_cold = false;
     bool fits_any = false;
     for (const auto& [name, slots] : racks) {
       fits_any = fits_any || FitsWhenEmpty(slots, *unit);
       const int free = FreeAccelerators(slots);
-      if (free >= best_free) continue;
+      if (free >= best_free && !best_cold) continue;
       auto chosen = ChooseWorkers(*unit, slots, now);
       if (chosen.empty()) continue;
+      const bool cold = unit->m_step->m_job->m_job.m_priority == 0 && AnyCold(chosen, now);
+      if (!best.empty() && std::pair(cold, free) >= std::pair(best_cold, best_free)) continue;
       best = std::move(chosen);
       best_free = free;
+      best_cold = cold;
     }
     if (!best.empty()) return PlaceOn(unit, best, now);
     const bool may_spread =
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -67,14 +67,6 @@
   return resends;
 }
 
-void Scheduler::OnStartWithheld(const StartCommand& command, Instant now) {
-  const auto [unit, index] = FindMember(command.m_task);
-  if (unit == nullptr || unit->m_run != command.m_run) return;
-  // The copy that was sent before got no answer.
-  Member& member = unit->m_members[index];
-  if (member.m_state == MemberState::kSent) SetState(&member, MemberState::kUnknown, now);
-}
-
 void Scheduler::OnStartSent(const StartCommand& command, Now now) {
   const auto [unit, index] = FindMember(command.m_task);
   if (unit == nullptr || unit->m_members[index].m_state != MemberState::kPlanned) return;  // A resend.
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -14,9 +14,11 @@
 
 struct WorkerSlot {
   WorkerEntry m_entry;
-  bool m_listed = false;     // Listed by the platform.
-  bool m_usable = false;     // Answers, and has accepted this scheduler's epoch.
-  bool m_evacuated = false;  // Its failure domain is evacuated: nothing new may be sent to it.
+  bool m_listed = false;                // Listed by the platform.
+  bool m_usable = false;                // Answers, and has accepted this scheduler's epoch.
+  bool m_evacuated = false;             // Its failure domain is evacuated: nothing new may be sent to it.
+  std::optional<Instant> m_returns_at;  // Steady time from which it is used again after an evacuation.
+  Instant m_cold_until;                 // Steady time until which it is slow after its start.
   Resources m_free;
   UnitMemberSet m_members;             // Members that have resources allocated here.
   std::int64_t m_processed_ends = 0;   // Number of the last end that was processed.
@@ -33,7 +35,7 @@
 
   static constexpr double kSpeedPrior = 3.0;  // Weight, in samples, of the prior assumption of equal speeds.
 
-  bool IsSchedulable() const { return m_listed && m_usable && !m_entry.m_draining && !m_evacuated; }
+  bool IsSchedulable() const { return m_listed && m_usable && !m_entry.m_draining && !m_evacuated && !m_returns_at; }
 };
 
 // The address of a slot is stable until the slot is erased.
--- a/hickoryquay/service/command_queue.cc
+++ b/hickoryquay/service/command_queue.cc
@@ -14,12 +14,25 @@
   }
   if (m_starts.empty()) return std::nullopt;
   auto& first = m_starts.begin()->second;
-  Command next = std::move(first.front());
+  Command next = std::move(first.front().m_start);
   first.pop_front();
   if (first.empty()) m_starts.erase(m_starts.begin());
   return next;
 }
 
+std::vector<jobs::StartCommand> CommandQueue::TakeExpired(Instant now) {
+  std::vector<jobs::StartCommand> expired;
+  if (m_settings.m_longest_queued.count() == 0) return expired;
+  for (auto& [priority, starts] : m_starts) {
+    while (!starts.empty() && now - starts.front().m_added > m_settings.m_longest_queued) {
+      expired.push_back(std::move(starts.front().m_start));
+      starts.pop_front();
+    }
+  }
+  std::erase_if(m_starts, [](const auto& entry) { return entry.second.empty(); });
+  return expired;
+}
+
 void CommandQueue::OnAnswer(Millis took, Instant now) {
   const bool full = m_in_flight >= Window();
   --m_in_flight;
--- a/hickoryquay/service/command_queue.h
+++ b/hickoryquay/service/command_queue.h
@@ -10,18 +10,20 @@
 #include <map>
 #include <optional>
 #include <variant>
+#include <vector>
 
 #include "hickoryquay/jobs/scheduler.h"
 
 namespace hickoryquay::service {
 
 struct CommandWindow {
-  double m_first = 16.0;    // Commands in flight at first.
-  double m_least = 8.0;     // Lower limit.
-  double m_most = 512.0;    // Upper limit.
-  Millis m_slow{120};       // Answers that take longer mean that the link is full: a round trip takes a few ms.
-  double m_cut = 0.7;       // Factor by which a slow answer shrinks the window.
-  Millis m_cut_every{100};  // Least time between two cuts.
+  double m_first = 16.0;       // Commands in flight at first.
+  double m_least = 8.0;        // Lower limit.
+  double m_most = 512.0;       // Upper limit.
+  Millis m_slow{120};          // Answers that take longer mean that the link is full: a round trip takes a few ms.
+  double m_cut = 0.7;          // Factor by which a slow answer shrinks the window.
+  Millis m_cut_every{100};     // Least time between two cuts.
+  Millis m_longest_queued{0};  // Starts that wait longer are not sent any more; 0: no limit.
 };
 
 // Not thread-safe.
@@ -32,7 +34,10 @@
   explicit CommandQueue(const CommandWindow& window) : m_settings(window), m_window(window.m_first) {}
 
   void Add(const jobs::StopCommand& stop) { m_stops.push_back(stop); }
-  void Add(const jobs::StartCommand& start) { m_starts[start.m_priority].push_back(start); }
+  void Add(const jobs::StartCommand& start, Instant now) { m_starts[start.m_priority].push_back({start, now}); }
+
+  // Removes and returns the starts that have waited longer than m_longest_queued.
+  std::vector<jobs::StartCommand> TakeExpired(Instant now);
 
   // Removes and returns the next command; empty if there is none or the window is full.
   std::optional<Command> Next();
@@ -43,12 +48,17 @@
   int InFlight() const { return m_in_flight; }
 
  private:
+  struct QueuedStart {
+    jobs::StartCommand m_start;
+    Instant m_added;
+  };
+
   CommandWindow m_settings;
   double m_window;
   int m_in_flight = 0;
   Instant m_last_cut;
   std::deque<jobs::StopCommand> m_stops;
-  std::map<int, std::deque<jobs::StartCommand>> m_starts;  // By priority.
+  std::map<int, std::deque<QueuedStart>> m_starts;  // By priority.
 };
 
 }  // namespace hickoryquay::service
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -14,6 +14,12 @@
 constexpr log::Part kLog{"workers"};
 constexpr Millis kUpdateInterval{50};  // Short compared to the delays in SessionSettings.
 
+CommandWindow WindowOf(const SessionSettings& settings) {
+  CommandWindow window;
+  window.m_longest_queued = settings.m_longest_queued;
+  return window;
+}
+
 }  // namespace
 
 WorkerSessions::WorkerSessions(jobs::Scheduler* scheduler, jobs::WorkerApi* api, jobs::WorkerDirectory* directory,
@@ -27,6 +33,7 @@
       m_settings(settings),
       m_epoch(epoch),
       m_events(std::move(events)),
+      m_commands(WindowOf(settings)),
       m_started(clock->Now()),
       m_polls_sent(&metrics->GetCounter("hq_worker_looks_total")),
       m_polls_failed(&metrics->GetCounter("hq_worker_looks_failed_total")),
@@ -106,7 +113,7 @@
 }
 
 void WorkerSessions::Send(const jobs::StartCommand& command) {
-  m_commands.Add(command);
+  m_commands.Add(command, m_clock->Now());
   SendCommands();
 }
 
@@ -116,6 +123,9 @@
 }
 
 void WorkerSessions::SendCommands() {
+  for (const jobs::StartCommand& start : m_commands.TakeExpired(m_clock->Now())) {
+    m_scheduler->OnStartWithheld(start, Time());
+  }
   while (const auto command = m_commands.Next()) {
     std::visit([this](const auto& next) { SendNow(next); }, *command);
   }
@@ -128,7 +138,7 @@
 }
 
 void WorkerSessions::SendNow(const jobs::StartCommand& command) {
-  if (!m_scheduler->MaySend(command)) return m_scheduler->OnStartWithheld(command, m_clock->Now());
+  if (!m_scheduler->MaySend(command)) return m_scheduler->OnStartWithheld(command, Time());
   m_scheduler->OnStartSent(command, Time());
   const auto found = m_sessions.find(command.m_worker);
   if (found == m_sessions.end()) return m_scheduler->OnStartAnswer(command, jobs::StartOutcome::kNotSent, Time());
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -35,6 +35,7 @@
   Millis m_list_interval{1'000};  // Between requests for the ids of live workers, while a busy worker is unreachable.
   Millis m_list_max_lag{3'000};   // An incarnation younger than this may be missing from the list.
   Millis m_list_timeout{1'500};   // Of the whole list.
+  Millis m_longest_queued{0};     // A start that waits longer for the link is not sent; 0: no limit.
 };
 
 // Not thread-safe. `scheduler`, `api`, `directory`, `timers` and `clock` must outlive it.
@@ -116,7 +117,7 @@
   Epoch m_epoch;
   Events m_events;
   Sessions m_sessions;
-  CommandQueue m_commands{CommandWindow{}};
+  CommandQueue m_commands;
   Instant m_started;
   Instant m_last_listing;  // When the ids of live workers were last requested.
   bool m_listing = false;
--- a/tests/service/command_queue_test.cc
+++ b/tests/service/command_queue_test.cc
@@ -20,7 +20,7 @@
 
   // Sends `commands` starts in virtual time. Returns how many were not answered in time.
   int Send(CommandQueue* queue, int commands) {
-    for (int i = 0; i < commands; ++i) queue->Add(jobs::StartCommand{});
+    for (int i = 0; i < commands; ++i) queue->Add(jobs::StartCommand{}, m_now);
     int late = 0;
     while (true) {
       while (queue->Next()) {
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(FastLinkIsUsed);
   CPPUNIT_TEST(StopsGoFirstThenUrgentStarts);
   CPPUNIT_TEST(DeadWorkersDoNotStallTheOthers);
+  CPPUNIT_TEST(StartsThatWaitTooLongAreTakenOut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -79,7 +80,7 @@
     for (const int priority : {2, 0, 1, 0}) {
       jobs::StartCommand start;
       start.m_priority = priority;
-      queue.Add(start);
+      queue.Add(start, Instant{});
     }
     queue.Add(jobs::StopCommand{});
     CPPUNIT_ASSERT(std::holds_alternative<jobs::StopCommand>(*queue.Next()));
@@ -95,7 +96,7 @@
     Instant now{1'000'000};
     std::multimap<Instant, Millis> answers;
     constexpr int kCommands = 2'000;
-    for (int i = 0; i < kCommands; ++i) queue.Add(jobs::StartCommand{});
+    for (int i = 0; i < kCommands; ++i) queue.Add(jobs::StartCommand{}, now);
     int sent = 0;
     while (sent < kCommands || !answers.empty()) {
       while (queue.Next()) {
@@ -110,6 +111,29 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string((now - Instant{1'000'000}).count()),
                            now - Instant{1'000'000} < Millis{12'000});
   }
+
+  // The link carries nothing for longer than the bound of an evacuation: what is decided before must not go out after.
+  void StartsThatWaitTooLongAreTakenOut() {
+    constexpr Millis kBound{5'000};
+    const Instant begin{1'000'000};
+    CommandWindow window;
+    window.m_longest_queued = kBound;
+    CommandQueue queue{window};
+    for (const int priority : {0, 2}) {
+      jobs::StartCommand start;
+      start.m_priority = priority;
+      queue.Add(start, begin + priority * Millis{100});
+    }
+    queue.Add(jobs::StopCommand{});
+    CPPUNIT_ASSERT(queue.TakeExpired(begin + kBound).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.TakeExpired(begin + kBound + Millis{1}).size());
+    CPPUNIT_ASSERT(std::holds_alternative<jobs::StopCommand>(*queue.Next()));
+    CPPUNIT_ASSERT_EQUAL(2, std::get<jobs::StartCommand>(*queue.Next()).m_priority);
+    CPPUNIT_ASSERT(!queue.Next());
+    CommandQueue unbounded{CommandWindow{}};
+    unbounded.Add(jobs::StartCommand{}, begin);
+    CPPUNIT_ASSERT(unbounded.TakeExpired(begin + Millis{3'600'000}).empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CommandQueueTest);
