Evacuations: exchanged between instances, known before a leader places work, reported

Cause: an instance that the store turns away did not learn of an evacuation or of its end; a new leader could place work before it knew the set; operators saw neither how far an evacuation was nor what still ran there. Change: QueueDocuments holds the set as a document of its own, with the version of the store when it answered (a full scan that no longer lists a row has no row version). A leader with [terms] evacuate places nothing until it knows the set, for at most 1 s after its tables are loaded. [terms] evacuate also bounds how long a start waits in the command queue. Log lines and gauges by EvacuationReport. SimCluster: evacuations and an exchange between instances.

--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -52,6 +52,7 @@
   driver.m_scheduler.m_remote_factor = terms.m_remote_factor;
   driver.m_scheduler.m_restore = terms.m_restore;
   driver.m_keep_ended = terms.m_keep_ended;
+  driver.m_evacuate = terms.m_evacuate;
   driver.m_sessions.m_lease = std::min(driver.m_sessions.m_lease, terms.m_longest_lease);
   // The previous leader may have extended leases until m_grant_window after its last renewal. The takeover came at
   // least m_takeover_after after that renewal.
@@ -79,11 +80,15 @@
   const auto weak = weak_from_this();
   const settings::NodeSection& node = m_settings.m_node.m_node;
   log::Info(kLog, "Starts", {{"instance", m_self.m_value}, {"domain", node.m_domain.m_value}});
-  m_documents = std::make_unique<QueueDocuments>(m_parts.m_read_configuration,
-                                                 [this](std::shared_ptr<const jobs::QueueConfiguration> configuration) {
-                                                   m_intake->SetConfiguration(configuration);
-                                                   if (m_driver) m_driver->SetConfiguration(std::move(configuration));
-                                                 });
+  m_documents = std::make_unique<QueueDocuments>(
+      m_parts.m_read_configuration,
+      [this](std::shared_ptr<const jobs::QueueConfiguration> configuration) {
+        m_intake->SetConfiguration(configuration);
+        if (m_driver) m_driver->SetConfiguration(std::move(configuration));
+      },
+      [this](const std::set<DomainId>& evacuated) {
+        if (m_driver) m_driver->SetEvacuated(evacuated);
+      });
 
   m_inner_client = std::make_unique<inner::InnerClient>(m_parts.m_io);
   peers::PeerSettings peers;
@@ -220,24 +225,8 @@
       m_documents->Take(row.m_value, "store");
     }
   }
-  UpdateEvacuated(rows, whole);
-}
-
-void JobService::UpdateEvacuated(const std::vector<store::StoredRow>& rows, bool whole) {
-  const std::string& prefix = m_settings.m_platform.m_evacuation_prefix;
-  std::set<DomainId> evacuated;
-  if (!whole) evacuated = m_evacuated;
-  for (const store::StoredRow& row : rows) {
-    if (!row.m_key.m_key.starts_with(prefix)) continue;
-    const DomainId domain{row.m_key.m_key.substr(prefix.size())};
-    row.m_removed ? evacuated.erase(domain) : evacuated.insert(domain).second;
-  }
-  if (evacuated == m_evacuated) return;
-  std::string names;
-  for (const DomainId& domain : evacuated) names += (names.empty() ? "" : " ") + domain.m_value;
-  log::Info(kLog, "Evacuated failure domains have changed", {{"domains", names}});
-  m_evacuated = std::move(evacuated);
-  if (m_driver) m_driver->SetEvacuated(m_evacuated);
+  m_documents->TakeEvacuations(
+      ReadEvacuationRows(rows, whole, m_configuration_rows->At(), m_settings.m_platform.m_evacuation_prefix), "store");
 }
 
 void JobService::WriteMember() {
@@ -335,7 +324,7 @@
                                                                     self->m_leadership->StepDown(why);
                                                                 }});
   if (m_intake->Configuration()) m_driver->SetConfiguration(m_intake->Configuration());
-  m_driver->SetEvacuated(m_evacuated);
+  if (m_documents->Evacuations().Known()) m_driver->SetEvacuated(m_documents->Evacuations().Domains());
   m_driver->Start();
   m_beats->Begin();
 }
--- a/hickoryquay/service/job_service.h
+++ b/hickoryquay/service/job_service.h
@@ -10,7 +10,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -89,7 +88,6 @@
 
  private:
   void OnConfigurationRows(const std::vector<store::StoredRow>& rows, bool whole);
-  void UpdateEvacuated(const std::vector<store::StoredRow>& rows, bool whole);
   void OnMemberRows(const std::vector<store::StoredRow>& rows, bool whole);
   double Fitness() const;  // To lead, of this instance.
   int Rank() const;        // Number of listed instances that should lead rather than this one.
@@ -112,7 +110,6 @@
   std::shared_ptr<store::TableFollower> m_configuration_rows;
   std::shared_ptr<store::TableFollower> m_member_rows;
   std::map<std::string, peers::PeerInfo> m_members;
-  std::set<DomainId> m_evacuated;  // Failure domains to which nothing new may be sent.
   std::shared_ptr<LeaderBeats> m_beats;
   Handover m_handover{HandoverSettings{}};
   bool m_store_reachable = false;
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -49,7 +49,11 @@
       m_settings(settings),
       m_events(std::move(events)),
       m_scheduler(settings.m_scheduler),
-      m_store_ms(&parts.m_metrics->GetDistribution("hq_store_write_ms")) {}
+      m_store_ms(&parts.m_metrics->GetDistribution("hq_store_write_ms")),
+      m_evacuation_report(parts.m_metrics) {
+  // Started later, a task could arrive in a domain whose evacuation is in force already.
+  m_settings.m_sessions.m_longest_queued = m_settings.m_evacuate;
+}
 
 SchedulerDriver::~SchedulerDriver() {
   Stop();
@@ -109,6 +113,7 @@
 }
 
 void SchedulerDriver::SetEvacuated(const std::set<DomainId>& domains) {
+  m_evacuations_known = true;
   m_scheduler.SetEvacuated(domains, Time());
   ScheduleRound();
 }
@@ -253,6 +258,7 @@
   for (const jobs::StepRow& step : steps) m_scheduler.RestoreStep(step);
   m_load_timer.Cancel();
   m_ready = true;
+  m_ready_at = m_parts.m_clock->Now();
   m_parts.m_metrics->GetCounter("hq_takeovers_total").Add();
   m_parts.m_metrics->GetDistribution("hq_takeover_ms")
       .Add(static_cast<double>((m_parts.m_clock->Now() - m_started).count()));
@@ -307,7 +313,8 @@
   m_round_timer.Cancel();
   DropExpiredWorkers();
   m_last_round = m_parts.m_clock->Now();
-  m_scheduler.Decide(Time());
+  if (MayPlace()) m_scheduler.Decide(Time());
+  m_evacuation_report.Update(m_scheduler.EvacuatedDomains());
   for (const jobs::StopCommand& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
   for (const jobs::StartCommand& start : m_scheduler.TakeResends(m_last_round)) m_sessions->Send(start);
   if (!m_write_pending) {
@@ -337,6 +344,12 @@
   m_sessions->Update();
 }
 
+// A new leader must know the evacuated domains before it places work.
+bool SchedulerDriver::MayPlace() const {
+  return m_settings.m_evacuate.count() == 0 || m_evacuations_known ||
+         m_last_round - m_ready_at >= m_settings.m_evacuation_wait;
+}
+
 // Call only while no write is in flight, so that all rows of a settled job are stored.
 void SchedulerDriver::ArchiveSettled() {
   if (m_last_round - m_last_archiving < kArchiveInterval) return;
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "hickoryquay/jobs/scheduler.h"
+#include "hickoryquay/service/evacuation_report.h"
 #include "hickoryquay/service/job_archive.h"
 #include "hickoryquay/service/leadership.h"
 #include "hickoryquay/service/table_names.h"
@@ -27,7 +28,9 @@
   std::string m_worker_table;  // Written by the platform.
   jobs::SchedulerSettings m_scheduler;
   SessionSettings m_sessions;
-  Millis m_keep_ended{120'000};  // Phases of ended jobs are kept this long.
+  Millis m_keep_ended{120'000};     // Phases of ended jobs are kept this long.
+  Millis m_evacuate{0};             // Bound after which nothing starts in an evacuated domain; 0: none is evacuated.
+  Millis m_evacuation_wait{1'000};  // Longest wait for the first SetEvacuated, since the store may be unreachable.
 };
 
 struct DriverParts {
@@ -55,6 +58,7 @@
   void Start();
   void Stop();
   void SetConfiguration(std::shared_ptr<const jobs::QueueConfiguration> configuration);
+  // Until the first call nothing is placed, for at most m_evacuation_wait after Ready().
   void SetEvacuated(const std::set<DomainId>& domains);
   bool Ready() const { return m_ready; }  // All tables are loaded.
   std::map<jobs::QueueName, int> Pending() const { return m_scheduler.Pending(); }
@@ -75,6 +79,7 @@
   void OnStored(const jobs::Batch& batch);
   void CountPhases(const std::vector<jobs::PhaseChange>& phases);
   void ArchiveSettled();
+  bool MayPlace() const;
   void ReportUnreadable(const char* row, const std::string& key, const std::string& field);
   jobs::Now Time() const { return {m_parts.m_clock->Now(), m_parts.m_clock->Wall()}; }
 
@@ -98,15 +103,18 @@
   bool m_state_read = false;
   bool m_workers_read = false;
   bool m_ready = false;
+  bool m_evacuations_known = false;
   bool m_stopped = false;
   bool m_write_pending = false;
   Instant m_started;         // Time of the election.
+  Instant m_ready_at;        // When m_ready was set.
   Instant m_last_round;      // Time of the last scheduling round.
   Instant m_last_archiving;  // When settled jobs were last looked for.
   Subscription m_load_timer;
   Subscription m_tick;
   Subscription m_round_timer;
   Distribution* m_store_ms;
+  EvacuationReport m_evacuation_report;
 };
 
 }  // namespace hickoryquay::service
--- a/hickoryquay/settings/node_settings.h
+++ b/hickoryquay/settings/node_settings.h
@@ -56,6 +56,7 @@
   Millis m_stop_timeout{1'000};   // A stopped task has ended by then.
   Millis m_restore{250};          // What a start from a checkpoint costs.
   Millis m_keep_ended{120'000};   // The state of an ended job can be asked for this long.
+  Millis m_evacuate{0};           // No task is started in an evacuated failure domain after this; 0: none is evacuated.
   double m_remote_factor = 3.0;   // Slowdown of work away from its data, and of gangs across racks.
 };
 
--- a/hickoryquay/store/table_follower.h
+++ b/hickoryquay/store/table_follower.h
@@ -44,6 +44,7 @@
   void Stop();
   std::size_t Scanned() const { return m_scanned.size(); }  // Rows read by the scan that is under way.
   bool Synced() const { return m_synced; }                  // The whole table was read at some time.
+  Version At() const { return m_at; }  // Of the store that the rows passed on so far reflect, or a later one.
 
  private:
   void Scan();  // Reads the next page.
--- a/standin/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -12,7 +12,10 @@
 
 constexpr const char* kWorkerTable = "workers";
 constexpr const char* kPool = "pool";
-constexpr Millis kRowRemovalDelay{4'500};  // Three missed heartbeats.
+constexpr const char* kConfigurationTable = "configuration";
+constexpr const char* kEvacuationPrefix = "evacuated/";  // Of keys in that table.
+constexpr Millis kExchangeInterval{1'000};               // As the heartbeats between peers.
+constexpr Millis kRowRemovalDelay{4'500};                // Three missed heartbeats.
 constexpr int kPriorities = 3;
 
 std::string Text(const jobs::WorkerEntry& entry) {
@@ -84,6 +87,7 @@
   leadership.m_self = InstanceId{"life-" + std::to_string(self->m_incarnation)};
   DriverSettings driver;
   driver.m_worker_table = kWorkerTable;
+  driver.m_evacuate = m_settings.m_evacuate;
   driver.m_scheduler.m_stop_timeout = m_settings.m_workers.m_stop;
   driver.m_sessions.m_lease = std::min(driver.m_sessions.m_lease, m_settings.m_workers.m_longest_lease);
   const auto elected = [this, self, driver](Epoch) {
@@ -102,6 +106,8 @@
         SchedulerDriver::Events{[](const std::vector<jobs::PhaseChange>&) {},
                                 [self](const std::string& why) { self->m_leadership->StepDown(why); }});
     self->m_driver->SetConfiguration(m_configuration);
+    const jobs::EvacuationSet& evacuations = self->m_documents->Evacuations();
+    if (evacuations.Known()) self->m_driver->SetEvacuated(evacuations.Domains());
     self->m_driver->Start();
   };
   const auto deposed = [this, self](const std::string&) {
@@ -110,26 +116,46 @@
     m_timers.After(Millis{0}, [driver = std::move(self->m_driver)] {}).Detach();
     self->m_driver.reset();
   };
+  self->m_documents = std::make_unique<QueueDocuments>([](std::string_view) { return std::string("not used"); },
+                                                       [](const std::shared_ptr<const jobs::QueueConfiguration>&) {},
+                                                       [self](const std::set<DomainId>& domains) {
+                                                         if (self->m_driver) self->m_driver->SetEvacuated(domains);
+                                                       });
   self->m_leadership = std::make_shared<Leadership>(self->m_store.get(), self->m_timers.get(), &m_clock, leadership,
                                                     Leadership::Events{elected, deposed});
   self->m_leadership->Start();
   const auto available = [self] { self->m_leadership->OnStoreAvailable(); };
   self->m_intake->SetOnStoreAvailable(available);
   self->m_configuration_rows = std::make_shared<store::TableFollower>(
-      self->m_store.get(), self->m_timers.get(), &m_clock, ConfigurationFollowerSettings("configuration"),
-      [](const std::vector<store::StoredRow>&, bool) {},
+      self->m_store.get(), self->m_timers.get(), &m_clock, ConfigurationFollowerSettings(kConfigurationTable),
+      [this, self](const std::vector<store::StoredRow>& rows, bool whole) {
+        if (!m_settings.m_follow_evacuations) return;
+        self->m_documents->TakeEvacuations(
+            ReadEvacuationRows(rows, whole, self->m_configuration_rows->At(), kEvacuationPrefix), "store");
+      },
       [available](bool reachable) {
         if (reachable) available();
       });
   self->m_configuration_rows->Start();
+  self->m_exchange = self->m_timers->Every(kExchangeInterval, [this, self] { ExchangeDocuments(self); });
   m_instances[Slot(index)] = std::move(instance);
 }
 
+void SimCluster::ExchangeDocuments(Instance* self) {
+  for (const auto& other : m_instances) {
+    if (!other || other.get() == self || other->m_documents->Digest() == self->m_documents->Digest()) continue;
+    for (const auto& document : other->m_documents->NewerThan(self->m_documents->Versions())) {
+      self->m_documents->Offer(document);
+    }
+  }
+}
+
 void SimCluster::KillInstance(int index) {
   auto instance = std::move(m_instances[Slot(index)]);
   instance->m_gate->Kill();
   instance->m_leadership->Stop();
   instance->m_configuration_rows->Stop();
+  instance->m_exchange.Cancel();
   if (instance->m_driver) instance->m_driver->Stop();
   m_killed_instances.push_back(std::move(instance));
 }
@@ -145,6 +171,14 @@
   if (const auto leader = Leader()) m_instances[Slot(*leader)]->m_leadership->Release(Millis{1'000}, [] {});
 }
 
+void SimCluster::Evacuate(const DomainId& domain) {
+  m_store->Put({kConfigurationTable, "", kEvacuationPrefix + domain.m_value}, "any value");
+}
+
+void SimCluster::Lift(const DomainId& domain) {
+  m_store->Remove({kConfigurationTable, "", kEvacuationPrefix + domain.m_value});
+}
+
 WorkerId SimCluster::WorkerOf(int rack, int index) {
   return WorkerId{"w" + std::to_string(rack) + "-" + std::to_string(index)};
 }
--- a/standin/sim_cluster.h
+++ b/standin/sim_cluster.h
@@ -6,10 +6,12 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "hickoryquay/service/intake.h"
+#include "hickoryquay/service/queue_documents.h"
 #include "hickoryquay/service/scheduler_driver.h"
 #include "hickoryquay/store/adaptive_store.h"
 #include "standin/gate.h"
@@ -30,6 +32,8 @@
   int m_link_bytes_per_ms = 0;  // Of each instance, to the store; 0: answers arrive at once.
   std::size_t m_payload_bytes = 7;
   std::uint64_t m_random_seed = 1;
+  Millis m_evacuate{5'000};          // See DriverSettings.
+  bool m_follow_evacuations = true;  // Instances read the evacuated domains and exchange them, as in JobService.
 };
 
 class SimCluster {
@@ -46,8 +50,15 @@
   standin::SimStoreClient& StoreOf(int index) { return *m_clients[Slot(index)]; }
   Intake& IntakeOf(int index) { return *m_instances[Slot(index)]->m_intake; }
   std::optional<int> Leader() const;
+  std::set<DomainId> EvacuatedAt(int index) const {
+    return m_instances[Slot(index)]->m_documents->Evacuations().Domains();
+  }
   void ReleaseLeader();
 
+  // Evacuations of failure domains, as the operator requests them. The domain of a rack is "d-" and its name.
+  void Evacuate(const DomainId& domain);
+  void Lift(const DomainId& domain);
+
   // Workers.
   static WorkerId WorkerOf(int rack, int index);
   void AddWorker(const WorkerId& id, const std::string& rack, double speed = 1.0);
@@ -85,13 +96,16 @@
     std::unique_ptr<store::AdaptiveStore> m_store;
     std::unique_ptr<GatedWorkers> m_port;
     std::shared_ptr<Intake> m_intake;
-    std::shared_ptr<store::TableFollower> m_configuration_rows;  // Only to notice the end of an outage.
+    std::shared_ptr<store::TableFollower> m_configuration_rows;  // Evacuations, and the end of an outage.
+    std::unique_ptr<QueueDocuments> m_documents;
+    Subscription m_exchange;  // With the other instances; the store's moods don't matter to it.
     std::shared_ptr<Leadership> m_leadership;
     std::shared_ptr<SchedulerDriver> m_driver;
     int m_incarnation = 0;
   };
 
   static std::size_t Slot(int index) { return static_cast<std::size_t>(index); }
+  void ExchangeDocuments(Instance* self);
   void PutWorkerRow(const jobs::WorkerEntry& entry);
 
   ClusterSettings m_settings;
--- a/tests/settings/node_settings_test.cc
+++ b/tests/settings/node_settings_test.cc
@@ -28,12 +28,14 @@
   }
 
   void TermsTakeFractions() {
-    const auto read = Read(std::string(kNode) + "grace = 4.5s\nseeds = 10.0.0.1:3, 10.0.0.5:3\n" + kStore +
-                           "[terms]\nlongest_lease = 6000ms\nrestore = 250.0ms\nremote_factor = 3.0\n");
+    const auto read =
+        Read(std::string(kNode) + "grace = 4.5s\nseeds = 10.0.0.1:3, 10.0.0.5:3\n" + kStore +
+             "[terms]\nlongest_lease = 6000ms\nrestore = 250.0ms\nevacuate = 5000ms\nremote_factor = 3.0\n");
     CPPUNIT_ASSERT_MESSAGE(Ok(read) ? "" : ToString(ErrorOf(read)), Ok(read));
     CPPUNIT_ASSERT(ValueOf(read).m_node.m_grace == Millis{4'500});
     CPPUNIT_ASSERT(ValueOf(read).m_terms.m_longest_lease == Millis{6'000});
     CPPUNIT_ASSERT(ValueOf(read).m_terms.m_restore == Millis{250});
+    CPPUNIT_ASSERT(ValueOf(read).m_terms.m_evacuate == Millis{5'000});
     CPPUNIT_ASSERT_EQUAL(3.0, ValueOf(read).m_terms.m_remote_factor);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ValueOf(read).m_node.m_seeds.size());
   }
@@ -54,6 +56,7 @@
     CheckWrong("address", kNode);
     CheckWrong("restore", std::string(kNode) + kStore + "[terms]\nrestore = ms\n");
     CheckWrong("restore", std::string(kNode) + kStore + "[terms]\nrestore = 3 weeks\n");
+    CheckWrong("evacuate", std::string(kNode) + kStore + "[terms]\nevacuate = soon\n");
     CheckWrong("remote_factor", std::string(kNode) + kStore + "[terms]\nremote_factor = 0\n");
     CheckWrong("colour", std::string(kNode) + kStore + "[terms]\ncolour = red\n");
     CheckWrong("callers", std::string("[node]\nname = n\ndomain = d\ncallers = here\n") + kStore);
