Evacuations: starts in the command queue are tested through whole instances

Change: two tests with slow answers, so that starts wait in the queue while the domain is evacuated or longer than the bound.

--- a/tests/service/evacuation_test.cc
+++ b/tests/service/evacuation_test.cc
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(WaitingWorkDoesNotAllGoToAReturnedDomain);
   CPPUNIT_TEST(AllDomainsEvacuated);
   CPPUNIT_TEST(LostAnswersAreNotSentAgainThere);
+  CPPUNIT_TEST(QueuedStartsAreWithdrawn);
+  CPPUNIT_TEST(StartsQueuedTooLongArePlacedAnew);
   CPPUNIT_TEST(TakeoverDuringTheEvacuation);
   CPPUNIT_TEST(TakeoverWhileTheStoreIsAway);
   CPPUNIT_TEST(NewLeaderWaitsForTheSet);
@@ -86,6 +88,33 @@
     Finish();
   }
 
+  // Answers take 200 ms, so that most starts still wait in the command queue when the domain is evacuated.
+  void QueuedStartsAreWithdrawn() {
+    ClusterSettings settings;
+    settings.m_workers.m_latency = Millis{200};
+    Build(settings);
+    const JobId job = m_cluster->Submit(*m_cluster->Leader(), Tasks(96, 1, Millis{5'000}), Millis{5'000}, 0);
+    m_jobs.push_back(job);
+    m_cluster->Run(Millis{300});
+    CPPUNIT_ASSERT(m_cluster->Sim().Starts() < 48);
+    m_cluster->Evacuate(kDomain);
+    m_cluster->Run(Millis{250});  // Starts that are under way arrive.
+    CheckNothingStartsFor(kBound);
+    CPPUNIT_ASSERT(StartsThere() < 32);  // All its room was planned for.
+    m_cluster->Lift(kDomain);
+    Finish();
+  }
+
+  // A start that is withdrawn from the queue must not hold its room: the job would never end.
+  void StartsQueuedTooLongArePlacedAnew() {
+    ClusterSettings settings;
+    settings.m_workers.m_latency = Millis{200};
+    settings.m_evacuate = Millis{400};
+    Build(settings);
+    m_jobs.push_back(m_cluster->Submit(*m_cluster->Leader(), Tasks(96, 1, Millis{1'000}), Millis{1'000}, 0));
+    Finish();
+  }
+
   void TakeoverDuringTheEvacuation() {
     Load(400);
     m_cluster->Run(Millis{1'000});
