--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -124,6 +124,7 @@
 void Scheduler::Decide(Now now) {
   ForgetArchivedJobs(now);
   EvacuateDraining(now);
+  ReturnWorkers(now);
   for (const auto& [id, slot] : m_workers.All()) {
     Unit* unit = slot->m_reserved_for;
     if (unit != nullptr && (!unit->IsWaiting() || unit->m_reserved_until <= now.m_steady))
@@ -223,15 +224,15 @@
   const auto& racks = RacksFor(*unit);
   if (spec.m_rack_local && unit->m_members.size() > 1) {
     Choice best;
-    auto best_key = std::pair(std::numeric_limits<int>::max(), std::numeric_limits<int>::max());
+    auto best_key = std::tuple(true, std::numeric_limits<int>::max(), std::numeric_limits<int>::max());
     const bool uneven = PaceOf(unit->m_step->m_job->m_job.m_pool, now).m_uneven;
     bool fits_any = false;
     for (const auto& [name, slots] : racks) {
       fits_any = fits_any || FitsWhenEmpty(slots, *unit);
       const int free = FreeAccelerators(slots);
-      if (!uneven && free >= best_key.second) continue;
+      if (!uneven && !std::get<bool>(best_key) && free >= std::get<2>(best_key)) continue;
       Choice chosen = ChooseFor(*unit, slots, now);
-      const auto key = std::pair(chosen.m_rank, free);
+      const auto key = std::tuple(chosen.m_cold, chosen.m_rank, free);
       if (chosen.m_slots.empty() || key >= best_key) continue;
       best = std::move(chosen);
       best_key = key;
--- a/hickoryquay/jobs/worker_choice.cc
+++ b/hickoryquay/jobs/worker_choice.cc
@@ -14,6 +14,7 @@
   int m_times = 0;
   int m_rank = 0;
   int m_speed = 0;
+  bool m_cold = false;
 };
 
 // Number of tasks of the unit's step on the worker.
@@ -82,10 +83,14 @@
     if (times <= 0) continue;
     const LogBelief speed = slot->m_speed.At(input.m_now, settings.m_speed);
     options.push_back({slot, times, RankOf(input, speed, settings),
-                       static_cast<int>(std::lround(sign * speed.m_mean / settings.m_speed_step))});
+                       static_cast<int>(std::lround(sign * speed.m_mean / settings.m_speed_step)),
+                       input.m_now < slot->m_cold_until});
   }
-  const auto key = [](const Option& option) {
-    return std::tuple(option.m_slot->m_failures, option.m_rank, option.m_slot->m_free.m_accelerators, option.m_speed);
+  const bool urgent = input.m_priority == 0;
+  const auto key = [urgent](const Option& option) {
+    const WorkerSlot& slot = *option.m_slot;
+    return std::tuple(urgent && option.m_cold, slot.m_failures, option.m_rank, slot.m_free.m_accelerators,
+                      option.m_speed, option.m_cold);
   };
   std::stable_sort(options.begin(), options.end(), [&](const Option& a, const Option& b) { return key(a) < key(b); });
   Choice choice;
@@ -93,6 +98,7 @@
     for (int i = 0; i < option.m_times && choice.m_slots.size() < unit.m_members.size(); ++i) {
       choice.m_slots.push_back(option.m_slot);
       choice.m_rank = std::max(choice.m_rank, option.m_rank);
+      choice.m_cold = choice.m_cold || (urgent && option.m_cold);
     }
   }
   if (choice.m_slots.size() < unit.m_members.size()) return {};
