--- a/hickoryquay/jobs/worker_choice.h
+++ b/hickoryquay/jobs/worker_choice.h
@@ -42,6 +42,7 @@
 struct Choice {
   std::vector<WorkerSlot*> m_slots;  // One for each member; empty if there are not enough.
   int m_rank = 0;                    // Of the slowest member's worker; lower ones are better. 0 in even pools.
+  bool m_cold = false;               // Urgent work would get a worker that is still slow after its start.
 };
 
 // Number of tasks of this kind that fit into the resources.
@@ -49,7 +50,8 @@
 // At most `fitting`, and at most what the step allows on one worker.
 int LimitPerWorker(const WorkerSlot& slot, const Unit& unit, int fitting);
 
-// Within a rank, workers with the fewest free accelerators come first.
+// Within a rank, workers with the fewest free accelerators come first, then warm ones. Urgent work takes a cold worker
+// only where no warm one fits.
 Choice ChooseWorkers(const ChoiceInput& input, const std::vector<WorkerSlot*>& candidates,
                      const ChoiceSettings& settings);
 
