Incarnations: a pure module compares what a worker, its row and its runs tell

Cause: a worker that restarts under its id was taken for the same one. Change: jobs/incarnation.h decides which incarnation a reply or row is of, and what becomes of the runs of an earlier one. Not used yet.

--- /dev/null
+++ b/hickoryquay/jobs/incarnation.h
@@ -0,0 +1,77 @@
+// Incarnations of a worker that may restart under its id. Pure: no I/O, no clock.
+//
+// The wall time at which a worker started (WorkerEntry::m_born) tells its incarnations apart. Only what a worker itself
+// reports counts as its incarnation: its row may lag behind, and other writers may write rows. A restarted worker
+// holds nothing of before, but executes starts that were on their way to its earlier incarnation.
+//
+// Workers that never report a start time have one incarnation for each id.
+#pragma once
+
+#include <optional>
+
+#include "hickoryquay/base/clock.h"
+
+namespace hickoryquay::jobs {
+
+// What a worker reported of itself.
+struct KnownIncarnation {
+  Instant m_born;   // Wall time; 0: never reported.
+  Instant m_heard;  // Steady time at which the first reply of this incarnation arrived.
+};
+
+enum class ReportedIncarnation {
+  kSame,          // Also if none was ever reported.
+  kFirst,         // None was reported before; what is known of the worker is attributed to this one.
+  kNewer,         // The worker has restarted.
+  kStale,         // Of an incarnation before the known one: to be ignored.
+  kUnidentified,  // Names none, although the worker named one before: proves nothing about the worker.
+};
+
+// Compares what is known with what the reply to a call sent at `sent` reports. A start time that goes back is of a
+// later incarnation if the call was sent after the known one had answered; the machine's wall clock was then set back.
+inline ReportedIncarnation Compare(const KnownIncarnation& known, std::optional<Instant> born, Instant sent) {
+  const bool named_before = known.m_born.m_ms != 0;
+  if (!born) return named_before ? ReportedIncarnation::kUnidentified : ReportedIncarnation::kSame;
+  if (!named_before) return ReportedIncarnation::kFirst;
+  if (*born == known.m_born) return ReportedIncarnation::kSame;
+  return *born > known.m_born || sent > known.m_heard ? ReportedIncarnation::kNewer : ReportedIncarnation::kStale;
+}
+
+enum class RowIncarnation {
+  kCurrent,  // The row describes the incarnation that answers, as far as is known.
+  kNewer,    // The worker has probably restarted: to be polled at once, and not to be used before.
+  kLagging,  // Capacity, labels and pool are those of an earlier incarnation: not to be used until the row is current.
+};
+
+inline RowIncarnation CompareRow(Instant reported, std::optional<Instant> row_born) {
+  if (!row_born || reported.m_ms == 0 || *row_born == reported) return RowIncarnation::kCurrent;
+  return *row_born > reported ? RowIncarnation::kNewer : RowIncarnation::kLagging;
+}
+
+// A run that was placed on an earlier incarnation, when a reply of a later one arrives for the first time.
+struct RunBeforeRestart {
+  bool m_sent = true;            // Its start was sent.
+  bool m_confirmed = false;      // The start was accepted, or a reply listed the run as running.
+  Instant m_confirmed_at;        // Steady time.
+  bool m_sent_again = false;     // A copy of the start may be under way even though the run is confirmed.
+  bool m_earlier_epoch = false;  // Its start is refused by the worker, which has seen a higher epoch in this poll.
+  bool m_listed = false;         // The reply lists it as running: a copy of the start arrived after the restart.
+};
+
+enum class AfterRestart {
+  kWithdraw,  // Nothing was sent: the start is dropped.
+  kClear,     // It does not run and can't start any more.
+  kStop,      // It runs or may start later: clear after a stop that the new incarnation acknowledges.
+};
+
+// `sent` is the steady time at which the poll was sent that the new incarnation answered.
+inline AfterRestart Resolve(const RunBeforeRestart& run, Instant sent) {
+  if (!run.m_sent) return AfterRestart::kWithdraw;
+  if (run.m_listed) return AfterRestart::kStop;
+  if (run.m_earlier_epoch) return AfterRestart::kClear;
+  // A run that was confirmed after the poll was sent may run on the new incarnation, which answered before.
+  const bool gone = run.m_confirmed && run.m_confirmed_at < sent && !run.m_sent_again;
+  return gone ? AfterRestart::kClear : AfterRestart::kStop;
+}
+
+}  // namespace hickoryquay::jobs
