Stand-in and fuzz: workers restart under their id

Cause: part 1 of docs/design/hard-load.md; no test had such a restart. Change: SimWorkers::Restart, SimCluster::RestartWorkerInPlace, replies and rows with the time of the start, a fault in service_fuzz_test for half of the scenarios. A late start that the earlier incarnation would have refused is not checked, since no call tells the restarted worker to refuse it; it has to be stopped by the end.

--- a/hickoryquay/jobs/job.h
+++ b/hickoryquay/jobs/job.h
@@ -151,7 +151,7 @@
 
 // One worker of a pool, as listed by the platform.
 struct WorkerEntry {
-  WorkerId m_id;  // Identifies one incarnation of the worker process; a restart gets a new one.
+  WorkerId m_id;  // Identifies one incarnation of the worker process, together with m_born where that is known.
   PoolName m_pool;
   std::string m_address;  // "IP:PORT".
   DomainId m_domain;
--- a/hickoryquay/jobs/worker_api.h
+++ b/hickoryquay/jobs/worker_api.h
@@ -28,7 +28,7 @@
   auto operator<=>(const WorkerTime&) const = default;
 };
 
-// One incarnation of a worker; another incarnation at the same address does not execute its calls.
+// A worker at an address. One with another id does not execute its calls; one that restarted under its id does.
 struct WorkerTarget {
   WorkerId m_id;
   std::string m_address;  // "IP:PORT".
@@ -60,6 +60,7 @@
 struct StartReply {
   StartOutcome m_outcome = StartOutcome::kUnknown;
   std::optional<WorkerTime> m_clock;
+  std::optional<Instant> m_born;  // As in PollReply; answers of some workers have none.
 };
 
 struct StopCall {
@@ -100,6 +101,7 @@
   std::vector<RunningTask> m_running;
   std::vector<EndedTask> m_ended;  // Ascending.
   bool m_more_ended = false;       // m_ended is incomplete.
+  std::optional<Instant> m_born;   // Wall time of the start of this incarnation; see incarnation.h.
 };
 
 enum class PollFailure { kRefused, kFenced, kOtherIncarnation, kNoAnswer };  // kRefused: the connection was refused.
--- a/standin/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -16,7 +16,8 @@
 constexpr int kPriorities = 3;
 
 std::string Text(const jobs::WorkerEntry& entry) {
-  return entry.m_id.m_value + (entry.m_draining ? " draining" : "");
+  return entry.m_id.m_value + (entry.m_draining ? " draining" : "") +
+         (entry.m_born ? " " + std::to_string(entry.m_born->m_ms) : "");
 }
 
 }  // namespace
@@ -163,7 +164,8 @@
   entry.m_rack = rack;
   entry.m_labels = {"a", rack};
   entry.m_capacity = Resources{8, 64'000, 128'000};
-  m_workers->Add({entry, speed, Millis{static_cast<int>(m_worker_ids.size()) * 777}});
+  if (m_settings.m_workers_report_born) entry.m_born = m_clock.Wall();
+  m_workers->Add({entry, speed, Millis{static_cast<int>(m_worker_ids.size()) * 777}, m_settings.m_workers_report_born});
   m_worker_ids.push_back(id);
   PutWorkerRow(entry);
 }
@@ -191,6 +193,19 @@
   AddWorker(as, rack);
 }
 
+void SimCluster::RestartWorkerInPlace(const WorkerId& id, Millis row_delay) {
+  const Instant born = m_workers->Restart(id);
+  m_timers
+      .After(row_delay,
+             [this, id, born] {
+               jobs::WorkerEntry entry = m_entries.at(id);
+               if (entry.m_born && *entry.m_born > born) return;  // It has restarted again.
+               entry.m_born = born;
+               PutWorkerRow(entry);
+             })
+      .Detach();
+}
+
 void SimCluster::AddEndedJobs(int count) {
   const TableNames tables;
   for (int i = 0; i < count; ++i) {
--- a/standin/sim_cluster.h
+++ b/standin/sim_cluster.h
@@ -25,7 +25,8 @@
   int m_instances = 3;
   int m_racks = 2;
   int m_workers_per_rack = 4;
-  std::vector<double> m_speeds{1.0};  // Of the workers of a rack; repeated if there are more workers.
+  bool m_workers_report_born = false;  // Workers tell when they started; needed for RestartWorkerInPlace.
+  std::vector<double> m_speeds{1.0};   // Of the workers of a rack; repeated if there are more workers.
   standin::SimSettings m_workers;
   int m_link_bytes_per_ms = 0;  // Of each instance, to the store; 0: answers arrive at once.
   std::size_t m_payload_bytes = 7;
@@ -55,6 +56,7 @@
   void CorruptRow(const WorkerId& id);  // Overwrites its row with text that can't be parsed.
   void KillWorker(const WorkerId& id);  // Its row is removed 4.5 s later.
   void RestartWorker(const WorkerId& id, const WorkerId& as);
+  void RestartWorkerInPlace(const WorkerId& id, Millis row_delay);  // Under its id; its row follows after `row_delay`.
   const std::vector<WorkerId>& Workers() const { return m_worker_ids; }
 
   // Puts rows of jobs that ended now, as if an earlier leader had archived them.
--- a/tests/service/fuzz_test.cc
+++ b/tests/service/fuzz_test.cc
@@ -1,6 +1,7 @@
 // Random faults in virtual time: instances are killed, suspended and cut off from the store; the store refuses calls,
-// is silent or applies writes late; workers are cut off, fail tasks, lose answers and receive commands late. No
-// invariant that workers can observe may be violated, and once the faults are over every accepted job must end.
+// is silent or applies writes late; workers are cut off, fail tasks, lose answers, receive commands late and restart
+// under their id. No invariant that workers can observe may be violated, and once the faults are over every accepted
+// job must end.
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -30,6 +31,8 @@
     ClusterSettings settings;
     settings.m_random_seed = seed;
     settings.m_workers.m_random_seed = seed;
+    settings.m_workers_report_born = seed % 2 == 0;  // Half of the scenarios have workers that restart under their id.
+    m_restarts = settings.m_workers_report_born;
     m_cluster = std::make_unique<SimCluster>(settings);
   }
 
@@ -39,6 +42,7 @@
     for (Millis at{0}; at < kFaultPhase; at += kStep) {
       if (Chance(0.5)) SubmitOne();
       if (Chance(0.3)) InjectFault();
+      if (m_restarts && Chance(0.1)) m_cluster->RestartWorkerInPlace(AnyWorker(), Millis{UpTo(2'000)});
       if (Chance(0.1)) CancelOne();
       m_cluster->Run(kStep);
     }
@@ -156,6 +160,7 @@
 
   std::mt19937_64 m_random;
   std::unique_ptr<SimCluster> m_cluster;
+  bool m_restarts = false;             // Workers may restart under their id.
   bool m_worker_failed_tasks = false;  // A worker failed all its tasks for a while, so that jobs may fail.
 };
 
