Workers that restart under their id are told apart from before

Cause: ends, leases, runs and speeds of the earlier incarnation were attributed to the new one; its ends, numbered from 1 again, were taken for handled ones. Change: sessions know the incarnation by its replies to polls and start anew with each; the scheduler clears runs that the earlier incarnation had confirmed, and stops those of which a start may still arrive. Rows of steps name the start of workers in an optional field. A worker is used only while its row describes the incarnation that answers. hq_worker_restarts_total, Worker has restarted.

--- a/bench/jobs/trial.cc
+++ b/bench/jobs/trial.cc
@@ -162,8 +162,7 @@
   void OnStored(const jobs::Batch& batch) {
     m_storing = false;
     for (const jobs::StartCommand& order : batch.m_starts) m_sessions->Send(order);
-    for (const jobs::RecordedEnds& known : batch.m_recorded_ends)
-      m_sessions->SetRecordedEnds(known.m_worker, known.m_number);
+    for (const jobs::RecordedEnds& known : batch.m_recorded_ends) m_sessions->SetRecordedEnds(known);
     for (const jobs::PhaseChange& change : batch.m_phases) {
       JobOutcome& outcome = m_result.m_jobs[m_indices.at(change.m_job)];
       outcome.m_phase = change.m_phase;
--- a/hickoryquay/jobs/rows.cc
+++ b/hickoryquay/jobs/rows.cc
@@ -179,8 +179,37 @@
     unit.m_first = static_cast<int>(NumberIn(reader, "placed", (*list)[i], kMaxCount));
     unit.m_run = RunNumber{static_cast<std::uint32_t>(
         NumberIn(reader, "placed", (*list)[i + 1], std::numeric_limits<std::uint32_t>::max()))};
-    unit.m_members.push_back({WorkerId{std::string((*list)[0].as_string())}, std::string((*list)[1].as_string())});
+    PlacedMember& member = unit.m_members.emplace_back();
+    member.m_worker = WorkerId{std::string((*list)[0].as_string())};
+    member.m_address = std::string((*list)[1].as_string());
+  }
+}
+
+// The latest known start of each worker that a unit of the row is placed on. A field of its own, so that readers that
+// don't know it still read the row.
+json::object WorkerStarts(const std::vector<UnitRow>& units) {
+  json::object starts;
+  for (const UnitRow& unit : units) {
+    for (const PlacedMember& member : unit.m_members) {
+      if (member.m_settled || member.m_born.m_ms == 0) continue;
+      json::value& start = starts[member.m_worker.m_value];
+      if (!start.is_int64() || start.as_int64() < member.m_born.m_ms) start = member.m_born.m_ms;
+    }
+  }
+  return starts;
+}
+
+void ReadWorkerStarts(FieldReader* reader, std::vector<UnitRow>* units) {
+  const json::value* value = reader->Find("started", Need::kOptional);
+  if (value == nullptr) return;
+  if (!value->is_object()) return reader->Fail("started", "expected the start times of workers");
+  FieldReader starts(*value, "started");
+  for (UnitRow& unit : *units) {
+    for (PlacedMember& member : unit.m_members) {
+      if (!member.m_settled) starts.ReadInstant(member.m_worker.m_value, &member.m_born, Need::kOptional);
+    }
   }
+  if (starts.Failed()) reader->Take(starts.Error());
 }
 
 template <typename T, typename Fill>
@@ -278,6 +307,8 @@
   json::array placed;
   for (auto& [worker, list] : by_worker) placed.push_back(std::move(list));
   if (!placed.empty()) object["placed"] = std::move(placed);
+  json::object starts = WorkerStarts(row.m_units);
+  if (!starts.empty()) object["started"] = std::move(starts);
   return json::serialize(object);
 }
 
@@ -290,6 +321,7 @@
     for (const json::value& element : reader->Array("placed", Need::kOptional)) {
       ReadPlaced(reader, element, &row->m_units);
     }
+    ReadWorkerStarts(reader, &row->m_units);
   });
 }
 
--- a/hickoryquay/jobs/rows.h
+++ b/hickoryquay/jobs/rows.h
@@ -22,6 +22,7 @@
   WorkerId m_worker;
   std::string m_address;
   bool m_settled = false;
+  Instant m_born;  // Wall time of the start of the worker's incarnation; 0: not known.
 };
 
 // A unit that has been started at least once.
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -71,6 +71,7 @@
       member.m_slot = slot;
       member.m_restored = true;
       m_workers.Allocate(slot, unit, i);
+      member.m_born = placed.m_born;
       unit->m_active = true;
     }
     if (!unit->m_active) continue;
@@ -260,12 +261,7 @@
   if (slot == nullptr) return;
   const auto members = slot->m_members;
   for (const auto& [unit, member] : members) {
-    if (unit->m_members[member].m_slot != slot) continue;
-    log::Info(
-        kLog, "Run lost with its worker",
-        {{"task", ToText(unit->Key(member))}, {"run", std::to_string(Raw(unit->m_run))}, {"worker", worker.m_value}});
-    if (unit->m_step->m_spec->m_gang && !unit->m_done) StopRun(unit, "member lost");
-    if (unit->m_members[member].m_slot == slot) Settle(unit, member);
+    if (unit->m_members[member].m_slot == slot) LoseRun(unit, member);
   }
   m_workers.EraseIfUnused(worker);
 }
@@ -334,7 +330,7 @@
     for (const auto& [id, slot] : m_workers.All()) {
       if (slot->m_processed_ends <= slot->m_released_ends) continue;
       slot->m_released_ends = slot->m_processed_ends;
-      batch.m_recorded_ends.push_back({id, slot->m_processed_ends});
+      batch.m_recorded_ends.push_back({id, slot->m_processed_ends, slot->m_born});
     }
   }
   // Deletions fill what is left, since nothing waits for them.
@@ -371,6 +367,7 @@
       if (placed.m_settled) continue;
       placed.m_worker = member.m_slot->m_entry.m_id;
       placed.m_address = member.m_slot->m_entry.m_address;
+      placed.m_born = member.m_born;
     }
   }
   return row;
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -109,10 +109,11 @@
   RunNumber m_run{};
 };
 
-// Ends of this worker up to m_number are recorded in rows.
+// Ends of this incarnation of a worker up to m_number are recorded in rows.
 struct RecordedEnds {
   WorkerId m_worker;
   std::int64_t m_number = 0;
+  Instant m_born;  // Wall time of the start of the incarnation; 0: not known.
 };
 
 struct PhaseChange {
@@ -173,6 +174,7 @@
 
   // All runs that were placed on the worker have ended and can't start again.
   void OnWorkerCleared(const WorkerId& worker);
+  // If the reply is of another incarnation than the one before, the runs of that one are resolved; see incarnation.h.
   void OnPollReply(const WorkerId& worker, const PollReply& reply, Instant sent, Now now);
   void OnStartSent(const StartCommand& command, Now now);
   void OnStartAnswer(const StartCommand& command, StartOutcome outcome, Now now);
@@ -230,6 +232,11 @@
   void Settle(Unit* unit, std::size_t member);
   void SettleAbsent(WorkerSlot* slot, const PollReply& reply, Instant sent);
   void StopRun(Unit* unit, const char* why);
+
+  // scheduler_restart.cc
+  void OnIncarnation(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now);
+  void ResolveAfterRestart(const UnitMember& placed, const PollReply& reply, Instant sent, Now now);
+  void LoseRun(Unit* unit, std::size_t member);
   void ResetUnit(Unit* unit);
 
   // scheduler_place.cc
--- /dev/null
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -0,0 +1,75 @@
+// Runs of a worker that was lost, or that restarted under its id.
+
+#include <algorithm>
+
+#include "hickoryquay/base/log.h"
+#include "hickoryquay/jobs/incarnation.h"
+#include "hickoryquay/jobs/scheduler.h"
+
+namespace hickoryquay::jobs {
+
+namespace {
+
+constexpr log::Part kLog{"runs"};
+
+bool Lists(const PollReply& reply, const TaskKey& task, RunNumber run) {
+  return std::any_of(reply.m_running.begin(), reply.m_running.end(),
+                     [&](const RunningTask& running) { return running.m_task == task && running.m_run == run; });
+}
+
+}  // namespace
+
+void Scheduler::OnIncarnation(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now) {
+  if (!reply.m_born || *reply.m_born == slot->m_born) return;
+  const bool restarted = slot->m_born.m_ms != 0;
+  if (restarted) slot->OnRestarted();
+  slot->m_born = *reply.m_born;
+  const auto members = slot->m_members;
+  for (const UnitMember& placed : members) {
+    Member& member = placed.first->m_members[placed.second];
+    if (member.m_slot != slot || member.m_born == slot->m_born) continue;
+    // A row without a start time: SettleAbsent resolves the run as on a worker that reports none.
+    const bool unknown = member.m_born.m_ms == 0 && !restarted;
+    unknown ? void(member.m_born = slot->m_born) : ResolveAfterRestart(placed, reply, sent, now);
+  }
+}
+
+void Scheduler::ResolveAfterRestart(const UnitMember& placed, const PollReply& reply, Instant sent, Now now) {
+  const auto [unit, index] = placed;
+  Member& member = unit->m_members[index];
+  const WorkerSlot* slot = member.m_slot;
+  RunBeforeRestart run;
+  run.m_sent = member.m_state != MemberState::kPlanned;
+  run.m_confirmed = member.m_state == MemberState::kRunning;
+  run.m_confirmed_at = member.m_since;
+  run.m_sent_again = member.m_resends > 0;
+  run.m_earlier_epoch = member.m_restored;
+  run.m_listed = Lists(reply, unit->Key(index), unit->m_run);
+  switch (Resolve(run, sent)) {
+    case AfterRestart::kWithdraw:
+      return StopRun(unit, "its worker has restarted");
+    case AfterRestart::kClear:
+      return LoseRun(unit, index);
+    case AfterRestart::kStop:
+      break;
+  }
+  StopRun(unit, "its worker has restarted, a late start may arrive");
+  if (member.m_slot != slot) return;
+  member.m_state = MemberState::kUnknown;
+  member.m_since = now.m_steady;
+  // A stop that the earlier incarnation acknowledged is unknown to this one.
+  member.m_stop = StopState::kRequested;
+  member.m_stop_at = Instant{};
+}
+
+void Scheduler::LoseRun(Unit* unit, std::size_t index) {
+  const WorkerSlot* slot = unit->m_members[index].m_slot;
+  log::Info(kLog, "Run lost with its worker",
+            {{"task", ToText(unit->Key(index))},
+             {"run", std::to_string(Raw(unit->m_run))},
+             {"worker", slot->m_entry.m_id.m_value}});
+  if (unit->m_step->m_spec->m_gang && !unit->m_done) StopRun(unit, "member lost");
+  if (unit->m_members[index].m_slot == slot) Settle(unit, index);
+}
+
+}  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -137,6 +137,7 @@
 void Scheduler::OnPollReply(const WorkerId& worker, const PollReply& reply, Instant sent, Now now) {
   WorkerSlot* slot = m_workers.Find(worker);
   if (slot == nullptr) return;
+  OnIncarnation(slot, reply, sent, now);
   for (const EndedTask& end : reply.m_ended) {
     if (end.m_number <= slot->m_processed_ends) continue;
     slot->m_processed_ends = end.m_number;
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -34,6 +34,7 @@
   MemberState m_state = MemberState::kNone;
   StopState m_stop = StopState::kNone;
   WorkerSlot* m_slot = nullptr;  // Where it has resources allocated; nullptr in kNone and kSettled.
+  Instant m_born;                // Wall time of the start of its worker's incarnation; 0: not known.
   bool m_restored = false;       // Placed under an earlier epoch, whose commands its worker now refuses.
   int m_resends = 0;             // Of a start that got no answer.
   Instant m_since;               // Steady time of the last change of m_state.
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -4,6 +4,16 @@
 
 namespace hickoryquay::jobs {
 
+void WorkerSlot::OnRestarted() {
+  ++m_incarnation;
+  m_processed_ends = 0;
+  m_released_ends = 0;
+  m_failures = 0;
+  m_avoid_until = Instant{};
+  m_speed_sum = 0.0;
+  m_speed_samples = 0;
+}
+
 WorkerSlot* WorkerTable::Find(const WorkerId& id) {
   const auto found = m_slots.find(id);
   return found == m_slots.end() ? nullptr : found->second.get();
@@ -37,6 +47,7 @@
 
 void WorkerTable::Allocate(WorkerSlot* slot, Unit* unit, std::size_t member) {
   slot->m_members.insert({unit, member});
+  unit->m_members[member].m_born = slot->m_born;
   slot->m_free -= unit->m_step->m_spec->m_task;
 }
 
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "hickoryquay/jobs/incarnation.h"
 #include "hickoryquay/jobs/job.h"
 #include "hickoryquay/jobs/units.h"
 
@@ -16,6 +17,8 @@
   WorkerEntry m_entry;
   bool m_listed = false;  // Listed by the platform.
   bool m_usable = false;  // Answers, and has accepted this scheduler's epoch.
+  Instant m_born;         // Wall time of the start of the incarnation that answers, as it reports; 0: never reported.
+  int m_incarnation = 0;  // Counts the restarts under its id.
   Resources m_free;
   UnitMemberSet m_members;             // Members that have resources allocated here.
   std::int64_t m_processed_ends = 0;   // Number of the last end that was processed.
@@ -32,7 +35,11 @@
 
   static constexpr double kSpeedPrior = 3.0;  // Weight, in samples, of the prior assumption of equal speeds.
 
-  bool IsSchedulable() const { return m_listed && m_usable && !m_entry.m_draining; }
+  // The entry describes the incarnation that answers, which may be of another kind than the one before.
+  bool IsDescribed() const { return CompareRow(m_born, m_entry.m_born) == RowIncarnation::kCurrent; }
+  bool IsSchedulable() const { return m_listed && m_usable && !m_entry.m_draining && IsDescribed(); }
+
+  void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
 };
 
 // The address of a slot is stable until the slot is erased.
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -342,8 +342,7 @@
 
 void SchedulerDriver::OnStored(const jobs::Batch& batch) {
   for (const jobs::StartCommand& command : batch.m_starts) m_sessions->Send(command);
-  for (const jobs::RecordedEnds& known : batch.m_recorded_ends)
-    m_sessions->SetRecordedEnds(known.m_worker, known.m_number);
+  for (const jobs::RecordedEnds& known : batch.m_recorded_ends) m_sessions->SetRecordedEnds(known);
   if (!batch.m_phases.empty()) {
     CountPhases(batch.m_phases);
     m_events.m_phases(batch.m_phases);
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -30,6 +30,7 @@
       m_started(clock->Now()),
       m_polls_sent(&metrics->GetCounter("hq_worker_looks_total")),
       m_polls_failed(&metrics->GetCounter("hq_worker_looks_failed_total")),
+      m_restarts(&metrics->GetCounter("hq_worker_restarts_total")),
       m_start_ms(&metrics->GetDistribution("hq_start_answer_ms")) {}
 
 void WorkerSessions::Start() {
@@ -53,7 +54,7 @@
       session->m_created = m_clock->Now();
       session->m_lease_end = LatestLeaseEnd(m_started + m_settings.m_prior_grant_window);
     }
-    session->m_target = {worker.m_id, worker.m_address};
+    OnRow(worker, session.get());
     session->m_listed = true;
     m_scheduler->OnWorkerListed(worker, Time());
   }
@@ -138,12 +139,14 @@
   const Instant sent = m_clock->Now();
   m_commands.OnSent();
   m_api->Start(session->m_target, call, m_settings.m_command_timeout,
-               [weak = weak_from_this(), command, session, sent](const jobs::StartReply& reply) {
+               [weak = weak_from_this(), command, session, sent,
+                incarnation = session->m_incarnation](const jobs::StartReply& reply) {
                  const auto self = weak.lock();
                  if (!self || self->m_stopped) return;
                  self->m_start_ms->Add(static_cast<double>((self->m_clock->Now() - sent).count()));
                  self->OnCommandAnswer(sent);
                  if (reply.m_outcome == jobs::StartOutcome::kFenced) return self->m_events.m_fenced();
+                 if (!self->IsCurrent(command.m_worker, session.get(), incarnation, reply.m_born, sent)) return;
                  self->m_scheduler->OnStartAnswer(command, reply.m_outcome, self->Time());
                  if (reply.m_outcome == jobs::StartOutcome::kOtherIncarnation)
                    self->Clear(command.m_worker, session, "another life answers");
@@ -157,11 +160,13 @@
   const auto session = found->second;
   m_commands.OnSent();
   m_api->Stop(session->m_target, {command.m_task, command.m_run, m_epoch}, m_settings.m_command_timeout,
-              [weak = weak_from_this(), command, session, sent = m_clock->Now()](jobs::StopOutcome outcome) {
+              [weak = weak_from_this(), command, session, sent = m_clock->Now(),
+               incarnation = session->m_incarnation](jobs::StopOutcome outcome) {
                 const auto self = weak.lock();
                 if (!self || self->m_stopped) return;
                 self->OnCommandAnswer(sent);
                 if (outcome == jobs::StopOutcome::kFenced) return self->m_events.m_fenced();
+                if (!self->IsCurrent(command.m_worker, session.get(), incarnation, std::nullopt, sent)) return;
                 self->m_scheduler->OnStopAnswer(command, outcome, self->Time());
                 if (outcome == jobs::StopOutcome::kOtherIncarnation)
                   self->Clear(command.m_worker, session, "another life answers");
@@ -169,9 +174,70 @@
               });
 }
 
-void WorkerSessions::SetRecordedEnds(const WorkerId& worker, std::int64_t number) {
-  const auto found = m_sessions.find(worker);
-  if (found != m_sessions.end()) found->second->m_recorded_ends = std::max(found->second->m_recorded_ends, number);
+void WorkerSessions::SetRecordedEnds(const jobs::RecordedEnds& ends) {
+  const auto found = m_sessions.find(ends.m_worker);
+  if (found == m_sessions.end()) return;
+  Session& session = *found->second;
+  if (ends.m_born.m_ms != 0 && ends.m_born != session.m_known.m_born) return;  // Numbers start anew.
+  session.m_recorded_ends = std::max(session.m_recorded_ends, ends.m_number);
+}
+
+//-------------------------------------------------------------------------------------------------
+// Incarnations
+//-------------------------------------------------------------------------------------------------
+
+void WorkerSessions::OnRow(const jobs::WorkerEntry& worker, Session* session) {
+  const auto row = jobs::CompareRow(session->m_known.m_born, worker.m_born);
+  if (row != jobs::RowIncarnation::kLagging) session->m_target = {worker.m_id, worker.m_address};
+  // Polled at once, but only once for each change, since the row may be wrong.
+  const bool changed = worker.m_born != session->m_row_born;
+  session->m_row_born = worker.m_born;
+  if (changed && row == jobs::RowIncarnation::kNewer) session->m_established = false;
+}
+
+// Returns false if the reply says nothing about the present incarnation.
+bool WorkerSessions::IdentifyIncarnation(const WorkerId& id, Session* session, const jobs::PollReply& reply,
+                                         Instant sent) {
+  switch (jobs::Compare(session->m_known, reply.m_born, sent)) {
+    case jobs::ReportedIncarnation::kSame:
+      return true;
+    case jobs::ReportedIncarnation::kNewer:
+      OnRestarted(id, session, *reply.m_born);
+      [[fallthrough]];
+    case jobs::ReportedIncarnation::kFirst:
+      session->m_known = {*reply.m_born, m_clock->Now()};
+      return true;
+    case jobs::ReportedIncarnation::kStale:
+    case jobs::ReportedIncarnation::kUnidentified:
+      break;
+  }
+  return false;
+}
+
+void WorkerSessions::OnRestarted(const WorkerId& id, Session* session, Instant born) {
+  log::Warn(kLog, "Worker has restarted",
+            {{"worker", id.m_value},
+             {"before", std::to_string(session->m_known.m_born.m_ms)},
+             {"now", std::to_string(born.m_ms)}});
+  m_restarts->Add();
+  ++session->m_incarnation;
+  session->m_reported_ends = 0;
+  session->m_recorded_ends = 0;
+  session->m_acked_ends = 0;
+  session->m_clock = {};
+  session->m_clock_at = m_clock->Now();
+  session->m_lease_end = LatestLeaseEnd(m_clock->Now());  // Starts and polls that were sent before may extend it.
+}
+
+bool WorkerSessions::IsCurrent(const WorkerId& id, Session* session, int incarnation, std::optional<Instant> born,
+                               Instant sent) {
+  if (incarnation != session->m_incarnation) return false;
+  // The answer of a restarted worker counts for the earlier incarnation until a poll has resolved what ran there.
+  if (born && jobs::Compare(session->m_known, born, sent) == jobs::ReportedIncarnation::kNewer) {
+    session->m_established = false;
+    m_scheduler->SetWorkerUsable(id, false);
+  }
+  return true;
 }
 
 //-------------------------------------------------------------------------------------------------
@@ -229,7 +295,7 @@
   }
   if (session->m_polls_pending > 0) {
     const bool poll_now = session->m_long_poll_pending && session->m_polls_pending == 1 &&
-                          m_scheduler->NeedsPoll(id, session->m_last_poll);
+                          (!session->m_established || m_scheduler->NeedsPoll(id, session->m_last_poll));
     if (!poll_now) return;
     return Poll(id, session, Millis{0});
   }
@@ -259,10 +325,13 @@
   if (wait.count() > 0) session->m_long_poll_pending = true;
   m_polls_sent->Add();
   m_api->Poll(session->m_target, call, wait + m_settings.m_poll_timeout,
-              [weak = weak_from_this(), id, session, call, sent](Result<jobs::PollReply, jobs::PollFailure> result) {
+              [weak = weak_from_this(), id, session, call, sent,
+               incarnation = session->m_incarnation](Result<jobs::PollReply, jobs::PollFailure> result) {
                 const auto self = weak.lock();
                 if (!self || self->m_stopped) return;
-                self->OnPollReply(id, session, call, sent, std::move(result));
+                jobs::PollCall answered = call;
+                if (incarnation != session->m_incarnation) answered.m_recorded_ends = 0;  // Numbers start anew.
+                self->OnPollReply(id, session, answered, sent, std::move(result));
               });
 }
 
@@ -273,10 +342,16 @@
   if (call.m_wait.count() > 0) session->m_long_poll_pending = false;
   if (!Ok(result)) return OnFailure(id, session, ErrorOf(result));
   const jobs::PollReply& reply = ValueOf(result);
+  const int incarnation = session->m_incarnation;
+  if (!IdentifyIncarnation(id, session.get(), reply, sent)) {
+    // A reply without a start time proves nothing; a stale one was sent before the restart.
+    return reply.m_born ? void() : OnFailure(id, session, jobs::PollFailure::kNoAnswer);
+  }
   const bool was_silent = session->m_failures > 1;
   session->m_failures = 0;
   session->m_cleared = false;
-  session->m_acked_ends = std::max(session->m_acked_ends, call.m_recorded_ends);
+  if (incarnation == session->m_incarnation)
+    session->m_acked_ends = std::max(session->m_acked_ends, call.m_recorded_ends);
   if (reply.m_clock > session->m_clock) {
     session->m_clock = reply.m_clock;
     session->m_clock_at = m_clock->Now();
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -4,6 +4,9 @@
 // An idle worker is not polled once it has seen this leader's epoch. An unreachable worker is declared clear, that is
 // free of running tasks, when the last lease that it may have received is over, the platform no longer lists its
 // incarnation, or another incarnation answers. An incarnation is one run of the worker's process.
+//
+// Where workers report when they started, they may restart under their id (see jobs/incarnation.h). The new incarnation
+// counts from its first reply to a poll; answers to commands that were sent before are ignored then.
 #pragma once
 
 #include <functional>
@@ -16,6 +19,7 @@
 #include "hickoryquay/base/clock.h"
 #include "hickoryquay/base/metrics.h"
 #include "hickoryquay/base/timer_service.h"
+#include "hickoryquay/jobs/incarnation.h"
 #include "hickoryquay/jobs/scheduler.h"
 #include "hickoryquay/jobs/worker_api.h"
 #include "hickoryquay/service/command_queue.h"
@@ -66,7 +70,7 @@
   // Commands are sent as the link carries them (see command_queue.h), starts unless they are withdrawn before.
   void Send(const jobs::StartCommand& command);
   void Send(const jobs::StopCommand& command);
-  void SetRecordedEnds(const WorkerId& worker, std::int64_t number);
+  void SetRecordedEnds(const jobs::RecordedEnds& ends);  // Ignored if the worker has restarted since.
   void Update();  // Sends the polls that are due. Call after each scheduling round.
 
  private:
@@ -87,6 +91,9 @@
     Instant m_clock_at;
     Instant m_lease_end;     // All tasks there have ended by then, unless the lease is extended.
     bool m_cleared = false;  // Declared clear since the last answer.
+    jobs::KnownIncarnation m_known;
+    std::optional<Instant> m_row_born;  // Wall time of its start by its row.
+    int m_incarnation = 0;              // Counts the restarts under its id.
   };
   using Sessions = std::map<WorkerId, std::shared_ptr<Session>>;
 
@@ -97,6 +104,11 @@
   void OnCommandAnswer(Instant sent);
   void ListWorkerIds();
   void OnWorkerIds(const std::set<WorkerId>& worker_ids, Instant asked);
+  void OnRow(const jobs::WorkerEntry& worker, Session* session);
+  bool IdentifyIncarnation(const WorkerId& id, Session* session, const jobs::PollReply& reply, Instant sent);
+  void OnRestarted(const WorkerId& id, Session* session, Instant born);
+  // Whether an answer belongs to the present incarnation; `incarnation` is the one that the call was sent to.
+  bool IsCurrent(const WorkerId& id, Session* session, int incarnation, std::optional<Instant> born, Instant sent);
   void UpdateOne(const WorkerId& id, const std::shared_ptr<Session>& session);
   void Poll(const WorkerId& id, const std::shared_ptr<Session>& session, Millis wait);
   void OnPollReply(const WorkerId& id, const std::shared_ptr<Session>& session, const jobs::PollCall& call,
@@ -124,6 +136,7 @@
   Subscription m_tick;
   Counter* m_polls_sent;
   Counter* m_polls_failed;
+  Counter* m_restarts;
   Distribution* m_start_ms;
 };
 
--- a/tests/jobs/restore_test.cc
+++ b/tests/jobs/restore_test.cc
@@ -93,7 +93,8 @@
     const StepRowKey key{StepKey{JobId{7}, 0, 0}, 0};
     for (const char* wrong : {R"("done":[1,2])", R"("done":[0,1,"x"])", R"("done":[0,1,-1])", R"("done":[0,1000001,1])",
                               R"("done":7)", R"("placed":[["w"]])", R"("placed":[["w","a",1]])",
-                              R"("placed":[["w","a",1,-1]])", R"("placed":[[1,"a",1,1]])", R"("placed":["w"])"}) {
+                              R"("placed":[["w","a",1,-1]])", R"("placed":[[1,"a",1,1]])", R"("placed":["w"])",
+                              R"("started":[])", R"("started":{"w":"1"},"placed":[["w","a",1,1]])"}) {
       const auto row = ReadStepRow(key, std::string(R"({"units":[],)") + wrong + "}");
       CPPUNIT_ASSERT_MESSAGE(wrong, !Ok(row));
     }
@@ -103,6 +104,9 @@
     }
   }
 
+  // Workers report when they started, or don't.
+  static Instant StartOf(int worker) { return worker == 0 ? Instant{} : Instant{1'775'519'749'021 + worker}; }
+
   // Units in every state that a row can hold.
   void RowsOfAStepRoundTrip() {
     StepRow row{StepKey{JobId{7}, 1, 2}, {}, 3};
@@ -113,8 +117,9 @@
       unit.m_done = i % 3 == 0 || i < 6;
       if (i % 5 == 0) unit.m_failed_runs = {RunNumber{1}};
       if (i % 7 == 0) unit.m_checkpoint = "saved";
-      if (!unit.m_done && i % 2 == 0) unit.m_members = {{WorkerId{"w" + std::to_string(i % 4)}, "10.0.0.1:80"}};
-      if (i == 20) unit.m_members = {{WorkerId{}, "", true}};
+      if (!unit.m_done && i % 2 == 0)
+        unit.m_members = {{WorkerId{"w" + std::to_string(i % 4)}, "10.0.0.1:80", false, StartOf(i % 4)}};
+      if (i == 20) unit.m_members = {{WorkerId{}, "", true, {}}};
       row.m_units.push_back(unit);
     }
     CPPUNIT_ASSERT(ParseStepRowKey(ToText(StepRowKey{row.m_key, 3})) == (StepRowKey{row.m_key, 3}));
@@ -133,6 +138,7 @@
       CPPUNIT_ASSERT_EQUAL(unit.m_members.size(), found->m_members.size());
       for (std::size_t i = 0; i < unit.m_members.size(); ++i) {
         CPPUNIT_ASSERT(unit.m_members[i].m_worker == found->m_members[i].m_worker);
+        CPPUNIT_ASSERT(unit.m_members[i].m_born == found->m_members[i].m_born);
         CPPUNIT_ASSERT(unit.m_members[i].m_settled == found->m_members[i].m_settled);
       }
     }
--- /dev/null
+++ b/tests/service/restart_test.cc
@@ -0,0 +1,100 @@
+// Workers that restart under their id: their runs are placed again, their ends are counted from the start, and a row
+// that lags behind or runs ahead of the worker does no harm.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "standin/sim_cluster.h"
+
+namespace hickoryquay::service {
+namespace {
+
+constexpr Millis kStartup{3'000};
+constexpr Millis kWork{1'000};
+constexpr Millis kEnough{20'000};
+
+class RestartTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RestartTest);
+  CPPUNIT_TEST(RunsOfTheEarlierIncarnationAreLost);
+  CPPUNIT_TEST(LateStartIsStopped);
+  CPPUNIT_TEST(NewLeaderTellsIncarnationsApart);
+  CPPUNIT_TEST(RowThatNeverFollowsKeepsTheWorkerUnused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    ClusterSettings settings;
+    settings.m_racks = 1;
+    settings.m_workers_per_rack = 1;
+    settings.m_workers_report_born = true;
+    m_cluster = std::make_unique<SimCluster>(settings);
+    m_cluster->Run(kStartup);
+  }
+
+  // The new incarnation numbers ends from 1 again: they were taken for ends that had been handled.
+  void RunsOfTheEarlierIncarnationAreLost() {
+    Complete(m_cluster->Submit(0, Tasks(6, 1, kWork), kWork));
+    const JobId job = m_cluster->Submit(0, Tasks(2, 1, kWork), kWork);
+    m_cluster->Run(kWork / 2);
+    CPPUNIT_ASSERT_EQUAL(2, m_cluster->Sim().Running());
+    m_cluster->RestartWorkerInPlace(m_worker, Millis{300});
+    // Far less than a lease: the runs are clear as soon as the new incarnation has answered.
+    m_cluster->Run(Millis{800});
+    CPPUNIT_ASSERT_EQUAL(2, m_cluster->Sim().Running());
+    Complete(job);
+    CPPUNIT_ASSERT(m_cluster->MetricsText().find("hq_worker_restarts_total 1") != std::string::npos);
+  }
+
+  // A start without an answer that the new incarnation executes was taken for the current run, or forgotten.
+  void LateStartIsStopped() {
+    m_cluster->Sim().Faults(m_worker).m_late_orders = 1.0;
+    const JobId job = m_cluster->Submit(0, Tasks(2, 1, kWork), Millis{30'000});
+    m_cluster->Run(Millis{100});
+    m_cluster->RestartWorkerInPlace(m_worker, Millis{300});
+    m_cluster->Sim().Faults(m_worker) = {};
+    m_cluster->Cancel(0, job);
+    m_cluster->Run(kEnough);
+    CPPUNIT_ASSERT_EQUAL(0, m_cluster->Sim().Running());
+    Complete(m_cluster->Submit(0, Tasks(8, 1, kWork), kWork));
+  }
+
+  // The leader dies with the worker: the rows name the earlier incarnation.
+  void NewLeaderTellsIncarnationsApart() {
+    const JobId job = m_cluster->Submit(0, Tasks(3, 1, kWork), 4 * kWork);
+    m_cluster->Run(kWork);
+    const auto leader = m_cluster->Leader();
+    CPPUNIT_ASSERT(leader.has_value());
+    m_cluster->KillInstance(*leader);
+    m_cluster->RestartWorkerInPlace(m_worker, Millis{300});
+    m_cluster->Run(kEnough);
+    Complete(job);
+  }
+
+  // A row of the earlier incarnation may name room that the new one does not have.
+  void RowThatNeverFollowsKeepsTheWorkerUnused() {
+    m_cluster->RestartWorkerInPlace(m_worker, 2 * kEnough);
+    const int before = m_cluster->Sim().Starts();
+    const JobId job = m_cluster->Submit(0, Tasks(1, 1, kWork), Millis{30'000});
+    m_cluster->Run(Millis{3'000});
+    // The first start may reach the new incarnation before its first reply; it is stopped.
+    CPPUNIT_ASSERT(m_cluster->Sim().Starts() <= before + 1);
+    CPPUNIT_ASSERT_EQUAL(0, m_cluster->Sim().Running());
+    m_cluster->Cancel(0, job);
+    m_cluster->Run(3 * kEnough);
+    Complete(m_cluster->Submit(0, Tasks(1, 1, kWork), kWork));
+  }
+
+ private:
+  void Complete(JobId job) {
+    m_cluster->Run(kEnough);
+    CPPUNIT_ASSERT(m_cluster->StoredPhase(job) == jobs::JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->Violations());
+  }
+
+  std::unique_ptr<SimCluster> m_cluster;
+  const WorkerId m_worker = SimCluster::WorkerOf(0, 0);
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RestartTest);
+
+}  // namespace
+}  // namespace hickoryquay::service
