Stand-in: a late start is known by its lease, too

Cause: service_fuzz_test, case 2378: a worker restarted while it could not be reached. A start that was sent afterwards, with the lease in the clock of the incarnation that the leader knew, arrived when that lease was long over; the incarnation that the leader knew would have refused it. Change: such a start is treated as one that was sent before the restart.

--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -120,7 +120,7 @@
   struct Refusals {
     Epoch m_epoch{};
     std::map<jobs::TaskKey, jobs::RunNumber> m_closed;  // Runs up to this.
-    Millis m_clock_offset{0};
+    std::vector<Millis> m_clock_offsets;                // One of each incarnation.
   };
   struct Worker {
     SimWorkerSettings m_settings;
@@ -152,6 +152,8 @@
   bool IsRemote(const Run& run, const Worker& worker) const;
   // `sent_to`: the incarnation that the worker had when the call was sent.
   jobs::StartReply CarryOutStart(Worker* worker, const jobs::StartCall& call, int sent_to);
+  // Whether a start was meant for an earlier incarnation: it was sent to that one, or its lease is in that one's clock.
+  bool IsMeantForEarlier(const Worker& worker, const jobs::StartCall& call, int sent_to) const;
   // Whether an earlier incarnation would have refused a start that arrives only now. The scheduler may have relied on
   // that, and no call tells the worker, so such a run may exist beside another one until it is found and stopped.
   bool WouldHaveRefused(const Worker& worker, const jobs::StartCall& call) const;
