Worker list: the bound of log lines holds at a clock that starts at 0, with a test

Cause: the window of a minute began anew on each row while the clock was at 0; the bound had no test. Fields with the start of a worker in answers had none.

--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -151,6 +151,9 @@
     const auto outcome = [](const HttpResult& answer) { return ReadStartAnswer(answer).m_outcome; };
     const jobs::StartReply runs = ReadStartAnswer(Answer(200, R"({"clockMs":482113})"));
     CPPUNIT_ASSERT(runs.m_outcome == StartOutcome::kAccepted && runs.m_clock == jobs::WorkerTime{482'113});
+    CPPUNIT_ASSERT(!runs.m_born);
+    CPPUNIT_ASSERT(ReadStartAnswer(Answer(200, R"({"clockMs":4,"born":1775519749021})")).m_born ==
+                   Instant{1'775'519'749'021});
     CPPUNIT_ASSERT(outcome(Answer(409, R"({"clockMs":1,"reason":"fence"})")) == StartOutcome::kFenced);
     CPPUNIT_ASSERT(outcome(Answer(409, R"({"reason":"old"})")) == StartOutcome::kStaleRun);
     CPPUNIT_ASSERT(outcome(Answer(409, R"({"reason":"late"})")) == StartOutcome::kLeaseExpired);
@@ -185,7 +188,11 @@
     CPPUNIT_ASSERT_EQUAL(std::string("0bb8"), reply.m_running.at(0).m_checkpoint);
     CPPUNIT_ASSERT(reply.m_ended.at(0).m_kind == jobs::EndKind::kDone && reply.m_ended.at(0).m_number == 58);
     CPPUNIT_ASSERT(reply.m_ended.at(1).m_kind == jobs::EndKind::kStopped && reply.m_ended.at(1).m_checkpoint == "c");
+    CPPUNIT_ASSERT(!reply.m_born);
+    const auto restarted = ReadLookAnswer(Answer(200, R"({"clockMs":4,"born":1775519749021})"));
+    CPPUNIT_ASSERT(Ok(restarted) && ValueOf(restarted).m_born == Instant{1'775'519'749'021});
     using jobs::PollFailure;
+    CPPUNIT_ASSERT(ErrorOf(ReadLookAnswer(Answer(200, R"({"clockMs":4,"born":"1"})"))) == PollFailure::kNoAnswer);
     CPPUNIT_ASSERT(ErrorOf(ReadLookAnswer(Answer(421))) == PollFailure::kOtherIncarnation);
     CPPUNIT_ASSERT(ErrorOf(ReadLookAnswer(Answer(409, R"({"reason":"fence"})"))) == PollFailure::kFenced);
     CPPUNIT_ASSERT(ErrorOf(ReadLookAnswer(Answer(503))) == PollFailure::kNoAnswer);
--- a/tests/platform/worker_rows_test.cc
+++ b/tests/platform/worker_rows_test.cc
@@ -113,6 +113,10 @@
     // Counted beyond the lines of a minute, too.
     for (int i = 0; i < 100; ++i) m_rows.Read(Row("w" + std::to_string(i), "garbled", 3));
     CPPUNIT_ASSERT_EQUAL(102.0, Unusable());
+    CPPUNIT_ASSERT_EQUAL(102 - WorkerRowSettings{}.m_lines_per_minute, m_rows.LinesLeftOut());
+    m_clock.Set(Instant{60'000});
+    m_rows.Read(Row("w", "garbled", 4));
+    CPPUNIT_ASSERT_EQUAL(0, m_rows.LinesLeftOut());
   }
 
   void BadRowsLeaveOthersValid() {
