Restarts: the end of a lease proves less while a late start may arrive

Change: while such runs are not settled, the lease that is waited for counts from the latest arrival of a start, m_max_start_delay after the restart.

--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -362,6 +362,8 @@
   session->m_established = true;
   m_scheduler->SetWorkerUsable(id, true);
   m_scheduler->OnPollReply(id, reply, sent, Time());
+  if (incarnation != session->m_incarnation && m_scheduler->IsBusy(id))
+    session->m_lease_end = LatestLeaseEnd(m_clock->Now() + m_settings.m_max_start_delay);
   m_events.m_changed();
 }
 
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -36,6 +36,9 @@
   Millis m_unstored_poll_delay{300};  // Between polls while ended tasks are not stored yet.
   double m_clock_drift = 0.02;        // Share by which workers' clocks may be slow.
   Millis m_clock_slack{100};          // Added to the end of every lease that is waited for.
+  // A start may arrive this much after it was sent. Only after a restart it is then still executed: its lease is in the
+  // clock of the earlier incarnation. Longer than a connection is kept without an answer.
+  Millis m_max_start_delay{20'000};
   Millis m_list_interval{1'000};  // Between requests for the ids of live workers, while a busy worker is unreachable.
   Millis m_list_max_lag{3'000};   // An incarnation younger than this may be missing from the list.
   Millis m_list_timeout{1'500};   // Of the whole list.
