--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "hickoryquay/jobs/incarnation.h"
 #include "hickoryquay/jobs/job.h"
 #include "hickoryquay/jobs/units.h"
 
@@ -19,6 +20,8 @@
   bool m_evacuated = false;             // Its failure domain is evacuated: nothing new may be sent to it.
   std::optional<Instant> m_returns_at;  // Steady time from which it is used again after an evacuation.
   Instant m_cold_until;                 // Steady time until which it is slow after its start.
+  Instant m_born;         // Wall time of the start of the incarnation that answers, as it reports; 0: never reported.
+  int m_incarnation = 0;  // Counts the restarts under its id.
   Resources m_free;
   UnitMemberSet m_members;             // Members that have resources allocated here.
   std::int64_t m_processed_ends = 0;   // Number of the last end that was processed.
@@ -29,7 +32,13 @@
   Instant m_avoid_until;               // Steady time until which nothing new is placed here.
   WorkerSpeed m_speed;
 
-  bool IsSchedulable() const { return m_listed && m_usable && !m_entry.m_draining && !m_evacuated && !m_returns_at; }
+  // The entry describes the incarnation that answers, which may be of another kind than the one before.
+  bool IsDescribed() const { return CompareRow(m_born, m_entry.m_born) == RowIncarnation::kCurrent; }
+  bool IsSchedulable() const {
+    return m_listed && m_usable && !m_entry.m_draining && IsDescribed() && !m_evacuated && !m_returns_at;
+  }
+
+  void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
 };
 
 // The address of a slot is stable until the slot is erased.
