hqbench jobs: patterns of scarce room and competing accounts

Cause: no pattern has workers that run out of cores or memory before accelerators, an account that floods, or a queue of 10,000 waiting tasks, so that changes for them can't be measured. Change: patterns one-account-floods, all-accounts-burst, scarce-cores, scarce-memory and deep-queue (24 accounts).

--- a/bench/jobs/bound.cc
+++ b/bench/jobs/bound.cc
@@ -1,6 +1,8 @@
 // The bound is a flow of work from jobs to seconds of the day: each unit of a job's work that falls before its
 // objective earns its share of the job's worth, later ones their share of what a late job is worth. The most profitable
 // flow is found as one of least cost, where cost is what a unit falls short of the most precious one.
+// Each resource alone gives a valid bound. The lower one of accelerators and of the resource that the day asks most of
+// is taken; days that ask most of accelerators need only one flow.
 
 #include <algorithm>
 #include <boost/graph/adjacency_list.hpp>
@@ -52,34 +54,51 @@
   Graph m_graph;
 };
 
-// Of a job, in accelerator-milliseconds on a worker of speed 1.
+// Amount of one resource.
+using Dimension = std::int64_t (*)(const Resources&);
+constexpr Dimension kDimensions[] = {[](const Resources& r) -> std::int64_t { return r.m_accelerators; },
+                                     [](const Resources& r) { return r.m_millicores; },
+                                     [](const Resources& r) { return r.m_memory_mb; }};
+
+// Of a job, in milliseconds of one unit of a resource on a worker of speed 1.
 struct Work {
   std::int64_t m_total = 0;
   std::int64_t m_per_bucket = 0;  // The most that fits into one bucket, all tasks on the fastest workers.
 };
 
-Work WorkOf(const DayJob& planned, double fastest) {
+Work WorkOf(const DayJob& planned, double fastest, Dimension dimension) {
   Work work;
   for (const auto& truth : planned.m_truths) {
     std::int64_t widest = 0;
-    for (const Millis task : truth.m_work) work.m_total += task.count() * truth.m_spec.m_task.m_accelerators;
-    widest = static_cast<std::int64_t>(truth.m_work.size()) * truth.m_spec.m_task.m_accelerators;
+    for (const Millis task : truth.m_work) work.m_total += task.count() * dimension(truth.m_spec.m_task);
+    widest = static_cast<std::int64_t>(truth.m_work.size()) * dimension(truth.m_spec.m_task);
     work.m_per_bucket =
         std::max(work.m_per_bucket, static_cast<std::int64_t>(static_cast<double>(widest * kBucketMs) * fastest));
   }
   return work;
 }
 
-}  // namespace
-
-double UpperBound(const DayLoad& day) {
-  double speeds = 0.0;
-  double fastest = 0.0;
+double CapacityPerMilli(const DayLoad& day, Dimension dimension) {
+  double capacity = 0.0;
   for (const auto& worker : day.m_workers) {
-    speeds += worker.m_speed * worker.m_entry.m_capacity.m_accelerators;
-    fastest = std::max(fastest, worker.m_speed);
+    capacity += worker.m_speed * static_cast<double>(dimension(worker.m_entry.m_capacity));
+  }
+  return capacity;
+}
+
+// Time in milliseconds that the owed work takes if it uses all of the resource.
+double TimeOf(const DayLoad& day, Dimension dimension) {
+  std::int64_t total = 0;
+  for (const DayJob& planned : day.m_jobs) {
+    if (!planned.m_cancel_at) total += WorkOf(planned, 1.0, dimension).m_total;
   }
-  const auto bucket_capacity = static_cast<std::int64_t>(speeds * kBucketMs);
+  return static_cast<double>(total) / std::max(1.0, CapacityPerMilli(day, dimension));
+}
+
+double UpperBoundOf(const DayLoad& day, Dimension dimension) {
+  double fastest = 0.0;
+  for (const auto& worker : day.m_workers) fastest = std::max(fastest, worker.m_speed);
+  const auto bucket_capacity = static_cast<std::int64_t>(CapacityPerMilli(day, dimension) * kBucketMs);
   const std::int64_t buckets = (day.m_arrivals + day.m_after).count() / kBucketMs;
   std::vector<const DayJob*> owed;
   double most = 0.0;  // Worth of the most precious unit of work.
@@ -88,8 +107,8 @@
     if (planned.m_cancel_at) continue;
     owed.push_back(&planned);
     all += planned.m_worth;
-    most = std::max(most,
-                    planned.m_worth / static_cast<double>(std::max<std::int64_t>(1, WorkOf(planned, fastest).m_total)));
+    most = std::max(most, planned.m_worth / static_cast<double>(std::max<std::int64_t>(
+                                                1, WorkOf(planned, fastest, dimension).m_total)));
   }
   if (owed.empty()) return 1.0;
   const std::size_t source = 0;
@@ -102,7 +121,7 @@
   double total = 0.0;
   for (std::size_t i = 0; i < owed.size(); ++i) {
     const DayJob& planned = *owed[i];
-    const Work work = WorkOf(planned, fastest);
+    const Work work = WorkOf(planned, fastest, dimension);
     const double units = static_cast<double>(std::max<std::int64_t>(1, work.m_total));
     total += units;
     flow.Add(source, job_vertex(i), work.m_total, 0);
@@ -120,4 +139,15 @@
   return std::min(1.0, earned / all);
 }
 
+}  // namespace
+
+double UpperBound(const DayLoad& day) {
+  const Dimension accelerators = kDimensions[0];
+  const Dimension scarcest =
+      *std::max_element(std::begin(kDimensions), std::end(kDimensions),
+                        [&](Dimension a, Dimension b) { return TimeOf(day, a) < TimeOf(day, b); });
+  const double bound = UpperBoundOf(day, accelerators);
+  return scarcest == accelerators ? bound : std::min(bound, UpperBoundOf(day, scarcest));
+}
+
 }  // namespace hickoryquay::bench
--- a/bench/jobs/jobs_experiment.cc
+++ b/bench/jobs/jobs_experiment.cc
@@ -158,6 +158,7 @@
   json["lost"] = Mean(rows, [](const Row& row) { return row.m_worth.m_lost; });
   json["used"] = Mean(rows, [](const Row& row) { return row.m_result.m_used; });
   json["decide_us"] = Mean(rows, [](const Row& row) { return row.m_result.m_decide_us; });
+  json["p99_decide_us"] = Mean(rows, [](const Row& row) { return row.m_result.m_p99_decide_us; });
   json["slowest_decide_us"] = Mean(rows, [](const Row& row) { return row.m_result.m_slowest_decide_us; });
   if (arguments.m_format == "json") {
     std::cout << boost::json::serialize(json) << std::endl;
--- a/bench/jobs/load.cc
+++ b/bench/jobs/load.cc
@@ -139,7 +139,8 @@
     job.m_id = JobId{static_cast<std::uint64_t>(m_day->m_jobs.size()) + 1};
     job.m_queue = queue.m_queue.m_name;
     const double which = std::uniform_real_distribution<>(0.0, 1.0)(m_random);
-    job.m_account = m_day->m_accounts[static_cast<std::size_t>(which * which * kAccounts)].m_id;  // A few large ones.
+    const auto accounts = static_cast<double>(m_day->m_accounts.size());
+    job.m_account = m_day->m_accounts[static_cast<std::size_t>(which * which * accounts)].m_id;  // A few large ones.
     job.m_accepted = at;
     job.m_pool = queue.m_queue.m_pool;
     job.m_priority = queue.m_queue.m_priority;
@@ -204,8 +205,10 @@
     spec.m_checkpoints = Chance(&m_random, queue.m_checkpoints);
     if (index > 0) spec.m_after = {index - 1};
     // A rack-local gang that no rack can hold would be wider than its caller may hope for.
+    const Resources& worker = m_day->m_workers.front().m_entry.m_capacity;
     const int of_worker =
-        std::min<int>(kAccelerators / accelerators, static_cast<int>(kMillicores / queue.m_millicores));
+        static_cast<int>(std::min({static_cast<std::int64_t>(worker.m_accelerators / accelerators),
+                                   worker.m_millicores / queue.m_millicores, worker.m_memory_mb / queue.m_memory_mb}));
     if (spec.m_rack_local) spec.m_tasks = std::min(spec.m_tasks, of_worker * kWorkersPerRack);
     const double mean = std::min(queue.m_max_work_ms, LogNormal(&m_random, queue.m_mean_work_ms, queue.m_work_spread));
     for (int i = 0; i < spec.m_tasks; ++i) {
@@ -246,6 +249,74 @@
   }
 }
 
+// Resources of laurentine-prets-grown: two large tasks fill a worker's cores and leave most of its accelerators idle.
+void MakeCoresScarce(DayLoad* day) {
+  for (auto& worker : day->m_workers) worker.m_entry.m_capacity = Resources{kAccelerators, 128'000, 262'144};
+  QueueLoad& urgent = day->m_queues[0];
+  urgent.m_per_second *= 1.9;
+  urgent.m_accelerators = {1, 2, 2, 4};
+  urgent.m_millicores = 15'000;
+  urgent.m_memory_mb = 20'000;
+  QueueLoad& large = day->m_queues[1];
+  large.m_per_second *= 2.5;
+  large.m_accelerators = {1};
+  large.m_millicores = 52'000;
+  large.m_memory_mb = 60'000;
+  QueueLoad& batch = day->m_queues[2];
+  batch.m_per_second *= 1.9;
+  batch.m_millicores = 11'200;
+}
+
+// Resources of gan-lisboa-grown: one large task fills most of a worker's memory.
+void MakeMemoryScarce(DayLoad* day) {
+  for (auto& worker : day->m_workers) worker.m_entry.m_capacity = Resources{kAccelerators, kMillicores, 262'144};
+  QueueLoad& urgent = day->m_queues[0];
+  urgent.m_per_second *= 1.9;
+  urgent.m_accelerators = {1, 2, 2, 4};
+  urgent.m_memory_mb = 39'000;
+  QueueLoad& large = day->m_queues[1];
+  large.m_per_second *= 1.6;
+  large.m_max_tasks = 16;
+  large.m_accelerators = {1, 2};
+  large.m_memory_mb = 140'000;
+  QueueLoad& batch = day->m_queues[2];
+  batch.m_per_second *= 1.9;
+  batch.m_memory_mb = 22'000;
+}
+
+// One account adds as much work of the lower priorities as all accounts together send, for half of the day.
+void FloodFromOneAccount(DayLoad* day, Draw* draw) {
+  const std::size_t before = day->m_jobs.size();
+  for (Instant from{6'000}; from < Instant{26'000}; from = from + kBurst) {
+    AddBurst(draw, day->m_queues[1], from, 1.0);
+    AddBurst(draw, day->m_queues[2], from, 1.0);
+  }
+  for (std::size_t i = before; i < day->m_jobs.size(); ++i) day->m_jobs[i].m_job.m_account = AccountId{"account-0"};
+}
+
+void BurstFromAllAccounts(DayLoad* day, Draw* draw) {
+  for (const QueueLoad& queue : day->m_queues) AddBurst(draw, queue, Instant{10'000}, 2.5);
+}
+
+// Nine tasks for each worker (10,000 at 1,100 workers) of all queues wait at once, from 24 accounts.
+void FillQueueAtOnce(DayLoad* day, Draw* draw) {
+  constexpr std::size_t kManyAccounts = 24;
+  constexpr std::size_t kTasksPerWorker = 9;
+  const int guaranteed =
+      day->m_accounts.front().m_guaranteed_accelerators * kAccounts / static_cast<int>(kManyAccounts);
+  day->m_accounts.resize(kManyAccounts);
+  for (std::size_t i = 0; i < kManyAccounts; ++i) {
+    day->m_accounts[i].m_id = AccountId{"account-" + std::to_string(i)};
+    day->m_accounts[i].m_guaranteed_accelerators = guaranteed;
+  }
+  std::size_t tasks = 0;
+  while (tasks < kTasksPerWorker * day->m_workers.size()) {
+    const QueueLoad& queue = day->m_queues[day->m_jobs.size() % day->m_queues.size()];
+    draw->AddJob(queue, Instant{8'000 + static_cast<std::int64_t>(tasks % 1'000)});
+    for (const auto& truth : day->m_jobs.back().m_truths) tasks += truth.m_work.size();
+  }
+}
+
 struct Pattern {
   const char* m_name;
   const char* m_summary;
@@ -321,6 +392,11 @@
          planned.m_cancel_at = at + Millis{std::uniform_int_distribution<>(100, 900)(draw->Source())};
        }
      }},
+    {"one-account-floods", "one client account doubles the work of lower priorities", nullptr, &FloodFromOneAccount},
+    {"all-accounts-burst", "all client accounts send more to all queues at once", nullptr, &BurstFromAllAccounts},
+    {"scarce-cores", "workers run out of cores before accelerators", &MakeCoresScarce, nullptr},
+    {"scarce-memory", "workers run out of memory before accelerators", &MakeMemoryScarce, nullptr},
+    {"deep-queue", "nine tasks for each worker wait at once, from 24 client accounts", nullptr, &FillQueueAtOnce},
 };
 
 }  // namespace
--- a/bench/jobs/trial.cc
+++ b/bench/jobs/trial.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <numeric>
 
 #include "hickoryquay/base/metrics.h"
 #include "hickoryquay/base/timer_service.h"
@@ -64,7 +65,7 @@
     m_result.m_preemptions = m_scheduler.Counts().m_preemptions;
     m_result.m_starts = m_workers->Starts();
     if (m_samples > 0) m_result.m_used /= m_samples;
-    if (m_decisions > 0) m_result.m_decide_us /= m_decisions;
+    SummariseDecisions();
     return std::move(m_result);
   }
 
@@ -134,6 +135,15 @@
         static_cast<double>(m_workers->UsedAccelerators()) / std::max(1, m_scheduler.Counts().m_accelerators);
   }
 
+  void SummariseDecisions() {
+    if (m_decide_us.empty()) return;
+    std::sort(m_decide_us.begin(), m_decide_us.end());
+    const double sum = std::accumulate(m_decide_us.begin(), m_decide_us.end(), 0.0);
+    m_result.m_decide_us = sum / static_cast<double>(m_decide_us.size());
+    m_result.m_p99_decide_us = m_decide_us[(m_decide_us.size() - 1) * 99 / 100];
+    m_result.m_slowest_decide_us = m_decide_us.back();
+  }
+
   void Kick() {
     if (m_kick.Active()) return;
     m_kick = m_timers.After(Millis{0}, [this] { Work(); });
@@ -143,10 +153,8 @@
     m_kick.Cancel();
     const auto begin = std::chrono::steady_clock::now();
     m_scheduler.Decide(Time());
-    const double took = std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin).count();
-    m_result.m_decide_us += took;
-    m_result.m_slowest_decide_us = std::max(m_result.m_slowest_decide_us, took);
-    ++m_decisions;
+    const auto took = std::chrono::steady_clock::now() - begin;
+    m_decide_us.push_back(std::chrono::duration<double, std::micro>(took).count());
     for (const jobs::StopCommand& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
     for (const jobs::StartCommand& start : m_scheduler.TakeResends()) m_sessions->Send(start);
     if (!m_storing) {
@@ -187,7 +195,7 @@
   Instant m_from;
   bool m_storing = false;
   int m_samples = 0;
-  int m_decisions = 0;
+  std::vector<double> m_decide_us;
   TrialResult m_result;
   Subscription m_tick;
   Subscription m_kick;
--- a/bench/jobs/trial.h
+++ b/bench/jobs/trial.h
@@ -34,6 +34,7 @@
   int m_starts = 0;
   double m_used = 0.0;               // Mean share of accelerators that tasks held while jobs came.
   double m_decide_us = 0.0;          // Mean of one Decide, by the wall clock.
+  double m_p99_decide_us = 0.0;      // By the wall clock, 99th percentile.
   double m_slowest_decide_us = 0.0;  // By the wall clock.
   std::vector<std::string> m_violations;
 };
@@ -59,8 +60,8 @@
 
 Worth Judge(const DayLoad& day, const TrialResult& result);
 
-// The share of the owed worth that no scheduler can exceed: all work known beforehand, accelerators one pool that can
-// be divided and taken back at no cost, and unfinished jobs earning their part.
+// The share of the owed worth that no scheduler can exceed: all work known beforehand, accelerators (and cores, memory)
+// one pool that can be divided and taken back at no cost, and unfinished jobs earning their part.
 double UpperBound(const DayLoad& day);
 
 }  // namespace hickoryquay::bench
