--- a/bench/jobs/trial.cc
+++ b/bench/jobs/trial.cc
@@ -1,7 +1,8 @@
 #include "bench/jobs/trial.h"
 
 #include <algorithm>
-#include <chrono>
+#include <ctime>
+#include <numeric>
 
 #include "hickoryquay/base/metrics.h"
 #include "hickoryquay/base/timer_service.h"
@@ -19,6 +20,13 @@
 constexpr Instant kBeginning{1'000'000};  // Of a day: leases are counted from before it.
 constexpr Millis kSettle{1'000};          // For sessions to be established.
 
+// Processor time of this thread. Wall time also counts other processes and the threads that play other days.
+double ThreadMicros() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+}
+
 class Trial {
  public:
   Trial(const DayLoad& day, const TrialSettings& settings)
@@ -64,7 +72,7 @@
     m_result.m_preemptions = m_scheduler.Counts().m_preemptions;
     m_result.m_starts = m_workers->Starts();
     if (m_samples > 0) m_result.m_used /= m_samples;
-    if (m_decisions > 0) m_result.m_decide_us /= m_decisions;
+    SummariseDecisions();
     return std::move(m_result);
   }
 
@@ -134,6 +142,15 @@
         static_cast<double>(m_workers->UsedAccelerators()) / std::max(1, m_scheduler.Counts().m_accelerators);
   }
 
+  void SummariseDecisions() {
+    if (m_decide_us.empty()) return;
+    std::sort(m_decide_us.begin(), m_decide_us.end());
+    const double sum = std::accumulate(m_decide_us.begin(), m_decide_us.end(), 0.0);
+    m_result.m_decide_us = sum / static_cast<double>(m_decide_us.size());
+    m_result.m_p99_decide_us = m_decide_us[(m_decide_us.size() - 1) * 99 / 100];
+    m_result.m_slowest_decide_us = m_decide_us.back();
+  }
+
   void Kick() {
     if (m_kick.Active()) return;
     m_kick = m_timers.After(Millis{0}, [this] { Work(); });
@@ -141,12 +158,9 @@
 
   void Work() {
     m_kick.Cancel();
-    const auto begin = std::chrono::steady_clock::now();
+    const double begin_us = ThreadMicros();
     m_scheduler.Decide(Time());
-    const double took = std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin).count();
-    m_result.m_decide_us += took;
-    m_result.m_slowest_decide_us = std::max(m_result.m_slowest_decide_us, took);
-    ++m_decisions;
+    m_decide_us.push_back(ThreadMicros() - begin_us);
     for (const jobs::StopCommand& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
     for (const jobs::StartCommand& start : m_scheduler.TakeResends(m_clock.Now())) m_sessions->Send(start);
     if (!m_storing) {
@@ -186,7 +200,7 @@
   Instant m_from;
   bool m_storing = false;
   int m_samples = 0;
-  int m_decisions = 0;
+  std::vector<double> m_decide_us;
   TrialResult m_result;
   Subscription m_tick;
   Subscription m_kick;
