Scheduler: single tasks measure unknown workers of an uneven pool

Cause: workers that never had a task are unknown when urgent work arrives. Change: in an uneven pool, single tasks of lower priority take wholly free workers that were never measured, one each, until nine tenths are measured, at most a quarter of the free workers at a time. Work that may miss its own objective takes the best chance.

--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -251,8 +251,10 @@
       if (now.m_wall + Millis{remote_ms} < deadline) return false;  // There is time to wait for the rack of the data.
     }
   }
-  const auto chosen = ChooseFor(*unit, Flatten(racks), now).m_slots;
-  return !chosen.empty() && PlaceOn(unit, chosen, now);
+  const Choice chosen = ChooseFor(*unit, Flatten(racks), now);
+  if (chosen.m_slots.empty()) return false;
+  if (chosen.m_rank < 0) --m_paces[unit->m_step->m_job->m_job.m_pool].m_probes;
+  return PlaceOn(unit, chosen.m_slots, now);
 }
 
 bool Scheduler::PlaceOn(Unit* unit, const std::vector<WorkerSlot*>& slots, Now now) {
--- a/hickoryquay/jobs/worker_choice.cc
+++ b/hickoryquay/jobs/worker_choice.cc
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr int kProbeRank = -1;  // An unknown worker that a single task measures.
+
 struct Option {
   WorkerSlot* m_slot = nullptr;
   int m_times = 0;
@@ -23,14 +25,16 @@
 }
 
 // Lower ranks are preferred. Urgent work takes the best chance. Other work leaves fast workers free: it takes those
-// that are too slow for urgent work first, then unknown ones, if its own objective allows that.
+// that are too slow for urgent work first, then unknown ones, if its own objective allows that; where it does not, the
+// best chance.
 int RankOf(const ChoiceInput& input, const LogBelief& speed, const ChoiceSettings& settings) {
   if (!input.m_pace.m_uneven) return 0;
   const double chance =
       ChanceToMeet(input.m_estimate, input.m_budget, speed, settings.m_duration_spread, settings.m_duration_bias);
   if (input.m_priority == 0) return static_cast<int>(std::lround((1.0 - chance) / settings.m_chance_step));
-  enum Tier { kTooSlowForUrgent, kUnknown, kFast, kMissesObjective };
-  if (chance < settings.m_enough_chance && input.m_budget > Millis{0}) return kMissesObjective;
+  enum Tier { kTooSlowForUrgent, kUnknown, kFast, kMayMiss };
+  if (chance < settings.m_enough_chance && input.m_budget > Millis{0})
+    return kMayMiss + static_cast<int>(std::lround((settings.m_enough_chance - chance) / settings.m_chance_step));
   if (speed.m_mean < input.m_pace.m_too_slow) return kTooSlowForUrgent;
   const double known = settings.m_speed.m_known_spread * settings.m_speed.m_known_spread;
   return speed.m_variance >= known ? kUnknown : kFast;
@@ -44,12 +48,20 @@
   pace.m_too_slow = -std::log(std::max(1.0, tightest_stretch));
   int measured = 0;
   int slow = 0;
+  int free = 0;
+  int probed = 0;
   for (const WorkerSlot* slot : workers) {
-    if (!slot->m_speed.IsMeasured(now, settings.m_speed)) continue;
+    if (slot->m_members.empty()) ++free;
+    if (!slot->m_speed.IsMeasured(now, settings.m_speed)) {
+      if (slot->m_members.size() == 1) ++probed;
+      continue;
+    }
     ++measured;
     if (slot->m_speed.At(now, settings.m_speed).m_mean < pace.m_too_slow) ++slow;
   }
   pace.m_uneven = slow >= settings.m_min_slow_workers && slow >= settings.m_min_slow_share * measured;
+  const bool measures = pace.m_uneven && measured < settings.m_enough_measured * static_cast<double>(workers.size());
+  if (measures) pace.m_probes = std::max(0, static_cast<int>(settings.m_max_probed_share * free) - probed);
   return pace;
 }
 
@@ -74,12 +86,18 @@
   const Unit& unit = *input.m_unit;
   // At equal rank and room, urgent work prefers fast workers, batch work slow ones.
   const double sign = input.m_priority == 0 ? -1.0 : input.m_priority == 1 ? 0.0 : 1.0;
+  const bool probes = input.m_pace.m_probes > 0 && input.m_priority > 0 && unit.m_members.size() == 1;
   std::vector<Option> options;
   for (WorkerSlot* slot : candidates) {
     if (slot->m_reserved_for != nullptr && slot->m_reserved_for != &unit) continue;
     if (input.m_now < slot->m_avoid_until) continue;
     const int times = LimitPerWorker(*slot, unit, CountFitting(slot->m_free, unit.m_step->m_spec->m_task));
     if (times <= 0) continue;
+    const bool probe = probes && slot->m_members.empty() && !slot->m_speed.IsMeasured(input.m_now, settings.m_speed);
+    if (probe) {
+      options.push_back({slot, 1, kProbeRank, 0});
+      continue;
+    }
     const LogBelief speed = slot->m_speed.At(input.m_now, settings.m_speed);
     options.push_back({slot, times, RankOf(input, speed, settings),
                        static_cast<int>(std::lround(sign * speed.m_mean / settings.m_speed_step))});
@@ -92,7 +110,7 @@
   for (const Option& option : options) {
     for (int i = 0; i < option.m_times && choice.m_slots.size() < unit.m_members.size(); ++i) {
       choice.m_slots.push_back(option.m_slot);
-      choice.m_rank = std::max(choice.m_rank, option.m_rank);
+      choice.m_rank = choice.m_slots.size() == 1 ? option.m_rank : std::max(choice.m_rank, option.m_rank);
     }
   }
   if (choice.m_slots.size() < unit.m_members.size()) return {};
--- a/hickoryquay/jobs/worker_choice.h
+++ b/hickoryquay/jobs/worker_choice.h
@@ -14,16 +14,19 @@
   // above 1, and starts take time. Both are of the logarithm.
   double m_duration_spread = 0.35;
   double m_duration_bias = 0.3;
-  double m_chance_step = 0.1;     // Smaller differences in chance are ignored, so that packing decides.
-  double m_enough_chance = 0.75;  // A worker with at least this chance is good enough for work of lower priority.
-  double m_speed_step = 0.1;      // Resolution of log(speed) among workers that are equal otherwise.
-  int m_min_slow_workers = 3;     // A pool with fewer workers that are too slow counts as even.
-  double m_min_slow_share = 0.1;  // As above, of its measured workers.
+  double m_chance_step = 0.1;        // Smaller differences in chance are ignored, so that packing decides.
+  double m_enough_chance = 0.75;     // A worker with at least this chance is good enough for work of lower priority.
+  double m_speed_step = 0.1;         // Resolution of log(speed) among workers that are equal otherwise.
+  int m_min_slow_workers = 3;        // A pool with fewer workers that are too slow counts as even.
+  double m_min_slow_share = 0.1;     // As above, of its measured workers.
+  double m_enough_measured = 0.9;    // Share of the pool's workers above which no more are measured on purpose.
+  double m_max_probed_share = 0.25;  // Of the wholly free workers, that may be measured on purpose at the same time.
 };
 
 // The workers of a pool as seen by its tightest queue, the one of priority 0 with the least stretch.
 struct PoolPace {
   bool m_uneven = false;    // Some workers are too slow for the tightest queue.
+  int m_probes = 0;         // Workers that may still be measured on purpose.
   double m_too_slow = 0.0;  // Logarithm of the speed below which a worker is too slow.
 };
 PoolPace JudgePool(const std::vector<const WorkerSlot*>& workers, double tightest_stretch, Instant now,
