Tests: guarantees that are not reclaimed in time

Nine ways in which a unit of priority 0 within its account's guarantee begins late, as one test each in virtual time: hypotheses 1 to 7 of docs/design/hard-load.md, part 4, and two found while reading: tasks of a step are reclaimed one after another (8), and a reservation takes whole workers (9).

--- /dev/null
+++ b/tests/jobs/reclaim_test.cc
@@ -0,0 +1,346 @@
+// Guarantees are reclaimed in time: a job of priority 0 within its account's guarantee begins within the bound,
+// whatever else fills the workers. One test for each way in which the bound was missed.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "hickoryquay/jobs/scheduler.h"
+#include "hickoryquay/store/row_store.h"
+
+namespace hickoryquay::jobs {
+namespace {
+
+constexpr Millis kTick{10};
+constexpr Millis kEstimate{20'000};  // Of all tasks. They run until they are stopped.
+constexpr Millis kShortStop{200};
+constexpr Millis kLongStop{900};
+const PoolName kPool{"pool"};
+const AccountId kOwner{"owner"};
+const AccountId kOther{"other"};
+
+// Time within which a guaranteed unit begins, by the time that a stop takes: the bounds of the two deployments.
+Millis Bound(Millis stop) {
+  return stop == kShortStop ? Millis{2'700} : Millis{3'400};
+}
+
+struct FakeWorker {
+  struct Run {
+    Instant m_began;
+    std::optional<Instant> m_ends;
+  };
+  std::map<std::pair<TaskKey, RunNumber>, Run> m_runs;
+  std::vector<EndedTask> m_ends;
+  std::int64_t m_number = 0;
+  bool m_slow = false;           // Its runs make no progress.
+  bool m_refuses = false;        // It refuses starts.
+  bool m_ignores_stops = false;  // Nor does it answer them.
+};
+
+// The scheduler with workers in virtual time. Rows are stored at once, workers are polled on each tick, and lower
+// priorities may fill all workers.
+class Rig {
+ public:
+  explicit Rig(Millis stop) : m_stop(stop) {
+    SchedulerSettings settings;
+    settings.m_stop_timeout = stop;
+    settings.m_min_free_share = settings.m_min_free_share_batch = settings.m_min_free_share_tight = 0.0;
+    m_scheduler = std::make_unique<Scheduler>(settings);
+  }
+
+  void Guarantee(int owner, int other) {
+    auto configuration = std::make_shared<QueueConfiguration>();
+    configuration->m_accounts = {{kOwner, {}, owner}, {kOther, {}, other}};
+    m_scheduler->SetConfiguration(configuration);
+  }
+
+  FakeWorker& AddWorker(const std::string& name, const std::string& rack = "r") {
+    WorkerEntry entry;
+    entry.m_id = WorkerId{name};
+    entry.m_pool = kPool;
+    entry.m_rack = rack;
+    entry.m_address = "10.0.0.1:80";
+    entry.m_capacity = Resources{8, 64'000, 64'000};
+    m_scheduler->OnWorkerListed(entry, Time());
+    m_scheduler->SetWorkerUsable(entry.m_id, true);
+    return m_workers[entry.m_id];
+  }
+
+  static AcceptedJob Job(int id, const AccountId& account, int priority, int tasks, int accelerators) {
+    AcceptedJob job;
+    job.m_id = JobId{static_cast<std::uint64_t>(id)};
+    job.m_pool = kPool;
+    job.m_account = account;
+    job.m_priority = priority;
+    job.m_stretch = 1.5;
+    StepSpec step;
+    step.m_tasks = tasks;
+    step.m_task = Resources{accelerators, 1'000 * accelerators, 1'000};
+    step.m_estimate = kEstimate;
+    job.m_request.m_steps = {step};
+    return job;
+  }
+
+  void Submit(AcceptedJob job, Millis clock_ahead = Millis{0}) {
+    job.m_accepted = Time().m_wall + clock_ahead;
+    m_scheduler->OnJob(job, Time());
+  }
+
+  void Run(Millis span) {
+    for (const Instant end = m_now + span; m_now < end; m_now = m_now + kTick) Tick();
+  }
+
+  // Milliseconds until `tasks` tasks of the job run at the same time; more than `limit` if that does not happen by
+  // then.
+  Millis UntilBegun(int job, int tasks, Millis limit) {
+    const Instant from = m_now;
+    while (Running(job) < tasks && m_now - from <= limit) Run(kTick);
+    return m_now - from;
+  }
+
+  int Running(int job) const {
+    int running = 0;
+    for (const auto& [id, worker] : m_workers) {
+      for (const auto& [key, run] : worker.m_runs) running += Raw(key.first.m_step.m_job) == static_cast<unsigned>(job);
+    }
+    return running;
+  }
+
+  Scheduler& Get() { return *m_scheduler; }
+  Now Time() const { return {m_now, m_now}; }
+  FakeWorker& Worker(const std::string& name) { return m_workers.at(WorkerId{name}); }
+  std::string WorkerOf(int job) const {
+    for (const auto& [id, worker] : m_workers) {
+      for (const auto& [key, run] : worker.m_runs) {
+        if (Raw(key.first.m_step.m_job) == static_cast<unsigned>(job)) return id.m_value;
+      }
+    }
+    return {};
+  }
+
+ private:
+  void Tick() {
+    for (auto& [id, worker] : m_workers) Poll(id, &worker);
+    m_scheduler->Decide(Time());
+    const Batch batch = m_scheduler->TakeBatch(store::kMaxTransactionRows, store::kMaxTransactionBytes);
+    for (const StartCommand& start : batch.m_starts) {
+      if (!m_scheduler->MaySend(start)) continue;
+      FakeWorker& worker = m_workers[start.m_worker];
+      m_scheduler->OnStartSent(start, Time());
+      if (!worker.m_refuses) worker.m_runs[{start.m_task, start.m_run}] = {m_now, std::nullopt};
+      m_scheduler->OnStartAnswer(start, worker.m_refuses ? StartOutcome::kUnhealthy : StartOutcome::kAccepted, Time());
+    }
+    for (const StopCommand& stop : m_scheduler->TakeStops(Time())) {
+      FakeWorker& worker = m_workers[stop.m_worker];
+      const auto run = worker.m_runs.find({stop.m_task, stop.m_run});
+      if (!worker.m_ignores_stops && run != worker.m_runs.end() && !run->second.m_ends)
+        run->second.m_ends = m_now + m_stop;
+      const auto outcome = worker.m_ignores_stops ? StopOutcome::kNoAnswer : StopOutcome::kStopping;
+      m_scheduler->OnStopAnswer(stop, outcome, Time());
+    }
+  }
+
+  void Poll(const WorkerId& id, FakeWorker* worker) {
+    PollReply reply;
+    for (auto run = worker->m_runs.begin(); run != worker->m_runs.end();) {
+      const auto& [key, state] = *run;
+      if (state.m_ends && *state.m_ends <= m_now) {
+        reply.m_ended.push_back({++worker->m_number, key.first, key.second, EndKind::kStopped, {}});
+        run = worker->m_runs.erase(run);
+        continue;
+      }
+      const auto percent =
+          static_cast<int>(std::min<std::int64_t>(100, 100 * (m_now - state.m_began).count() / kEstimate.count()));
+      reply.m_running.push_back({key.first, key.second, {}, worker->m_slow ? 0 : percent});
+      ++run;
+    }
+    m_scheduler->OnPollReply(id, reply, m_now - Millis{1}, Time());
+  }
+
+  Millis m_stop;
+  Instant m_now{1'000'000};
+  std::unique_ptr<Scheduler> m_scheduler;
+  std::map<WorkerId, FakeWorker> m_workers;
+};
+
+class ReclaimTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReclaimTest);
+  CPPUNIT_TEST(PlanUsesNoAvoidedWorker);
+  CPPUNIT_TEST(BorrowedUrgentWorkIsStopped);
+  CPPUNIT_TEST(GuaranteedUrgentWorkIsNotStopped);
+  CPPUNIT_TEST(GangSpansRacksAsSoonAsRoomIsFree);
+  CPPUNIT_TEST(UnansweredStopIsReplaced);
+  CPPUNIT_TEST(CostDoesNotDelayAGuarantee);
+  CPPUNIT_TEST(LaterStepsDoNotUseUpTheGuarantee);
+  CPPUNIT_TEST(ClockOfTheAcceptingInstanceDoesNotMatter);
+  CPPUNIT_TEST(TasksOfAStepAreReclaimedTogether);
+  CPPUNIT_TEST(JobsAreReclaimedOnTheSameWorkersTogether);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Hypothesis 1. Work was stopped on a worker that then took no start, again and again.
+  void PlanUsesNoAvoidedWorker() {
+    Rig rig(kShortStop);
+    rig.Guarantee(4, 0);
+    rig.AddWorker("a");
+    rig.Submit(Rig::Job(1, kOther, 2, 2, 4));
+    rig.Run(Millis{2'000});
+    rig.AddWorker("b");
+    rig.Submit(Rig::Job(2, kOther, 1, 2, 4));  // Younger than the work on a, so that it costs less.
+    rig.Run(Millis{100});
+    CPPUNIT_ASSERT_EQUAL(2, rig.Running(2));
+    rig.Worker("b").m_slow = true;
+    rig.Run(Millis{1'200});  // CheckPace finds it slow.
+    rig.Submit(Rig::Job(3, kOwner, 0, 1, 4));
+    CheckBegins(&rig, 3, 1, Bound(kShortStop));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), rig.WorkerOf(3));
+  }
+
+  // Hypothesis 2. An owner could not call on its guarantee while urgent work of another account had borrowed the room.
+  void BorrowedUrgentWorkIsStopped() {
+    Rig rig(kShortStop);
+    rig.Guarantee(8, 8);
+    rig.AddWorker("a");
+    rig.AddWorker("b");
+    rig.Submit(Rig::Job(1, kOther, 0, 1, 8));
+    rig.Run(Millis{500});
+    rig.Submit(Rig::Job(2, kOther, 0, 1, 8));
+    rig.Run(Millis{500});
+    CPPUNIT_ASSERT_EQUAL(1, rig.Running(2));
+    rig.Submit(Rig::Job(3, kOwner, 0, 1, 8));
+    CheckBegins(&rig, 3, 1, Bound(kShortStop));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("within the guarantee of its account", 1, rig.Running(1));
+  }
+
+  // Guards against the opposite fault of hypothesis 2.
+  void GuaranteedUrgentWorkIsNotStopped() {
+    Rig rig(kShortStop);
+    rig.Guarantee(8, 8);
+    rig.AddWorker("a");
+    rig.Submit(Rig::Job(1, kOther, 0, 1, 8));
+    rig.Run(Millis{500});
+    rig.Submit(Rig::Job(2, kOwner, 0, 1, 8));
+    rig.Run(Millis{5'000});
+    CPPUNIT_ASSERT_EQUAL(1, rig.Running(1));
+    CPPUNIT_ASSERT_EQUAL(0, rig.Running(2));
+  }
+
+  // Hypothesis 3. Room was made for a gang in two racks, but the gang was not placed there for another second.
+  void GangSpansRacksAsSoonAsRoomIsFree() {
+    Rig rig(kShortStop);
+    rig.Guarantee(8, 8);
+    rig.AddWorker("a", "r1");
+    rig.AddWorker("b", "r2");
+    AcceptedJob spread = Rig::Job(1, kOther, 0, 2, 4);
+    spread.m_request.m_steps[0].m_max_per_worker = 1;
+    rig.Submit(spread);
+    rig.Run(Millis{100});
+    rig.Submit(Rig::Job(2, kOther, 1, 2, 4));
+    rig.Run(Millis{2'000});
+    CPPUNIT_ASSERT_EQUAL(2, rig.Running(2));
+    AcceptedJob gang = Rig::Job(3, kOwner, 0, 2, 4);
+    gang.m_request.m_steps[0].m_gang = true;
+    gang.m_request.m_steps[0].m_rack_local = true;
+    rig.Submit(gang);
+    CheckBegins(&rig, 3, 2, kShortStop + Millis{300});
+  }
+
+  // Hypothesis 4. A stop that got no answer held up the unit, and the worker was chosen again afterwards.
+  void UnansweredStopIsReplaced() {
+    Rig rig(kLongStop);
+    rig.Guarantee(8, 0);
+    rig.AddWorker("a");
+    rig.Submit(Rig::Job(1, kOther, 2, 1, 8));
+    rig.Run(Millis{1'000});
+    rig.AddWorker("b");
+    rig.Submit(Rig::Job(2, kOther, 1, 1, 8));
+    rig.Run(Millis{500});
+    CPPUNIT_ASSERT_EQUAL(1, rig.Running(2));
+    rig.Worker("b").m_ignores_stops = true;
+    rig.Submit(Rig::Job(3, kOwner, 0, 1, 8));
+    CheckBegins(&rig, 3, 1, Bound(kLongStop));
+  }
+
+  // Hypothesis 5. Work that cost more than a limit was stopped for a guarantee only after a second.
+  void CostDoesNotDelayAGuarantee() {
+    Rig rig(kShortStop);
+    rig.Guarantee(8, 0);
+    rig.AddWorker("a");
+    rig.Submit(Rig::Job(1, kOther, 2, 1, 8));
+    rig.Run(Millis{60'000});
+    AcceptedJob job = Rig::Job(2, kOwner, 0, 1, 8);
+    job.m_request.m_steps[0].m_estimate = Millis{1'000};
+    rig.Submit(job);
+    CheckBegins(&rig, 2, 1, kShortStop + Millis{300});
+  }
+
+  // Hypothesis 6. A job whose steps run one after another counted with the sum of them.
+  void LaterStepsDoNotUseUpTheGuarantee() {
+    Rig rig(kShortStop);
+    rig.Guarantee(8, 0);
+    rig.AddWorker("a");
+    rig.Submit(Rig::Job(1, kOther, 2, 1, 8));
+    rig.Run(Millis{120'000});
+    AcceptedJob job = Rig::Job(2, kOwner, 0, 1, 8);
+    job.m_request.m_steps[0].m_estimate = Millis{1'000};
+    job.m_request.m_steps.push_back(job.m_request.m_steps[0]);
+    job.m_request.m_steps[1].m_after = {0};
+    rig.Submit(job);
+    CheckBegins(&rig, 2, 1, Bound(kShortStop));
+  }
+
+  // Hypothesis 7. The second of hypothesis 5 was counted by the difference of two machines' clocks.
+  void ClockOfTheAcceptingInstanceDoesNotMatter() {
+    Rig rig(kShortStop);
+    rig.Guarantee(8, 0);
+    rig.AddWorker("a");
+    rig.Submit(Rig::Job(1, kOther, 2, 1, 8));
+    rig.Run(Millis{60'000});
+    AcceptedJob job = Rig::Job(2, kOwner, 0, 1, 8);
+    job.m_request.m_steps[0].m_estimate = Millis{1'000};
+    rig.Submit(job, Millis{3'000});
+    CheckBegins(&rig, 2, 1, Bound(kShortStop));
+  }
+
+  // A preemption was made for one single task of a step at a time, each as long as a stop takes.
+  void TasksOfAStepAreReclaimedTogether() {
+    Rig rig(kLongStop);
+    rig.Guarantee(8, 0);
+    rig.AddWorker("a");
+    rig.AddWorker("b");
+    rig.Submit(Rig::Job(1, kOther, 1, 16, 1));
+    rig.Run(Millis{1'000});
+    rig.Submit(Rig::Job(2, kOwner, 0, 8, 1));
+    CheckBegins(&rig, 2, 8, Bound(kLongStop));
+  }
+
+  // A reservation took whole workers, so that further jobs of the account waited for one another's preemption.
+  void JobsAreReclaimedOnTheSameWorkersTogether() {
+    Rig rig(kLongStop);
+    rig.Guarantee(8, 0);
+    rig.AddWorker("a");
+    rig.Submit(Rig::Job(1, kOther, 1, 8, 1));
+    rig.Run(Millis{1'000});
+    for (int job = 2; job < 10; ++job) rig.Submit(Rig::Job(job, kOwner, 0, 1, 1));
+    rig.Run(Bound(kLongStop));
+    for (int job = 2; job < 10; ++job) CheckBegins(&rig, job, 1, Millis{0});
+  }
+
+ private:
+  static void CheckBegins(Rig* rig, int job, int tasks, Millis within) {
+    const Millis took = rig->UntilBegun(job, tasks, within);
+    const std::string message = std::to_string(rig->Running(job)) + " of " + std::to_string(tasks) + " tasks of job " +
+                                std::to_string(job) + " run after " + std::to_string(took.count()) + " ms";
+    CPPUNIT_ASSERT_MESSAGE(message, took <= within);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReclaimTest);
+
+}  // namespace
+}  // namespace hickoryquay::jobs
