Reclaim guarantees in time: preemption as a pure module

The changes share the planner, so they land together. - Planning and placing use one predicate (MayHost): no plan on workers that are avoided (1), and a gang spans racks as soon as no rack can hold it (3). - Guarantees counts the current steps of unfinished jobs (6). Urgent work beyond its own account's guarantee can be stopped for one within (2), after all lower priorities. Work within a guarantee is placed first. - Reservations that no longer lead to a start are dropped at once; stops that fail or are overdue are not relied on (4). - Cost chooses between plans for a guarantee and never forbids one (5), so that no wait is counted by another machine's clock (7). - Room is made for all units of a step at once (8), and a reservation takes room instead of whole workers (9). Beyond a guarantee a stop needs an objective that is met by it, and repeats at most twice the unit's own core-seconds; a unit that was stopped twice is stopped only for a guarantee. Prices are gone from comments and rules.

--- a/bench/jobs/jobs_experiment.cc
+++ b/bench/jobs/jobs_experiment.cc
@@ -10,6 +10,7 @@
 #include <iomanip>
 #include <iostream>
 #include <numeric>
+#include <set>
 #include <variant>
 
 #include "bench/experiment.h"
@@ -58,24 +59,30 @@
       {"keep-free-pressing", &jobs::SchedulerSettings::m_min_free_share_tight},
       {"pressing-slack", &jobs::SchedulerSettings::m_tight_slack_share},
       {"speed-step", &jobs::SchedulerSettings::m_speed_step},
-      {"spread-after", &jobs::SchedulerSettings::m_spread_after},
-      {"may-waste", &jobs::SchedulerSettings::m_max_lost_core_s},
-      {"may-waste-share", &jobs::SchedulerSettings::m_max_lost_share},
       {"leave-slack", &jobs::SchedulerSettings::m_leave_margin},
       {"doomed-part", &jobs::SchedulerSettings::m_evacuate_share},
       {"slow-pace", &jobs::SchedulerSettings::m_slow_pace_share},
-      {"avoid-slow", &jobs::SchedulerSettings::m_avoid_slow_for},
-      {"stop-timeout", &jobs::SchedulerSettings::m_stop_timeout}};
+      {"avoid-slow", &jobs::SchedulerSettings::m_avoid_slow_for}};
   return members;
 }
 
+// Further ones, in the settings of preemption.
+const std::set<std::string>& PreemptionSettable() {
+  static const std::set<std::string> names = {"repeated-share", "stop-timeout"};
+  return names;
+}
+
 // "NAME=VALUE", times in milliseconds. False where it isn't one.
 bool Apply(const std::string& assignment, jobs::SchedulerSettings* settings) {
   const std::size_t equals = assignment.find('=');
   const auto found = Settable().find(assignment.substr(0, equals));
   double value = 0.0;
-  if (equals == std::string::npos || found == Settable().end()) return false;
+  const std::string name = assignment.substr(0, equals);
+  if (equals == std::string::npos || (found == Settable().end() && !PreemptionSettable().contains(name))) return false;
   if (!boost::conversion::try_lexical_convert(assignment.substr(equals + 1), value)) return false;
+  if (name == "stop-timeout") settings->m_preemption.m_stop_timeout = Millis{static_cast<int>(value)};
+  if (name == "repeated-share") settings->m_preemption.m_max_repeated_share = value;
+  if (found == Settable().end()) return true;
   if (const auto* number = std::get_if<NumberMember>(&found->second)) settings->** number = value;
   if (const auto* time = std::get_if<TimeMember>(&found->second)) settings->** time = Millis{static_cast<int>(value)};
   if (const auto* count = std::get_if<CountMember>(&found->second)) settings->** count = static_cast<int>(value);
@@ -99,7 +106,7 @@
 
 jobs::SchedulerSettings SettingsOf(const Arguments& arguments) {
   jobs::SchedulerSettings settings;
-  settings.m_stop_timeout = Millis{500};  // Between those of the two deployments.
+  settings.m_preemption.m_stop_timeout = Millis{500};  // Between those of the two deployments.
   if (arguments.m_policy == "first-fit") {
     settings.m_order = &jobs::FirstComeFirstServed;
     settings.m_preempts = false;
@@ -203,6 +210,7 @@
   for (const auto& [name, summary] : Patterns()) patterns += "\n" + name + ": " + summary;
   std::string settable = "NAME=VALUE, a setting of the scheduler:";
   for (const auto& [name, member] : Settable()) settable += " " + name;
+  for (const std::string& name : PreemptionSettable()) settable += " " + name;
   options::options_description described("hqbench jobs");
   auto add = described.add_options();
   add("help", "show this");
--- a/bench/jobs/trial.cc
+++ b/bench/jobs/trial.cc
@@ -26,8 +26,8 @@
     m_clock.Set(kBeginning);
     standin::SimSettings workers;
     workers.m_random_seed = settings.m_seed;
-    workers.m_stop = settings.m_scheduler.m_stop_timeout;
-    workers.m_restore = settings.m_scheduler.m_restore;
+    workers.m_stop = settings.m_scheduler.m_preemption.m_stop_timeout;
+    workers.m_restore = settings.m_scheduler.m_preemption.m_restore;
     workers.m_remote_factor = settings.m_scheduler.m_remote_factor;
     m_workers = std::make_unique<standin::SimWorkers>(&m_timers, &m_clock, workers);
     for (const auto& worker : day.m_workers) {
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -208,12 +208,10 @@
   for (const JobId id : jobs) {
     JobState* job = Find(id);
     if (job == nullptr) continue;
-    for (const auto& [worker, slot] : m_workers.All()) {  // A job may be cancelled while room is made for it.
-      const Unit* reserved = slot->m_reserved_for;
-      if (reserved != nullptr && reserved->m_step->m_job == job) slot->m_reserved_for = nullptr;
-    }
     for (auto& steps : job->m_steps) {
       for (const auto& step : steps) {
+        // A job may be cancelled while room is made for it.
+        for (const auto& unit : step->m_units) ReleaseReservation(unit.get());
         for (const int index : step->m_stored_rows) m_removed_rows.push_back(ToText(StepRowKey{step->m_key, index}));
       }
       steps.clear();
@@ -384,6 +382,7 @@
       if (member.m_slot == nullptr || member.m_stop != StopState::kRequested || now.m_steady < member.m_stop_at)
         continue;
       member.m_stop = StopState::kSent;
+      if (member.m_stop_sent.m_ms == 0) member.m_stop_sent = now.m_steady;
       stops.push_back({member.m_slot->m_entry.m_id, unit->Key(i), unit->m_run});
     }
   }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -26,6 +26,7 @@
 #include <vector>
 
 #include "hickoryquay/jobs/job.h"
+#include "hickoryquay/jobs/preemption.h"
 #include "hickoryquay/jobs/rows.h"
 #include "hickoryquay/jobs/units.h"
 #include "hickoryquay/jobs/worker_api.h"
@@ -52,27 +53,19 @@
 struct SchedulerSettings {
   SchedulingOrder m_order = &EarliestDeadlineFirst;
   bool m_preempts = true;            // Urgent units may preempt others.
-  Millis m_stop_timeout{1'000};      // Time within which a worker ends a stopped task.
+  PreemptionSettings m_preemption;   // Also the time that a stop takes.
   double m_remote_factor = 3.0;      // Slowdown of a gang that spans racks, or of a task away from its data.
-  Millis m_restore{250};             // Cost of a start from a checkpoint.
   Millis m_forget_after{30'000};     // An archived job is forgotten then: longer than the store keeps its history.
   Millis m_stop_retry_delay{300};    // Time after which a stop without an answer is sent again.
   Millis m_avoid_refusing_for{500};  // Time that a worker gets no start after it refused one.
   int m_max_start_resends = 3;       // Resends of a start without an answer, before the run is stopped.
   Millis m_max_early_start{50};      // Timed jobs may start this much before they are due.
-  Millis m_spread_after{1'000};      // Wait after which a rack-local gang within its guarantee may span racks.
-  Millis m_reservation_margin{500};  // A reservation during a preemption lasts the stop timeout plus this.
   // Shares of all accelerators that a start must leave free for more urgent work. Lower shares make urgent work wait
   // for preemptions and lose work, higher ones delay batch work (docs/design/platform.md).
   double m_min_free_share = 0.2;         // For starts of priority 1.
   double m_min_free_share_batch = 0.3;   // For starts of lower priorities.
   double m_min_free_share_tight = 0.05;  // For work whose slack is below m_tight_slack_share of its estimate.
   double m_tight_slack_share = 0.5;
-  // Most work in core-seconds that a preemption may lose: m_max_lost_core_s, plus m_max_lost_share times the
-  // core-seconds of the urgent unit itself. By the users' prices, repeating a lost core-second costs 0.003, and
-  // starting an urgent job immediately instead of late gains 0.96, plus 0.006 per core-second that it takes.
-  double m_max_lost_core_s = 300.0;
-  double m_max_lost_share = 2.0;
   Millis m_leave_margin{300};      // Tasks with checkpoints are stopped this much before they have to leave a worker.
   double m_evacuate_share = 0.8;   // A task that can't reach this share of its estimate before its worker leaves moves.
   Millis m_min_pace_span{500};     // Shorter intervals are too short to compute a task's pace.
@@ -233,15 +226,6 @@
   void ResetUnit(Unit* unit);
 
   // scheduler_place.cc
-  struct HostOption;
-
-  // Workers for all members of a unit, and the units that must be stopped first.
-  struct PreemptionPlan {
-    std::vector<WorkerSlot*> m_slots;
-    UnitSet m_victims;
-    double m_cost = 0.0;  // Lost work in core-seconds.
-  };
-
   // Accelerators of schedulable workers.
   struct AcceleratorCount {
     int m_free = 0;
@@ -250,7 +234,6 @@
 
   AcceleratorCount CountAccelerators() const;
   double RequiredFreeShare(const Unit& unit, Now now) const;
-  Instant ObjectiveDeadline(const JobState& job, int occurrence) const;
   std::vector<StepState*> ReadySteps(Now now);
   const WorkerTable::RackMap& RacksFor(const Unit& unit);
   std::vector<WorkerSlot*> ChooseWorkers(const Unit& unit, const std::vector<WorkerSlot*>& candidates, Now now) const;
@@ -258,13 +241,10 @@
   bool TryPlace(Unit* unit, Now now);
   bool PlaceOn(Unit* unit, const std::vector<WorkerSlot*>& slots, Now now);
   void EvacuateDraining(Now now);
-  bool WithinGuarantee(const Unit& unit);
-  double LostWork(const Unit& unit, Now now) const;
-  bool MayPreempt(const Unit& victim, const Unit& unit) const;
-  void EvaluateOption(const Unit& unit, const UnitSet& chosen, Now now, HostOption* option) const;
-  std::optional<PreemptionPlan> PlanPreemption(const Unit& unit, const std::vector<WorkerSlot*>& candidates,
-                                               Now now) const;
-  double MaxLostWork(const Unit& unit) const;
+  PreemptionRound MakeRound(Now now) const;
+  void ReleaseReservation(Unit* unit);
+  void DropReservations(Now now);
+  std::optional<PreemptionPlan> FindPlan(Unit* unit, Now now);
   bool PreemptFor(Unit* unit, Now now);
 
   SchedulerSettings m_settings;
@@ -278,10 +258,9 @@
   std::vector<std::string> m_removed_rows;     // Keys of rows to delete.
   UnitSet m_active;                            // Units with a member that has resources allocated.
   std::set<std::pair<WorkerId, std::pair<TaskKey, RunNumber>>> m_unrecorded_runs;  // In no row.
-  // Caches, filled on demand and valid until the end of the current Decide.
+  // Caches, valid until the end of the current Decide.
   std::map<std::pair<PoolName, std::string>, WorkerTable::RackMap> m_racks;  // By pool and label.
-  std::map<AccountId, int> m_urgent_demand;  // Accelerators of all jobs of priority 0 that have not ended.
-  bool m_urgent_demand_valid = false;
+  Guarantees m_guarantees;
   std::deque<std::pair<Instant, JobId>> m_archived;  // With the steady time.
   int m_starts = 0;
   int m_preemptions = 0;
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -14,35 +14,6 @@
 
 constexpr log::Part kLog{"placement"};
 
-// Cores that one accelerator counts as in lost work, by the platform's price list.
-constexpr double kCoresPerAccelerator = 8.0;
-
-double CoreEquivalents(const Resources& task) {
-  return static_cast<double>(task.m_millicores) / 1000.0 + kCoresPerAccelerator * task.m_accelerators;
-}
-
-int CountFitting(const Resources& room, const Resources& task) {
-  auto times = std::numeric_limits<std::int64_t>::max();
-  const auto limit_by = [&times](std::int64_t available, std::int64_t needed) {
-    if (needed > 0) times = std::min(times, available / needed);
-  };
-  limit_by(room.m_accelerators, task.m_accelerators);
-  limit_by(room.m_millicores, task.m_millicores);
-  limit_by(room.m_memory_mb, task.m_memory_mb);
-  return static_cast<int>(std::clamp<std::int64_t>(times, 0, std::numeric_limits<int>::max()));
-}
-
-// Number of tasks of the unit's step on the worker.
-int CountTasksOfStep(const WorkerSlot& slot, const Unit& unit) {
-  return static_cast<int>(std::count_if(slot.m_members.begin(), slot.m_members.end(),
-                                        [&](const auto& held) { return held.first->m_step == unit.m_step; }));
-}
-
-int LimitPerWorker(const WorkerSlot& slot, const Unit& unit, int fitting) {
-  const int limit = unit.m_step->m_spec->m_max_per_worker;
-  return limit == 0 ? fitting : std::min(fitting, std::max(0, limit - CountTasksOfStep(slot, unit)));
-}
-
 }  // namespace
 
 //-------------------------------------------------------------------------------------------------
@@ -57,17 +28,8 @@
   return a.m_accepted < b.m_accepted;
 }
 
-Instant Scheduler::ObjectiveDeadline(const JobState& job, int occurrence) const {
-  const JobRequest& request = job.m_job.m_request;
-  const Instant from =
-      request.m_repeats > 0 ? request.m_first_due + occurrence * request.m_interval : job.m_job.m_accepted;
-  const auto stretched =
-      static_cast<std::int64_t>(job.m_job.m_stretch * static_cast<double>(job.m_critical_path.count()));
-  return from + Millis{stretched} + job.m_job.m_objective;
-}
-
 // Steps that have units left and don't wait for earlier steps, in the order of placement. Units of one step are placed
-// in the order of their index.
+// in the order of their index. Work within a guarantee comes first.
 std::vector<StepState*> Scheduler::ReadySteps(Now now) {
   struct Candidate {
     SchedulingKey m_key;
@@ -94,6 +56,10 @@
   }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [this](const Candidate& a, const Candidate& b) { return m_settings.m_order(a.m_key, b.m_key); });
+  if (m_settings.m_preempts) {
+    std::stable_partition(candidates.begin(), candidates.end(),
+                          [this](const Candidate& c) { return m_guarantees.Covers(*c.m_step->m_job); });
+  }
   std::vector<StepState*> steps;
   steps.reserve(candidates.size());
   for (const Candidate& candidate : candidates) steps.push_back(candidate.m_step);
@@ -129,7 +95,8 @@
 void Scheduler::EvacuateDraining(Now now) {
   for (const auto& [id, slot] : m_workers.All()) {
     if (!slot->m_leaves_at || slot->m_members.empty()) continue;
-    const Millis left = *slot->m_leaves_at - now.m_steady - m_settings.m_stop_timeout - m_settings.m_leave_margin;
+    const Millis left =
+        *slot->m_leaves_at - now.m_steady - m_settings.m_preemption.m_stop_timeout - m_settings.m_leave_margin;
     const UnitMemberSet members = slot->m_members;
     for (const auto& [unit, index] : members) {
       if (unit->m_stopping || unit->m_done) continue;
@@ -146,21 +113,18 @@
 void Scheduler::Decide(Now now) {
   ForgetArchivedJobs(now);
   EvacuateDraining(now);
-  for (const auto& [id, slot] : m_workers.All()) {
-    Unit* unit = slot->m_reserved_for;
-    if (unit != nullptr && (!unit->IsWaiting() || unit->m_reserved_until <= now.m_steady))
-      slot->m_reserved_for = nullptr;
-  }
   m_racks.clear();
-  m_urgent_demand_valid = false;
+  m_guarantees = m_configuration ? Guarantees(m_jobs, *m_configuration) : Guarantees();
+  DropReservations(now);
   AcceleratorCount accelerators = CountAccelerators();
   for (StepState* step : ReadySteps(now)) PlaceStep(step, &accelerators, now);
 }
 
 // Places the waiting units of a step until one does not fit. The others won't fit either, and must not use resources
-// that are left free for more urgent work.
+// that are left free for more urgent work. Within a guarantee, room is made for all of them at the same time.
 void Scheduler::PlaceStep(StepState* step, AcceleratorCount* accelerators, Now now) {
   const bool urgent = step->m_job->m_job.m_priority == 0;  // May preempt others.
+  const bool guaranteed = m_guarantees.Covers(*step->m_job);
   for (const auto& owned : step->m_units) {
     Unit* unit = owned.get();
     if (!unit->IsWaiting()) continue;
@@ -169,12 +133,12 @@
     const double min_free =
         std::min(RequiredFreeShare(*unit, now) * accelerators->m_total, (accelerators->m_total - takes) / 2.0);
     if (!urgent && accelerators->m_free - takes < min_free) return;
-    if (TryPlace(unit, now)) {
+    const bool preempts = m_settings.m_preempts && urgent;
+    if (TryPlace(unit, now) || (preempts && PreemptFor(unit, now) && TryPlace(unit, now))) {
       accelerators->m_free -= takes;
       continue;
     }
-    if (m_settings.m_preempts && urgent) PreemptFor(unit, now);
-    return;
+    if (!guaranteed || !unit->m_has_reservation) return;
   }
 }
 
@@ -189,11 +153,12 @@
     WorkerSlot* m_slot;
     int m_times;
   };
+  const bool guaranteed = m_guarantees.Covers(*unit.m_step->m_job);
   std::vector<Option> options;
   for (WorkerSlot* slot : candidates) {
-    if (slot->m_reserved_for != nullptr && slot->m_reserved_for != &unit) continue;
-    if (now.m_steady < slot->m_avoid_until) continue;
-    const int times = LimitPerWorker(*slot, unit, CountFitting(slot->m_free, unit.m_step->m_spec->m_task));
+    if (!MayHost(*slot, now.m_steady)) continue;
+    const Resources room = RoomFor(*slot, unit, guaranteed);
+    const int times = LimitPerWorker(*slot, unit, CountFitting(room, unit.m_step->m_spec->m_task));
     if (times > 0) options.push_back({slot, times});
   }
   // Urgent work prefers fast workers, batch work slow ones.
@@ -256,9 +221,8 @@
       best_free = free;
     }
     if (!best.empty()) return PlaceOn(unit, best, now);
-    const bool may_spread =
-        WithinGuarantee(*unit) && now.m_wall - unit->m_step->m_job->m_job.m_accepted > m_settings.m_spread_after;
-    if (fits_any && !may_spread) return false;
+    const bool may_span = unit->m_may_span_racks && m_guarantees.Covers(*unit->m_step->m_job);
+    if (fits_any && !may_span) return false;
   } else if (!spec.m_data_rack.empty()) {
     const auto rack = racks.find(spec.m_data_rack);
     if (rack != racks.end()) {
@@ -287,7 +251,6 @@
     member.m_slot = slots[i];
     member.m_since = now.m_steady;
     m_workers.Allocate(slots[i], unit, i);
-    if (slots[i]->m_reserved_for == unit) slots[i]->m_reserved_for = nullptr;
     m_unsent_starts.push_back(
         {slots[i]->m_entry.m_id, unit->Key(i), unit->m_run, job->m_payload, unit->m_checkpoint, job->m_job.m_priority});
     log::Info(kLog, "Run placed",
@@ -299,6 +262,7 @@
                {"checkpoint", unit->m_checkpoint},
                {"waited_ms", std::to_string((now.m_wall - job->m_job.m_accepted).count())}});
   }
+  ReleaseReservation(unit);
   MarkChanged(*unit);
   if (job->m_phase == JobPhase::kQueued) SetPhase(job, JobPhase::kRunning, now);
   return true;
@@ -308,21 +272,6 @@
 // Preemption
 //-------------------------------------------------------------------------------------------------
 
-// Returns true if the job has priority 0 and its account's guarantee covers all of the account's jobs of priority 0.
-bool Scheduler::WithinGuarantee(const Unit& unit) {
-  const AcceptedJob& job = unit.m_step->m_job->m_job;
-  if (job.m_priority != 0 || !m_configuration) return false;
-  if (!std::exchange(m_urgent_demand_valid, true)) {
-    m_urgent_demand.clear();
-    for (const auto& [id, other] : m_jobs) {
-      if (Ended(other->m_phase) || other->m_job.m_priority != 0) continue;
-      int& needed = m_urgent_demand[other->m_job.m_account];
-      for (const StepSpec& step : other->m_job.m_request.m_steps) needed += step.m_tasks * step.m_task.m_accelerators;
-    }
-  }
-  return m_urgent_demand[job.m_account] <= m_configuration->Guaranteed(job.m_account);
-}
-
 const WorkerTable::RackMap& Scheduler::RacksFor(const Unit& unit) {
   const PoolName& pool = unit.m_step->m_job->m_job.m_pool;
   const std::string& label = unit.m_step->m_spec->m_required_label;
@@ -331,134 +280,66 @@
   return entry->second;
 }
 
-// Work that is lost by stopping the unit's run, in core-seconds.
-double Scheduler::LostWork(const Unit& unit, Now now) const {
-  Millis since = now.m_steady - unit.m_placed;
-  if (unit.m_step->m_spec->m_checkpoints) since = std::min(since, m_settings.m_restore);
-  return CoreEquivalents(unit.m_step->m_spec->m_task) * static_cast<double>(unit.m_members.size()) *
-         static_cast<double>(since.count()) / 1000.0;
+PreemptionRound Scheduler::MakeRound(Now now) const {
+  return {&m_settings.m_preemption, &m_guarantees, now.m_steady, now.m_wall};
 }
 
-bool Scheduler::MayPreempt(const Unit& victim, const Unit& unit) const {
-  if (victim.m_stopping || victim.m_done) return false;
-  const AcceptedJob& victim_job = victim.m_step->m_job->m_job;
-  const AcceptedJob& unit_job = unit.m_step->m_job->m_job;
-  return victim_job.m_priority > unit_job.m_priority;
+void Scheduler::ReleaseReservation(Unit* unit) {
+  if (!std::exchange(unit->m_has_reservation, false)) return;
+  for (const auto& [id, slot] : m_workers.All()) slot->m_reservations.erase(unit);
 }
 
-// A worker as host of one more member, and the cost of the necessary preemptions.
-struct Scheduler::HostOption {
-  WorkerSlot* m_slot = nullptr;
-  Resources m_room;           // Free resources after all units that are chosen so far have ended.
-  int m_planned_members = 0;  // Members that the plan places here.
-  bool m_up_to_date = false;
-  bool m_possible = false;
-  double m_cost = 0.0;
-  std::vector<Unit*> m_victims;
-};
-
-// Computes which units one more member on the option's worker would stop, and at what cost.
-void Scheduler::EvaluateOption(const Unit& unit, const UnitSet& chosen, Now now, HostOption* option) const {
-  const Resources& task = unit.m_step->m_spec->m_task;
-  option->m_up_to_date = true;
-  option->m_victims.clear();
-  option->m_cost = 0.0;
-  option->m_possible =
-      LimitPerWorker(*option->m_slot, unit, std::numeric_limits<int>::max()) > option->m_planned_members;
-  if (!option->m_possible) return;
-  std::vector<std::pair<double, Unit*>> stoppable;
-  for (const auto& [held, index] : option->m_slot->m_members) {
-    // Members of one unit are adjacent in the set.
-    const bool seen = !stoppable.empty() && stoppable.back().second == held;
-    if (!seen && MayPreempt(*held, unit) && !chosen.contains(held)) stoppable.emplace_back(LostWork(*held, now), held);
-  }
-  std::stable_sort(stoppable.begin(), stoppable.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-  Resources left = option->m_room;
-  for (const auto& [lost, held] : stoppable) {
-    if (task.FitsIn(left)) break;
-    for (const auto& [other, index] : option->m_slot->m_members) {
-      if (other == held) left += held->m_step->m_spec->m_task;
-    }
-    option->m_victims.push_back(held);
-    option->m_cost += lost;
-  }
-  option->m_possible = task.FitsIn(left);
-  // At equal cost prefers the fuller worker, so that empty workers stay free for larger gangs.
-  option->m_cost += 0.001 * left.m_accelerators;
-}
-
-// Greedily chooses the cheapest units to stop so that all members fit on `candidates`; empty if that is impossible.
-std::optional<Scheduler::PreemptionPlan> Scheduler::PlanPreemption(const Unit& unit,
-                                                                   const std::vector<WorkerSlot*>& candidates,
-                                                                   Now now) const {
-  const Resources& task = unit.m_step->m_spec->m_task;
-  PreemptionPlan plan;
-  std::vector<HostOption> options;
-  for (WorkerSlot* slot : candidates) {
-    if (slot->m_reserved_for != nullptr && slot->m_reserved_for != &unit) continue;
-    HostOption& option = options.emplace_back();
-    option.m_slot = slot;
-    option.m_room = slot->m_free;
-    for (const auto& [held, index] : slot->m_members) {
-      if (held->m_stopping || held->m_done) option.m_room += held->m_step->m_spec->m_task;
-    }
-  }
-  while (plan.m_slots.size() < unit.m_members.size()) {
-    HostOption* best = nullptr;
-    for (HostOption& option : options) {
-      if (!option.m_up_to_date) EvaluateOption(unit, plan.m_victims, now, &option);
-      if (option.m_possible && (best == nullptr || option.m_cost < best->m_cost)) best = &option;
-    }
-    if (best == nullptr) return std::nullopt;
-    const std::vector<Unit*> victims = best->m_victims;
-    plan.m_cost += best->m_cost;
-    plan.m_slots.push_back(best->m_slot);
-    best->m_room -= task;
-    ++best->m_planned_members;
-    best->m_up_to_date = false;
-    for (Unit* victim : victims) {
-      plan.m_victims.insert(victim);
-      for (const Member& member : victim->m_members) {
-        for (HostOption& option : options) {
-          if (option.m_slot != member.m_slot) continue;
-          option.m_room += victim->m_step->m_spec->m_task;
-          option.m_up_to_date = false;
-        }
-      }
+// Drops the reservations of units that are not waiting any more, and those that won't lead to a start, so that other
+// room is made for their units in this round.
+void Scheduler::DropReservations(Now now) {
+  const PreemptionRound round = MakeRound(now);
+  UnitSet dropped;
+  for (const auto& [id, slot] : m_workers.All()) {
+    for (const auto& [unit, reservation] : slot->m_reservations) {
+      const bool wanted = unit->IsWaiting() && now.m_steady < unit->m_reserved_until;
+      if (!wanted || !ReservationHolds(*slot, *unit, round)) dropped.insert(unit);
     }
   }
-  return plan;
-}
-
-// Most work that may be lost for the unit, in core-seconds.
-double Scheduler::MaxLostWork(const Unit& unit) const {
-  const StepSpec& spec = *unit.m_step->m_spec;
-  const double own = CoreEquivalents(spec.m_task) * static_cast<double>(unit.m_members.size()) *
-                     static_cast<double>(spec.m_estimate.count()) / 1000.0;
-  return m_settings.m_max_lost_core_s + m_settings.m_max_lost_share * own;
+  for (Unit* unit : dropped) ReleaseReservation(unit);
 }
 
-bool Scheduler::PreemptFor(Unit* unit, Now now) {
-  if (unit->m_reserved_until > now.m_steady) return false;  // A preemption for it is in progress.
+// The cheapest plan. A rack-local gang gets one in a single rack; within its guarantee it may span racks if there is
+// no such rack.
+std::optional<PreemptionPlan> Scheduler::FindPlan(Unit* unit, Now now) {
   const StepSpec& spec = *unit->m_step->m_spec;
+  const PreemptionRound round = MakeRound(now);
   const auto& racks = RacksFor(*unit);
   std::optional<PreemptionPlan> best;
-  if (spec.m_rack_local && unit->m_members.size() > 1) {
+  const bool needs_rack = spec.m_rack_local && unit->m_members.size() > 1;
+  if (needs_rack) {
     for (const auto& [name, slots] : racks) {
-      auto plan = PlanPreemption(*unit, slots, now);
+      auto plan = PlanPreemption(*unit, slots, round);
       if (plan && (!best || plan->m_cost < best->m_cost)) best = std::move(plan);
     }
   }
-  if (!best && (!spec.m_rack_local || WithinGuarantee(*unit))) best = PlanPreemption(*unit, Flatten(racks), now);
-  if (!best) return false;
-  const bool overdue =
-      now.m_wall - unit->m_step->m_job->m_job.m_accepted > m_settings.m_spread_after && WithinGuarantee(*unit);
-  if (!overdue && best->m_cost > MaxLostWork(*unit)) return false;
-  for (WorkerSlot* slot : best->m_slots) slot->m_reserved_for = unit;
-  unit->m_reserved_until = now.m_steady + m_settings.m_stop_timeout + m_settings.m_reservation_margin;
-  for (Unit* victim : best->m_victims) {
+  unit->m_may_span_racks = !best && needs_rack && m_guarantees.Covers(*unit->m_step->m_job);
+  if (!best && (!needs_rack || unit->m_may_span_racks)) best = PlanPreemption(*unit, Flatten(racks), round);
+  return best;
+}
+
+// Returns true if a new plan was made. The room is reserved until the unit is placed, see DropReservations.
+bool Scheduler::PreemptFor(Unit* unit, Now now) {
+  if (unit->m_has_reservation) return false;  // A preemption for it is in progress.
+  const auto plan = FindPlan(unit, now);
+  if (!plan) return false;
+  const bool guaranteed = m_guarantees.Covers(*unit->m_step->m_job);
+  if (!guaranteed && !IsWorthIt(*unit, *plan, MakeRound(now))) return false;
+  for (WorkerSlot* slot : plan->m_slots) {
+    Reservation& reservation = slot->m_reservations[unit];
+    reservation.m_room += unit->m_step->m_spec->m_task;
+    reservation.m_guaranteed = guaranteed;
+  }
+  unit->m_has_reservation = true;
+  unit->m_reserved_until = now.m_steady + m_settings.m_preemption.m_reclaim;
+  for (Unit* victim : plan->m_victims) {
     ++m_preemptions;
-    StopRun(victim, "makes room for urgent work");
+    ++victim->m_preemptions;
+    StopRun(victim, guaranteed ? "makes room for a guarantee" : "makes room for urgent work");
   }
   return true;
 }
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -126,6 +126,7 @@
   if (!OccupiesWorker(member) || member.m_slot->m_entry.m_id != command.m_worker || member.m_stop != StopState::kSent)
     return;
   const bool stops = outcome == StopOutcome::kStopping;
+  member.m_stop_failed = !stops;
   member.m_stop = stops ? StopState::kAcknowledged : StopState::kRequested;
   member.m_stop_at = stops ? now.m_steady : now.m_steady + m_settings.m_stop_retry_delay;
 }
@@ -162,8 +163,9 @@
   if (member.m_state != MemberState::kRunning) SetState(&member, MemberState::kRunning, now.m_steady);
   unit->m_step->m_job->m_has_run = true;
   if (unit->m_step->m_spec->m_checkpoints && !running.m_checkpoint.empty()) unit->m_checkpoint = running.m_checkpoint;
-  const bool overdue = member.m_stop == StopState::kAcknowledged &&
-                       now.m_steady - member.m_stop_at > m_settings.m_stop_timeout + m_settings.m_stop_retry_delay;
+  const bool overdue =
+      member.m_stop == StopState::kAcknowledged &&
+      now.m_steady - member.m_stop_at > m_settings.m_preemption.m_stop_timeout + m_settings.m_stop_retry_delay;
   if (overdue) member.m_stop = StopState::kRequested;
 }
 
--- a/hickoryquay/jobs/units.cc
+++ b/hickoryquay/jobs/units.cc
@@ -28,6 +28,15 @@
   return m_units[m_spec->m_gang ? 0 : static_cast<std::size_t>(task)].get();
 }
 
+Instant ObjectiveDeadline(const JobState& job, int occurrence) {
+  const JobRequest& request = job.m_job.m_request;
+  const Instant from =
+      request.m_repeats > 0 ? request.m_first_due + occurrence * request.m_interval : job.m_job.m_accepted;
+  const auto stretched =
+      static_cast<std::int64_t>(job.m_job.m_stretch * static_cast<double>(job.m_critical_path.count()));
+  return from + Millis{stretched} + job.m_job.m_objective;
+}
+
 Millis EstimateCriticalPath(const JobRequest& request) {
   const auto& steps = request.m_steps;
   std::vector<Millis> until(steps.size(), Millis{0});
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -40,6 +40,8 @@
   int m_percent = 0;             // Progress reported at m_percent_at, 0 to 100.
   Instant m_percent_at;          // Steady time; 0: not reported yet.
   Instant m_stop_at;             // Steady time: of the answer in kAcknowledged, of the next attempt in kRequested.
+  Instant m_stop_sent;           // Steady time of the first stop; 0: not sent yet.
+  bool m_stop_failed = false;    // The last stop was not answered.
 };
 
 struct Unit {
@@ -51,9 +53,12 @@
   std::string m_checkpoint;  // The next start resumes here; empty: starts from the beginning.
   bool m_active = false;     // At least one member has resources allocated.
   bool m_done = false;
-  bool m_stopping = false;   // All members are being stopped.
-  Instant m_placed;          // Steady time of the last placement.
-  Instant m_reserved_until;  // Steady time until which workers are reserved for it during a preemption.
+  bool m_stopping = false;         // All members are being stopped.
+  Instant m_placed;                // Steady time of the last placement.
+  int m_preemptions = 0;           // Times that it was stopped for urgent work.
+  bool m_has_reservation = false;  // Room is reserved for it on workers (WorkerSlot::m_reservations).
+  Instant m_reserved_until;        // Steady time at which the reservation ends at the latest.
+  bool m_may_span_racks = false;   // No rack can hold the gang by the last plan for it.
 
   bool IsWaiting() const { return !m_active && !m_done; }
   TaskKey Key(std::size_t member) const;
@@ -100,6 +105,9 @@
   std::vector<std::vector<std::unique_ptr<StepState>>> m_steps;  // By occurrence and step; empty until created.
 };
 
+// Wall time by which the occurrence must end to meet the job's objective.
+Instant ObjectiveDeadline(const JobState& job, int occurrence);
+
 // Duration of the longest chain of dependent steps, by the caller's estimates.
 Millis EstimateCriticalPath(const JobRequest& request);
 
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -12,15 +12,21 @@
 
 namespace hickoryquay::jobs {
 
+// Room on a worker that is kept for a unit while others are preempted for it.
+struct Reservation {
+  Resources m_room;
+  bool m_guaranteed = false;  // The unit is within its account's guarantee.
+};
+
 struct WorkerSlot {
   WorkerEntry m_entry;
   bool m_listed = false;  // Listed by the platform.
   bool m_usable = false;  // Answers, and has accepted this scheduler's epoch.
   Resources m_free;
-  UnitMemberSet m_members;             // Members that have resources allocated here.
-  std::int64_t m_processed_ends = 0;   // Number of the last end that was processed.
-  std::int64_t m_released_ends = 0;    // Number of the last end that was handed out in Batch::m_recorded_ends.
-  Unit* m_reserved_for = nullptr;      // Only this unit may be placed here, while others are preempted for it.
+  UnitMemberSet m_members;            // Members that have resources allocated here.
+  std::int64_t m_processed_ends = 0;  // Number of the last end that was processed.
+  std::int64_t m_released_ends = 0;   // Number of the last end that was handed out in Batch::m_recorded_ends.
+  std::map<Unit*, Reservation, UnitLess> m_reservations;
   std::optional<Instant> m_leaves_at;  // Earliest steady time at which a draining worker is removed.
   int m_failures = 0;                  // Consecutive failed tasks; a successful one resets it.
   Instant m_avoid_until;               // Steady time until which nothing new is placed here.
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -48,9 +48,9 @@
   const settings::TermsSection& terms = settings.m_node.m_terms;
   DriverSettings driver;
   driver.m_worker_table = settings.m_platform.m_workers;
-  driver.m_scheduler.m_stop_timeout = terms.m_stop_timeout;
+  driver.m_scheduler.m_preemption.m_stop_timeout = terms.m_stop_timeout;
   driver.m_scheduler.m_remote_factor = terms.m_remote_factor;
-  driver.m_scheduler.m_restore = terms.m_restore;
+  driver.m_scheduler.m_preemption.m_restore = terms.m_restore;
   driver.m_keep_ended = terms.m_keep_ended;
   driver.m_sessions.m_lease = std::min(driver.m_sessions.m_lease, terms.m_longest_lease);
   // The previous leader may have extended leases until m_grant_window after its last renewal. The takeover came at
--- a/standin/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -84,7 +84,7 @@
   leadership.m_self = InstanceId{"life-" + std::to_string(self->m_incarnation)};
   DriverSettings driver;
   driver.m_worker_table = kWorkerTable;
-  driver.m_scheduler.m_stop_timeout = m_settings.m_workers.m_stop;
+  driver.m_scheduler.m_preemption.m_stop_timeout = m_settings.m_workers.m_stop;
   driver.m_sessions.m_lease = std::min(driver.m_sessions.m_lease, m_settings.m_workers.m_longest_lease);
   const auto elected = [this, self, driver](Epoch) {
     DriverParts parts{self->m_store.get(),
--- a/tests/jobs/reclaim_test.cc
+++ b/tests/jobs/reclaim_test.cc
@@ -2,6 +2,7 @@
 // whatever else fills the workers. One test for each way in which the bound was missed.
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
 #include <map>
@@ -48,7 +49,7 @@
  public:
   explicit Rig(Millis stop) : m_stop(stop) {
     SchedulerSettings settings;
-    settings.m_stop_timeout = stop;
+    settings.m_preemption.m_stop_timeout = stop;
     settings.m_min_free_share = settings.m_min_free_share_batch = settings.m_min_free_share_tight = 0.0;
     m_scheduler = std::make_unique<Scheduler>(settings);
   }
@@ -103,6 +104,8 @@
     return m_now - from;
   }
 
+  void Cancel(int job) { m_scheduler->OnCancel(JobId{static_cast<std::uint64_t>(job)}, Time()); }
+
   int Running(int job) const {
     int running = 0;
     for (const auto& [id, worker] : m_workers) {
@@ -168,6 +171,84 @@
   std::map<WorkerId, FakeWorker> m_workers;
 };
 
+constexpr int kTaskAccelerators = 4;  // All tasks are alike, so that protected work leaves no unusable remainders.
+constexpr int kGuarantee = 12;        // Of each of two accounts, of 40 accelerators.
+
+// Lending, bursts, cancels, a slow worker, a worker that refuses starts, and stops under way, in random order. Checks
+// on each tick that the urgent jobs of an account whose jobs are within its guarantee have begun within the bound.
+class Sequence {
+ public:
+  explicit Sequence(Millis stop) : m_bound(Bound(stop)), m_rig(stop) {
+    m_rig.Guarantee(kGuarantee, kGuarantee);
+    for (int i = 0; i < 5; ++i) m_rig.AddWorker("w" + std::to_string(i), "r" + std::to_string(i / 3));
+  }
+
+  void Act(int action, int argument) {
+    const bool owner = argument % 2 == 0;
+    const int tasks = 1 + argument / 2 % 3;
+    switch (action) {
+      case 0:
+      case 1:
+        Submit(owner, 0, tasks, argument % 5 == 0);
+        break;
+      case 2:
+        Submit(owner, 1 + argument % 2, 2 * tasks, false);
+        break;
+      case 3:
+        if (!m_urgent.empty()) Cancel(std::next(m_urgent.begin(), argument % static_cast<int>(m_urgent.size()))->first);
+        break;
+      case 4:
+        for (int i = 0; i < 5; ++i) m_rig.Worker("w" + std::to_string(i)).m_slow = argument % 6 == i;
+        break;
+      case 5:
+        for (int i = 0; i < 5; ++i) m_rig.Worker("w" + std::to_string(i)).m_refuses = argument % 6 == i;
+        break;
+      default:
+        for (int i = 0; i < 10 * argument; ++i) Tick();
+    }
+  }
+
+  void Tick() {
+    m_rig.Run(kTick);
+    std::map<bool, int> needed;
+    for (const auto& [id, job] : m_urgent) needed[job.m_owner] += job.m_tasks * kTaskAccelerators;
+    for (auto& [id, job] : m_urgent) {
+      job.m_begun = job.m_begun || m_rig.Running(id) == job.m_tasks;
+      if (needed[job.m_owner] > kGuarantee) job.m_covered_since = m_rig.Time().m_steady;
+      if (!job.m_begun && m_rig.Time().m_steady - job.m_covered_since > m_bound) m_late.insert(id);
+    }
+  }
+
+  const std::set<int>& Late() const { return m_late; }
+
+ private:
+  struct Urgent {
+    bool m_owner = false;
+    int m_tasks = 0;
+    bool m_begun = false;
+    Instant m_covered_since;
+  };
+
+  void Submit(bool owner, int priority, int tasks, bool gang) {
+    const int id = ++m_last;
+    AcceptedJob job = Rig::Job(id, owner ? kOwner : kOther, priority, tasks, kTaskAccelerators);
+    job.m_request.m_steps[0].m_gang = job.m_request.m_steps[0].m_rack_local = gang;
+    m_rig.Submit(job);
+    if (priority == 0) m_urgent[id] = {owner, tasks, false, m_rig.Time().m_steady};
+  }
+
+  void Cancel(int id) {
+    m_rig.Cancel(id);
+    m_urgent.erase(id);
+  }
+
+  Millis m_bound;
+  Rig m_rig;
+  int m_last = 0;
+  std::map<int, Urgent> m_urgent;
+  std::set<int> m_late;
+};
+
 class ReclaimTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReclaimTest);
   CPPUNIT_TEST(PlanUsesNoAvoidedWorker);
@@ -180,6 +261,7 @@
   CPPUNIT_TEST(ClockOfTheAcceptingInstanceDoesNotMatter);
   CPPUNIT_TEST(TasksOfAStepAreReclaimedTogether);
   CPPUNIT_TEST(JobsAreReclaimedOnTheSameWorkersTogether);
+  CPPUNIT_TEST(NoSequenceDelaysAGuarantee);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -331,6 +413,18 @@
     for (int job = 2; job < 10; ++job) CheckBegins(&rig, job, 1, Millis{0});
   }
 
+  void NoSequenceDelaysAGuarantee() {
+    const bool holds = rc::check("no sequence delays a guarantee", [] {
+      Sequence sequence(*rc::gen::element(kShortStop, kLongStop));
+      const auto actions = *rc::gen::container<std::vector<std::pair<int, int>>>(
+          rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, 30)));
+      for (const auto& [action, argument] : actions) sequence.Act(action, argument);
+      sequence.Act(9, 40);
+      RC_ASSERT(sequence.Late() == std::set<int>{});
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
  private:
   static void CheckBegins(Rig* rig, int job, int tasks, Millis within) {
     const Millis took = rig->UntilBegun(job, tasks, within);
--- a/tests/jobs/restore_test.cc
+++ b/tests/jobs/restore_test.cc
@@ -238,6 +238,8 @@
     job.m_id = id;
     job.m_pool = kPool;
     job.m_priority = priority;
+    job.m_accepted = kNow.m_wall;
+    job.m_objective = Millis{10'000};  // It is met after the preemption, which is worth it only then.
     StepSpec step;
     step.m_task = Resources{8, 1, 1};
     step.m_estimate = Millis{5'000};
