Avoid a worker that refused a gang's member until the gang is stopped

It was avoided for 0.5 s, while stopping the other members takes up to 0.9 s: the gang was placed there again, without end.

--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -114,7 +114,10 @@
              {"run", RunText(command.m_run)},
              {"worker", command.m_worker.m_value},
              {"outcome", std::to_string(static_cast<int>(outcome))}});
-  member.m_slot->m_avoid_until = now.m_steady + m_settings.m_avoid_refusing_for;
+  // The members of a gang that have started are stopped first; the worker must not be chosen again right after that.
+  const Millis until_stopped = unit->m_members.size() > 1 ? m_settings.m_preemption.m_stop_timeout : Millis{0};
+  Instant& avoid_until = member.m_slot->m_avoid_until;
+  avoid_until = std::max(avoid_until, now.m_steady + until_stopped + m_settings.m_avoid_refusing_for);
   if (unit->m_members.size() > 1) StopRun(unit, "start of a member refused");
   if (OccupiesWorker(member)) Settle(unit, index);
 }
