--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -50,6 +50,7 @@
   driver.m_worker_table = settings.m_platform.m_workers;
   driver.m_scheduler.m_preemption.m_stop_timeout = terms.m_stop_timeout;
   driver.m_scheduler.m_remote_factor = terms.m_remote_factor;
+  driver.m_scheduler.m_preemption.m_reclaim = terms.m_reclaim;
   driver.m_scheduler.m_preemption.m_restore = terms.m_restore;
   driver.m_keep_ended = terms.m_keep_ended;
   driver.m_sessions.m_lease = std::min(driver.m_sessions.m_lease, terms.m_longest_lease);
--- a/hickoryquay/settings/node_settings.cc
+++ b/hickoryquay/settings/node_settings.cc
@@ -80,6 +80,7 @@
   using S = TermsSection;
   return {{"terms", "longest_lease", Need::kOptional, FractionOf(&All::m_terms, &S::m_longest_lease)},
           {"terms", "stop_timeout", Need::kOptional, FractionOf(&All::m_terms, &S::m_stop_timeout)},
+          {"terms", "reclaim", Need::kOptional, FractionOf(&All::m_terms, &S::m_reclaim)},
           {"terms", "restore", Need::kOptional, FractionOf(&All::m_terms, &S::m_restore)},
           {"terms", "keep_ended", Need::kOptional, FractionOf(&All::m_terms, &S::m_keep_ended)},
           {"terms", "remote_factor", Need::kOptional,
--- a/hickoryquay/settings/node_settings.h
+++ b/hickoryquay/settings/node_settings.h
@@ -54,6 +54,7 @@
 struct TermsSection {
   Millis m_longest_lease{6'000};  // A longer lease of a worker is cut to this.
   Millis m_stop_timeout{1'000};   // A stopped task has ended by then.
+  Millis m_reclaim{2'700};        // Work within its account's guarantee has begun by then.
   Millis m_restore{250};          // What a start from a checkpoint costs.
   Millis m_keep_ended{120'000};   // The state of an ended job can be asked for this long.
   double m_remote_factor = 3.0;   // Slowdown of work away from its data, and of gangs across racks.
