Back off from workers that refuse starts in a row

A gang with room under way elsewhere was placed on the refusing worker again each 1.4 s, without end.

--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -81,6 +81,7 @@
   if (member.m_resends > 0 && outcome != StartOutcome::kAccepted) outcome = StartOutcome::kUnknown;
   switch (outcome) {
     case StartOutcome::kAccepted:
+      member.m_slot->m_refusals = 0;
       log::Info(kLog, "Start confirmed",
                 {{"task", ToText(command.m_task)},
                  {"run", RunText(command.m_run)},
@@ -116,8 +117,10 @@
              {"outcome", std::to_string(static_cast<int>(outcome))}});
   // The members of a gang that have started are stopped first; the worker must not be chosen again right after that.
   const Millis until_stopped = unit->m_members.size() > 1 ? m_settings.m_preemption.m_stop_timeout : Millis{0};
+  // Doubles with each refusal in a row, up to eight times, or work returns to the worker before it starts elsewhere.
+  const Millis refusing_for = m_settings.m_avoid_refusing_for * (1 << std::min(member.m_slot->m_refusals++, 3));
   Instant& avoid_until = member.m_slot->m_avoid_until;
-  avoid_until = std::max(avoid_until, now.m_steady + until_stopped + m_settings.m_avoid_refusing_for);
+  avoid_until = std::max(avoid_until, now.m_steady + until_stopped + refusing_for);
   if (unit->m_members.size() > 1) StopRun(unit, "start of a member refused");
   if (OccupiesWorker(member)) Settle(unit, index);
 }
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -29,6 +29,7 @@
   std::map<Unit*, Reservation, UnitLess> m_reservations;
   std::optional<Instant> m_leaves_at;  // Earliest steady time at which a draining worker is removed.
   int m_failures = 0;                  // Consecutive failed tasks; a successful one resets it.
+  int m_refusals = 0;                  // Consecutive refused starts.
   Instant m_avoid_until;               // Steady time until which nothing new is placed here.
   double m_speed_sum = 0.0;            // Sum of log(speed) samples, one per finished task.
   int m_speed_samples = 0;
