--- a/hickoryquay/jobs/scheduler_evacuation.cc
+++ b/hickoryquay/jobs/scheduler_evacuation.cc
@@ -17,7 +17,6 @@
     slot->m_evacuated = evacuated;
     if (!evacuated) continue;
     slot->m_returns_at.reset();
-    if (Unit* unit = std::exchange(slot->m_reserved_for, nullptr)) unit->m_reserved_until = now.m_steady;
     const UnitMemberSet members = slot->m_members;
     for (const auto& [unit, member] : members) {
       if (unit->m_members[member].m_state == MemberState::kPlanned) StopRun(unit, "its failure domain is evacuated");
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -113,6 +113,7 @@
   if (member.m_resends > 0 && outcome != StartOutcome::kAccepted) outcome = StartOutcome::kUnknown;
   switch (outcome) {
     case StartOutcome::kAccepted:
+      member.m_slot->m_refusals = 0;
       log::Info(kLog, "Start confirmed",
                 {{"task", ToText(command.m_task)},
                  {"run", RunText(command.m_run)},
@@ -146,7 +147,12 @@
              {"run", RunText(command.m_run)},
              {"worker", command.m_worker.m_value},
              {"outcome", std::to_string(static_cast<int>(outcome))}});
-  member.m_slot->m_avoid_until = now.m_steady + m_settings.m_avoid_refusing_for;
+  // The members of a gang that have started are stopped first; the worker must not be chosen again right after that.
+  const Millis until_stopped = unit->m_members.size() > 1 ? m_settings.m_preemption.m_stop_timeout : Millis{0};
+  // Doubles with each refusal in a row, up to eight times, or work returns to the worker before it starts elsewhere.
+  const Millis refusing_for = m_settings.m_avoid_refusing_for * (1 << std::min(member.m_slot->m_refusals++, 3));
+  Instant& avoid_until = member.m_slot->m_avoid_until;
+  avoid_until = std::max(avoid_until, now.m_steady + until_stopped + refusing_for);
   if (unit->m_members.size() > 1) StopRun(unit, "start of a member refused");
   if (OccupiesWorker(member)) Settle(unit, index);
 }
@@ -158,6 +164,7 @@
   if (!OccupiesWorker(member) || member.m_slot->m_entry.m_id != command.m_worker || member.m_stop != StopState::kSent)
     return;
   const bool stops = outcome == StopOutcome::kStopping;
+  member.m_stop_failed = !stops;
   member.m_stop = stops ? StopState::kAcknowledged : StopState::kRequested;
   member.m_stop_at = stops ? now.m_steady : now.m_steady + m_settings.m_stop_retry_delay;
 }
@@ -196,8 +203,9 @@
   if (member.m_state != MemberState::kRunning) SetState(&member, MemberState::kRunning, now.m_steady);
   unit->m_step->m_job->m_has_run = true;
   if (unit->m_step->m_spec->m_checkpoints && !running.m_checkpoint.empty()) unit->m_checkpoint = running.m_checkpoint;
-  const bool overdue = member.m_stop == StopState::kAcknowledged &&
-                       now.m_steady - member.m_stop_at > m_settings.m_stop_timeout + m_settings.m_stop_retry_delay;
+  const bool overdue =
+      member.m_stop == StopState::kAcknowledged &&
+      now.m_steady - member.m_stop_at > m_settings.m_preemption.m_stop_timeout + m_settings.m_stop_retry_delay;
   if (overdue) member.m_stop = StopState::kRequested;
 }
 
--- a/hickoryquay/jobs/worker_choice.cc
+++ b/hickoryquay/jobs/worker_choice.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <tuple>
 
 namespace hickoryquay::jobs {
@@ -19,12 +18,6 @@
   bool m_cold = false;
 };
 
-// Number of tasks of the unit's step on the worker.
-int CountTasksOfStep(const WorkerSlot& slot, const Unit& unit) {
-  return static_cast<int>(std::count_if(slot.m_members.begin(), slot.m_members.end(),
-                                        [&](const auto& held) { return held.first->m_step == unit.m_step; }));
-}
-
 // Lower ranks are preferred. Urgent work takes the best chance. Other work leaves fast workers free: it takes those
 // that are too slow for urgent work first, then unknown ones, if its own objective allows that; where it does not, the
 // best chance.
@@ -66,22 +59,6 @@
   return pace;
 }
 
-int CountFitting(const Resources& room, const Resources& task) {
-  auto times = std::numeric_limits<std::int64_t>::max();
-  const auto limit_by = [&times](std::int64_t available, std::int64_t needed) {
-    if (needed > 0) times = std::min(times, available / needed);
-  };
-  limit_by(room.m_accelerators, task.m_accelerators);
-  limit_by(room.m_millicores, task.m_millicores);
-  limit_by(room.m_memory_mb, task.m_memory_mb);
-  return static_cast<int>(std::clamp<std::int64_t>(times, 0, std::numeric_limits<int>::max()));
-}
-
-int LimitPerWorker(const WorkerSlot& slot, const Unit& unit, int fitting) {
-  const int limit = unit.m_step->m_spec->m_max_per_worker;
-  return limit == 0 ? fitting : std::min(fitting, std::max(0, limit - CountTasksOfStep(slot, unit)));
-}
-
 Choice ChooseWorkers(const ChoiceInput& input, const std::vector<WorkerSlot*>& candidates,
                      const ChoiceSettings& settings) {
   const Unit& unit = *input.m_unit;
@@ -90,9 +67,9 @@
   const bool probes = input.m_pace.m_probes > 0 && input.m_priority > 0 && unit.m_members.size() == 1;
   std::vector<Option> options;
   for (WorkerSlot* slot : candidates) {
-    if (slot->m_reserved_for != nullptr && slot->m_reserved_for != &unit) continue;
-    if (input.m_now < slot->m_avoid_until) continue;
-    const int times = LimitPerWorker(*slot, unit, CountFitting(slot->m_free, unit.m_step->m_spec->m_task));
+    if (!MayHost(*slot, input.m_now)) continue;
+    const Resources room = RoomFor(*slot, unit, input.m_guaranteed);
+    const int times = LimitPerWorker(*slot, unit, CountFitting(room, unit.m_step->m_spec->m_task));
     if (times <= 0) continue;
     const bool probe = probes && slot->m_members.empty() && !slot->m_speed.IsMeasured(input.m_now, settings.m_speed);
     if (probe) {
--- a/hickoryquay/jobs/worker_choice.h
+++ b/hickoryquay/jobs/worker_choice.h
@@ -3,6 +3,7 @@
 
 #include <vector>
 
+#include "hickoryquay/jobs/preemption.h"
 #include "hickoryquay/jobs/units.h"
 #include "hickoryquay/jobs/worker_table.h"
 
@@ -39,7 +40,8 @@
   Millis m_estimate{0};
   Millis m_budget{0};  // Left until the unit's objective.
   PoolPace m_pace;
-  Instant m_now;  // Steady time.
+  bool m_guaranteed = false;  // The unit is within its account's guarantee.
+  Instant m_now;              // Steady time.
 };
 
 struct Choice {
@@ -48,11 +50,6 @@
   bool m_cold = false;               // Urgent work would get a worker that is still slow after its start.
 };
 
-// Number of tasks of this kind that fit into the resources.
-int CountFitting(const Resources& room, const Resources& task);
-// At most `fitting`, and at most what the step allows on one worker.
-int LimitPerWorker(const WorkerSlot& slot, const Unit& unit, int fitting);
-
 // Within a rank, workers with the fewest free accelerators come first, then warm ones. Urgent work takes a cold worker
 // only where no warm one fits.
 Choice ChooseWorkers(const ChoiceInput& input, const std::vector<WorkerSlot*>& candidates,
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -13,6 +13,12 @@
 
 namespace hickoryquay::jobs {
 
+// Room on a worker that is kept for a unit while others are preempted for it.
+struct Reservation {
+  Resources m_room;
+  bool m_guaranteed = false;  // The unit is within its account's guarantee.
+};
+
 struct WorkerSlot {
   WorkerEntry m_entry;
   bool m_listed = false;                // Listed by the platform.
@@ -23,12 +29,13 @@
   Instant m_born;         // Wall time of the start of the incarnation that answers, as it reports; 0: never reported.
   int m_incarnation = 0;  // Counts the restarts under its id.
   Resources m_free;
-  UnitMemberSet m_members;             // Members that have resources allocated here.
-  std::int64_t m_processed_ends = 0;   // Number of the last end that was processed.
-  std::int64_t m_released_ends = 0;    // Number of the last end that was handed out in Batch::m_recorded_ends.
-  Unit* m_reserved_for = nullptr;      // Only this unit may be placed here, while others are preempted for it.
+  UnitMemberSet m_members;            // Members that have resources allocated here.
+  std::int64_t m_processed_ends = 0;  // Number of the last end that was processed.
+  std::int64_t m_released_ends = 0;   // Number of the last end that was handed out in Batch::m_recorded_ends.
+  std::map<Unit*, Reservation, UnitLess> m_reservations;
   std::optional<Instant> m_leaves_at;  // Earliest steady time at which a draining worker is removed.
   int m_failures = 0;                  // Consecutive failed tasks; a successful one resets it.
+  int m_refusals = 0;                  // Consecutive refused starts.
   Instant m_avoid_until;               // Steady time until which nothing new is placed here.
   WorkerSpeed m_speed;
 
--- a/hickoryquay/settings/node_settings.h
+++ b/hickoryquay/settings/node_settings.h
@@ -54,6 +54,7 @@
 struct TermsSection {
   Millis m_longest_lease{6'000};  // A longer lease of a worker is cut to this.
   Millis m_stop_timeout{1'000};   // A stopped task has ended by then.
+  Millis m_reclaim{2'700};        // Work within its account's guarantee has begun by then.
   Millis m_restore{250};          // What a start from a checkpoint costs.
   Millis m_keep_ended{120'000};   // The state of an ended job can be asked for this long.
   Millis m_evacuate{0};           // No task is started in an evacuated failure domain after this; 0: none is evacuated.
