Tests: rows of others postpone the leave of a draining worker

Cause: OnWorkerListed counts the time that is left anew from an old value each time the row of any worker changes, so work is not saved before the worker goes. Change: a test that fails on this commit.

--- a/tests/jobs/evacuation_test.cc
+++ b/tests/jobs/evacuation_test.cc
@@ -127,6 +127,7 @@
   CPPUNIT_TEST(ColdWorkersReturnLast);
   CPPUNIT_TEST(WarmWorkersAreTakenFirst);
   CPPUNIT_TEST(RepeatedRowDoesNotKeepAWorkerCold);
+  CPPUNIT_TEST(RepeatedRowDoesNotPostponeTheLeaveOfAWorker);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -296,6 +297,24 @@
     CPPUNIT_ASSERT(starts.size() == 1 && starts.front().m_worker == Entry(kNorth, 0).m_id);
   }
 
+  // The same for a worker that drains: a leave that is postponed with every row of others comes without a save.
+  void RepeatedRowDoesNotPostponeTheLeaveOfAWorker() {
+    m_scheduler->SetEvacuated({kSouth}, At(0));
+    Submit(1, 1, 60'000, false, 0, true);
+    const auto starts = Decide(At(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    Confirm(starts.front(), At(0));
+    WorkerEntry worker = Entry(kNorth, 0);
+    CPPUNIT_ASSERT(starts.front().m_worker == worker.m_id);
+    worker.m_draining = true;
+    worker.m_remaining = Millis{4'000};
+    for (int ms = 100; ms <= 3'000; ms += 100) {
+      m_scheduler->OnWorkerListed(worker, At(ms));
+      Decide(At(ms));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_scheduler->TakeStops(At(3'000)).size());
+  }
+
  private:
   static WorkerEntry Entry(const DomainId& domain, int index) {
     WorkerEntry worker;
@@ -320,7 +339,8 @@
     m_scheduler->SetWorkerUsable(worker.m_id, true);
   }
 
-  JobId Submit(int tasks, int accelerators, int objective_ms, bool gang = false, int priority = 0) {
+  JobId Submit(int tasks, int accelerators, int objective_ms, bool gang = false, int priority = 0,
+               bool checkpoints = false) {
     AcceptedJob job;
     job.m_id = JobId{m_next_job++};
     job.m_pool = kPool;
@@ -331,6 +351,7 @@
     StepSpec step;
     step.m_tasks = tasks;
     step.m_gang = gang;
+    step.m_checkpoints = checkpoints;
     step.m_task = Resources{accelerators, 1, 1};
     step.m_estimate = Millis{1'000};
     job.m_request.m_steps = {step};
