Scheduler: the leave of a draining worker counts from when it was told

Cause: all workers are listed again whenever the row of one changes, and each time the time that a draining worker has left was counted from that moment. Change: it is counted anew only when the worker's own value changes. Measured: RepeatedRowDoesNotPostponeTheLeaveOfAWorker fails before and passes after; jobs_day_test OK.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -243,14 +243,18 @@
 //-------------------------------------------------------------------------------------------------
 
 void Scheduler::OnWorkerListed(const WorkerEntry& worker, Now now) {
-  // All workers are listed again when the row of one changes: only a new value tells how long this one stays cold.
+  // All workers are listed again when the row of one changes: only a new value tells how much time is left from now on.
   const WorkerSlot* known = m_workers.Find(worker.m_id);
-  const bool reported = known == nullptr || known->m_entry.m_cold_left != worker.m_cold_left;
+  const bool cold_reported = known == nullptr || known->m_entry.m_cold_left != worker.m_cold_left;
+  const bool leave_reported = known == nullptr || known->m_entry.m_draining != worker.m_draining ||
+                              known->m_entry.m_remaining != worker.m_remaining;
   m_workers.Update(worker);
   WorkerSlot* slot = m_workers.Find(worker.m_id);
-  if (reported) slot->m_cold_until = now.m_steady + worker.m_cold_left.value_or(Millis{0});
-  slot->m_leaves_at.reset();
-  if (worker.m_draining && worker.m_remaining) slot->m_leaves_at = now.m_steady + *worker.m_remaining;
+  if (cold_reported) slot->m_cold_until = now.m_steady + worker.m_cold_left.value_or(Millis{0});
+  if (leave_reported) {
+    slot->m_leaves_at.reset();
+    if (worker.m_draining && worker.m_remaining) slot->m_leaves_at = now.m_steady + *worker.m_remaining;
+  }
   slot->m_evacuated = m_evacuated.contains(worker.m_domain);
 }
 
