Guarantees: how long urgent work within a guarantee takes to begin is reported

Cause: logs and metrics did not tell how long a job within its account's guarantee took to begin all tasks of its first step. Change: the scheduler reports each such start; the leader counts it in hq_guarantee_start_seconds and hq_guarantee_starts_late_total, with a log line beyond half of the bound.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -38,6 +38,7 @@
   job->m_phase = phase;
   job->m_phase_stored = true;
   job->m_has_run = phase != JobPhase::kQueued;
+  job->m_begun = job->m_has_run;  // When it began is not known here.
   if (!Ended(phase)) return;
   job->m_ended = since;
   m_open_jobs.erase(id);
@@ -98,6 +99,7 @@
   if (Find(job.m_id) != nullptr) return;
   RestoreJob(job);
   JobState* state = Find(job.m_id);
+  state->m_taken_in = now.m_steady;
   CreateDueSteps(state, now);
   const StepSpec& first = job.m_request.m_steps.front();
   log::Info(kLog, "Job taken in",
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -131,6 +131,14 @@
   PhaseRow m_end;
 };
 
+// A job of priority 0 within its account's guarantee has begun all tasks of its first step.
+struct GuaranteeStart {
+  JobId m_job{};
+  AccountId m_account;
+  Millis m_since_accepted{0};  // By the wall clocks of the instance that accepted the job and of this one.
+  Millis m_since_taken_in{0};
+};
+
 //-------------------------------------------------------------------------------------------------
 // [SECTION] Scheduler
 //-------------------------------------------------------------------------------------------------
@@ -194,6 +202,8 @@
   Batch TakeBatch(std::size_t max_rows, std::size_t max_bytes);
   std::vector<StopCommand> TakeStops(Now now);  // May be sent immediately.
 
+  std::vector<GuaranteeStart> TakeGuaranteeStarts() { return std::exchange(m_guarantee_starts, {}); }
+
   // Returns each job once. Call only when every batch taken so far is stored.
   std::vector<SettledJob> TakeSettledJobs();
   // These jobs are known elsewhere now: the next batches delete their rows.
@@ -228,6 +238,7 @@
 
   // scheduler_runs.cc
   void OnTaskEnd(WorkerSlot* slot, const EndedTask& end, Now now);
+  void NoteRunning(const Unit& unit, Now now);
   void OnRunning(WorkerSlot* slot, const RunningTask& running, Now now);
   void CheckPace(WorkerSlot* slot, const PollReply& reply, Now now);
   std::pair<Unit*, std::size_t> FindMember(const TaskKey& task);
@@ -288,6 +299,7 @@
   std::map<std::pair<PoolName, std::string>, WorkerTable::RackMap> m_racks;  // By pool and label.
   std::map<PoolName, PoolPace> m_paces;
   Guarantees m_guarantees;
+  std::vector<GuaranteeStart> m_guarantee_starts;    // Not taken yet.
   std::deque<std::pair<Instant, JobId>> m_archived;  // With the steady time.
   int m_starts = 0;
   int m_preemptions = 0;
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -120,7 +120,7 @@
                  {"worker", command.m_worker.m_value},
                  {"ms", std::to_string((now.m_steady - member.m_since).count())}});
       SetState(&member, MemberState::kRunning, now.m_steady);
-      unit->m_step->m_job->m_has_run = true;
+      NoteRunning(*unit, now);
       return;
     case StartOutcome::kUnknown:
       if (member.m_resends < m_settings.m_max_start_resends && !unit->m_stopping) {
@@ -169,6 +169,23 @@
   member.m_stop_at = stops ? now.m_steady : now.m_steady + m_settings.m_stop_retry_delay;
 }
 
+// A member of the unit runs. Reports the job when its first step has begun within a guarantee.
+void Scheduler::NoteRunning(const Unit& unit, Now now) {
+  JobState* job = unit.m_step->m_job;
+  job->m_has_run = true;
+  if (job->m_begun || job->m_job.m_priority != 0 || unit.m_step->m_key.m_step != 0) return;
+  const auto& units = unit.m_step->m_units;
+  job->m_begun = std::all_of(units.begin(), units.end(), [](const auto& other) {
+    return other->m_done ||
+           (other->m_active && std::all_of(other->m_members.begin(), other->m_members.end(), [](const Member& member) {
+              return member.m_state == MemberState::kRunning || member.m_state == MemberState::kSettled;
+            }));
+  });
+  if (!job->m_begun || !m_guarantees.Covers(*job)) return;
+  m_guarantee_starts.push_back(
+      {job->m_job.m_id, job->m_job.m_account, now.m_wall - job->m_job.m_accepted, now.m_steady - job->m_taken_in});
+}
+
 //-------------------------------------------------------------------------------------------------
 // Poll replies
 //-------------------------------------------------------------------------------------------------
@@ -201,7 +218,7 @@
   }
   Member& member = unit->m_members[index];
   if (member.m_state != MemberState::kRunning) SetState(&member, MemberState::kRunning, now.m_steady);
-  unit->m_step->m_job->m_has_run = true;
+  NoteRunning(*unit, now);
   if (unit->m_step->m_spec->m_checkpoints && !running.m_checkpoint.empty()) unit->m_checkpoint = running.m_checkpoint;
   const bool overdue =
       member.m_stop == StopState::kAcknowledged &&
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -98,6 +98,8 @@
   std::shared_ptr<const std::string> m_payload;
   JobPhase m_phase = JobPhase::kQueued;
   bool m_has_run = false;  // A worker has confirmed at least one run.
+  bool m_begun = false;    // All tasks of its first step have run, at least once at the same time.
+  Instant m_taken_in;      // Steady time at which this scheduler learned of it.
   bool m_phase_stored = false;
   bool m_settled = false;     // Returned by TakeSettledJobs.
   Instant m_ended;            // Wall time.
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -50,6 +50,8 @@
       m_events(std::move(events)),
       m_scheduler(settings.m_scheduler),
       m_store_ms(&parts.m_metrics->GetDistribution("hq_store_write_ms")),
+      m_guarantee_start_s(&parts.m_metrics->GetDistribution("hq_guarantee_start_seconds")),
+      m_guarantee_starts_late(&parts.m_metrics->GetCounter("hq_guarantee_starts_late_total")),
       m_evacuation_report(parts.m_metrics) {
   // Started later, a task could arrive in a domain whose evacuation is in force already.
   m_settings.m_sessions.m_longest_queued = m_settings.m_evacuate;
@@ -315,6 +317,7 @@
   m_last_round = m_parts.m_clock->Now();
   if (MayPlace()) m_scheduler.Decide(Time());
   m_evacuation_report.Update(m_scheduler.EvacuatedDomains());
+  ReportGuaranteeStarts();
   for (const jobs::StopCommand& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
   for (const jobs::StartCommand& start : m_scheduler.TakeResends(m_last_round)) m_sessions->Send(start);
   if (!m_write_pending) {
@@ -368,6 +371,21 @@
   ScheduleRound();
 }
 
+void SchedulerDriver::ReportGuaranteeStarts() {
+  const Millis bound = m_settings.m_scheduler.m_preemption.m_reclaim;
+  for (const jobs::GuaranteeStart& start : m_scheduler.TakeGuaranteeStarts()) {
+    m_guarantee_start_s->Add(static_cast<double>(start.m_since_accepted.count()) / 1'000.0);
+    if (start.m_since_accepted > bound) m_guarantee_starts_late->Add();
+    if (2 * start.m_since_accepted <= bound) continue;
+    log::Warn(kLog, "Job within its account's guarantee began late",
+              {{"job", jobs::HexText(start.m_job)},
+               {"account", start.m_account.m_value},
+               {"since_accepted_ms", std::to_string(start.m_since_accepted.count())},
+               {"since_taken_in_ms", std::to_string(start.m_since_taken_in.count())},
+               {"bound_ms", std::to_string(bound.count())}});
+  }
+}
+
 void SchedulerDriver::CountPhases(const std::vector<jobs::PhaseChange>& phases) {
   const Instant now = m_parts.m_clock->Wall();
   for (const jobs::PhaseChange& change : phases) {
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -77,6 +77,7 @@
   void ScheduleRound();
   void RunRound();
   void OnStored(const jobs::Batch& batch);
+  void ReportGuaranteeStarts();
   void CountPhases(const std::vector<jobs::PhaseChange>& phases);
   void ArchiveSettled();
   bool MayPlace() const;
@@ -114,6 +115,8 @@
   Subscription m_tick;
   Subscription m_round_timer;
   Distribution* m_store_ms;
+  Distribution* m_guarantee_start_s;
+  Counter* m_guarantee_starts_late;
   EvacuationReport m_evacuation_report;
 };
 
--- a/tests/jobs/reclaim_test.cc
+++ b/tests/jobs/reclaim_test.cc
@@ -60,6 +60,8 @@
     m_scheduler->SetConfiguration(configuration);
   }
 
+  std::vector<GuaranteeStart> TakeGuaranteeStarts() { return m_scheduler->TakeGuaranteeStarts(); }
+
   FakeWorker& AddWorker(const std::string& name, const std::string& rack = "r") {
     WorkerEntry entry;
     entry.m_id = WorkerId{name};
@@ -261,6 +263,7 @@
   CPPUNIT_TEST(ClockOfTheAcceptingInstanceDoesNotMatter);
   CPPUNIT_TEST(TasksOfAStepAreReclaimedTogether);
   CPPUNIT_TEST(JobsAreReclaimedOnTheSameWorkersTogether);
+  CPPUNIT_TEST(GuaranteeStartsAreReported);
   CPPUNIT_TEST(NoSequenceDelaysAGuarantee);
   CPPUNIT_TEST_SUITE_END();
 
@@ -312,6 +315,23 @@
     CPPUNIT_ASSERT_EQUAL(0, rig.Running(2));
   }
 
+  // Operators have to see how long guarantees take; work of others must not count.
+  void GuaranteeStartsAreReported() {
+    Rig rig(kShortStop);
+    rig.Guarantee(8, 0);
+    rig.AddWorker("a");
+    rig.Submit(Rig::Job(1, kOther, 1, 1, 8));
+    rig.Run(Millis{500});
+    CPPUNIT_ASSERT(rig.TakeGuaranteeStarts().empty());
+    rig.Submit(Rig::Job(2, kOwner, 0, 1, 8));
+    rig.Run(Bound(kShortStop));
+    const auto starts = rig.TakeGuaranteeStarts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    CPPUNIT_ASSERT(starts.front().m_job == JobId{2} && starts.front().m_account == kOwner);
+    CPPUNIT_ASSERT(starts.front().m_since_taken_in > Millis{0});
+    CPPUNIT_ASSERT(starts.front().m_since_taken_in <= Bound(kShortStop));
+  }
+
   // Hypothesis 3. Room was made for a gang in two racks, but the gang was not placed there for another second.
   void GangSpansRacksAsSoonAsRoomIsFree() {
     Rig rig(kShortStop);
