Sessions: a start extends a lease only while leases may be extended

Cause: starts, and above all starts that are sent again, extended the lease of their worker without asking whether this leader may still grant leases. One that was suspended and resumed could so start a task that its successor had placed elsewhere, on a worker that the successor took for clear. Ruled out: late starts of the stand-in (the start is sent by the resumed leader, its log shows it). Change: such starts are withheld; a copy that got no answer before is looked for by polls, as in an evacuated domain.

--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -139,7 +139,9 @@
 }
 
 void WorkerSessions::SendNow(const jobs::StartCommand& command) {
-  if (!m_scheduler->MaySend(command)) return m_scheduler->OnStartWithheld(command, Time());
+  // A start extends the worker's lease, which a leader that may have a successor must not do: the successor counts on
+  // its end.
+  if (!m_scheduler->MaySend(command) || !m_events.m_may_grant()) return m_scheduler->OnStartWithheld(command, Time());
   m_scheduler->OnStartSent(command, Time());
   const auto found = m_sessions.find(command.m_worker);
   if (found == m_sessions.end()) return m_scheduler->OnStartAnswer(command, jobs::StartOutcome::kNotSent, Time());
