--- a/tests/service/fuzz_test.cc
+++ b/tests/service/fuzz_test.cc
@@ -171,8 +171,8 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // A found case: a leader is suspended while starts are unanswered, its successor places these tasks elsewhere once the
-  // lease of their silent worker is over, and the resumed leader sends the starts again to that worker.
+  // A found case: a leader is suspended while starts are unanswered, its successor places these tasks elsewhere once
+  // the lease of their silent worker is over, and the resumed leader sends the starts again to that worker.
   void ResumedLeaderStartsNothing() {
     log::Configure({log::Level::kInfo, log::Form::kText, 1'000'000});
     CPPUNIT_ASSERT_EQUAL(std::string(), RandomScenario(109'287'315).Run());
