--- a/tests/jobs/reclaim_test.cc
+++ b/tests/jobs/reclaim_test.cc
@@ -268,7 +268,7 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // Hypothesis 1. Work was stopped on a worker that then took no start, again and again.
+  // Work was stopped on a worker that then took no start, again and again.
   void PlanUsesNoAvoidedWorker() {
     Rig rig(kShortStop);
     rig.Guarantee(4, 0);
@@ -286,7 +286,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), rig.WorkerOf(3));
   }
 
-  // Hypothesis 2. An owner could not call on its guarantee while urgent work of another account had borrowed the room.
+  // An owner could not call on its guarantee while urgent work of another account had borrowed the room.
   void BorrowedUrgentWorkIsStopped() {
     Rig rig(kShortStop);
     rig.Guarantee(8, 8);
@@ -332,7 +332,7 @@
     CPPUNIT_ASSERT(starts.front().m_since_taken_in <= Bound(kShortStop));
   }
 
-  // Hypothesis 3. Room was made for a gang in two racks, but the gang was not placed there for another second.
+  // Room was made for a gang in two racks, but the gang was not placed there for another second.
   void GangSpansRacksAsSoonAsRoomIsFree() {
     Rig rig(kShortStop);
     rig.Guarantee(8, 8);
@@ -352,7 +352,7 @@
     CheckBegins(&rig, 3, 2, kShortStop + Millis{300});
   }
 
-  // Hypothesis 4. A stop that got no answer held up the unit, and the worker was chosen again afterwards.
+  // A stop that got no answer held up the unit, and the worker was chosen again afterwards.
   void UnansweredStopIsReplaced() {
     Rig rig(kLongStop);
     rig.Guarantee(8, 0);
@@ -368,7 +368,7 @@
     CheckBegins(&rig, 3, 1, Bound(kLongStop));
   }
 
-  // Hypothesis 5. Work that cost more than a limit was stopped for a guarantee only after a second.
+  // Work that cost more than a limit was stopped for a guarantee only after a second.
   void CostDoesNotDelayAGuarantee() {
     Rig rig(kShortStop);
     rig.Guarantee(8, 0);
@@ -381,7 +381,7 @@
     CheckBegins(&rig, 2, 1, kShortStop + Millis{300});
   }
 
-  // Hypothesis 6. A job whose steps run one after another counted with the sum of them.
+  // A job whose steps run one after another counted with the sum of them.
   void LaterStepsDoNotUseUpTheGuarantee() {
     Rig rig(kShortStop);
     rig.Guarantee(8, 0);
@@ -396,7 +396,7 @@
     CheckBegins(&rig, 2, 1, Bound(kShortStop));
   }
 
-  // Hypothesis 7. The second of hypothesis 5 was counted by the difference of two machines' clocks.
+  // The second of the test before was counted by the difference of two machines' clocks.
   void ClockOfTheAcceptingInstanceDoesNotMatter() {
     Rig rig(kShortStop);
     rig.Guarantee(8, 0);
