Jobs: the log says why a run was lost with its worker, for how long it ran and in what company

Cause: the line "Run lost with its worker" was the same for a worker that was cut off and for one that had crashed, and did not tell a task that crashes workers from those that run beside it. Change: the scheduler is told what showed the loss (lease over, id no longer listed, another id, restarted under its id); log fields why, draining, ran_ms, units_there; counter hq_workers_lost_total by cause. No decision changes.

--- a/hickoryquay/jobs/incarnation.h
+++ b/hickoryquay/jobs/incarnation.h
@@ -48,6 +48,21 @@
   return *row_born > reported ? RowIncarnation::kNewer : RowIncarnation::kLagging;
 }
 
+// What shows that an incarnation of a worker runs nothing any more.
+enum class WorkerLoss {
+  kLeaseOver,  // Its last lease has ended and it does not answer. It may be cut off and alive.
+  kUnlisted,   // The platform no longer lists its id.
+  kReplaced,   // Another id answers at its address.
+  kRestarted,  // It answers under its id with a later start.
+};
+const char* ToString(WorkerLoss loss);
+
+// A worker whose runs are lost.
+struct LostWorker {
+  WorkerLoss m_why = WorkerLoss::kLeaseOver;
+  int m_units = 0;  // That had runs there.
+};
+
 // A run that was placed on an earlier incarnation, when a reply of a later one arrives for the first time.
 struct RunBeforeRestart {
   bool m_sent = true;            // Its start was sent.
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -272,12 +272,13 @@
   if (slot != nullptr) slot->m_usable = usable;
 }
 
-void Scheduler::OnWorkerCleared(const WorkerId& worker) {
+void Scheduler::OnWorkerCleared(const WorkerId& worker, WorkerLoss loss, Now now) {
   WorkerSlot* slot = m_workers.Find(worker);
   if (slot == nullptr) return;
   const auto members = slot->m_members;
+  const LostWorker lost{loss, slot->CountUnits()};
   for (const auto& [unit, member] : members) {
-    if (unit->m_members[member].m_slot == slot) LoseRun(unit, member);
+    if (unit->m_members[member].m_slot == slot) LoseRun(unit, member, lost, now);
   }
   m_workers.EraseIfUnused(worker);
 }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -25,6 +25,7 @@
 #include <utility>
 #include <vector>
 
+#include "hickoryquay/jobs/incarnation.h"
 #include "hickoryquay/jobs/job.h"
 #include "hickoryquay/jobs/preemption.h"
 #include "hickoryquay/jobs/rows.h"
@@ -185,7 +186,7 @@
   std::map<DomainId, EvacuatedDomain> EvacuatedDomains() const;  // Includes domains that no worker has.
 
   // All runs that were placed on the worker have ended and can't start again.
-  void OnWorkerCleared(const WorkerId& worker);
+  void OnWorkerCleared(const WorkerId& worker, WorkerLoss loss, Now now);
   // If the reply is of another incarnation than the one before, the runs of that one are resolved; see incarnation.h.
   void OnPollReply(const WorkerId& worker, const PollReply& reply, Instant sent, Now now);
   void OnStartSent(const StartCommand& command, Now now);
@@ -252,8 +253,9 @@
 
   // scheduler_restart.cc
   void OnIncarnation(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now);
-  void ResolveAfterRestart(const UnitMember& placed, const PollReply& reply, Instant sent, Now now);
-  void LoseRun(Unit* unit, std::size_t member);
+  void ResolveAfterRestart(const UnitMember& placed, const LostWorker& lost, const PollReply& reply, Instant sent,
+                           Now now);
+  void LoseRun(Unit* unit, std::size_t member, const LostWorker& lost, Now now);
   void ResetUnit(Unit* unit);
 
   // scheduler_evacuation.cc
--- a/hickoryquay/jobs/scheduler_restart.cc
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -19,22 +19,38 @@
 
 }  // namespace
 
+const char* ToString(WorkerLoss loss) {
+  switch (loss) {
+    case WorkerLoss::kLeaseOver:
+      return "lease is over";
+    case WorkerLoss::kUnlisted:
+      return "the platform no longer knows it";
+    case WorkerLoss::kReplaced:
+      return "another life answers";
+    case WorkerLoss::kRestarted:
+      return "it has restarted";
+  }
+  return "";
+}
+
 void Scheduler::OnIncarnation(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now) {
   if (!reply.m_born || *reply.m_born == slot->m_born) return;
   const bool restarted = slot->m_born.m_ms != 0;
   if (restarted) slot->OnRestarted();
   slot->m_born = *reply.m_born;
   const auto members = slot->m_members;
+  const LostWorker lost{WorkerLoss::kRestarted, slot->CountUnits()};
   for (const UnitMember& placed : members) {
     Member& member = placed.first->m_members[placed.second];
     if (member.m_slot != slot || member.m_born == slot->m_born) continue;
     // A row without a start time: SettleAbsent resolves the run as on a worker that reports none.
     const bool unknown = member.m_born.m_ms == 0 && !restarted;
-    unknown ? void(member.m_born = slot->m_born) : ResolveAfterRestart(placed, reply, sent, now);
+    unknown ? void(member.m_born = slot->m_born) : ResolveAfterRestart(placed, lost, reply, sent, now);
   }
 }
 
-void Scheduler::ResolveAfterRestart(const UnitMember& placed, const PollReply& reply, Instant sent, Now now) {
+void Scheduler::ResolveAfterRestart(const UnitMember& placed, const LostWorker& lost, const PollReply& reply,
+                                    Instant sent, Now now) {
   const auto [unit, index] = placed;
   Member& member = unit->m_members[index];
   const WorkerSlot* slot = member.m_slot;
@@ -49,7 +65,7 @@
     case AfterRestart::kWithdraw:
       return StopRun(unit, "its worker has restarted");
     case AfterRestart::kClear:
-      return LoseRun(unit, index);
+      return LoseRun(unit, index, lost, now);
     case AfterRestart::kStop:
       break;
   }
@@ -62,12 +78,19 @@
   member.m_stop_at = Instant{};
 }
 
-void Scheduler::LoseRun(Unit* unit, std::size_t index) {
-  const WorkerSlot* slot = unit->m_members[index].m_slot;
+void Scheduler::LoseRun(Unit* unit, std::size_t index, const LostWorker& lost, Now now) {
+  const Member& member = unit->m_members[index];
+  const WorkerSlot* slot = member.m_slot;
+  // A restored run began at an unknown time.
+  const bool confirmed = member.m_state == MemberState::kRunning && !member.m_restored;
   log::Info(kLog, "Run lost with its worker",
             {{"task", ToText(unit->Key(index))},
              {"run", std::to_string(Raw(unit->m_run))},
-             {"worker", slot->m_entry.m_id.m_value}});
+             {"worker", slot->m_entry.m_id.m_value},
+             {"why", ToString(lost.m_why)},
+             {"draining", slot->m_entry.m_draining ? "yes" : "no"},
+             {"ran_ms", confirmed ? std::to_string((now.m_steady - member.m_since).count()) : "unknown"},
+             {"units_there", std::to_string(lost.m_units)}});
   if (unit->m_step->m_spec->m_gang && !unit->m_done) StopRun(unit, "member lost");
   if (unit->m_members[index].m_slot == slot) Settle(unit, index);
 }
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -1,6 +1,7 @@
 #include "hickoryquay/jobs/worker_table.h"
 
 #include <algorithm>
+#include <set>
 
 namespace hickoryquay::jobs {
 
@@ -14,6 +15,12 @@
   m_speed = WorkerSpeed{};
 }
 
+int WorkerSlot::CountUnits() const {
+  std::set<const Unit*> units;
+  for (const auto& [unit, index] : m_members) units.insert(unit);
+  return static_cast<int>(units.size());
+}
+
 WorkerSlot* WorkerTable::Find(const WorkerId& id) {
   const auto found = m_slots.find(id);
   return found == m_slots.end() ? nullptr : found->second.get();
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -45,6 +45,8 @@
     return m_listed && m_usable && !m_entry.m_draining && IsDescribed() && !m_evacuated && !m_returns_at;
   }
 
+  int CountUnits() const;  // That have members here.
+
   void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
 };
 
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -35,6 +35,7 @@
       m_events(std::move(events)),
       m_commands(WindowOf(settings)),
       m_started(clock->Now()),
+      m_metrics(metrics),
       m_polls_sent(&metrics->GetCounter("hq_worker_looks_total")),
       m_polls_failed(&metrics->GetCounter("hq_worker_looks_failed_total")),
       m_restarts(&metrics->GetCounter("hq_worker_restarts_total")),
@@ -161,7 +162,7 @@
                  if (!self->IsCurrent(command.m_worker, session.get(), incarnation, reply.m_born, sent)) return;
                  self->m_scheduler->OnStartAnswer(command, reply.m_outcome, self->Time());
                  if (reply.m_outcome == jobs::StartOutcome::kOtherIncarnation)
-                   self->Clear(command.m_worker, session, "another life answers");
+                   self->Clear(command.m_worker, session, jobs::WorkerLoss::kReplaced);
                  self->m_events.m_changed();
                });
 }
@@ -181,7 +182,7 @@
                 if (!self->IsCurrent(command.m_worker, session.get(), incarnation, std::nullopt, sent)) return;
                 self->m_scheduler->OnStopAnswer(command, outcome, self->Time());
                 if (outcome == jobs::StopOutcome::kOtherIncarnation)
-                  self->Clear(command.m_worker, session, "another life answers");
+                  self->Clear(command.m_worker, session, jobs::WorkerLoss::kReplaced);
                 self->m_events.m_changed();
               });
 }
@@ -288,7 +289,7 @@
     if (!IsUnreachable(id, *session) || worker_ids.contains(id) ||
         asked - session->m_created < m_settings.m_list_max_lag)
       continue;
-    Clear(id, session, "the platform no longer knows it");
+    Clear(id, session, jobs::WorkerLoss::kUnlisted);
   }
   m_events.m_changed();
 }
@@ -302,7 +303,7 @@
     return;
   }
   if (busy && session->m_failures > 0 && now >= session->m_lease_end && !session->m_cleared) {
-    Clear(id, session, "lease is over");
+    Clear(id, session, jobs::WorkerLoss::kLeaseOver);
     m_events.m_changed();
   }
   if (session->m_polls_pending > 0) {
@@ -386,16 +387,17 @@
   session->m_retry_at = m_clock->Now() + m_settings.m_retry_delay;
   m_scheduler->SetWorkerUsable(id, false);
   if (session->m_failures == 2) log::Warn(kLog, "Worker does not answer", {{"worker", id.m_value}});
-  if (failure == jobs::PollFailure::kOtherIncarnation) Clear(id, session, "another life answers");
+  if (failure == jobs::PollFailure::kOtherIncarnation) Clear(id, session, jobs::WorkerLoss::kReplaced);
   m_events.m_changed();
 }
 
-void WorkerSessions::Clear(const WorkerId& id, const std::shared_ptr<Session>& session, const char* why) {
-  log::Info(kLog, "Worker is clear", {{"worker", id.m_value}, {"why", why}});
+void WorkerSessions::Clear(const WorkerId& id, const std::shared_ptr<Session>& session, jobs::WorkerLoss loss) {
+  log::Info(kLog, "Worker is clear", {{"worker", id.m_value}, {"why", ToString(loss)}});
+  if (m_scheduler->IsBusy(id)) m_metrics->GetCounter("hq_workers_lost_total", {{"why", ToString(loss)}}).Add();
   session->m_cleared = true;
   session->m_acked_ends = session->m_reported_ends;
   m_scheduler->SetWorkerUsable(id, false);
-  m_scheduler->OnWorkerCleared(id);
+  m_scheduler->OnWorkerCleared(id, loss, Time());
 }
 
 }  // namespace hickoryquay::service
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -118,7 +118,7 @@
   void OnPollReply(const WorkerId& id, const std::shared_ptr<Session>& session, const jobs::PollCall& call,
                    Instant sent, Result<jobs::PollReply, jobs::PollFailure> result);
   void OnFailure(const WorkerId& id, const std::shared_ptr<Session>& session, jobs::PollFailure failure);
-  void Clear(const WorkerId& id, const std::shared_ptr<Session>& session, const char* why);
+  void Clear(const WorkerId& id, const std::shared_ptr<Session>& session, jobs::WorkerLoss loss);
   jobs::WorkerTime GrantLease(Session* session);
   Instant LatestLeaseEnd(Instant granted) const;
   jobs::Now Time() const { return {m_clock->Now(), m_clock->Wall()}; }
@@ -138,6 +138,7 @@
   bool m_listing = false;
   bool m_stopped = false;
   Subscription m_tick;
+  Metrics* m_metrics;
   Counter* m_polls_sent;
   Counter* m_polls_failed;
   Counter* m_restarts;
