--- a/standin/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -16,6 +16,8 @@
 constexpr const char* kEvacuationPrefix = "evacuated/";  // Of keys in that table.
 constexpr Millis kExchangeInterval{1'000};               // As the heartbeats between peers.
 constexpr Millis kRowRemovalDelay{4'500};                // Three missed heartbeats.
+constexpr Millis kCrashedFor{3'000};                     // Until a crashed worker is back.
+constexpr Millis kRowDelay{100};                         // Until its row follows.
 constexpr int kPriorities = 3;
 
 std::string Text(const jobs::WorkerEntry& entry) {
@@ -39,6 +41,7 @@
   store.m_random_seed = settings.m_random_seed;
   m_store = std::make_unique<standin::SimStore>(&m_timers, &m_clock, store);
   m_workers = std::make_unique<standin::SimWorkers>(&m_timers, &m_clock, settings.m_workers);
+  m_workers->OnCrash([this](const WorkerId& id) { OnCrash(id); });
   m_configuration = std::make_shared<jobs::QueueConfiguration>();
   m_configuration->m_version = 1;
   for (int priority = 0; priority < kPriorities; ++priority) {
@@ -240,6 +243,16 @@
       .Detach();
 }
 
+void SimCluster::OnCrash(const WorkerId& id) {
+  if (m_settings.m_workers_report_born) {
+    m_timers.After(kCrashedFor, [this, id] { RestartWorkerInPlace(id, kRowDelay); }).Detach();
+    return;
+  }
+  m_timers.After(kRowRemovalDelay, [this, id] { m_store->Remove({kWorkerTable, "", id.m_value}); }).Detach();
+  const WorkerId next{id.m_value.substr(0, id.m_value.find('+')) + "+" + std::to_string(++m_crashes)};
+  m_timers.After(kCrashedFor, [this, next, rack = m_entries.at(id).m_rack] { AddWorker(next, rack); }).Detach();
+}
+
 void SimCluster::AddEndedJobs(int count) {
   const TableNames tables;
   for (int i = 0; i < count; ++i) {
@@ -284,6 +297,12 @@
   return id;
 }
 
+JobId SimCluster::SubmitCrashing(int instance, const jobs::StepSpec& step, Millis crash_after, int priority) {
+  const JobId id = Submit(instance, step, step.m_estimate, priority);
+  m_workers->TruthOf({id, 0, 0}).m_crash_after = crash_after;
+  return id;
+}
+
 void SimCluster::Cancel(int instance, JobId job) {
   IntakeOf(instance).Cancel(job, Millis{3'000}, [this, job](const Result<Done, IntakeError>& result) {
     constexpr Millis kMayStillStart{3'000};
--- a/standin/sim_cluster.h
+++ b/standin/sim_cluster.h
@@ -76,6 +76,8 @@
   // Jobs. `work` is the true duration of every task.
   JobId Submit(int instance, const jobs::StepSpec& step, Millis work, int priority = 1, int failing_runs = 0);
   JobId SubmitSteps(int instance, const std::vector<jobs::StepSpec>& steps, Millis work, int priority);
+  // The first task of the step crashes each worker that starts it; the worker is back kCrashedFor later.
+  JobId SubmitCrashing(int instance, const jobs::StepSpec& step, Millis crash_after, int priority = 1);
   void Cancel(int instance, JobId job);
   void SetGuarantee(int accelerators);  // Sets the guarantee of the only client account.
   bool Accepted(JobId job) const { return m_accepted.contains(job); }
@@ -109,6 +111,7 @@
   static std::size_t Slot(int index) { return static_cast<std::size_t>(index); }
   void ExchangeDocuments(Instance* self);
   void PutWorkerRow(const jobs::WorkerEntry& entry);
+  void OnCrash(const WorkerId& id);
 
   ClusterSettings m_settings;
   ManualClock m_clock;
@@ -127,6 +130,7 @@
   std::uint64_t m_next_job = 1;
   std::uint64_t m_next_ended_job = 1'000'000;
   int m_incarnations = 0;
+  int m_crashes = 0;  // Names workers that return under another id.
 };
 
 }  // namespace hickoryquay::service
--- a/standin/sim_workers.cc
+++ b/standin/sim_workers.cc
@@ -313,6 +313,11 @@
   if (failed != m_failed.end() && static_cast<int>(failed->second.size()) >= truth->second.m_max_attempts) {
     Violation("out of attempts: " + what);
   }
+  const auto crashes = m_crashes.find(call.m_task);
+  if (crashes != m_crashes.end() && crashes->second.m_crashes >= kMostCrashes &&
+      ++crashes->second.m_starts_after > kMostStartsAfter) {
+    Violation("has crashed too many workers: " + what);
+  }
   const auto forbidden = m_forbidden.find(call.m_task.m_step.m_job);
   if (forbidden != m_forbidden.end() && m_clock->Now() >= forbidden->second) Violation("cancelled: " + what);
   for (const int earlier : spec.m_after) {
@@ -330,11 +335,35 @@
 //-------------------------------------------------------------------------------------------------
 
 void SimWorkers::Tick() {
+  std::vector<WorkerId> crashed;
+  for (auto& [id, worker] : m_workers) {
+    if (!worker.m_alive) continue;
+    for (const auto& [task, run] : worker.m_runs) {
+      if (!Crashes(run)) continue;
+      ++m_crashes[task].m_crashes;
+      crashed.push_back(id);
+      break;
+    }
+  }
+  for (const WorkerId& id : crashed) {
+    Kill(id);
+    if (m_on_crash) m_on_crash(id);
+  }
   for (auto& [id, worker] : m_workers) {
     if (worker.m_alive) MoveOn(&worker, static_cast<double>(kTick.count()));
   }
 }
 
+bool SimWorkers::Crashes(const Run& run) const {
+  const auto& after = m_truths.at(run.m_task.m_step).m_crash_after;
+  return after && run.m_task.m_index == 0 && m_clock->Now() - run.m_started >= *after;
+}
+
+int SimWorkers::CrashesBy(const jobs::TaskKey& task) const {
+  const auto found = m_crashes.find(task);
+  return found == m_crashes.end() ? 0 : found->second.m_crashes;
+}
+
 bool SimWorkers::GangWhole(const Run& run) const {
   const StepTruth& truth = m_truths.at(run.m_task.m_step);
   int there = 0;
--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -31,6 +31,7 @@
   std::vector<Millis> m_work;  // Of each task, on a worker of speed 1.
   int m_failing_runs = 0;      // So many runs of each task, or gang, fail by their own fault, at half of their work.
   int m_max_attempts = 1;
+  std::optional<Millis> m_crash_after;  // Its first task crashes its worker this long after each of its starts.
 };
 
 //-------------------------------------------------------------------------------------------------
@@ -81,6 +82,7 @@
   Instant Restart(const WorkerId& worker);  // Returns the wall time of its start.
   WorkerFaults& Faults(const WorkerId& worker) { return m_workers.at(worker).m_faults; }
   void Know(const jobs::StepKey& step, const StepTruth& truth) { m_truths[step] = truth; }
+  StepTruth& TruthOf(const jobs::StepKey& step) { return m_truths.at(step); }
   void ForbidJob(JobId job, Instant from) { m_forbidden[job] = from; }  // Cancelled: no start from then on.
 
   void Start(const jobs::WorkerTarget& worker, const jobs::StartCall& call, Millis timeout,
@@ -93,6 +95,10 @@
 
   // What must not happen and did; empty is good.
   const std::vector<std::string>& Violations() const { return m_violations; }
+  // Called when a task has crashed a worker, which is not alive any more.
+  void OnCrash(std::function<void(const WorkerId&)> handler) { m_on_crash = std::move(handler); }
+  int CrashesBy(const jobs::TaskKey& task) const;
+
   int Starts() const { return m_starts; }
   int StartsOn(const WorkerId& worker) const { return m_workers.at(worker).m_starts; }
   int Looks() const { return m_looks; }
@@ -103,6 +109,8 @@
 
  private:
   static constexpr Millis kTick{10};
+  static constexpr int kMostCrashes = 3;  // Workers that a task may crash before its starts are limited.
+  static constexpr int kMostStartsAfter = 2;
 
   struct Run {
     jobs::TaskKey m_task;
@@ -143,6 +151,7 @@
   }
   void HoldUp(const WorkerId& id, const jobs::StartCall& call, int sent_to, Millis left);
   void Tick();
+  bool Crashes(const Run& run) const;
   void MoveOn(Worker* worker, double ms);
   void Finish(Worker* worker, const jobs::TaskKey& task, jobs::EndKind kind);
   void BreakGang(const jobs::StepKey& step, jobs::RunNumber run, jobs::EndKind kind, const jobs::TaskKey& but);
@@ -181,6 +190,12 @@
   std::map<jobs::TaskKey, Instant> m_done_unnoted;
   std::map<jobs::TaskKey, std::set<jobs::RunNumber>> m_failed;       // Noted.
   std::map<jobs::TaskKey, std::set<jobs::RunNumber>> m_faulty_runs;  // By task, or by first member of a gang.
+  struct CrashCount {
+    int m_crashes = 0;
+    int m_starts_after = 0;  // After kMostCrashes.
+  };
+  std::map<jobs::TaskKey, CrashCount> m_crashes;  // By the task that crashed the workers.
+  std::function<void(const WorkerId&)> m_on_crash;
   std::vector<std::string> m_violations;
   int m_starts = 0;
   int m_looks = 0;
