Jobs: a task that crashes its workers is placed alone, then given up

Cause: only ends that a worker lists as failed counted as attempts; a run that was lost with its worker was placed again without a bound. Why it works: once alone, a sound unit is lost only by crashes that others cause, and one that runs for 2 s is cleared.

--- /dev/null
+++ b/hickoryquay/jobs/crash_isolation.cc
@@ -0,0 +1,91 @@
+#include "hickoryquay/jobs/crash_isolation.h"
+
+#include <algorithm>
+
+#include "hickoryquay/jobs/preemption.h"
+
+namespace hickoryquay::jobs {
+
+namespace {
+
+bool HasOthers(const WorkerSlot& slot, const Unit& unit) {
+  return std::any_of(slot.m_members.begin(), slot.m_members.end(),
+                     [&unit](const UnitMember& held) { return held.first != &unit; });
+}
+
+bool HasLongRunning(const WorkerSlot& slot) {
+  return std::any_of(slot.m_members.begin(), slot.m_members.end(),
+                     [](const UnitMember& held) { return held.first->m_step->m_spec->m_long_running; });
+}
+
+}  // namespace
+
+CrashVerdict Judge(const std::vector<CrashedRun>& crashes, const CrashSettings& settings) {
+  const auto evident =
+      std::count_if(crashes.begin(), crashes.end(), [](const CrashedRun& crash) { return crash.m_evident; });
+  const auto count = static_cast<int>(crashes.size());
+  if (count >= settings.m_give_up_at || evident >= settings.m_give_up_at_evident) return CrashVerdict::kGiveUp;
+  return count >= settings.m_isolate_at ? CrashVerdict::kIsolate : CrashVerdict::kNone;
+}
+
+bool CountsAsCrash(const Unit& unit, const Member& member, WorkerLoss loss) {
+  if (loss == WorkerLoss::kLeaseOver || member.m_slot->m_entry.m_draining) return false;
+  return member.m_state != MemberState::kPlanned && !unit.m_done && !unit.m_sound;
+}
+
+bool IsEvident(const Member& member, const LostWorker& lost, const CrashSettings& settings) {
+  // Without an answer to its start, or after a takeover, it is not known when the run began.
+  const bool known = member.m_state == MemberState::kRunning && !member.m_restored;
+  return known && lost.m_units == 1 && lost.m_silent_since - member.m_since <= settings.m_evident_within;
+}
+
+bool HasRunOn(const Unit& unit, Millis sound_after) {
+  return std::all_of(unit.m_members.begin(), unit.m_members.end(), [sound_after](const Member& member) {
+    return member.m_state == MemberState::kRunning && member.m_listed - member.m_since >= sound_after;
+  });
+}
+
+bool NeedsIsolation(const Unit& unit, const CrashSettings& settings) {
+  return !unit.m_crashes.empty() && Judge(unit.m_crashes, settings) != CrashVerdict::kNone;
+}
+
+bool MayShare(const WorkerSlot& slot, const Unit& unit, const CrashSettings& settings) {
+  if (slot.m_held_for != nullptr && slot.m_held_for != &unit) return false;
+  if (NeedsIsolation(unit, settings)) {
+    const bool reserved = std::any_of(slot.m_reservations.begin(), slot.m_reservations.end(),
+                                      [&unit](const auto& entry) { return entry.first != &unit; });
+    return !reserved && !HasOthers(slot, unit);
+  }
+  return std::none_of(slot.m_members.begin(), slot.m_members.end(), [&](const UnitMember& held) {
+    return held.first != &unit && NeedsIsolation(*held.first, settings);
+  });
+}
+
+std::vector<WorkerSlot*> ChooseWorkersToHold(const Unit& unit, const std::vector<WorkerSlot*>& candidates,
+                                             const CrashSettings& settings) {
+  std::vector<WorkerSlot*> options;
+  std::size_t held = 0;
+  for (WorkerSlot* slot : candidates) {
+    if (slot->m_held_for != nullptr) ++held;
+    if (slot->m_held_for == nullptr && slot->m_reservations.empty() && !HasLongRunning(*slot)) options.push_back(slot);
+  }
+  std::stable_sort(options.begin(), options.end(),
+                   [](const WorkerSlot* a, const WorkerSlot* b) { return a->CountUnits() < b->CountUnits(); });
+  const StepSpec& spec = *unit.m_step->m_spec;
+  std::vector<WorkerSlot*> chosen;
+  int room = 0;
+  for (WorkerSlot* slot : options) {
+    if (room >= static_cast<int>(unit.m_members.size())) break;
+    const int fitting = CountFitting(slot->m_entry.m_capacity, spec.m_task);
+    const int times = spec.m_max_per_worker == 0 ? fitting : std::min(fitting, spec.m_max_per_worker);
+    if (times <= 0) continue;
+    room += times;
+    chosen.push_back(slot);
+  }
+  if (room < static_cast<int>(unit.m_members.size())) return {};
+  const double limit = settings.m_max_held_share * static_cast<double>(candidates.size());
+  if (held > 0 && static_cast<double>(held + chosen.size()) > limit) return {};
+  return chosen;
+}
+
+}  // namespace hickoryquay::jobs
--- /dev/null
+++ b/hickoryquay/jobs/crash_isolation.h
@@ -0,0 +1,61 @@
+// Crash isolation: units that are placed alone because workers crashed under them, and units that are given up. Pure.
+//
+// A task may crash each worker that starts it, and all that runs beside it is lost as well. A worker may also crash for
+// other reasons. So a crash counts against every unit that had begun on the worker shortly before, and proves nothing
+// by itself. A unit with several crashes is placed alone: there, a crash right after the start is evidence against it.
+// A unit that runs on for a while is cleared.
+//
+// Index of this file:
+//   [SECTION] Judgement
+//   [SECTION] Placement
+#pragma once
+
+#include <vector>
+
+#include "hickoryquay/jobs/units.h"
+#include "hickoryquay/jobs/worker_table.h"
+
+namespace hickoryquay::jobs {
+
+//-------------------------------------------------------------------------------------------------
+// [SECTION] Judgement
+//-------------------------------------------------------------------------------------------------
+
+struct CrashSettings {
+  int m_isolate_at = 2;           // Crashes from which on the unit is placed alone.
+  int m_give_up_at = 5;           // Crashes at which the unit is given up, whatever the evidence.
+  int m_give_up_at_evident = 3;   // As above, crashes that are evidence against it.
+  Millis m_evident_within{500};   // Of the answer to the start, until the worker stopped answering.
+  Millis m_sound_after{2'000};    // A unit that still runs this long after its start is sound.
+  Millis m_longest_hold{10'000};  // Then other workers are chosen, since some may have gone.
+  double m_max_held_share = 0.1;  // Of a pool's workers, that are held for units that wait to be placed alone.
+};
+
+enum class CrashVerdict { kNone, kIsolate, kGiveUp };
+CrashVerdict Judge(const std::vector<CrashedRun>& crashes, const CrashSettings& settings);
+
+// Whether the loss of the member's worker counts as a crash under its unit. Not if the worker was cut off or had
+// announced that it leaves, if the start was not sent, or if the unit is done or has run on for m_sound_after.
+bool CountsAsCrash(const Unit& unit, const Member& member, WorkerLoss loss);
+
+// Whether the crash is evidence against the unit: it was alone and had just begun.
+bool IsEvident(const Member& member, const LostWorker& lost, const CrashSettings& settings);
+
+// Whether all members were seen running `sound_after` after their start.
+bool HasRunOn(const Unit& unit, Millis sound_after);
+
+//-------------------------------------------------------------------------------------------------
+// [SECTION] Placement
+//-------------------------------------------------------------------------------------------------
+
+bool NeedsIsolation(const Unit& unit, const CrashSettings& settings);
+
+// Whether the unit may run beside what the worker has, holds and has reserved.
+bool MayShare(const WorkerSlot& slot, const Unit& unit, const CrashSettings& settings);
+
+// The workers of `candidates` to keep free of new work so that the unit can be placed alone there: those with the
+// fewest other units. Empty if there are not enough, or none may be held beside those that are held already.
+std::vector<WorkerSlot*> ChooseWorkersToHold(const Unit& unit, const std::vector<WorkerSlot*>& candidates,
+                                             const CrashSettings& settings);
+
+}  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/preemption.cc
+++ b/hickoryquay/jobs/preemption.cc
@@ -124,7 +124,7 @@
   const bool guaranteed = round.m_guarantees->Covers(*unit.m_step->m_job);
   std::vector<HostOption> options;
   for (WorkerSlot* slot : candidates) {
-    if (!MayHost(*slot, round.m_steady)) continue;
+    if (!MayHost(*slot, unit, *round.m_crashes, round.m_steady)) continue;
     HostOption& option = options.emplace_back();
     option.m_slot = slot;
     option.m_room = FutureRoomFor(*slot, unit, guaranteed, round);
@@ -175,8 +175,8 @@
   return static_cast<int>(std::clamp<std::int64_t>(times, 0, std::numeric_limits<int>::max()));
 }
 
-bool MayHost(const WorkerSlot& slot, Instant steady) {
-  return slot.IsSchedulable() && steady >= slot.m_avoid_until;
+bool MayHost(const WorkerSlot& slot, const Unit& unit, const CrashSettings& crashes, Instant steady) {
+  return slot.IsSchedulable() && steady >= slot.m_avoid_until && MayShare(slot, unit, crashes);
 }
 
 int LimitPerWorker(const WorkerSlot& slot, const Unit& unit, int fitting) {
@@ -198,7 +198,7 @@
 bool ReservationHolds(const WorkerSlot& slot, const Unit& unit, const PreemptionRound& round) {
   const auto found = slot.m_reservations.find(const_cast<Unit*>(&unit));
   if (found == slot.m_reservations.end()) return true;
-  return MayHost(slot, round.m_steady) &&
+  return MayHost(slot, unit, *round.m_crashes, round.m_steady) &&
          found->second.m_room.FitsIn(FutureRoomFor(slot, unit, found->second.m_guaranteed, round));
 }
 
--- a/hickoryquay/jobs/preemption.h
+++ b/hickoryquay/jobs/preemption.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <vector>
 
+#include "hickoryquay/jobs/crash_isolation.h"
 #include "hickoryquay/jobs/job.h"
 #include "hickoryquay/jobs/units.h"
 #include "hickoryquay/jobs/worker_table.h"
@@ -56,6 +57,7 @@
 // State of the decision round that plans are made in.
 struct PreemptionRound {
   const PreemptionSettings* m_settings = nullptr;
+  const CrashSettings* m_crashes = nullptr;
   const Guarantees* m_guarantees = nullptr;
   Instant m_steady;
   Instant m_wall;
@@ -80,7 +82,7 @@
 int CountFitting(const Resources& room, const Resources& task);
 
 // The unit may be placed on the worker if there is room. Planning and placing use this same rule.
-bool MayHost(const WorkerSlot& slot, Instant steady);
+bool MayHost(const WorkerSlot& slot, const Unit& unit, const CrashSettings& crashes, Instant steady);
 
 // Number of further members that the step's limit per worker allows there, at most `fitting`.
 int LimitPerWorker(const WorkerSlot& slot, const Unit& unit, int fitting);
--- a/hickoryquay/jobs/rows.cc
+++ b/hickoryquay/jobs/rows.cc
@@ -90,6 +90,9 @@
   object["run"] = Raw(unit.m_run);
   PutUnlessDefault(&object, "done", unit.m_done);
   if (!unit.m_failed_runs.empty()) object["failed"] = RunNumbers(unit.m_failed_runs);
+  json::array crashes;
+  for (const CrashedRun& crash : unit.m_crashes) crashes.push_back(json::array{Raw(crash.m_run), crash.m_evident});
+  if (!crashes.empty()) object["crashes"] = std::move(crashes);
   PutUnlessDefault(&object, "checkpoint", unit.m_checkpoint);
   json::array members;
   for (const PlacedMember& member : unit.m_members) {
@@ -100,6 +103,14 @@
   return object;
 }
 
+// A number from 0 to `most`; fails the reader and returns 0 for anything else.
+std::int64_t NumberIn(FieldReader* reader, const char* key, const json::value& value, std::int64_t most) {
+  const auto* number = value.if_int64();
+  if (number != nullptr && *number >= 0 && *number <= most) return *number;
+  reader->Fail(key, "expected numbers of tasks and runs");
+  return 0;
+}
+
 UnitRow ReadUnit(FieldReader* reader, std::size_t) {
   UnitRow unit;
   reader->ReadInteger("first", &unit.m_first, 0, kMaxCount, Need::kOptional);
@@ -113,6 +124,15 @@
     }
     unit.m_failed_runs.push_back(RunNumber{static_cast<std::uint32_t>(*number)});
   }
+  for (const json::value& element : reader->Array("crashes", Need::kOptional)) {
+    const json::array* pair = element.if_array();
+    if (pair == nullptr || pair->size() != 2 || !(*pair)[1].is_bool()) {
+      reader->Fail("crashes", "expected lists of a run and whether it is evident");
+      break;
+    }
+    const auto run = NumberIn(reader, "crashes", (*pair)[0], std::numeric_limits<std::uint32_t>::max());
+    unit.m_crashes.push_back({RunNumber{static_cast<std::uint32_t>(run)}, (*pair)[1].as_bool()});
+  }
   reader->Read("checkpoint", &unit.m_checkpoint, Need::kOptional);
   for (const json::value& element : reader->Array("on", Need::kOptional)) {
     const json::array* pair = element.if_array();
@@ -140,16 +160,8 @@
 
 // A unit of one task that may run on a worker, without a history.
 bool IsPlainPlaced(const UnitRow& unit) {
-  return !unit.m_done && unit.m_failed_runs.empty() && unit.m_checkpoint.empty() && unit.m_members.size() == 1 &&
-         !unit.m_members.front().m_settled;
-}
-
-// A number from 0 to `most`; fails the reader and returns 0 for anything else.
-std::int64_t NumberIn(FieldReader* reader, const char* key, const json::value& value, std::int64_t most) {
-  const auto* number = value.if_int64();
-  if (number != nullptr && *number >= 0 && *number <= most) return *number;
-  reader->Fail(key, "expected numbers of tasks and runs");
-  return 0;
+  return !unit.m_done && unit.m_failed_runs.empty() && unit.m_crashes.empty() && unit.m_checkpoint.empty() &&
+         unit.m_members.size() == 1 && !unit.m_members.front().m_settled;
 }
 
 void ReadDone(FieldReader* reader, std::vector<UnitRow>* units) {
--- a/hickoryquay/jobs/rows.h
+++ b/hickoryquay/jobs/rows.h
@@ -9,6 +9,7 @@
 
 #include "hickoryquay/base/result.h"
 #include "hickoryquay/jobs/job.h"
+#include "hickoryquay/jobs/units.h"
 #include "hickoryquay/model/json.h"
 
 namespace hickoryquay::jobs {
@@ -31,6 +32,7 @@
   RunNumber m_run{};
   bool m_done = false;
   std::vector<RunNumber> m_failed_runs;
+  std::vector<CrashedRun> m_crashes;
   std::string m_checkpoint;
   std::vector<PlacedMember> m_members;  // Empty: no member runs.
 };
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -59,6 +59,7 @@
     }
     unit->m_run = unit_row.m_run;
     unit->m_failed_runs = unit_row.m_failed_runs;
+    unit->m_crashes = unit_row.m_crashes;
     unit->m_checkpoint = unit_row.m_checkpoint;
     if (unit_row.m_done && !unit->m_done) --step->m_units_left;
     unit->m_done = unit->m_done || unit_row.m_done;
@@ -220,7 +221,10 @@
     for (auto& steps : job->m_steps) {
       for (const auto& step : steps) {
         // A job may be cancelled while room is made for it.
-        for (const auto& unit : step->m_units) ReleaseReservation(unit.get());
+        for (const auto& unit : step->m_units) {
+          ReleaseReservation(unit.get());
+          ReleaseHeldWorkers(unit.get());
+        }
         for (const int index : step->m_stored_rows) m_removed_rows.push_back(ToText(StepRowKey{step->m_key, index}));
       }
       steps.clear();
@@ -272,11 +276,16 @@
   if (slot != nullptr) slot->m_usable = usable;
 }
 
+void Scheduler::OnWorkerSilent(const WorkerId& worker, Now now) {
+  WorkerSlot* slot = m_workers.Find(worker);
+  if (slot != nullptr && slot->m_silent_since == Instant{}) slot->m_silent_since = now.m_steady;
+}
+
 void Scheduler::OnWorkerCleared(const WorkerId& worker, WorkerLoss loss, Now now) {
   WorkerSlot* slot = m_workers.Find(worker);
   if (slot == nullptr) return;
   const auto members = slot->m_members;
-  const LostWorker lost{loss, slot->CountUnits()};
+  const LostWorker lost = Describe(*slot, loss, now);
   for (const auto& [unit, member] : members) {
     if (unit->m_members[member].m_slot == slot) LoseRun(unit, member, lost, now);
   }
@@ -376,6 +385,7 @@
     unit_row.m_run = unit->m_run;
     unit_row.m_done = unit->m_done;
     unit_row.m_failed_runs = unit->m_failed_runs;
+    unit_row.m_crashes = unit->m_crashes;
     unit_row.m_checkpoint = unit->m_checkpoint;
     if (!unit->m_active) continue;
     for (const Member& member : unit->m_members) {
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -180,6 +180,8 @@
   void OnWorkerUnlisted(const WorkerId& worker);              // Gets no new tasks; running ones continue.
   void SetWorkerUsable(const WorkerId& worker, bool usable);  // It answers and has accepted this scheduler's epoch.
 
+  void OnWorkerSilent(const WorkerId& worker, Now now);  // A call got no answer.
+
   // Sets the failure domains to which nothing new may be sent. Runs there go on; those that are not sent yet are
   // withdrawn and placed elsewhere. Workers of a domain that is lifted return in steps, see evacuation.h.
   void SetEvacuated(std::set<DomainId> domains, Now now);
@@ -244,6 +246,7 @@
   void CheckPace(WorkerSlot* slot, const PollReply& reply, Now now);
   std::pair<Unit*, std::size_t> FindMember(const TaskKey& task);
   void RecordProgress(WorkerSlot* slot, const PollReply& reply, Now now);
+  void ClearIfSound(Unit* unit);
   void RecordSpeed(const Unit& unit, Member* member, Now now);
   void RecordFailure(Unit* unit, RunNumber run, Now now);
   void RecordDone(Unit* unit, Now now);
@@ -255,6 +258,8 @@
   void OnIncarnation(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now);
   void ResolveAfterRestart(const UnitMember& placed, const LostWorker& lost, const PollReply& reply, Instant sent,
                            Now now);
+  void RecordCrash(Unit* unit, std::size_t member, const LostWorker& lost, Now now);
+  static LostWorker Describe(const WorkerSlot& slot, WorkerLoss loss, Now now);
   void LoseRun(Unit* unit, std::size_t member, const LostWorker& lost, Now now);
   void ResetUnit(Unit* unit);
 
@@ -278,6 +283,8 @@
   bool TryPlace(Unit* unit, Now now);
   bool PlaceOn(Unit* unit, const std::vector<WorkerSlot*>& slots, Now now);
   void EvacuateDraining(Now now);
+  bool PlaceAlone(Unit* unit, Now now);
+  void ReleaseHeldWorkers(Unit* unit);
   PreemptionRound MakeRound(Now now) const;
   void ReleaseReservation(Unit* unit);
   void DropReservations(Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -125,11 +125,19 @@
 // Places the waiting units of a step until one does not fit. The others won't fit either, and must not use resources
 // that are left free for more urgent work. Within a guarantee, room is made for all of them at the same time.
 void Scheduler::PlaceStep(StepState* step, AcceleratorCount* accelerators, Now now) {
+  if (Ended(step->m_job->m_phase)) return;                 // Another step has ended it in this round.
   const bool urgent = step->m_job->m_job.m_priority == 0;  // May preempt others.
   const bool guaranteed = m_guarantees.Covers(*step->m_job);
   for (const auto& owned : step->m_units) {
     Unit* unit = owned.get();
     if (!unit->IsWaiting()) continue;
+    // An earlier leader has stored the last crash, and not the end of the job.
+    if (Judge(unit->m_crashes, m_settings.m_choice.m_crashes) == CrashVerdict::kGiveUp)
+      return EndJob(step->m_job, JobPhase::kFailed, now);
+    if (NeedsIsolation(*unit, m_settings.m_choice.m_crashes)) {
+      if (PlaceAlone(unit, now)) accelerators->m_free -= unit->Accelerators();
+      continue;  // The other units of the step need no worker of their own.
+    }
     const int takes = unit->Accelerators();
     // Capped at half of what the unit leaves of all accelerators, or a large unit could never start.
     const double min_free =
@@ -287,7 +295,7 @@
 }
 
 PreemptionRound Scheduler::MakeRound(Now now) const {
-  return {&m_settings.m_preemption, &m_guarantees, now.m_steady, now.m_wall};
+  return {&m_settings.m_preemption, &m_settings.m_choice.m_crashes, &m_guarantees, now.m_steady, now.m_wall};
 }
 
 void Scheduler::ReleaseReservation(Unit* unit) {
@@ -295,6 +303,32 @@
   for (const auto& [id, slot] : m_workers.All()) slot->m_reservations.erase(unit);
 }
 
+void Scheduler::ReleaseHeldWorkers(Unit* unit) {
+  if (std::exchange(unit->m_holds_until, Instant{}) == Instant{}) return;
+  for (const auto& [id, slot] : m_workers.All()) {
+    if (slot->m_held_for == unit) slot->m_held_for = nullptr;
+  }
+}
+
+// Places a unit on workers without other work. Where there are none, new work is kept off some until they are empty.
+bool Scheduler::PlaceAlone(Unit* unit, Now now) {
+  if (TryPlace(unit, now)) return true;
+  if (now.m_steady < unit->m_holds_until) return false;
+  const StepSpec& spec = *unit->m_step->m_spec;
+  const bool needs_rack = spec.m_rack_local && unit->m_members.size() > 1;
+  const auto& racks = RacksFor(*unit);
+  std::vector<WorkerSlot*> chosen;
+  for (const auto& [name, slots] : racks) {
+    if (!needs_rack && name != spec.m_data_rack) continue;
+    chosen = ChooseWorkersToHold(*unit, slots, m_settings.m_choice.m_crashes);
+    if (!chosen.empty()) break;
+  }
+  if (chosen.empty()) chosen = ChooseWorkersToHold(*unit, Flatten(racks), m_settings.m_choice.m_crashes);
+  for (WorkerSlot* slot : chosen) slot->m_held_for = unit;
+  if (!chosen.empty()) unit->m_holds_until = now.m_steady + m_settings.m_choice.m_crashes.m_longest_hold;
+  return false;
+}
+
 // Drops the reservations of units that are not waiting any more, and those that won't lead to a start, so that other
 // room is made for their units in this round.
 void Scheduler::DropReservations(Now now) {
@@ -307,6 +341,14 @@
     }
   }
   for (Unit* unit : dropped) ReleaseReservation(unit);
+  UnitSet released;
+  for (const auto& [id, slot] : m_workers.All()) {
+    Unit* unit = slot->m_held_for;
+    if (unit == nullptr) continue;
+    const bool wanted = unit->IsWaiting() && !Ended(unit->m_step->m_job->m_phase) && now.m_steady < unit->m_holds_until;
+    if (!wanted || !slot->IsSchedulable()) released.insert(unit);
+  }
+  for (Unit* unit : released) ReleaseHeldWorkers(unit);
 }
 
 // The cheapest plan. A rack-local gang gets one in a single rack; within its guarantee it may span racks if there is
--- a/hickoryquay/jobs/scheduler_restart.cc
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "hickoryquay/base/log.h"
+#include "hickoryquay/jobs/crash_isolation.h"
 #include "hickoryquay/jobs/incarnation.h"
 #include "hickoryquay/jobs/scheduler.h"
 
@@ -39,7 +40,7 @@
   if (restarted) slot->OnRestarted();
   slot->m_born = *reply.m_born;
   const auto members = slot->m_members;
-  const LostWorker lost{WorkerLoss::kRestarted, slot->CountUnits()};
+  const LostWorker lost = Describe(*slot, WorkerLoss::kRestarted, now);
   for (const UnitMember& placed : members) {
     Member& member = placed.first->m_members[placed.second];
     if (member.m_slot != slot || member.m_born == slot->m_born) continue;
@@ -69,6 +70,7 @@
     case AfterRestart::kStop:
       break;
   }
+  if (!run.m_listed) RecordCrash(unit, index, lost, now);
   StopRun(unit, "its worker has restarted, a late start may arrive");
   if (member.m_slot != slot) return;
   member.m_state = MemberState::kUnknown;
@@ -78,6 +80,33 @@
   member.m_stop_at = Instant{};
 }
 
+LostWorker Scheduler::Describe(const WorkerSlot& slot, WorkerLoss loss, Now now) {
+  return {loss, slot.CountUnits(), slot.m_silent_since == Instant{} ? now.m_steady : slot.m_silent_since};
+}
+
+// Several members of a run may lose their workers; the run counts once.
+void Scheduler::RecordCrash(Unit* unit, std::size_t index, const LostWorker& lost, Now now) {
+  JobState* job = unit->m_step->m_job;
+  if (Ended(job->m_phase) || !CountsAsCrash(*unit, unit->m_members[index], lost.m_why)) return;
+  const bool counted = std::any_of(unit->m_crashes.begin(), unit->m_crashes.end(),
+                                   [unit](const CrashedRun& crash) { return crash.m_run == unit->m_run; });
+  if (counted) return;
+  const bool evident = IsEvident(unit->m_members[index], lost, m_settings.m_choice.m_crashes);
+  unit->m_crashes.push_back({unit->m_run, evident});
+  MarkChanged(*unit);
+  const CrashVerdict verdict = Judge(unit->m_crashes, m_settings.m_choice.m_crashes);
+  log::Warn(kLog, "Worker crashed soon after it started a task",
+            {{"task", ToText(unit->Key(index))},
+             {"run", std::to_string(Raw(unit->m_run))},
+             {"worker", unit->m_members[index].m_slot->m_entry.m_id.m_value},
+             {"evident", evident ? "yes" : "no"},
+             {"crashes", std::to_string(unit->m_crashes.size())},
+             {"next", verdict == CrashVerdict::kGiveUp    ? "given up"
+                      : verdict == CrashVerdict::kIsolate ? "alone"
+                                                          : "as usual"}});
+  if (verdict == CrashVerdict::kGiveUp) EndJob(job, JobPhase::kFailed, now);
+}
+
 void Scheduler::LoseRun(Unit* unit, std::size_t index, const LostWorker& lost, Now now) {
   const Member& member = unit->m_members[index];
   const WorkerSlot* slot = member.m_slot;
@@ -90,7 +119,9 @@
              {"why", ToString(lost.m_why)},
              {"draining", slot->m_entry.m_draining ? "yes" : "no"},
              {"ran_ms", confirmed ? std::to_string((now.m_steady - member.m_since).count()) : "unknown"},
-             {"units_there", std::to_string(lost.m_units)}});
+             {"units_there", std::to_string(lost.m_units)},
+             {"silent_ms", std::to_string((now.m_steady - lost.m_silent_since).count())}});
+  RecordCrash(unit, index, lost, now);
   if (unit->m_step->m_spec->m_gang && !unit->m_done) StopRun(unit, "member lost");
   if (unit->m_members[index].m_slot == slot) Settle(unit, index);
 }
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -203,6 +203,7 @@
   CheckPace(slot, reply, now);
   RecordProgress(slot, reply, now);
   SettleAbsent(slot, reply, sent);
+  slot->m_silent_since = Instant{};
 }
 
 void Scheduler::OnRunning(WorkerSlot* slot, const RunningTask& running, Now now) {
@@ -218,7 +219,9 @@
   }
   Member& member = unit->m_members[index];
   if (member.m_state != MemberState::kRunning) SetState(&member, MemberState::kRunning, now.m_steady);
+  member.m_listed = now.m_steady;
   NoteRunning(*unit, now);
+  ClearIfSound(unit);
   if (unit->m_step->m_spec->m_checkpoints && !running.m_checkpoint.empty()) unit->m_checkpoint = running.m_checkpoint;
   const bool overdue =
       member.m_stop == StopState::kAcknowledged &&
@@ -341,6 +344,16 @@
   }
 }
 
+// A run that lasts clears its unit of the crashes before.
+void Scheduler::ClearIfSound(Unit* unit) {
+  if (unit->m_sound || !HasRunOn(*unit, m_settings.m_choice.m_crashes.m_sound_after)) return;
+  unit->m_sound = true;
+  if (unit->m_crashes.empty()) return;
+  unit->m_crashes.clear();
+  MarkChanged(*unit);
+  log::Info(kLog, "Task runs on, crashes before are not counted any more", {{"task", ToText(unit->Key(0))}});
+}
+
 // Learns the worker's speed from the duration of a task that is done. Members of a gang end together.
 void Scheduler::RecordSpeed(const Unit& unit, Member* member, Now now) {
   const bool tells = unit.m_members.size() == 1 && member->m_state == MemberState::kRunning && TellsSpeed(unit) &&
@@ -382,6 +395,7 @@
 void Scheduler::ResetUnit(Unit* unit) {
   unit->m_active = false;
   unit->m_stopping = false;
+  unit->m_sound = false;
   for (Member& member : unit->m_members) member = Member{};
   m_active.erase(unit);
 }
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -39,6 +39,7 @@
   bool m_restored = false;       // Placed under an earlier epoch, whose commands its worker now refuses.
   int m_resends = 0;             // Of a start that got no answer.
   Instant m_since;               // Steady time of the last change of m_state.
+  Instant m_listed;              // Steady time of the last reply that listed it as running.
   int m_percent = 0;             // Progress reported at m_percent_at, 0 to 100.
   Instant m_percent_at;          // Steady time; 0: not reported yet.
   RunPace m_pace;
@@ -47,16 +48,27 @@
   bool m_stop_failed = false;  // The last stop was not answered.
 };
 
+// A run under which a worker crashed; see crash_isolation.h.
+struct CrashedRun {
+  RunNumber m_run{};
+  bool m_evident = false;  // The unit was alone on the worker and had just begun.
+
+  bool operator==(const CrashedRun&) const = default;
+};
+
 struct Unit {
   StepState* m_step = nullptr;
   int m_first = 0;  // Index of its first task.
   std::vector<Member> m_members;
   RunNumber m_run{};  // Number of the last start; 0: never started.
   std::vector<RunNumber> m_failed_runs;
+  std::vector<CrashedRun> m_crashes;
   std::string m_checkpoint;  // The next start resumes here; empty: starts from the beginning.
   bool m_active = false;     // At least one member has resources allocated.
   bool m_done = false;
   bool m_stopping = false;         // All members are being stopped.
+  bool m_sound = false;            // This run has lasted too long to crash its workers.
+  Instant m_holds_until;           // Steady time until which workers are held for it, see WorkerSlot::m_held_for.
   Instant m_placed;                // Steady time of the last placement.
   int m_preemptions = 0;           // Times that it was stopped for urgent work.
   bool m_has_reservation = false;  // Room is reserved for it on workers (WorkerSlot::m_reservations).
--- a/hickoryquay/jobs/worker_choice.cc
+++ b/hickoryquay/jobs/worker_choice.cc
@@ -67,7 +67,7 @@
   const bool probes = input.m_pace.m_probes > 0 && input.m_priority > 0 && unit.m_members.size() == 1;
   std::vector<Option> options;
   for (WorkerSlot* slot : candidates) {
-    if (!MayHost(*slot, input.m_now)) continue;
+    if (!MayHost(*slot, unit, settings.m_crashes, input.m_now)) continue;
     const Resources room = RoomFor(*slot, unit, input.m_guaranteed);
     const int times = LimitPerWorker(*slot, unit, CountFitting(room, unit.m_step->m_spec->m_task));
     if (times <= 0) continue;
--- a/hickoryquay/jobs/worker_choice.h
+++ b/hickoryquay/jobs/worker_choice.h
@@ -11,6 +11,7 @@
 
 struct ChoiceSettings {
   SpeedSettings m_speed;
+  CrashSettings m_crashes;
   // A gang waits for its longest member: it took 0.7 to 1.9 times its estimate on the workers' speed, with a median
   // above 1, and starts take time. Both are of the logarithm.
   double m_duration_spread = 0.35;
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -17,7 +17,9 @@
 
 int WorkerSlot::CountUnits() const {
   std::set<const Unit*> units;
-  for (const auto& [unit, index] : m_members) units.insert(unit);
+  for (const auto& [unit, index] : m_members) {
+    if (unit->m_members[index].m_state != MemberState::kPlanned) units.insert(unit);
+  }
   return static_cast<int>(units.size());
 }
 
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -33,6 +33,8 @@
   std::int64_t m_processed_ends = 0;  // Number of the last end that was processed.
   std::int64_t m_released_ends = 0;   // Number of the last end that was handed out in Batch::m_recorded_ends.
   std::map<Unit*, Reservation, UnitLess> m_reservations;
+  Instant m_silent_since;              // Steady time since which it does not answer; 0: it does.
+  Unit* m_held_for = nullptr;          // Gets nothing but this unit, which must run alone.
   std::optional<Instant> m_leaves_at;  // Earliest steady time at which a draining worker is removed.
   int m_failures = 0;                  // Consecutive failed tasks; a successful one resets it.
   int m_refusals = 0;                  // Consecutive refused starts.
@@ -45,7 +47,7 @@
     return m_listed && m_usable && !m_entry.m_draining && IsDescribed() && !m_evacuated && !m_returns_at;
   }
 
-  int CountUnits() const;  // That have members here.
+  int CountUnits() const;  // Whose starts were sent here.
 
   void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
 };
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -386,6 +386,7 @@
   ++session->m_failures;
   session->m_retry_at = m_clock->Now() + m_settings.m_retry_delay;
   m_scheduler->SetWorkerUsable(id, false);
+  m_scheduler->OnWorkerSilent(id, Time());
   if (session->m_failures == 2) log::Warn(kLog, "Worker does not answer", {{"worker", id.m_value}});
   if (failure == jobs::PollFailure::kOtherIncarnation) Clear(id, session, jobs::WorkerLoss::kReplaced);
   m_events.m_changed();
--- a/standin/sim_workers.cc
+++ b/standin/sim_workers.cc
@@ -347,6 +347,7 @@
   }
   for (const WorkerId& id : crashed) {
     Kill(id);
+    ++m_workers.at(id).m_incarnation;  // Its connections break.
     if (m_on_crash) m_on_crash(id);
   }
   for (auto& [id, worker] : m_workers) {
