Jobs: a worker that is over its capacity gets no start

What callers saw: nothing yet; on a worker that shrinks while it runs, tasks would slow down or fail each other. Cause: room was compared only in the components that a task needs, and only when it was placed; runs that no row names took no room. Change: CountFitting, MaySend and TakeResends ask whether the worker is over its capacity in any component; a worker that lists a run without a row gets nothing until a poll shows its end, and is polled for that. Why it works: each way by which a start leaves the leader passes one of these.

--- a/hickoryquay/jobs/preemption.cc
+++ b/hickoryquay/jobs/preemption.cc
@@ -165,6 +165,7 @@
 //-------------------------------------------------------------------------------------------------
 
 int CountFitting(const Resources& room, const Resources& task) {
+  if (!Resources{}.FitsIn(room)) return 0;  // The worker has shrunk below what runs there.
   auto times = std::numeric_limits<std::int64_t>::max();
   const auto limit_by = [&times](std::int64_t available, std::int64_t needed) {
     if (needed > 0) times = std::min(times, available / needed);
@@ -176,7 +177,8 @@
 }
 
 bool MayHost(const WorkerSlot& slot, const Unit& unit, const CrashSettings& crashes, Instant steady) {
-  return slot.IsSchedulable() && steady >= slot.m_avoid_until && MayShare(slot, unit, crashes);
+  return slot.IsSchedulable() && steady >= slot.m_avoid_until && slot.m_unrecorded_runs == 0 &&
+         MayShare(slot, unit, crashes);
 }
 
 int LimitPerWorker(const WorkerSlot& slot, const Unit& unit, int fitting) {
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -284,6 +284,7 @@
 void Scheduler::OnWorkerCleared(const WorkerId& worker, WorkerLoss loss, Now now) {
   WorkerSlot* slot = m_workers.Find(worker);
   if (slot == nullptr) return;
+  slot->m_unrecorded_runs = 0;
   const auto members = slot->m_members;
   const LostWorker lost = Describe(*slot, loss, now);
   for (const auto& [unit, member] : members) {
@@ -300,6 +301,11 @@
   });
 }
 
+bool Scheduler::HasUnrecordedRuns(const WorkerId& worker) const {
+  const WorkerSlot* slot = m_workers.Find(worker);
+  return slot != nullptr && slot->m_unrecorded_runs > 0;
+}
+
 bool Scheduler::NeedsPoll(const WorkerId& worker, Instant last) const {
   const WorkerSlot* slot = m_workers.Find(worker);
   if (slot == nullptr) return false;
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -219,6 +219,7 @@
   bool IsBusy(const WorkerId& worker) const;                   // A run is or may be there.
   // The state of a run there can only be resolved by a poll sent after `last`.
   bool NeedsPoll(const WorkerId& worker, Instant last) const;
+  bool HasUnrecordedRuns(const WorkerId& worker) const;  // Until a poll shows that they have ended.
   // With their addresses; includes workers of restored runs.
   std::vector<std::pair<WorkerId, std::string>> OccupiedWorkers() const;
 
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -68,7 +68,7 @@
   if (unit == nullptr || !unit->m_active || unit->m_run != command.m_run) return false;
   const Member& member = unit->m_members[static_cast<std::size_t>(command.m_task.m_index - unit->m_first)];
   return (member.m_state == MemberState::kPlanned || member.m_state == MemberState::kSent) && !unit->m_stopping &&
-         !member.m_slot->m_evacuated;
+         !member.m_slot->m_evacuated && !member.m_slot->IsOverCapacity();
 }
 
 // Returns the unit of a task and the index of its member; nullptr if the job or its step is unknown.
@@ -89,8 +89,9 @@
                         unit->m_members[index].m_state == MemberState::kSent;
     if (!wanted) continue;
     Member& member = unit->m_members[index];
-    // A run in an evacuated domain that the worker does not list is stopped; see SettleAbsent.
-    member.m_slot->m_evacuated ? SetState(&member, MemberState::kUnknown, now) : resends.push_back(std::move(command));
+    // A run that is not sent again is stopped if the worker does not list it; see SettleAbsent.
+    const bool withheld = member.m_slot->m_evacuated || member.m_slot->IsOverCapacity();
+    withheld ? SetState(&member, MemberState::kUnknown, now) : resends.push_back(std::move(command));
   }
   return resends;
 }
@@ -199,6 +200,7 @@
     slot->m_processed_ends = end.m_number;
     OnTaskEnd(slot, end, now);
   }
+  slot->m_unrecorded_runs = 0;
   for (const RunningTask& running : reply.m_running) OnRunning(slot, running, now);
   CheckPace(slot, reply, now);
   RecordProgress(slot, reply, now);
@@ -211,6 +213,7 @@
   const bool known =
       unit != nullptr && unit->m_run == running.m_run && unit->m_active && unit->m_members[index].m_slot == slot;
   if (!known) {
+    ++slot->m_unrecorded_runs;
     m_unrecorded_runs.insert({slot->m_entry.m_id, {running.m_task, running.m_run}});
     log::Warn(
         kLog, "Run is not recorded in a row, stopping it",
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -30,6 +30,7 @@
   int m_incarnation = 0;  // Counts the restarts under its id.
   Resources m_free;
   UnitMemberSet m_members;            // Members that have resources allocated here.
+  int m_unrecorded_runs = 0;          // That its last reply listed and no row names; they take room until they end.
   std::int64_t m_processed_ends = 0;  // Number of the last end that was processed.
   std::int64_t m_released_ends = 0;   // Number of the last end that was handed out in Batch::m_recorded_ends.
   std::map<Unit*, Reservation, UnitLess> m_reservations;
@@ -47,6 +48,7 @@
     return m_listed && m_usable && !m_entry.m_draining && IsDescribed() && !m_evacuated && !m_returns_at;
   }
 
+  bool IsOverCapacity() const { return !Resources{}.FitsIn(m_free); }
   int CountUnits() const;  // Whose starts were sent here.
 
   void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -321,7 +321,10 @@
   }
   if (busy)
     return Poll(id, session, m_scheduler->NeedsPoll(id, session->m_last_poll) ? Millis{0} : m_settings.m_poll_wait);
-  if (session->m_acked_ends < session->m_recorded_ends || session->m_failures > 0) Poll(id, session, Millis{0});
+  const bool waits_for_end =
+      m_scheduler->HasUnrecordedRuns(id) && now - session->m_last_poll >= m_settings.m_unstored_poll_delay;
+  if (session->m_acked_ends < session->m_recorded_ends || session->m_failures > 0 || waits_for_end)
+    Poll(id, session, Millis{0});
 }
 
 void WorkerSessions::Poll(const WorkerId& id, const std::shared_ptr<Session>& session, Millis wait) {
