Service: the log says what a restarted worker had been told, and which of its ends are missing

Cause: nothing distinguished ends that a new incarnation had forgotten from ends that the leader had skipped. Change: "Worker has restarted" names the ends recorded before and those that the answered poll told the worker; a gap in the numbers of an incarnation's ends is logged and counted (hq_worker_ends_missing_total). No decision changes.

--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -39,6 +39,7 @@
       m_polls_sent(&metrics->GetCounter("hq_worker_looks_total")),
       m_polls_failed(&metrics->GetCounter("hq_worker_looks_failed_total")),
       m_restarts(&metrics->GetCounter("hq_worker_restarts_total")),
+      m_ends_missing(&metrics->GetCounter("hq_worker_ends_missing_total")),
       m_start_ms(&metrics->GetDistribution("hq_start_answer_ms")) {}
 
 void WorkerSessions::Start() {
@@ -209,13 +210,13 @@
 }
 
 // Returns false if the reply says nothing about the present incarnation.
-bool WorkerSessions::IdentifyIncarnation(const WorkerId& id, Session* session, const jobs::PollReply& reply,
-                                         Instant sent) {
+bool WorkerSessions::IdentifyIncarnation(const WorkerId& id, Session* session, const jobs::PollCall& call,
+                                         const jobs::PollReply& reply, Instant sent) {
   switch (jobs::Compare(session->m_known, reply.m_born, sent)) {
     case jobs::ReportedIncarnation::kSame:
       return true;
     case jobs::ReportedIncarnation::kNewer:
-      OnRestarted(id, session, *reply.m_born);
+      OnRestarted(id, session, *reply.m_born, call.m_recorded_ends);
       [[fallthrough]];
     case jobs::ReportedIncarnation::kFirst:
       session->m_known = {*reply.m_born, m_clock->Now()};
@@ -227,11 +228,31 @@
   return false;
 }
 
-void WorkerSessions::OnRestarted(const WorkerId& id, Session* session, Instant born) {
+// An incarnation numbers its ends without gaps. A gap shows ends that it has forgotten and no leader has read.
+void WorkerSessions::NoteMissingEnds(const WorkerId& id, const Session& session, const jobs::PollReply& reply) {
+  // The first ends that a leader reads of an incarnation that it did not see start may follow on recorded ones.
+  if (session.m_incarnation == 0 && session.m_reported_ends == 0) return;
+  std::int64_t last = session.m_reported_ends;
+  for (const jobs::EndedTask& end : reply.m_ended) {
+    if (end.m_number > last + 1) {
+      log::Error(kLog, "Ends of runs are missing",
+                 {{"worker", id.m_value},
+                  {"after", std::to_string(last)},
+                  {"next", std::to_string(end.m_number)},
+                  {"acknowledged", std::to_string(session.m_acked_ends)}});
+      m_ends_missing->Add(static_cast<std::uint64_t>(end.m_number - last - 1));
+    }
+    last = std::max(last, end.m_number);
+  }
+}
+
+void WorkerSessions::OnRestarted(const WorkerId& id, Session* session, Instant born, std::int64_t told_ends) {
   log::Warn(kLog, "Worker has restarted",
             {{"worker", id.m_value},
              {"before", std::to_string(session->m_known.m_born.m_ms)},
-             {"now", std::to_string(born.m_ms)}});
+             {"now", std::to_string(born.m_ms)},
+             {"recorded_ends_before", std::to_string(session->m_recorded_ends)},
+             {"told_ends", std::to_string(told_ends)}});
   m_restarts->Add();
   ++session->m_incarnation;
   session->m_reported_ends = 0;
@@ -359,7 +380,7 @@
   if (!Ok(result)) return OnFailure(id, session, ErrorOf(result));
   const jobs::PollReply& reply = ValueOf(result);
   const int incarnation = session->m_incarnation;
-  if (!IdentifyIncarnation(id, session.get(), reply, sent)) {
+  if (!IdentifyIncarnation(id, session.get(), call, reply, sent)) {
     // A reply without a start time proves nothing; a stale one was sent before the restart.
     return reply.m_born ? void() : OnFailure(id, session, jobs::PollFailure::kNoAnswer);
   }
@@ -372,6 +393,7 @@
     session->m_clock = reply.m_clock;
     session->m_clock_at = m_clock->Now();
   }
+  NoteMissingEnds(id, *session, reply);
   for (const jobs::EndedTask& end : reply.m_ended)
     session->m_reported_ends = std::max(session->m_reported_ends, end.m_number);
   if (!session->m_established || was_silent) log::Info(kLog, "Worker answers", {{"worker", id.m_value}});
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -109,8 +109,10 @@
   void ListWorkerIds();
   void OnWorkerIds(const std::set<WorkerId>& worker_ids, Instant asked);
   void OnRow(const jobs::WorkerEntry& worker, Session* session);
-  bool IdentifyIncarnation(const WorkerId& id, Session* session, const jobs::PollReply& reply, Instant sent);
-  void OnRestarted(const WorkerId& id, Session* session, Instant born);
+  bool IdentifyIncarnation(const WorkerId& id, Session* session, const jobs::PollCall& call,
+                           const jobs::PollReply& reply, Instant sent);
+  void OnRestarted(const WorkerId& id, Session* session, Instant born, std::int64_t told_ends);
+  void NoteMissingEnds(const WorkerId& id, const Session& session, const jobs::PollReply& reply);
   // Whether an answer belongs to the present incarnation; `incarnation` is the one that the call was sent to.
   bool IsCurrent(const WorkerId& id, Session* session, int incarnation, std::optional<Instant> born, Instant sent);
   void UpdateOne(const WorkerId& id, const std::shared_ptr<Session>& session);
@@ -142,6 +144,7 @@
   Counter* m_polls_sent;
   Counter* m_polls_failed;
   Counter* m_restarts;
+  Counter* m_ends_missing;
   Distribution* m_start_ms;
 };
 
