Tests: ends of a restarted worker that are forgotten, red

Cause of the failure: polls tell a worker which ends are recorded by a number that counts anew with each incarnation.

--- a/standin/sim_workers.cc
+++ b/standin/sim_workers.cc
@@ -59,6 +59,7 @@
   worker.m_closed.clear();
   worker.m_ended.clear();
   worker.m_last_end = 0;
+  worker.m_recorded_ends = 0;
   worker.m_born = m_clock->Wall();
   ++worker.m_incarnation;
   worker.m_alive = true;
@@ -141,16 +142,22 @@
     }
     worker.m_epoch = call.m_epoch;
     if (call.m_lease_until) ExtendLease(&worker, *call.m_lease_until);
-    std::erase_if(worker.m_ended, [&](const jobs::EndedTask& end) {
-      if (end.m_number > call.m_recorded_ends) return false;
-      if (end.m_kind == EndKind::kDone) m_done.emplace(end.m_task, m_clock->Now());
-      if (end.m_kind == EndKind::kFailed) m_failed[end.m_task].insert(end.m_run);
-      return true;
-    });
+    worker.m_recorded_ends = std::max(worker.m_recorded_ends, call.m_recorded_ends);
+    ForgetRecordedEnds(&worker);
     AnswerLook(id, call, worker.m_incarnation, call.m_wait, callback);
   });
 }
 
+// Also ends that get a number which the worker was told before.
+void SimWorkers::ForgetRecordedEnds(Worker* worker) {
+  std::erase_if(worker->m_ended, [&](const jobs::EndedTask& end) {
+    if (end.m_number > worker->m_recorded_ends) return false;
+    if (end.m_kind == EndKind::kDone) m_done.emplace(end.m_task, m_clock->Now());
+    if (end.m_kind == EndKind::kFailed) m_failed[end.m_task].insert(end.m_run);
+    return true;
+  });
+}
+
 void SimWorkers::AnswerLook(const WorkerId& id, const jobs::PollCall& call, int incarnation, Millis left,
                             const jobs::PollCallback& callback) {
   const Worker& worker = m_workers.at(id);
@@ -458,6 +465,7 @@
   // A stop keeps the work done so far.
   const double saved = kind == EndKind::kStopped && spec.m_checkpoints ? run.m_worked_ms : run.m_saved_ms;
   worker->m_ended.push_back({++worker->m_last_end, task, run.m_run, kind, Checkpoint(saved)});
+  ForgetRecordedEnds(worker);
   if (!spec.m_gang) return;
   BreakGang(task.m_step, run.m_run, kind == EndKind::kDone ? EndKind::kDone : EndKind::kBroken, task);
 }
--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -140,6 +140,7 @@
     std::map<jobs::TaskKey, jobs::RunNumber> m_closed;  // Runs up to this are refused.
     std::vector<jobs::EndedTask> m_ended;
     std::int64_t m_last_end = 0;
+    std::int64_t m_recorded_ends = 0;  // The highest number that it was told.
     int m_starts = 0;
     Instant m_born;         // Wall time.
     int m_incarnation = 0;  // Counts restarts under its id.
@@ -151,6 +152,7 @@
   }
   void HoldUp(const WorkerId& id, const jobs::StartCall& call, int sent_to, Millis left);
   void Tick();
+  void ForgetRecordedEnds(Worker* worker);
   bool Crashes(const Run& run) const;
   void MoveOn(Worker* worker, double ms);
   void Finish(Worker* worker, const jobs::TaskKey& task, jobs::EndKind kind);
--- a/tests/service/restart_test.cc
+++ b/tests/service/restart_test.cc
@@ -10,11 +10,14 @@
 
 constexpr Millis kStartup{3'000};
 constexpr Millis kWork{1'000};
+constexpr Millis kShortWork{20};
 constexpr Millis kEnough{20'000};
 
 class RestartTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RestartTest);
   CPPUNIT_TEST(RunsOfTheEarlierIncarnationAreLost);
+  CPPUNIT_TEST(EndsOfTheNewIncarnationAreNotForgotten);
+  CPPUNIT_TEST(EndBeforeTheFirstPollIsNotForgotten);
   CPPUNIT_TEST(LateStartIsStopped);
   CPPUNIT_TEST(NewLeaderTellsIncarnationsApart);
   CPPUNIT_TEST(RowThatNeverFollowsKeepsTheWorkerUnused);
@@ -44,6 +47,28 @@
     CPPUNIT_ASSERT(m_cluster->MetricsText().find("hq_worker_restarts_total 1") != std::string::npos);
   }
 
+  // A poll that did not know of the restart told the worker that its first six ends are recorded. Tasks that were done
+  // were neither running nor ended, and ran again.
+  void EndsOfTheNewIncarnationAreNotForgotten() {
+    Complete(m_cluster->Submit(0, Tasks(6, 1, kWork), kWork));
+    m_cluster->RestartWorkerInPlace(m_worker, Millis{300});
+    m_cluster->Run(kWork);
+    Complete(m_cluster->Submit(0, Tasks(2, 1, kWork), kWork));
+    ExpectNoMissingEnds();
+  }
+
+  // As above; a start that was held up by a cut is executed after the restart and ends before the worker is asked.
+  void EndBeforeTheFirstPollIsNotForgotten() {
+    Complete(m_cluster->Submit(0, Tasks(6, 1, kWork), kWork));
+    m_cluster->Sim().Faults(m_worker).m_cut = true;
+    const JobId job = m_cluster->Submit(0, Tasks(2, 1, kWork), kShortWork);
+    m_cluster->Run(kWork);
+    m_cluster->RestartWorkerInPlace(m_worker, Millis{300});
+    m_cluster->Sim().Faults(m_worker) = {};
+    Complete(job);
+    ExpectNoMissingEnds();
+  }
+
   // A start without an answer that the new incarnation executes was taken for the current run, or forgotten.
   void LateStartIsStopped() {
     m_cluster->Sim().Faults(m_worker).m_late_orders = 1.0;
@@ -90,6 +115,10 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->Violations());
   }
 
+  void ExpectNoMissingEnds() {
+    CPPUNIT_ASSERT(m_cluster->MetricsText().find("hq_worker_ends_missing_total 0") != std::string::npos);
+  }
+
   std::unique_ptr<SimCluster> m_cluster;
   const WorkerId m_worker = SimCluster::WorkerOf(0, 0);
 };
