Service: a worker is told which ends are recorded only right after it has answered

Callers saw a task that was done run again: in the users' record two tasks of one job, 1.4 s after their end had been taken note of, 16 s after their worker had restarted under its id. Cause: polls carried the number of recorded ends of the earlier incarnation; the new one, which counts from 1, forgot ends of its own that nobody had read, and the runs were taken for lost. Change: a worker that reports its start is told a number only while it has not confirmed it, within a second of an answer and with no failed call since; other polls tell none (MayTellRecordedEnds). Why it works: an incarnation that has just answered is the one that the number belongs to. The stand-in keeps the number that it was told only where a test asks for it, since instant restarts of the fuzz leave no time for that second.

--- a/hickoryquay/jobs/incarnation.h
+++ b/hickoryquay/jobs/incarnation.h
@@ -37,6 +37,15 @@
   return *born > known.m_born || sent > known.m_heard ? ReportedIncarnation::kNewer : ReportedIncarnation::kStale;
 }
 
+// Whether a worker may be told up to which number its ends are recorded, so that it forgets them. Numbers are those of
+// one incarnation: told to a later one, they make it forget ends that nobody has read. A worker is not back within
+// `restart` of an answer, and a crash makes calls fail. One that never reported a start time has one incarnation.
+inline bool MayTellRecordedEnds(const KnownIncarnation& known, Millis since_last_reply, bool failed_since,
+                                Millis restart) {
+  if (known.m_born.m_ms == 0) return true;
+  return !failed_since && since_last_reply <= restart;
+}
+
 enum class RowIncarnation {
   kCurrent,  // The row describes the incarnation that answers, as far as is known.
   kNewer,    // The worker has probably restarted: to be polled at once, and not to be used before.
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -348,8 +348,16 @@
     Poll(id, session, Millis{0});
 }
 
+// The number of ends that the next poll tells the worker are recorded; 0: none.
+std::int64_t WorkerSessions::EndsToTell(const Session& session) const {
+  const bool knows = session.m_acked_ends >= session.m_recorded_ends && session.m_known.m_born.m_ms != 0;
+  const bool may_tell = jobs::MayTellRecordedEnds(session.m_known, m_clock->Now() - session.m_last_reply,
+                                                  session.m_failures > 0, m_settings.m_min_restart);
+  return !knows && may_tell ? session.m_recorded_ends : 0;
+}
+
 void WorkerSessions::Poll(const WorkerId& id, const std::shared_ptr<Session>& session, Millis wait) {
-  jobs::PollCall call{m_epoch, session->m_recorded_ends, std::nullopt, wait};
+  jobs::PollCall call{m_epoch, EndsToTell(*session), std::nullopt, wait};
   // The lease of a worker that does not answer is not extended: the call may still arrive, and the end of the lease
   // would be postponed forever.
   const bool grant = session->m_established && session->m_failures == 0 && m_events.m_may_grant();
@@ -386,6 +394,7 @@
   }
   const bool was_silent = session->m_failures > 1;
   session->m_failures = 0;
+  session->m_last_reply = m_clock->Now();
   session->m_cleared = false;
   if (incarnation == session->m_incarnation)
     session->m_acked_ends = std::max(session->m_acked_ends, call.m_recorded_ends);
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -34,6 +34,7 @@
   Millis m_command_timeout{350};      // Of a start or stop; a hundred round trips within the region.
   Millis m_retry_delay{150};          // After a failed poll.
   Millis m_unstored_poll_delay{300};  // Between polls while ended tasks are not stored yet.
+  Millis m_min_restart{1'000};        // Shortest time in which a crashed worker is back under its id.
   double m_clock_drift = 0.02;        // Share by which workers' clocks may be slow.
   Millis m_clock_slack{100};          // Added to the end of every lease that is waited for.
   // A start may arrive this much after it was sent. Only after a restart it is then still executed: its lease is in the
@@ -88,6 +89,7 @@
     Instant m_retry_at;
     Instant m_created;
     Instant m_last_poll;               // When it was sent.
+    Instant m_last_reply;              // When the last one of the present incarnation arrived.
     std::int64_t m_reported_ends = 0;  // Highest number of an ended task that the worker reported.
     std::int64_t m_recorded_ends = 0;  // Highest one that is stored.
     std::int64_t m_acked_ends = 0;     // Highest one that the worker knows to be stored.
@@ -115,6 +117,7 @@
   void NoteMissingEnds(const WorkerId& id, const Session& session, const jobs::PollReply& reply);
   // Whether an answer belongs to the present incarnation; `incarnation` is the one that the call was sent to.
   bool IsCurrent(const WorkerId& id, Session* session, int incarnation, std::optional<Instant> born, Instant sent);
+  std::int64_t EndsToTell(const Session& session) const;
   void UpdateOne(const WorkerId& id, const std::shared_ptr<Session>& session);
   void Poll(const WorkerId& id, const std::shared_ptr<Session>& session, Millis wait);
   void OnPollReply(const WorkerId& id, const std::shared_ptr<Session>& session, const jobs::PollCall& call,
--- a/standin/sim_workers.cc
+++ b/standin/sim_workers.cc
@@ -144,11 +144,11 @@
     if (call.m_lease_until) ExtendLease(&worker, *call.m_lease_until);
     worker.m_recorded_ends = std::max(worker.m_recorded_ends, call.m_recorded_ends);
     ForgetRecordedEnds(&worker);
+    if (!m_settings.m_keeps_recorded_number) worker.m_recorded_ends = 0;
     AnswerLook(id, call, worker.m_incarnation, call.m_wait, callback);
   });
 }
 
-// Also ends that get a number which the worker was told before.
 void SimWorkers::ForgetRecordedEnds(Worker* worker) {
   std::erase_if(worker->m_ended, [&](const jobs::EndedTask& end) {
     if (end.m_number > worker->m_recorded_ends) return false;
--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -53,6 +53,8 @@
   Millis m_restore{250};
   Millis m_checkpoint_every{1'000};
   double m_remote_factor = 3.0;
+  // Ends that get a number which the worker was told before are forgotten at once; otherwise only those that have it.
+  bool m_keeps_recorded_number = false;
   std::uint64_t m_random_seed = 1;
 };
 
--- a/tests/service/restart_test.cc
+++ b/tests/service/restart_test.cc
@@ -29,6 +29,7 @@
     settings.m_racks = 1;
     settings.m_workers_per_rack = 1;
     settings.m_workers_report_born = true;
+    settings.m_workers.m_keeps_recorded_number = true;
     m_cluster = std::make_unique<SimCluster>(settings);
     m_cluster->Run(kStartup);
   }
