Tests: the fuzz of the service crashes workers and changes their capacity, red

Change: scenarios with tasks that crash workers, workers that are down for seconds, remember the number of recorded ends, shrink and grow. A job that has failed has a cause if three workers were gone while they ran one of its tasks; the users' rule asks for two.

--- a/standin/sim_cluster.h
+++ b/standin/sim_cluster.h
@@ -68,6 +68,9 @@
   void KillWorker(const WorkerId& id);  // Its row is removed 4.5 s later.
   void RestartWorker(const WorkerId& id, const WorkerId& as);
   void RestartWorkerInPlace(const WorkerId& id, Millis row_delay);  // Under its id; its row follows after `row_delay`.
+  void CrashWorker(const WorkerId& id);  // It is down for a while, then starts again under its id.
+  // Its row follows with the next heartbeat.
+  void SetCapacity(const WorkerId& id, const Resources& capacity);
   const std::vector<WorkerId>& Workers() const { return m_worker_ids; }
 
   // Puts rows of jobs that ended now, as if an earlier leader had archived them.
--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -79,9 +79,12 @@
   SimWorkers(TimerService* timers, const Clock* clock, const SimSettings& settings);
 
   void Add(const SimWorkerSettings& worker);
-  void Kill(const WorkerId& worker);  // Its life is over; nothing runs there any more.
+  void Kill(const WorkerId& worker);   // Its life is over; nothing runs there any more.
+  void Crash(const WorkerId& worker);  // As Kill; connections break at once.
   // It starts anew under its id at this moment and knows nothing of before. Calls on their way to it are carried out.
   Instant Restart(const WorkerId& worker);  // Returns the wall time of its start.
+  // In force at once; starts may rely on more that it had before for kShrinkSlack.
+  void SetCapacity(const WorkerId& worker, const Resources& capacity);
   WorkerFaults& Faults(const WorkerId& worker) { return m_workers.at(worker).m_faults; }
   void Know(const jobs::StepKey& step, const StepTruth& truth) { m_truths[step] = truth; }
   StepTruth& TruthOf(const jobs::StepKey& step) { return m_truths.at(step); }
@@ -96,10 +99,12 @@
   void ListWorkerIds(Millis timeout, jobs::WorkerIdsCallback callback) override;
 
   // What must not happen and did; empty is good.
+  bool IsAlive(const WorkerId& worker) const { return m_workers.at(worker).m_alive; }
   const std::vector<std::string>& Violations() const { return m_violations; }
   // Called when a task has crashed a worker, which is not alive any more.
   void OnCrash(std::function<void(const WorkerId&)> handler) { m_on_crash = std::move(handler); }
   int CrashesBy(const jobs::TaskKey& task) const;
+  int MostCrashesUnder(JobId job) const;  // Workers that were gone while they ran one of its tasks; of the worst one.
 
   int Starts() const { return m_starts; }
   int StartsOn(const WorkerId& worker) const { return m_workers.at(worker).m_starts; }
@@ -144,9 +149,10 @@
     std::int64_t m_last_end = 0;
     std::int64_t m_recorded_ends = 0;  // The highest number that it was told.
     int m_starts = 0;
-    Instant m_born;         // Wall time.
-    int m_incarnation = 0;  // Counts restarts under its id.
-    Refusals m_before;      // Of its earlier incarnations.
+    Instant m_born;                                       // Wall time.
+    int m_incarnation = 0;                                // Counts restarts under its id.
+    Refusals m_before;                                    // Of its earlier incarnations.
+    std::vector<std::pair<Instant, Resources>> m_shrunk;  // Capacities before, and until when starts may rely on them.
   };
 
   bool Resets(std::map<WorkerId, Worker>::const_iterator found) const {
@@ -170,6 +176,7 @@
   // Whether an earlier incarnation would have refused a start that arrives only now. The scheduler may have relied on
   // that, and no call tells the worker, so such a run may exist beside another one until it is found and stopped.
   bool WouldHaveRefused(const Worker& worker, const jobs::StartCall& call) const;
+  Resources CapacityForStarts(const Worker& worker) const;
   bool HasRoom(const Worker& worker, const jobs::StartCall& call) const;
   jobs::StopOutcome CarryOutStop(Worker* worker, const jobs::StopCall& call);
   jobs::PollReply ListOf(const Worker& worker) const;
@@ -198,6 +205,7 @@
     int m_crashes = 0;
     int m_starts_after = 0;  // After kMostCrashes.
   };
+  std::map<jobs::TaskKey, int> m_crashes_under;   // Workers that were gone while they ran the task.
   std::map<jobs::TaskKey, CrashCount> m_crashes;  // By the task that crashed the workers.
   std::function<void(const WorkerId&)> m_on_crash;
   std::vector<std::string> m_violations;
