Jobs: crashes are counted by member, and starts after the third one

What callers saw: nothing yet, found by the fuzz. Cause: the count of crashes was not the rule's: after the third crash only further crashes counted, not starts that failed or were stopped; a worker that was cleared by the end of its lease never counted; and the members of a gang were blamed together. Change: crashes are kept by run and member, the worst member decides; a cleared worker counts if it fell silent within 2 s of the start; two starts after the third crash the unit is given up, however they ended. Why it works: the count now follows what the rule counts, and only what happened to one task.

--- a/hickoryquay/jobs/crash_isolation.cc
+++ b/hickoryquay/jobs/crash_isolation.cc
@@ -1,6 +1,7 @@
 #include "hickoryquay/jobs/crash_isolation.h"
 
 #include <algorithm>
+#include <map>
 
 #include "hickoryquay/jobs/preemption.h"
 
@@ -18,19 +19,33 @@
                      [](const UnitMember& held) { return held.first->m_step->m_spec->m_long_running; });
 }
 
-}  // namespace
-
-CrashVerdict Judge(const std::vector<CrashedRun>& crashes, const CrashSettings& settings) {
+CrashVerdict JudgeMember(const std::vector<const CrashedRun*>& crashes, RunNumber run, const CrashSettings& settings) {
   const auto evident =
-      std::count_if(crashes.begin(), crashes.end(), [](const CrashedRun& crash) { return crash.m_evident; });
+      std::count_if(crashes.begin(), crashes.end(), [](const CrashedRun* crash) { return crash->m_evident; });
   const auto count = static_cast<int>(crashes.size());
-  if (count >= settings.m_give_up_at || evident >= settings.m_give_up_at_evident) return CrashVerdict::kGiveUp;
+  if (evident >= settings.m_give_up_at_evident) return CrashVerdict::kGiveUp;
+  if (count >= settings.m_limit_at) {
+    const RunNumber limited_since = crashes[static_cast<std::size_t>(settings.m_limit_at) - 1]->m_run;
+    const auto starts = static_cast<std::int64_t>(Raw(run)) - static_cast<std::int64_t>(Raw(limited_since));
+    if (starts >= settings.m_starts_left) return CrashVerdict::kGiveUp;
+  }
   return count >= settings.m_isolate_at ? CrashVerdict::kIsolate : CrashVerdict::kNone;
 }
 
-bool CountsAsCrash(const Unit& unit, const Member& member, WorkerLoss loss) {
-  if (loss == WorkerLoss::kLeaseOver || member.m_slot->m_entry.m_draining) return false;
-  return member.m_state != MemberState::kPlanned && !unit.m_done && !unit.m_sound;
+}  // namespace
+
+CrashVerdict Judge(const std::vector<CrashedRun>& crashes, RunNumber run, const CrashSettings& settings) {
+  CrashVerdict worst = CrashVerdict::kNone;
+  std::map<int, std::vector<const CrashedRun*>> by_member;
+  for (const CrashedRun& crash : crashes) by_member[crash.m_member].push_back(&crash);
+  for (const auto& [member, of_member] : by_member) worst = std::max(worst, JudgeMember(of_member, run, settings));
+  return worst;
+}
+
+bool CountsAsCrash(const Unit& unit, const Member& member, const LostWorker& lost, const CrashSettings& settings) {
+  if (member.m_slot->m_entry.m_draining || member.m_state == MemberState::kPlanned) return false;
+  if (unit.m_done || unit.m_sound) return false;
+  return lost.m_why != WorkerLoss::kLeaseOver || lost.m_silent_since - member.m_since <= settings.m_sound_after;
 }
 
 bool IsEvident(const Member& member, const LostWorker& lost, const CrashSettings& settings) {
@@ -46,7 +61,7 @@
 }
 
 bool NeedsIsolation(const Unit& unit, const CrashSettings& settings) {
-  return !unit.m_crashes.empty() && Judge(unit.m_crashes, settings) != CrashVerdict::kNone;
+  return !unit.m_crashes.empty() && Judge(unit.m_crashes, unit.m_run, settings) != CrashVerdict::kNone;
 }
 
 bool MayShare(const WorkerSlot& slot, const Unit& unit, const CrashSettings& settings) {
--- a/hickoryquay/jobs/crash_isolation.h
+++ b/hickoryquay/jobs/crash_isolation.h
@@ -22,9 +22,11 @@
 //-------------------------------------------------------------------------------------------------
 
 struct CrashSettings {
-  int m_isolate_at = 2;           // Crashes from which on the unit is placed alone.
-  int m_give_up_at = 5;           // Crashes at which the unit is given up, whatever the evidence.
-  int m_give_up_at_evident = 3;   // As above, crashes that are evidence against it.
+  int m_isolate_at = 2;          // Crashes from which on the unit is placed alone.
+  int m_give_up_at_evident = 3;  // Crashes that are evidence against the unit, at which it is given up.
+  // Without such evidence it is given up m_starts_left starts after its m_limit_at-th crash, however these end.
+  int m_limit_at = 3;
+  int m_starts_left = 2;
   Millis m_evident_within{500};   // Of the answer to the start, until the worker stopped answering.
   Millis m_sound_after{2'000};    // A unit that still runs this long after its start is sound.
   Millis m_longest_hold{10'000};  // Then other workers are chosen, since some may have gone.
@@ -32,11 +34,13 @@
 };
 
 enum class CrashVerdict { kNone, kIsolate, kGiveUp };
-CrashVerdict Judge(const std::vector<CrashedRun>& crashes, const CrashSettings& settings);
+// Of the member that is worst. `run`: the last one that was placed.
+CrashVerdict Judge(const std::vector<CrashedRun>& crashes, RunNumber run, const CrashSettings& settings);
 
-// Whether the loss of the member's worker counts as a crash under its unit. Not if the worker was cut off or had
-// announced that it leaves, if the start was not sent, or if the unit is done or has run on for m_sound_after.
-bool CountsAsCrash(const Unit& unit, const Member& member, WorkerLoss loss);
+// Whether the loss of the member's worker counts as a crash under it. Not if the worker had announced that it leaves,
+// if the start was not sent, or if the unit is done or has run on for m_sound_after. A worker whose lease ended may be
+// cut off: it counts if it fell silent soon after the start.
+bool CountsAsCrash(const Unit& unit, const Member& member, const LostWorker& lost, const CrashSettings& settings);
 
 // Whether the crash is evidence against the unit: it was alone and had just begun.
 bool IsEvident(const Member& member, const LostWorker& lost, const CrashSettings& settings);
--- a/hickoryquay/jobs/rows.cc
+++ b/hickoryquay/jobs/rows.cc
@@ -91,7 +91,8 @@
   PutUnlessDefault(&object, "done", unit.m_done);
   if (!unit.m_failed_runs.empty()) object["failed"] = RunNumbers(unit.m_failed_runs);
   json::array crashes;
-  for (const CrashedRun& crash : unit.m_crashes) crashes.push_back(json::array{Raw(crash.m_run), crash.m_evident});
+  for (const CrashedRun& crash : unit.m_crashes)
+    crashes.push_back(json::array{Raw(crash.m_run), crash.m_member, crash.m_evident});
   if (!crashes.empty()) object["crashes"] = std::move(crashes);
   PutUnlessDefault(&object, "checkpoint", unit.m_checkpoint);
   json::array members;
@@ -125,13 +126,16 @@
     unit.m_failed_runs.push_back(RunNumber{static_cast<std::uint32_t>(*number)});
   }
   for (const json::value& element : reader->Array("crashes", Need::kOptional)) {
-    const json::array* pair = element.if_array();
-    if (pair == nullptr || pair->size() != 2 || !(*pair)[1].is_bool()) {
-      reader->Fail("crashes", "expected lists of a run and whether it is evident");
+    const json::array* list = element.if_array();
+    if (list == nullptr || list->size() != 3 || !(*list)[2].is_bool()) {
+      reader->Fail("crashes", "expected lists of run, member and whether it is evident");
       break;
     }
-    const auto run = NumberIn(reader, "crashes", (*pair)[0], std::numeric_limits<std::uint32_t>::max());
-    unit.m_crashes.push_back({RunNumber{static_cast<std::uint32_t>(run)}, (*pair)[1].as_bool()});
+    CrashedRun& crash = unit.m_crashes.emplace_back();
+    crash.m_run = RunNumber{
+        static_cast<std::uint32_t>(NumberIn(reader, "crashes", (*list)[0], std::numeric_limits<std::uint32_t>::max()))};
+    crash.m_member = static_cast<int>(NumberIn(reader, "crashes", (*list)[1], kMaxCount));
+    crash.m_evident = (*list)[2].as_bool();
   }
   reader->Read("checkpoint", &unit.m_checkpoint, Need::kOptional);
   for (const json::value& element : reader->Array("on", Need::kOptional)) {
--- a/hickoryquay/jobs/scheduler_restart.cc
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -84,22 +84,19 @@
   return {loss, slot.CountUnits(), slot.m_silent_since == Instant{} ? now.m_steady : slot.m_silent_since};
 }
 
-// Several members of a run may lose their workers; the run counts once.
 void Scheduler::RecordCrash(Unit* unit, std::size_t index, const LostWorker& lost, Now now) {
   JobState* job = unit->m_step->m_job;
-  if (Ended(job->m_phase) || !CountsAsCrash(*unit, unit->m_members[index], lost.m_why)) return;
-  const bool counted = std::any_of(unit->m_crashes.begin(), unit->m_crashes.end(),
-                                   [unit](const CrashedRun& crash) { return crash.m_run == unit->m_run; });
-  if (counted) return;
-  const bool evident = IsEvident(unit->m_members[index], lost, m_settings.m_choice.m_crashes);
-  unit->m_crashes.push_back({unit->m_run, evident});
+  const CrashSettings& settings = m_settings.m_choice.m_crashes;
+  if (Ended(job->m_phase) || !CountsAsCrash(*unit, unit->m_members[index], lost, settings)) return;
+  const CrashedRun crash{unit->m_run, static_cast<int>(index), IsEvident(unit->m_members[index], lost, settings)};
+  unit->m_crashes.push_back(crash);
   MarkChanged(*unit);
-  const CrashVerdict verdict = Judge(unit->m_crashes, m_settings.m_choice.m_crashes);
+  const CrashVerdict verdict = Judge(unit->m_crashes, unit->m_run, settings);
   log::Warn(kLog, "Worker crashed soon after it started a task",
             {{"task", ToText(unit->Key(index))},
              {"run", std::to_string(Raw(unit->m_run))},
              {"worker", unit->m_members[index].m_slot->m_entry.m_id.m_value},
-             {"evident", evident ? "yes" : "no"},
+             {"evident", crash.m_evident ? "yes" : "no"},
              {"crashes", std::to_string(unit->m_crashes.size())},
              {"next", verdict == CrashVerdict::kGiveUp    ? "given up"
                       : verdict == CrashVerdict::kIsolate ? "alone"
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -48,9 +48,10 @@
   bool m_stop_failed = false;  // The last stop was not answered.
 };
 
-// A run under which a worker crashed; see crash_isolation.h.
+// A run of one member under which its worker crashed; see crash_isolation.h.
 struct CrashedRun {
   RunNumber m_run{};
+  int m_member = 0;
   bool m_evident = false;  // The unit was alone on the worker and had just begun.
 
   bool operator==(const CrashedRun&) const = default;
--- a/tests/jobs/crash_isolation_test.cc
+++ b/tests/jobs/crash_isolation_test.cc
@@ -26,7 +26,7 @@
 
 class CrashIsolationTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashIsolationTest);
-  CPPUNIT_TEST(UnitsAreGivenUpByEvidenceOrNumber);
+  CPPUNIT_TEST(UnitsAreGivenUpByEvidenceOrStarts);
   CPPUNIT_TEST(OnlyACrashAloneAndAtOnceIsEvident);
   CPPUNIT_TEST(LossesOfOtherKindsDoNotCount);
   CPPUNIT_TEST(UnitThatRunsOnIsCleared);
@@ -37,14 +37,20 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void UnitsAreGivenUpByEvidenceOrNumber() {
-    CPPUNIT_ASSERT(Judge({}, kSettings) == CrashVerdict::kNone);
-    CPPUNIT_ASSERT(Judge(Crashes({true}), kSettings) == CrashVerdict::kNone);
-    CPPUNIT_ASSERT(Judge(Crashes({true, true}), kSettings) == CrashVerdict::kIsolate);
-    CPPUNIT_ASSERT(Judge(Crashes({false, false, true, true}), kSettings) == CrashVerdict::kIsolate);
-    CPPUNIT_ASSERT(Judge(Crashes({false, false, false, false}), kSettings) == CrashVerdict::kIsolate);
-    CPPUNIT_ASSERT(Judge(Crashes({true, true, true}), kSettings) == CrashVerdict::kGiveUp);
-    CPPUNIT_ASSERT(Judge(Crashes({false, false, false, false, false}), kSettings) == CrashVerdict::kGiveUp);
+  void UnitsAreGivenUpByEvidenceOrStarts() {
+    CPPUNIT_ASSERT(Judge({}, RunNumber{9}, kSettings) == CrashVerdict::kNone);
+    CPPUNIT_ASSERT(Judge(Crashes({true}), RunNumber{1}, kSettings) == CrashVerdict::kNone);
+    CPPUNIT_ASSERT(Judge(Crashes({true, true}), RunNumber{2}, kSettings) == CrashVerdict::kIsolate);
+    CPPUNIT_ASSERT(Judge(Crashes({true, true}), RunNumber{9}, kSettings) == CrashVerdict::kIsolate);
+    CPPUNIT_ASSERT(Judge(Crashes({false, false, true, true}), RunNumber{4}, kSettings) == CrashVerdict::kIsolate);
+    CPPUNIT_ASSERT(Judge(Crashes({true, true, true}), RunNumber{3}, kSettings) == CrashVerdict::kGiveUp);
+    CPPUNIT_ASSERT(Judge(Crashes({false, false, false, false, false}), RunNumber{5}, kSettings) ==
+                   CrashVerdict::kGiveUp);
+    // Each member of a gang loses workers of its own.
+    CPPUNIT_ASSERT(Judge({{RunNumber{1}, 0, true}, {RunNumber{2}, 1, true}, {RunNumber{3}, 2, true}}, RunNumber{9},
+                         kSettings) == CrashVerdict::kNone);
+    // Starts that failed or were stopped count as well.
+    CPPUNIT_ASSERT(Judge(Crashes({false, false, false}), RunNumber{5}, kSettings) == CrashVerdict::kGiveUp);
   }
 
   void OnlyACrashAloneAndAtOnceIsEvident() {
@@ -66,18 +72,21 @@
     Member member;
     member.m_slot = &slot;
     member.m_state = MemberState::kSent;
-    CPPUNIT_ASSERT(CountsAsCrash(unit, member, WorkerLoss::kUnlisted));
-    CPPUNIT_ASSERT(CountsAsCrash(unit, member, WorkerLoss::kReplaced));
-    CPPUNIT_ASSERT(CountsAsCrash(unit, member, WorkerLoss::kRestarted));
-    CPPUNIT_ASSERT(!CountsAsCrash(unit, member, WorkerLoss::kLeaseOver));
+    member.m_since = Instant{8'000};
+    CPPUNIT_ASSERT(Counts(unit, member, WorkerLoss::kUnlisted));
+    CPPUNIT_ASSERT(Counts(unit, member, WorkerLoss::kReplaced));
+    CPPUNIT_ASSERT(Counts(unit, member, WorkerLoss::kRestarted));
+    CPPUNIT_ASSERT(Counts(unit, member, WorkerLoss::kLeaseOver));
+    member.m_since = Instant{7'999};
+    CPPUNIT_ASSERT(!Counts(unit, member, WorkerLoss::kLeaseOver));
     member.m_state = MemberState::kPlanned;
-    CPPUNIT_ASSERT(!CountsAsCrash(unit, member, WorkerLoss::kUnlisted));
+    CPPUNIT_ASSERT(!Counts(unit, member, WorkerLoss::kUnlisted));
     member.m_state = MemberState::kRunning;
     unit.m_sound = true;
-    CPPUNIT_ASSERT(!CountsAsCrash(unit, member, WorkerLoss::kUnlisted));
+    CPPUNIT_ASSERT(!Counts(unit, member, WorkerLoss::kUnlisted));
     unit.m_sound = false;
     slot.m_entry.m_draining = true;
-    CPPUNIT_ASSERT(!CountsAsCrash(unit, member, WorkerLoss::kUnlisted));
+    CPPUNIT_ASSERT(!Counts(unit, member, WorkerLoss::kUnlisted));
   }
 
   void UnitThatRunsOnIsCleared() {
@@ -121,7 +130,7 @@
   // The leader that counted the last crash did not live to store the end of the job.
   void GivenUpUnitIsNotPlacedAfterATakeover() {
     MakeScheduler(2);
-    Submit(kJob, 1, {false, true, true, true});
+    Submit(kJob, 1, {true, true, true});
     m_scheduler->Decide(At(0));
     CPPUNIT_ASSERT(Take().m_starts.empty());
     CPPUNIT_ASSERT(m_scheduler->Phase(kJob) == JobPhase::kFailed);
@@ -135,7 +144,8 @@
     const auto read = ReadStepRow(StepRowKey{row.m_key, 0}, Write(row));
     CPPUNIT_ASSERT(Ok(read));
     CPPUNIT_ASSERT(ValueOf(read).m_units.at(0).m_crashes == row.m_units.front().m_crashes);
-    for (const char* wrong : {"7", "[1]", "[[1]]", "[[1,1]]", R"([["1",true]])", "[[-1,true]]"}) {
+    for (const char* wrong :
+         {"7", "[1]", "[[1,true]]", "[[1,0,1]]", R"([["1",0,true]])", "[[-1,0,true]]", "[[1,-1,true]]"}) {
       const auto unreadable =
           ReadStepRow(StepRowKey{row.m_key, 0}, R"({"units":[{"run":4,"crashes":)" + std::string(wrong) + "}]}");
       CPPUNIT_ASSERT_MESSAGE(wrong, !Ok(unreadable));
@@ -144,10 +154,14 @@
   }
 
  private:
+  static bool Counts(const Unit& unit, const Member& member, WorkerLoss why) {
+    return CountsAsCrash(unit, member, {why, 1, Instant{10'000}}, kSettings);
+  }
+
   static std::vector<CrashedRun> Crashes(const std::vector<bool>& evident) {
     std::vector<CrashedRun> crashes;
     for (const bool is_evident : evident)
-      crashes.push_back({RunNumber{static_cast<std::uint32_t>(crashes.size() + 1)}, is_evident});
+      crashes.push_back({RunNumber{static_cast<std::uint32_t>(crashes.size() + 1)}, 0, is_evident});
     return crashes;
   }
 
