Service: starts wait for the list of workers after an outage

What callers saw: nothing yet, found by the fuzz. Cause: a start whose row was stored as soon as the store answered left before the list of workers was read again; its worker had shrunk during the outage. Evidence: scenario 224, red since the property was added. Change: a follower tells up to when its rows are complete; starts and their copies are sent only while the list is at most 3 s old, and are held until then. Measured: scenario 224 passes; service_test, service_crash_test, service_restart_test and store_test pass. Other cases of the fuzz are listed, one of them of this rule and not traced yet.

--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -319,7 +319,10 @@
   m_evacuation_report.Update(m_scheduler.EvacuatedDomains());
   ReportGuaranteeStarts();
   for (const jobs::StopCommand& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
-  for (const jobs::StartCommand& start : m_scheduler.TakeResends(m_last_round)) m_sessions->Send(start);
+  SendStarts();
+  if (ListIsCurrent()) {
+    for (const jobs::StartCommand& start : m_scheduler.TakeResends(m_last_round)) m_sessions->Send(start);
+  }
   if (!m_write_pending) {
     ArchiveSettled();
     jobs::Batch batch = m_scheduler.TakeBatch(store::kMaxTransactionRows - kLeaderRowOps, store::kMaxTransactionBytes);
@@ -361,8 +364,20 @@
   if (!settled.empty()) m_archive->Add(settled);
 }
 
+// A worker may have shrunk, or begun to drain, since the list was read. A start that was stored at the end of an outage
+// would leave before the list follows.
+bool SchedulerDriver::ListIsCurrent() const {
+  return m_parts.m_clock->Now() - m_worker_rows->CurrentAt() <= m_settings.m_max_list_age;
+}
+
+void SchedulerDriver::SendStarts() {
+  if (!ListIsCurrent()) return;
+  for (const jobs::StartCommand& start : std::exchange(m_held_starts, {})) m_sessions->Send(start);
+}
+
 void SchedulerDriver::OnStored(const jobs::Batch& batch) {
-  for (const jobs::StartCommand& command : batch.m_starts) m_sessions->Send(command);
+  m_held_starts.insert(m_held_starts.end(), batch.m_starts.begin(), batch.m_starts.end());
+  SendStarts();
   for (const jobs::RecordedEnds& known : batch.m_recorded_ends) m_sessions->SetRecordedEnds(known);
   if (!batch.m_phases.empty()) {
     CountPhases(batch.m_phases);
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -28,8 +28,10 @@
   std::string m_worker_table;  // Written by the platform.
   jobs::SchedulerSettings m_scheduler;
   SessionSettings m_sessions;
-  Millis m_keep_ended{120'000};     // Phases of ended jobs are kept this long.
-  Millis m_evacuate{0};             // Bound after which nothing starts in an evacuated domain; 0: none is evacuated.
+  Millis m_keep_ended{120'000};  // Phases of ended jobs are kept this long.
+  Millis m_evacuate{0};          // Bound after which nothing starts in an evacuated domain; 0: none is evacuated.
+  // Starts are sent only while the list of workers is no older. Longer than its follower waits for a change.
+  Millis m_max_list_age{3'000};
   Millis m_evacuation_wait{1'000};  // Longest wait for the first SetEvacuated, since the store may be unreachable.
 };
 
@@ -77,6 +79,8 @@
   void ScheduleRound();
   void RunRound();
   void OnStored(const jobs::Batch& batch);
+  bool ListIsCurrent() const;
+  void SendStarts();
   void ReportGuaranteeStarts();
   void CountPhases(const std::vector<jobs::PhaseChange>& phases);
   void ArchiveSettled();
@@ -97,6 +101,7 @@
   std::map<std::string, jobs::WorkerEntry> m_workers;  // By row key.
   std::map<std::string, Instant> m_missing_until;      // When to drop workers whose rows expired, by row key.
   std::optional<Instant> m_reachable_since;            // When the worker table last became readable again.
+  std::vector<jobs::StartCommand> m_held_starts;       // Stored, and not sent while the list of workers is too old.
   std::vector<store::StoredRow> m_buffered_intake;     // Rows received before Ready().
   std::vector<store::StoredRow> m_state_rows;
   std::set<JobId> m_whole_part_jobs;  // Accepted by an earlier version, see TableNames.
--- a/hickoryquay/store/table_follower.cc
+++ b/hickoryquay/store/table_follower.cc
@@ -81,6 +81,7 @@
   if (++m_scan_part < m_settings.m_parts.size()) return Scan();
   m_at = m_scan_version;
   m_synced = true;
+  m_current_at = m_clock->Now();
   m_following = true;
   m_on_rows(std::exchange(m_scanned, {}), true);
   if (!m_stopped) Follow();
@@ -116,6 +117,7 @@
   const RowPage& page = ValueOf(result);
   Reached();
   m_at = std::max(m_at, page.m_version);
+  m_current_at = m_clock->Now();
   std::vector<StoredRow> rows;
   std::copy_if(page.m_rows.begin(), page.m_rows.end(), std::back_inserter(rows), [this](const StoredRow& row) {
     const auto& parts = m_settings.m_parts;
--- a/hickoryquay/store/table_follower.h
+++ b/hickoryquay/store/table_follower.h
@@ -44,6 +44,8 @@
   void Stop();
   std::size_t Scanned() const { return m_scanned.size(); }  // Rows read by the scan that is under way.
   bool Synced() const { return m_synced; }                  // The whole table was read at some time.
+  // Steady time of the last answer up to which the rows are complete; a feed without changes counts. 0: not synced yet.
+  Instant CurrentAt() const { return m_current_at; }
   Version At() const { return m_at; }  // Of the store that the rows passed on so far reflect, or a later one.
 
  private:
@@ -74,6 +76,7 @@
   Version m_scan_version{};  // Of the first page.
   Version m_at{};
   bool m_synced = false;
+  Instant m_current_at;
   bool m_following = false;  // The feed can go on from m_at.
   bool m_stopped = false;
   bool m_reachable = true;
