Tests: a late start on a worker that was gone, red

Cause of the failure: runs of a worker that the platform does not list are clear at once, though a copy of their start may still be executed when the worker is back under its id.

--- a/tests/service/restart_test.cc
+++ b/tests/service/restart_test.cc
@@ -11,6 +11,7 @@
 constexpr Millis kStartup{3'000};
 constexpr Millis kWork{1'000};
 constexpr Millis kShortWork{20};
+constexpr Millis kLongWork{15'000};
 constexpr Millis kEnough{20'000};
 
 class RestartTest : public CppUnit::TestFixture {
@@ -19,15 +20,19 @@
   CPPUNIT_TEST(EndsOfTheNewIncarnationAreNotForgotten);
   CPPUNIT_TEST(EndBeforeTheFirstPollIsNotForgotten);
   CPPUNIT_TEST(LateStartIsStopped);
+  CPPUNIT_TEST(LateStartOnAWorkerThatWasGoneDoesNotRunBesideTheNextRun);
+  CPPUNIT_TEST(TaskOfAWorkerThatStaysAwayRunsAgain);
   CPPUNIT_TEST(NewLeaderTellsIncarnationsApart);
   CPPUNIT_TEST(RowThatNeverFollowsKeepsTheWorkerUnused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
+  void setUp() override { MakeCluster(1); }
+
+  void MakeCluster(int workers) {
     ClusterSettings settings;
     settings.m_racks = 1;
-    settings.m_workers_per_rack = 1;
+    settings.m_workers_per_rack = workers;
     settings.m_workers_report_born = true;
     settings.m_workers.m_keeps_recorded_number = true;
     m_cluster = std::make_unique<SimCluster>(settings);
@@ -83,6 +88,29 @@
     Complete(m_cluster->Submit(0, Tasks(8, 1, kWork), kWork));
   }
 
+  // The platform did not list the worker while it was down. Its runs were clear at once, and a copy of a start that was
+  // still under way ran on the worker when it was back, beside the next run of the task.
+  void LateStartOnAWorkerThatWasGoneDoesNotRunBesideTheNextRun() {
+    MakeCluster(2);
+    m_cluster->Sim().Faults(m_worker).m_late_orders = 1.0;
+    const JobId job = m_cluster->Submit(0, Tasks(8, 1, kWork), kLongWork);  // Some copies arrive in time.
+    m_cluster->Run(kWork);
+    m_cluster->Sim().Faults(m_worker) = {};
+    m_cluster->CrashWorker(m_worker);
+    Complete(job);
+  }
+
+  // As above, of a worker that never returns: the task must not wait for it for good.
+  void TaskOfAWorkerThatStaysAwayRunsAgain() {
+    MakeCluster(2);
+    m_cluster->Sim().Faults(m_worker).m_late_orders = 1.0;
+    const JobId job = m_cluster->Submit(0, Tasks(1, 1, kWork), kWork);
+    m_cluster->Run(kWork);
+    m_cluster->KillWorker(m_worker);
+    m_cluster->Run(kEnough);
+    Complete(job);
+  }
+
   // The leader dies with the worker: the rows name the earlier incarnation.
   void NewLeaderTellsIncarnationsApart() {
     const JobId job = m_cluster->Submit(0, Tasks(3, 1, kWork), 4 * kWork);
