Jobs: a worker that is gone is not clear while copies of a start are under way

What callers saw: in the fuzz, a task ran on two workers at the same time, or again after it was done. Cause: a worker that the platform does not list was taken for clear at once. It may return under its id, and then executes copies of starts that are still under way. Change: on a worker that reports its start, a run of which a copy got no answer is kept and stopped until the worker has acknowledged the stop, or 20 s after the last copy. Why it works: the new incarnation refuses a run that was stopped there, and no copy arrives later. Other runs are clear as before.

--- a/hickoryquay/jobs/incarnation.h
+++ b/hickoryquay/jobs/incarnation.h
@@ -57,6 +57,10 @@
   return *row_born > reported ? RowIncarnation::kNewer : RowIncarnation::kLagging;
 }
 
+// A call that got no answer may still be executed this long after it was sent. Longer than a connection is kept without
+// an answer.
+constexpr Millis kMaxCallDelay{20'000};
+
 // What shows that an incarnation of a worker runs nothing any more.
 enum class WorkerLoss {
   kLeaseOver,  // Its last lease has ended and it does not answer. It may be cut off and alive.
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -288,7 +288,14 @@
   const auto members = slot->m_members;
   const LostWorker lost = Describe(*slot, loss, now);
   for (const auto& [unit, member] : members) {
-    if (unit->m_members[member].m_slot == slot) LoseRun(unit, member, lost, now);
+    if (unit->m_members[member].m_slot != slot) continue;
+    const bool late = loss != WorkerLoss::kReplaced && MayStartLate(*slot, unit->m_members[member], now);
+    if (!late) {
+      LoseRun(unit, member, lost, now);
+      continue;
+    }
+    RecordCrash(unit, member, lost, now);
+    StopLateStart(unit, member, "its worker is gone, a late start may arrive", now);
   }
   m_workers.EraseIfUnused(worker);
 }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -187,7 +187,8 @@
   void SetEvacuated(std::set<DomainId> domains, Now now);
   std::map<DomainId, EvacuatedDomain> EvacuatedDomains() const;  // Includes domains that no worker has.
 
-  // All runs that were placed on the worker have ended and can't start again.
+  // All runs that were placed on the worker have ended. They can't start again, unless it may return under its id while
+  // a copy of their start is under way: such a run is kept, and the worker stays busy, until it is certain.
   void OnWorkerCleared(const WorkerId& worker, WorkerLoss loss, Now now);
   // If the reply is of another incarnation than the one before, the runs of that one are resolved; see incarnation.h.
   void OnPollReply(const WorkerId& worker, const PollReply& reply, Instant sent, Now now);
@@ -257,6 +258,8 @@
 
   // scheduler_restart.cc
   void OnIncarnation(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now);
+  bool MayStartLate(const WorkerSlot& slot, const Member& member, Now now) const;
+  void StopLateStart(Unit* unit, std::size_t member, const char* why, Now now);
   void ResolveAfterRestart(const UnitMember& placed, const LostWorker& lost, const PollReply& reply, Instant sent,
                            Now now);
   void RecordCrash(Unit* unit, std::size_t member, const LostWorker& lost, Now now);
--- a/hickoryquay/jobs/scheduler_restart.cc
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -53,8 +53,7 @@
 void Scheduler::ResolveAfterRestart(const UnitMember& placed, const LostWorker& lost, const PollReply& reply,
                                     Instant sent, Now now) {
   const auto [unit, index] = placed;
-  Member& member = unit->m_members[index];
-  const WorkerSlot* slot = member.m_slot;
+  const Member& member = unit->m_members[index];
   RunBeforeRestart run;
   run.m_sent = member.m_state != MemberState::kPlanned;
   run.m_confirmed = member.m_state == MemberState::kRunning;
@@ -68,10 +67,23 @@
     case AfterRestart::kClear:
       return LoseRun(unit, index, lost, now);
     case AfterRestart::kStop:
-      break;
+      if (!run.m_listed) RecordCrash(unit, index, lost, now);
+      return StopLateStart(unit, index, "its worker has restarted, a late start may arrive", now);
   }
-  if (!run.m_listed) RecordCrash(unit, index, lost, now);
-  StopRun(unit, "its worker has restarted, a late start may arrive");
+}
+
+// A copy of the start got no answer, and the worker would not know that an earlier incarnation had refused it.
+bool Scheduler::MayStartLate(const WorkerSlot& slot, const Member& member, Now now) const {
+  if (slot.m_born == Instant{} || member.m_last_sent == Instant{}) return false;
+  const bool unanswered = member.m_state == MemberState::kSent || member.m_state == MemberState::kUnknown;
+  return (unanswered || member.m_resends > 0) && now.m_steady - member.m_last_sent < kMaxCallDelay;
+}
+
+// Stops a run that a copy of its start may still begin.
+void Scheduler::StopLateStart(Unit* unit, std::size_t index, const char* why, Now now) {
+  Member& member = unit->m_members[index];
+  const WorkerSlot* slot = member.m_slot;
+  StopRun(unit, why);
   if (member.m_slot != slot) return;
   member.m_state = MemberState::kUnknown;
   member.m_since = now.m_steady;
@@ -87,6 +99,10 @@
 void Scheduler::RecordCrash(Unit* unit, std::size_t index, const LostWorker& lost, Now now) {
   JobState* job = unit->m_step->m_job;
   const CrashSettings& settings = m_settings.m_choice.m_crashes;
+  const auto same = [&](const CrashedRun& crash) {
+    return crash.m_run == unit->m_run && crash.m_member == static_cast<int>(index);
+  };
+  if (std::any_of(unit->m_crashes.begin(), unit->m_crashes.end(), same)) return;
   if (Ended(job->m_phase) || !CountsAsCrash(*unit, unit->m_members[index], lost, settings)) return;
   const CrashedRun crash{unit->m_run, static_cast<int>(index), IsEvident(unit->m_members[index], lost, settings)};
   unit->m_crashes.push_back(crash);
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -98,7 +98,9 @@
 
 void Scheduler::OnStartSent(const StartCommand& command, Now now) {
   const auto [unit, index] = FindMember(command.m_task);
-  if (unit == nullptr || unit->m_members[index].m_state != MemberState::kPlanned) return;  // A resend.
+  if (unit == nullptr || unit->m_run != command.m_run) return;
+  unit->m_members[index].m_last_sent = now.m_steady;
+  if (unit->m_members[index].m_state != MemberState::kPlanned) return;  // A resend.
   SetState(&unit->m_members[index], MemberState::kSent, now.m_steady);
   ++m_starts;
 }
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -38,6 +38,7 @@
   Instant m_born;                // Wall time of the start of its worker's incarnation; 0: not known.
   bool m_restored = false;       // Placed under an earlier epoch, whose commands its worker now refuses.
   int m_resends = 0;             // Of a start that got no answer.
+  Instant m_last_sent;           // Steady time of the last copy of the start; 0: not sent by this scheduler.
   Instant m_since;               // Steady time of the last change of m_state.
   Instant m_listed;              // Steady time of the last reply that listed it as running.
   int m_percent = 0;             // Progress reported at m_percent_at, 0 to 100.
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -307,7 +307,7 @@
 void WorkerSessions::OnWorkerIds(const std::set<WorkerId>& worker_ids, Instant asked) {
   const Sessions sessions = m_sessions;
   for (const auto& [id, session] : sessions) {
-    if (!IsUnreachable(id, *session) || worker_ids.contains(id) ||
+    if (!IsUnreachable(id, *session) || session->m_awaits_late_starts || worker_ids.contains(id) ||
         asked - session->m_created < m_settings.m_list_max_lag)
       continue;
     Clear(id, session, jobs::WorkerLoss::kUnlisted);
@@ -394,6 +394,7 @@
   }
   const bool was_silent = session->m_failures > 1;
   session->m_failures = 0;
+  session->m_awaits_late_starts = false;
   session->m_last_reply = m_clock->Now();
   session->m_cleared = false;
   if (incarnation == session->m_incarnation)
@@ -410,7 +411,7 @@
   m_scheduler->SetWorkerUsable(id, true);
   m_scheduler->OnPollReply(id, reply, sent, Time());
   if (incarnation != session->m_incarnation && m_scheduler->IsBusy(id))
-    session->m_lease_end = LatestLeaseEnd(m_clock->Now() + m_settings.m_max_start_delay);
+    session->m_lease_end = LatestLeaseEnd(m_clock->Now() + jobs::kMaxCallDelay);
   m_events.m_changed();
 }
 
@@ -433,6 +434,10 @@
   session->m_acked_ends = session->m_reported_ends;
   m_scheduler->SetWorkerUsable(id, false);
   m_scheduler->OnWorkerCleared(id, loss, Time());
+  if (!m_scheduler->IsBusy(id)) return;
+  session->m_cleared = false;
+  session->m_awaits_late_starts = true;
+  session->m_lease_end = m_clock->Now() + jobs::kMaxCallDelay;
 }
 
 }  // namespace hickoryquay::service
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -37,9 +37,6 @@
   Millis m_min_restart{1'000};        // Shortest time in which a crashed worker is back under its id.
   double m_clock_drift = 0.02;        // Share by which workers' clocks may be slow.
   Millis m_clock_slack{100};          // Added to the end of every lease that is waited for.
-  // A start may arrive this much after it was sent. Only after a restart it is then still executed: its lease is in the
-  // clock of the earlier incarnation. Longer than a connection is kept without an answer.
-  Millis m_max_start_delay{20'000};
   Millis m_list_interval{1'000};  // Between requests for the ids of live workers, while a busy worker is unreachable.
   Millis m_list_max_lag{3'000};   // An incarnation younger than this may be missing from the list.
   Millis m_list_timeout{1'500};   // Of the whole list.
@@ -95,8 +92,9 @@
     std::int64_t m_acked_ends = 0;     // Highest one that the worker knows to be stored.
     jobs::WorkerTime m_clock;          // The worker's clock at m_clock_at, or slightly before.
     Instant m_clock_at;
-    Instant m_lease_end;     // All tasks there have ended by then, unless the lease is extended.
-    bool m_cleared = false;  // Declared clear since the last answer.
+    Instant m_lease_end;                // All tasks there have ended by then, unless the lease is extended.
+    bool m_cleared = false;             // Declared clear since the last answer.
+    bool m_awaits_late_starts = false;  // It is gone, and busy until no start can arrive any more if it returns.
     jobs::KnownIncarnation m_known;
     std::optional<Instant> m_row_born;  // Wall time of its start by its row.
     int m_incarnation = 0;              // Counts the restarts under its id.
