Jobs: a worker cleared by its lease counts when a takeover hides when its run began

What callers saw: nothing yet, found by the fuzz. Cause: a worker that was cleared by the end of its lease counted only if it had fallen silent soon after the start, which a new leader does not know. Change: such a loss counts for a run of an earlier leader.

--- a/tests/jobs/crash_isolation_test.cc
+++ b/tests/jobs/crash_isolation_test.cc
@@ -79,6 +79,9 @@
     CPPUNIT_ASSERT(Counts(unit, member, WorkerLoss::kLeaseOver));
     member.m_since = Instant{7'999};
     CPPUNIT_ASSERT(!Counts(unit, member, WorkerLoss::kLeaseOver));
+    member.m_restored = true;
+    CPPUNIT_ASSERT(Counts(unit, member, WorkerLoss::kLeaseOver));
+    member.m_restored = false;
     member.m_state = MemberState::kPlanned;
     CPPUNIT_ASSERT(!Counts(unit, member, WorkerLoss::kUnlisted));
     member.m_state = MemberState::kRunning;
