Service: held starts also wait for the table of jobs and cancels

What callers saw: nothing yet, found by the fuzz: a task of a cancelled job started. Cause: starts that were stored at the end of an outage, or were held for the list of workers, left before the cancels were read. Change: starts are sent only while the follower of the table is reachable. Why it works: with the answer that makes it reachable come the cancels.

--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -320,7 +320,7 @@
   ReportGuaranteeStarts();
   for (const jobs::StopCommand& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
   SendStarts();
-  if (ListIsCurrent()) {
+  if (MaySendStarts()) {
     for (const jobs::StartCommand& start : m_scheduler.TakeResends(m_last_round)) m_sessions->Send(start);
   }
   if (!m_write_pending) {
@@ -364,14 +364,14 @@
   if (!settled.empty()) m_archive->Add(settled);
 }
 
-// A worker may have shrunk, or begun to drain, since the list was read. A start that was stored at the end of an outage
-// would leave before the list follows.
-bool SchedulerDriver::ListIsCurrent() const {
-  return m_parts.m_clock->Now() - m_worker_rows->CurrentAt() <= m_settings.m_max_list_age;
+// A start that was stored at the end of an outage would leave before the changes during the outage are read: a worker
+// may have shrunk or begun to drain, a job may have been cancelled.
+bool SchedulerDriver::MaySendStarts() const {
+  return m_intake->Reachable() && m_parts.m_clock->Now() - m_worker_rows->CurrentAt() <= m_settings.m_max_list_age;
 }
 
 void SchedulerDriver::SendStarts() {
-  if (!ListIsCurrent()) return;
+  if (!MaySendStarts()) return;
   for (const jobs::StartCommand& start : std::exchange(m_held_starts, {})) m_sessions->Send(start);
 }
 
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -79,7 +79,7 @@
   void ScheduleRound();
   void RunRound();
   void OnStored(const jobs::Batch& batch);
-  bool ListIsCurrent() const;
+  bool MaySendStarts() const;
   void SendStarts();
   void ReportGuaranteeStarts();
   void CountPhases(const std::vector<jobs::PhaseChange>& phases);
@@ -101,7 +101,7 @@
   std::map<std::string, jobs::WorkerEntry> m_workers;  // By row key.
   std::map<std::string, Instant> m_missing_until;      // When to drop workers whose rows expired, by row key.
   std::optional<Instant> m_reachable_since;            // When the worker table last became readable again.
-  std::vector<jobs::StartCommand> m_held_starts;       // Stored, and not sent while the list of workers is too old.
+  std::vector<jobs::StartCommand> m_held_starts;       // Stored, and not sent yet; see MaySendStarts.
   std::vector<store::StoredRow> m_buffered_intake;     // Rows received before Ready().
   std::vector<store::StoredRow> m_state_rows;
   std::set<JobId> m_whole_part_jobs;  // Accepted by an earlier version, see TableNames.
--- a/hickoryquay/store/table_follower.h
+++ b/hickoryquay/store/table_follower.h
@@ -46,6 +46,7 @@
   bool Synced() const { return m_synced; }                  // The whole table was read at some time.
   // Steady time of the last answer up to which the rows are complete; a feed without changes counts. 0: not synced yet.
   Instant CurrentAt() const { return m_current_at; }
+  bool Reachable() const { return m_reachable; }  // The last call was answered.
   Version At() const { return m_at; }  // Of the store that the rows passed on so far reflect, or a later one.
 
  private:
