Jobs: wording of crash isolation and of its tests

Cause: a text function of a header stood in another file, and two comments had to be read twice. Change: moved and reworded; no behaviour changes.

--- a/hickoryquay/jobs/crash_isolation.h
+++ b/hickoryquay/jobs/crash_isolation.h
@@ -54,11 +54,11 @@
 
 bool NeedsIsolation(const Unit& unit, const CrashSettings& settings);
 
-// Whether the unit may run beside what the worker has, holds and has reserved.
+// Whether the unit may be placed on the worker, given what runs there and for what the worker is held or reserved.
 bool MayShare(const WorkerSlot& slot, const Unit& unit, const CrashSettings& settings);
 
 // The workers of `candidates` to keep free of new work so that the unit can be placed alone there: those with the
-// fewest other units. Empty if there are not enough, or none may be held beside those that are held already.
+// fewest other units. Empty if there are not enough, or too many are held already.
 std::vector<WorkerSlot*> ChooseWorkersToHold(const Unit& unit, const std::vector<WorkerSlot*>& candidates,
                                              const CrashSettings& settings);
 
--- a/hickoryquay/jobs/incarnation.h
+++ b/hickoryquay/jobs/incarnation.h
@@ -68,7 +68,19 @@
   kReplaced,   // Another id answers at its address.
   kRestarted,  // It answers under its id with a later start.
 };
-const char* ToString(WorkerLoss loss);
+inline const char* ToString(WorkerLoss loss) {
+  switch (loss) {
+    case WorkerLoss::kLeaseOver:
+      return "lease is over";
+    case WorkerLoss::kUnlisted:
+      return "the platform no longer knows it";
+    case WorkerLoss::kReplaced:
+      return "another life answers";
+    case WorkerLoss::kRestarted:
+      return "it has restarted";
+  }
+  return "";
+}
 
 // A worker whose runs are lost.
 struct LostWorker {
--- a/hickoryquay/jobs/scheduler_restart.cc
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -20,20 +20,6 @@
 
 }  // namespace
 
-const char* ToString(WorkerLoss loss) {
-  switch (loss) {
-    case WorkerLoss::kLeaseOver:
-      return "lease is over";
-    case WorkerLoss::kUnlisted:
-      return "the platform no longer knows it";
-    case WorkerLoss::kReplaced:
-      return "another life answers";
-    case WorkerLoss::kRestarted:
-      return "it has restarted";
-  }
-  return "";
-}
-
 void Scheduler::OnIncarnation(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now) {
   if (!reply.m_born || *reply.m_born == slot->m_born) return;
   const bool restarted = slot->m_born.m_ms != 0;
--- a/tests/service/fuzz_test.cc
+++ b/tests/service/fuzz_test.cc
@@ -22,7 +22,7 @@
 constexpr Millis kStartup{3'000};
 constexpr Millis kFaultPhase{20'000};
 constexpr Millis kStep{250};
-constexpr int kFewestCrashes = 3;    // Of workers under a task that is given up; the users' rule asks for two.
+constexpr int kFewestCrashes = 3;    // Of workers, under a task of a job that may fail for it.
 constexpr Millis kRecovery{60'000};  // Enough for leases, late commands and the remaining work.
 
 // A random sequence of submissions, cancels and faults, determined by its seed.
