Jobs: a unit waits 2.5 s for an empty worker, then it is placed beside others

What callers saw: nothing yet, found by reading: a job whose task had crashed two workers would wait for good where every worker has a task that lasts. Cause: a unit that must run alone waited for an empty worker without a bound. Evidence: UnitThatFindsNoEmptyWorkerIsPlacedBesideOthers, which failed before (Expected: 1, Actual: 0), and fails without the change. Change: after 2.5 s the unit is placed as usual for that run. Why it works: the bound on starts after the third crash holds however the unit is placed.

--- a/hickoryquay/jobs/crash_isolation.cc
+++ b/hickoryquay/jobs/crash_isolation.cc
@@ -62,7 +62,8 @@
 }
 
 bool NeedsIsolation(const Unit& unit, const CrashSettings& settings) {
-  return !unit.m_crashes.empty() && Judge(unit.m_crashes, unit.m_run, settings) != CrashVerdict::kNone;
+  return !unit.m_crashes.empty() && !unit.m_may_share &&
+         Judge(unit.m_crashes, unit.m_run, settings) != CrashVerdict::kNone;
 }
 
 bool MayShare(const WorkerSlot& slot, const Unit& unit, const CrashSettings& settings) {
--- a/hickoryquay/jobs/crash_isolation.h
+++ b/hickoryquay/jobs/crash_isolation.h
@@ -29,7 +29,7 @@
   int m_starts_left = 2;
   Millis m_evident_within{500};   // Of the answer to the start, until the worker stopped answering.
   Millis m_sound_after{2'000};    // A unit that still runs this long after its start is sound.
-  Millis m_longest_hold{10'000};  // Then other workers are chosen, since some may have gone.
+  Millis m_longest_wait{2'500};   // For workers without other work. Then the unit is placed beside others.
   double m_max_held_share = 0.1;  // Of a pool's workers, that are held for units that wait to be placed alone.
 };
 
@@ -52,7 +52,7 @@
 // [SECTION] Placement
 //-------------------------------------------------------------------------------------------------
 
-bool NeedsIsolation(const Unit& unit, const CrashSettings& settings);
+bool NeedsIsolation(const Unit& unit, const CrashSettings& settings);  // In its next or present run.
 
 // Whether the unit may be placed on the worker, given what runs there and for what the worker is held or reserved.
 bool MayShare(const WorkerSlot& slot, const Unit& unit, const CrashSettings& settings);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -276,6 +276,7 @@
                {"waited_ms", std::to_string((now.m_wall - job->m_job.m_accepted).count())}});
   }
   ReleaseReservation(unit);
+  ReleaseHeldWorkers(unit);
   MarkChanged(*unit);
   if (job->m_phase == JobPhase::kQueued) SetPhase(job, JobPhase::kRunning, now);
   return true;
@@ -303,16 +304,21 @@
 }
 
 void Scheduler::ReleaseHeldWorkers(Unit* unit) {
-  if (std::exchange(unit->m_holds_until, Instant{}) == Instant{}) return;
+  if (std::exchange(unit->m_alone_until, Instant{}) == Instant{}) return;
   for (const auto& [id, slot] : m_workers.All()) {
     if (slot->m_held_for == unit) slot->m_held_for = nullptr;
   }
 }
 
-// Places a unit on workers without other work. Where there are none, new work is kept off some until they are empty.
+// Places a unit on workers without other work. Where there are none, new work is kept off some until they are empty,
+// for m_longest_wait.
 bool Scheduler::PlaceAlone(Unit* unit, Now now) {
   if (TryPlace(unit, now)) return true;
-  if (now.m_steady < unit->m_holds_until) return false;
+  if (unit->m_alone_until != Instant{}) {
+    unit->m_may_share = now.m_steady >= unit->m_alone_until;
+    if (unit->m_may_share) ReleaseHeldWorkers(unit);
+    return false;
+  }
   const StepSpec& spec = *unit->m_step->m_spec;
   const bool needs_rack = spec.m_rack_local && unit->m_members.size() > 1;
   const auto& racks = RacksFor(*unit);
@@ -324,7 +330,7 @@
   }
   if (chosen.empty()) chosen = ChooseWorkersToHold(*unit, Flatten(racks), m_settings.m_choice.m_crashes);
   for (WorkerSlot* slot : chosen) slot->m_held_for = unit;
-  if (!chosen.empty()) unit->m_holds_until = now.m_steady + m_settings.m_choice.m_crashes.m_longest_hold;
+  unit->m_alone_until = now.m_steady + m_settings.m_choice.m_crashes.m_longest_wait;
   return false;
 }
 
@@ -340,14 +346,12 @@
     }
   }
   for (Unit* unit : dropped) ReleaseReservation(unit);
-  UnitSet released;
   for (const auto& [id, slot] : m_workers.All()) {
-    Unit* unit = slot->m_held_for;
+    const Unit* unit = slot->m_held_for;
     if (unit == nullptr) continue;
-    const bool wanted = unit->IsWaiting() && !Ended(unit->m_step->m_job->m_phase) && now.m_steady < unit->m_holds_until;
-    if (!wanted || !slot->IsSchedulable()) released.insert(unit);
+    const bool waits = unit->IsWaiting() && !Ended(unit->m_step->m_job->m_phase);
+    if (!waits || !slot->IsSchedulable()) slot->m_held_for = nullptr;
   }
-  for (Unit* unit : released) ReleaseHeldWorkers(unit);
 }
 
 // The cheapest plan. A rack-local gang gets one in a single rack; within its guarantee it may span racks if there is
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -401,6 +401,7 @@
   unit->m_active = false;
   unit->m_stopping = false;
   unit->m_sound = false;
+  unit->m_may_share = false;
   for (Member& member : unit->m_members) member = Member{};
   m_active.erase(unit);
 }
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -70,7 +70,8 @@
   bool m_done = false;
   bool m_stopping = false;         // All members are being stopped.
   bool m_sound = false;            // This run has lasted too long to crash its workers.
-  Instant m_holds_until;           // Steady time until which workers are held for it, see WorkerSlot::m_held_for.
+  bool m_may_share = false;        // It has found no worker without other work, and is placed beside others.
+  Instant m_alone_until;           // Steady time until which it waits for such workers; 0: it does not.
   Instant m_placed;                // Steady time of the last placement.
   int m_preemptions = 0;           // Times that it was stopped for urgent work.
   bool m_has_reservation = false;  // Room is reserved for it on workers (WorkerSlot::m_reservations).
--- a/tests/jobs/crash_isolation_test.cc
+++ b/tests/jobs/crash_isolation_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(UnitThatRunsOnIsCleared);
   CPPUNIT_TEST(SuspectsDoNotShareAWorker);
   CPPUNIT_TEST(WorkerIsHeldUntilItIsEmpty);
+  CPPUNIT_TEST(UnitThatFindsNoEmptyWorkerIsPlacedBesideOthers);
   CPPUNIT_TEST(GivenUpUnitIsNotPlacedAfterATakeover);
   CPPUNIT_TEST(CrashesOfARowRoundTrip);
   CPPUNIT_TEST_SUITE_END();
@@ -130,6 +131,19 @@
     CPPUNIT_ASSERT(StartOnly(At(200)).m_task.m_step.m_job == kJob);
   }
 
+  // A job waited for good where every worker has a task that lasts.
+  void UnitThatFindsNoEmptyWorkerIsPlacedBesideOthers() {
+    MakeScheduler(1);
+    Submit(kOther, 1);
+    StartOnly(At(0));
+    SubmitSuspect(kJob, 1);
+    m_scheduler->Decide(At(100));
+    m_scheduler->Decide(At(2'599));
+    CPPUNIT_ASSERT(Take().m_starts.empty());
+    m_scheduler->Decide(At(2'600));
+    CPPUNIT_ASSERT(StartOnly(At(2'700)).m_task.m_step.m_job == kJob);
+  }
+
   // The leader that counted the last crash did not live to store the end of the job.
   void GivenUpUnitIsNotPlacedAfterATakeover() {
     MakeScheduler(2);
