--- a/hickoryquay/jobs/incarnation.h
+++ b/hickoryquay/jobs/incarnation.h
@@ -58,7 +58,8 @@
 }
 
 // A call that got no answer may still be executed this long after it was sent. Longer than a connection is kept without
-// an answer.
+// an answer. A start is refused then, since its lease is over, unless the worker has restarted under its id: the lease
+// is in the clock of the earlier incarnation.
 constexpr Millis kMaxCallDelay{20'000};
 
 // What shows that an incarnation of a worker runs nothing any more.
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -131,6 +131,7 @@
   for (const auto& owned : step->m_units) {
     Unit* unit = owned.get();
     if (!unit->IsWaiting()) continue;
+    // Its last start did not end in a crash, or an earlier leader has stored the crash and not the end of the job.
     if (Judge(unit->m_crashes, unit->m_run, m_settings.m_choice.m_crashes) == CrashVerdict::kGiveUp)
       return EndJob(step->m_job, JobPhase::kFailed, now);
     if (NeedsIsolation(*unit, m_settings.m_choice.m_crashes)) {
--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -98,8 +98,8 @@
             jobs::PollCallback callback) override;
   void ListWorkerIds(Millis timeout, jobs::WorkerIdsCallback callback) override;
 
-  // What must not happen and did; empty is good.
   bool IsAlive(const WorkerId& worker) const { return m_workers.at(worker).m_alive; }
+  // What must not happen and did; empty is good.
   const std::vector<std::string>& Violations() const { return m_violations; }
   // Called when a task has crashed a worker, which is not alive any more.
   void OnCrash(std::function<void(const WorkerId&)> handler) { m_on_crash = std::move(handler); }
