Leadership: answers to writes that are lost do not delay the writes that follow

What callers saw: while the store loses a third of the answers to writes, urgent jobs began 3 to 5 s after they were accepted, on an idle cluster.

Cause: the leader looks for a write whose answer does not come in a multiple of what writes take. Each lost answer doubled that time, and the time of the search itself counted as the duration of the write. Three lost answers in a row made the next one wait for seconds, with every row of the leader behind it.

Fix: only answers that arrive tell how long writes take, also those of earlier copies. A silence gives writes more time only if the read that looks for the write finds it not stored, or gets no answer either: then the store is slow or away. If the write is stored, its answer was lost, and the store is as quick as before. Copies of writes at a slow store stay as few as they were (SlowStoreGetsFewCopiesOfAWrite).

--- a/hickoryquay/service/leadership.cc
+++ b/hickoryquay/service/leadership.cc
@@ -247,23 +247,24 @@
   m_verify = m_timers->After(allowed, [weak = weak_from_this(), allowed] {
     const auto self = weak.lock();
     if (!self || !self->m_leading || !self->m_writing) return;
-    self->m_write_time.TimedOut(allowed);
-    self->VerifyWrite();
+    self->VerifyWrite(allowed);
   });
-  m_store->Transact(
-      transaction, m_settings.m_call_timeout,
-      [weak = weak_from_this(), epoch = m_epoch, call = ++m_call_number](Result<Version, store::TransactError> result) {
-        const auto self = weak.lock();
-        if (!self || self->m_stopped || !self->m_leading || self->m_epoch != epoch || self->m_call_number != call)
-          return;
-        self->OnWriteAnswer(std::move(result));
-      });
+  m_store->Transact(transaction, m_settings.m_call_timeout,
+                    [weak = weak_from_this(), epoch = m_epoch, write = row.m_write, call = ++m_call_number,
+                     sent = m_write_sent](Result<Version, store::TransactError> result) {
+                      const auto self = weak.lock();
+                      if (!self || self->m_stopped || !self->m_leading || self->m_epoch != epoch) return;
+                      if (Ok(result)) {  // Also of an earlier copy.
+                        self->m_write_time.Answered(self->m_clock->Now() - sent);
+                        if (self->m_writing && self->m_write_count + 1 == write) self->CompleteWrite(ValueOf(result));
+                      } else if (self->m_call_number == call) {
+                        self->OnWriteFailure(ErrorOf(result));
+                      }
+                    });
 }
 
-void Leadership::OnWriteAnswer(Result<Version, store::TransactError> result) {
+void Leadership::OnWriteFailure(const store::TransactError& error) {
   m_verify.Cancel();
-  if (Ok(result)) return CompleteWrite(ValueOf(result));
-  const store::TransactError& error = ErrorOf(result);
   if (std::holds_alternative<store::StoreRefused>(error)) {
     // Further copies would only wait behind what the store is refusing this one for.
     const Millis delay =
@@ -274,18 +275,21 @@
     });
     return;
   }
-  VerifyWrite();
+  VerifyWrite(Millis{0});
 }
 
-// Reads the row to learn whether the write in flight was stored. Sends it again if not, which is always safe.
-void Leadership::VerifyWrite() {
+// Reads the row to learn whether the write in flight was stored. Sends it again if not, which is always safe. `silence`
+// is how long its answer was waited for in vain; 0: it failed otherwise. Writes get more time only if the store is slow
+// or silent, not if it has stored the write and the answer is lost.
+void Leadership::VerifyWrite(Millis silence) {
   m_copy_in_doubt = true;
-  ReadRow([this, epoch = m_epoch, call = ++m_call_number,
+  ReadRow([this, epoch = m_epoch, call = ++m_call_number, silence,
            sent = m_clock->Now()](Result<std::optional<store::StoredRow>, store::ReadError> read) {
     if (!m_leading || m_epoch != epoch || m_call_number != call) return;
     if (!Ok(read)) {
+      if (silence > Millis{0}) m_write_time.TimedOut(silence);
       m_retry = m_timers->After(m_settings.m_retry_delay, [weak = weak_from_this()] {
-        if (const auto self = weak.lock(); self && self->m_leading) self->VerifyWrite();
+        if (const auto self = weak.lock(); self && self->m_leading) self->VerifyWrite(Millis{0});
       });
       return;
     }
@@ -297,6 +301,7 @@
       return Depose("instance " + leader.m_holder.m_value + " took over with epoch " + Text(leader.m_epoch));
     }
     if (leader.m_write == m_write_count + 1) return CompleteWrite(row->m_version);
+    if (silence > Millis{0}) m_write_time.TimedOut(silence);
     m_applied_after = sent;
     SendNext();
   });
@@ -306,12 +311,13 @@
   const bool stale = m_leading && m_writing && m_clock->Now() - m_write_started >= kStaleWriteAge;
   if (!stale) return;
   m_retry.Cancel();
-  VerifyWrite();
+  VerifyWrite(Millis{0});
 }
 
 void Leadership::CompleteWrite(Version version) {
   m_verify.Cancel();
-  m_write_time.Answered(m_clock->Now() - m_write_started);
+  m_retry.Cancel();
+  ++m_call_number;  // Failures of its copies, and reads that look for it, change nothing any more.
   m_copy_in_doubt = false;
   m_refusals = 0;
   m_version = version;
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -138,8 +138,8 @@
   void OnTakenOver(Result<Version, store::TransactError> result, const LeaderRow& row);
   void ReadRow(std::function<void(Result<std::optional<store::StoredRow>, store::ReadError>)> callback);
   void SendNext();
-  void OnWriteAnswer(Result<Version, store::TransactError> result);
-  void VerifyWrite();
+  void OnWriteFailure(const store::TransactError& error);
+  void VerifyWrite(Millis silence);
   void CompleteWrite(Version version);
   void Depose(const std::string& why);
 
@@ -161,7 +161,7 @@
   bool m_copy_in_doubt = false;  // A copy of it got no answer and may still be stored.
   Instant m_write_started;       // When the write in flight was first sent.
   Instant m_write_sent;          // When the write in flight was last sent.
-  int m_call_number = 0;         // Of the last store call for that write; answers to earlier calls are ignored.
+  int m_call_number = 0;         // Of the last store call for that write; failures of earlier calls are ignored.
   Instant m_last_renewal;        // The last successful write was stored after this.
   Instant m_last_heartbeat;      // When the last one arrived.
   Epoch m_heartbeat_epoch{};
--- a/tests/service/leadership_test.cc
+++ b/tests/service/leadership_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(StoreReturnIsIgnoredWithoutStaleWrite);
   CPPUNIT_TEST(RenewalCountsFromTheLastProofThatItWasNotStored);
   CPPUNIT_TEST(SlowStoreGetsFewCopiesOfAWrite);
+  CPPUNIT_TEST(LostAnswersDoNotDelayTheWritesThatFollow);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -101,6 +102,18 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(m_client->Transactions() - before), m_client->Transactions() - before <= 10);
   }
 
+  // Every answer to a write is lost for some seconds, while the store is as quick as ever. Each write waited longer
+  // than the one before it, up to seconds.
+  void LostAnswersDoNotDelayTheWritesThatFollow() {
+    m_client->SetMood(StoreMood::kLosesWrites);
+    for (int i = 1; i <= 8; ++i) {
+      Write("value");
+      m_timers.Advance(Millis{400});
+      CPPUNIT_ASSERT_EQUAL(i, m_stored);
+    }
+    CPPUNIT_ASSERT(m_leadership->Leading());
+  }
+
   void StoreReturnIsIgnoredWithoutStaleWrite() {
     m_leadership->OnStoreAvailable();
     Write("value");
