Store: a call overtaken by answered ones does not make the store slow

What callers saw: while answers of the store were lost, or one part of it was away, all calls of an instance waited longer with each timeout, up to 2.5 s, also those to parts that answered in 4 ms.

Cause: each timeout doubled the time that every call is given.

Fix: a timeout counts as slowness only if no call that was sent later was answered. A store that is slow as a whole answers nothing in between, and its calls get their time as before (SlowStoreGetsItsTimeAtOnce, SilenceDoublesTheTimeWithinBounds).

The new test fails on the code before.

--- a/hickoryquay/store/adaptive_store.cc
+++ b/hickoryquay/store/adaptive_store.cc
@@ -38,7 +38,7 @@
                      callback = std::move(callback)](Result<Version, TransactError> result) {
                       const Millis took = clock->Now() - sent;
                       const bool silent = !Ok(result) && std::holds_alternative<StoreSilent>(ErrorOf(result));
-                      silent&& took >= allowed ? time->TimedOut(allowed) : time->Answered(took);
+                      silent&& took >= allowed ? time->TimedOut(sent, allowed) : time->Answered(sent, took);
                       CountTimed(metrics, "write", OutcomeOf(result), took);
                       callback(std::move(result));
                     });
@@ -51,7 +51,7 @@
                 [clock = m_clock, metrics = m_metrics, time = m_time, sent, allowed,
                  callback = std::move(callback)](Result<RowPage, ReadError> result) {
                   const Millis took = clock->Now() - sent;
-                  !Ok(result) && took >= allowed ? time->TimedOut(allowed) : time->Answered(took);
+                  !Ok(result) && took >= allowed ? time->TimedOut(sent, allowed) : time->Answered(sent, took);
                   CountTimed(metrics, "read", OutcomeOf(result), took);
                   callback(std::move(result));
                 });
--- a/hickoryquay/store/adaptive_store.h
+++ b/hickoryquay/store/adaptive_store.h
@@ -1,7 +1,9 @@
 // AdaptiveStore: gives calls the time that the store takes these days, within what the caller allows.
 //
 // A store that answers in milliseconds is not waited for seconds where a connection went silent, and a store that has
-// become slow is not asked the same thing again and again, which would make it slower.
+// become slow is not asked the same thing again and again, which would make it slower. A call without an answer makes
+// the store slow only if no call that was sent later was answered: otherwise its answer was lost, or a part of the
+// store is away.
 #pragma once
 
 #include <algorithm>
@@ -30,10 +32,18 @@
     const Millis wanted{static_cast<std::int64_t>(m_settings.m_spread * m_usual_ms)};
     return std::min(longest, std::max(m_settings.m_least, wanted + m_settings.m_slack));
   }
+  void Answered(Instant sent, Millis took) {
+    m_last_answered = std::max(m_last_answered, sent);
+    Answered(took);
+  }
   void Answered(Millis took) {
     const auto ms = static_cast<double>(took.count());
     m_usual_ms = ms > m_usual_ms ? ms : m_usual_ms + m_settings.m_forget * (ms - m_usual_ms);
   }
+  // The call sent then got no answer.
+  void TimedOut(Instant sent, Millis allowed) {
+    if (m_last_answered < sent) TimedOut(allowed);
+  }
   // The next call gets twice the time.
   void TimedOut(Millis allowed) {
     m_usual_ms = std::max(m_usual_ms, 2.0 * static_cast<double>(allowed.count()) / m_settings.m_spread);
@@ -42,6 +52,7 @@
  private:
   AdaptiveSettings m_settings;
   double m_usual_ms = 0.0;
+  Instant m_last_answered;  // When the latest of the calls that were answered was sent.
 };
 
 // `inner`, `clock` and `metrics` outlive it. Feeds wait for changes and keep their time. One thread.
--- a/tests/store/adaptive_store_test.cc
+++ b/tests/store/adaptive_store_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(SlowStoreGetsItsTimeAtOnce);
   CPPUNIT_TEST(SilenceDoublesTheTimeWithinBounds);
   CPPUNIT_TEST(TimeFallsAgainSlowly);
+  CPPUNIT_TEST(SilenceOfACallThatLaterOnesOvertookIsNotSlowness);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -38,6 +39,17 @@
     CPPUNIT_ASSERT(time.Allow(Millis{100}) == Millis{100});
   }
 
+  // One silent part of the store, or a lost answer, made all calls wait for seconds.
+  void SilenceOfACallThatLaterOnesOvertookIsNotSlowness() {
+    CallTime time{AdaptiveSettings{}};
+    const Millis first = time.Allow(kLongest);
+    time.Answered(Instant{1'100}, Millis{4});
+    time.TimedOut(Instant{1'000}, first);
+    CPPUNIT_ASSERT(time.Allow(kLongest) == first);
+    time.TimedOut(Instant{1'200}, first);
+    CPPUNIT_ASSERT(time.Allow(kLongest) >= 2 * first);
+  }
+
   void TimeFallsAgainSlowly() {
     CallTime time{AdaptiveSettings{}};
     time.Answered(Millis{600});
