Service: silent parts of the store stop only their own jobs; submissions are held for them

When the parts were back, refused callers came again up to a second later, to instances that noticed the return up to 0.65 s late.

Causes, one class: the availability of the store was judged as a whole from one call. Intake probed one part (of rows of an earlier version) and took its silence for the store's; probes waited for each other's growing timeouts; and a write without an answer was repeated after such timeouts, up to 1.4 s after its part was back.

Fix: service/part_watch.h knows for each part whether it answers, probes silent parts with overlapping reads, and takes the store for away as a whole only if no part has answered since one became silent. service/outage_policy.h decides what callers are told: held for a third of their time, then free to ask another instance at once; in an outage older than three times their time refused at once, and told to return after a quarter of its age. What is held is stored when its part is back, urgent work first. The leader's own part is watched in the same way. Where calls take long, an answer counts as contact for four times as long as it took, so that no probe goes before a write to a slow store.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -110,7 +110,9 @@
 struct Intake::Write {
   const char* m_log_text;
   JobId m_id{};
+  int m_priority = 0;  // Of its queue.
   store::Transaction m_transaction;
+  StorePart m_part;
   Instant m_started;
   Instant m_until;               // Deadline of the answer to the caller.
   bool m_maybe_applied = false;  // An attempt without an answer may still take effect.
@@ -125,11 +127,21 @@
       m_clock(clock),
       m_settings(settings),
       m_phases(settings.m_phase_retention),
+      m_watch(std::make_shared<PartWatch>(store, timers, clock, PartWatchSettings{})),
       m_metrics(metrics),
       m_accepted(&metrics->GetCounter("hq_jobs_accepted_total")),
       m_unknown(&metrics->GetCounter("hq_jobs_unknown_total")),
       m_submit_ms(&metrics->GetDistribution("hq_submit_ms")) {}
 
+void Intake::Start() {
+  m_watch->SetOnBack([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self) return;
+    if (self->m_on_store_available) self->m_on_store_available();
+    self->ReleaseHeld();
+  });
+}
+
 void Intake::SetConfiguration(std::shared_ptr<const jobs::QueueConfiguration> configuration) {
   m_configuration = std::move(configuration);
 }
@@ -168,7 +180,9 @@
   auto write = std::make_shared<Write>();
   write->m_log_text = "Submission answered";
   write->m_id = id;
+  write->m_priority = queue.m_priority;
   const TableNames& tables = m_settings.m_tables;
+  write->m_part = PartOf(id);
   write->m_transaction.m_checks.push_back({JobRow(id), Version{}});
   write->m_transaction.m_checks.push_back({{tables.m_ended, tables.IntakePart(id), jobs::HexText(id)}, Version{}});
   write->m_transaction.m_puts.push_back({JobRow(id), jobs::Write(job)});
@@ -185,40 +199,42 @@
         ->Add();
     callback(std::move(result));
   };
-  CheckStore([this, write](bool answers) {
-    answers ? Attempt(write) : Finish(write, IntakeError{Refusal("the store does not answer")});
+  m_watch->Check(write->m_part, [self = shared_from_this(), write](bool answers) {
+    answers ? self->Attempt(write) : self->Hold(write);
   });
 }
 
-// Calls `then` at once if the store answered recently or is known to be down, otherwise after a probe.
-void Intake::CheckStore(std::function<void(bool)> then) {
-  if (m_store_down) return then(false);
-  if (m_clock->Now() - m_last_answer <= m_settings.m_contact_max_age) return then(true);
-  Probe(std::move(then));
-}
-
-void Intake::Probe(std::function<void(bool)> then) {
-  m_store->Read({m_settings.m_tables.m_intake, m_settings.m_tables.m_whole_part, "", ""}, 1, m_settings.m_probe_timeout,
-                [self = shared_from_this(), sent = m_clock->Now(),
-                 then = std::move(then)](const Result<store::RowPage, store::ReadError>& page) {
-                  const bool answers = Ok(page) || self->AnsweredSince(sent);
-                  if (Ok(page)) self->NoteStoreAnswer();
-                  if (!answers) self->MarkStoreDown();
-                  then(answers);
-                });
+// Keeps a write while its part of the store is silent, for as long as the policy allows.
+void Intake::Hold(const std::shared_ptr<Write>& write) {
+  const Instant now = m_clock->Now();
+  const Millis time = write->m_until + m_settings.m_answer_margin - write->m_started;
+  const Millis silent = m_watch->SilentFor(write->m_part);
+  const Millis hold = HoldTime(silent, time, m_held.size(), m_settings.m_outage) - (now - write->m_started);
+  if (hold.count() <= 0) return GiveUp(write, Refusal("the store does not answer", write->m_part));
+  m_held.emplace(write->m_priority, write);
+  m_timers
+      ->After(hold,
+              [weak = weak_from_this(), write] {
+                const auto self = weak.lock();
+                if (!self) return;
+                const auto held = std::find_if(self->m_held.begin(), self->m_held.end(),
+                                               [&](const auto& entry) { return entry.second == write; });
+                if (held == self->m_held.end()) return;
+                self->m_held.erase(held);
+                // It has waited here: another instance may be asked at once.
+                self->GiveUp(write, {Millis{0}, "the store does not answer"});
+              })
+      .Detach();
 }
 
-void Intake::MarkStoreDown() {
-  if (!std::exchange(m_store_down, true)) log::Warn(kLog, "Store is away, refusing new work");
-  m_probe = m_timers->After(m_settings.m_probe_interval, [weak = weak_from_this()] {
-    const auto self = weak.lock();
-    if (!self) return;
-    self->Probe([self = self.get()](bool answers) {
-      if (!answers || !std::exchange(self->m_store_down, false)) return;
-      log::Info(kLog, "Store answers again");
-      if (self->m_on_store_available) self->m_on_store_available();
-    });
+void Intake::ReleaseHeld() {
+  std::vector<std::shared_ptr<Write>> released;
+  std::erase_if(m_held, [&](const auto& entry) {
+    if (m_watch->IsSilent(entry.second->m_part)) return false;
+    released.push_back(entry.second);
+    return true;
   });
+  for (const auto& write : released) Attempt(write);
 }
 
 void Intake::Cancel(JobId id, Millis time, SubmitCallback callback) {
@@ -227,37 +243,35 @@
 
 void Intake::CancelUntil(JobId id, Instant until, SubmitCallback callback) {
   const store::RowKey job = JobRow(id);
-  m_store->Read(
-      {job.m_table, job.m_part, job.m_key, job.m_key + '\0'}, 1, m_settings.m_call_timeout,
-      [this, self = shared_from_this(), id, until, callback](const Result<store::RowPage, store::ReadError>& page) {
-        if (!Ok(page)) {
-          return Retry(
-              until, [this, id, until, callback] { CancelUntil(id, until, callback); },
-              [this, callback] { callback(IntakeError{Refusal("the store does not answer")}); });
-        }
-        NoteStoreAnswer();
-        if (ValueOf(page).m_rows.empty()) return callback(IntakeError{NoSuchJob{}});
-        auto write = std::make_shared<Write>();
-        write->m_log_text = "Cancel answered";
-        write->m_id = id;
-        write->m_transaction.m_checks.push_back({JobRow(id), ValueOf(page).m_rows.front().m_version});
-        write->m_transaction.m_puts.push_back({CancelRow(id), "{}"});
-        write->m_started = m_clock->Now();
-        write->m_until = until;
-        write->m_on_conflict = [](const store::RowsDiffer&) {
-          return Result<Done, IntakeError>(IntakeError{NoSuchJob{}});
-        };
-        write->m_callback = callback;
-        Attempt(write);
-      });
+  m_store->Read({job.m_table, job.m_part, job.m_key, job.m_key + '\0'}, 1, m_settings.m_call_timeout,
+                [this, self = shared_from_this(), id, until, callback,
+                 sent = m_clock->Now()](const Result<store::RowPage, store::ReadError>& page) {
+                  if (!Ok(page)) {
+                    return Retry(
+                        until, [this, id, until, callback] { CancelUntil(id, until, callback); },
+                        [this, callback] { callback(IntakeError{Refusal("the store does not answer")}); });
+                  }
+                  m_watch->NoteAnswer(PartOf(id), sent);
+                  if (ValueOf(page).m_rows.empty()) return callback(IntakeError{NoSuchJob{}});
+                  auto write = std::make_shared<Write>();
+                  write->m_log_text = "Cancel answered";
+                  write->m_id = id;
+                  write->m_part = PartOf(id);
+                  write->m_transaction.m_checks.push_back({JobRow(id), ValueOf(page).m_rows.front().m_version});
+                  write->m_transaction.m_puts.push_back({CancelRow(id), "{}"});
+                  write->m_started = m_clock->Now();
+                  write->m_until = until;
+                  write->m_on_conflict = [](const store::RowsDiffer&) {
+                    return Result<Done, IntakeError>(IntakeError{NoSuchJob{}});
+                  };
+                  write->m_callback = callback;
+                  Attempt(write);
+                });
 }
 
 void Intake::Attempt(const std::shared_ptr<Write>& write) {
   const Millis left = write->m_until - m_clock->Now();
-  if (left.count() <= 0) {
-    return Finish(write, write->m_maybe_applied ? IntakeError{OutcomeUnknown{}}
-                                                : IntakeError{Refusal("the store does not answer")});
-  }
+  if (left.count() <= 0) return GiveUp(write, Refusal("the store does not answer", write->m_part));
   m_store->Transact(
       write->m_transaction, std::min(left, m_settings.m_call_timeout),
       [self = shared_from_this(), write, sent = m_clock->Now()](Result<Version, store::TransactError> result) {
@@ -268,21 +282,24 @@
 void Intake::OnAttempt(const std::shared_ptr<Write>& write, Instant sent,
                        Result<Version, store::TransactError> result) {
   if (Ok(result)) {
-    NoteStoreAnswer();
+    m_watch->NoteAnswer(write->m_part, sent);
     return Finish(write, Done{});
   }
   const store::TransactError& error = ErrorOf(result);
-  if (std::holds_alternative<store::StoreSilent>(error) && !m_store_down && !AnsweredSince(sent)) MarkStoreDown();
+  if (std::holds_alternative<store::StoreSilent>(error)) m_watch->NoteSilence(write->m_part, sent);
   if (const auto* differ = std::get_if<store::RowsDiffer>(&error)) return Finish(write, write->m_on_conflict(*differ));
   write->m_maybe_applied = write->m_maybe_applied || std::holds_alternative<store::StoreSilent>(error);
+  if (m_watch->IsSilent(write->m_part)) return Hold(write);
   const bool expired = m_clock->Now() - write->m_started >= m_settings.m_refuse_after;
   if (expired && !write->m_maybe_applied) return Finish(write, IntakeError{Refusal("the store turns writes away")});
   Retry(
       write->m_until, [this, write] { Attempt(write); },
-      [this, write] {
-        Finish(write, write->m_maybe_applied ? IntakeError{OutcomeUnknown{}}
-                                             : IntakeError{Refusal("the store does not answer")});
-      });
+      [this, write] { GiveUp(write, Refusal("the store does not answer", write->m_part)); });
+}
+
+// Answers `refusal` only if no attempt can take effect.
+void Intake::GiveUp(const std::shared_ptr<Write>& write, const TryLater& refusal) {
+  Finish(write, write->m_maybe_applied ? IntakeError{OutcomeUnknown{}} : IntakeError{refusal});
 }
 
 void Intake::Finish(const std::shared_ptr<Write>& write, Result<Done, IntakeError> result) {
@@ -296,14 +313,15 @@
     outcome = later != nullptr ? "refused" : std::holds_alternative<OutcomeUnknown>(error) ? "unknown" : "no such job";
     if (later != nullptr) why = later->m_why;
   }
-  log::Info(kLog, write->m_log_text,
-            {{"job", jobs::HexText(write->m_id)},
-             {"outcome", outcome},
-             {"why", why},
-             {"ms", std::to_string(took.count())},
-             {"store_answered_ms_ago",
-              m_last_answer.m_ms == 0 ? "never" : std::to_string((m_clock->Now() - m_last_answer).count())},
-             {"configuration", std::to_string(m_configuration ? m_configuration->m_version : 0)}});
+  log::Info(
+      kLog, write->m_log_text,
+      {{"job", jobs::HexText(write->m_id)},
+       {"outcome", outcome},
+       {"why", why},
+       {"ms", std::to_string(took.count())},
+       {"store_answered_ms_ago",
+        m_watch->LastAnswer().m_ms == 0 ? "never" : std::to_string((m_clock->Now() - m_watch->LastAnswer()).count())},
+       {"configuration", std::to_string(m_configuration ? m_configuration->m_version : 0)}});
   write->m_callback(std::move(result));
 }
 
@@ -327,14 +345,14 @@
   if (place == std::size(kPlaces)) return callback(IntakeError{NoSuchJob{}});
   const store::RowKey key = kPlaces[place].m_key(m_settings.m_tables, id);
   m_store->Read({key.m_table, key.m_part, key.m_key, key.m_key + '\0'}, 1, m_settings.m_call_timeout,
-                [this, self = shared_from_this(), id, place, until,
-                 callback](const Result<store::RowPage, store::ReadError>& page) {
+                [this, self = shared_from_this(), id, place, until, callback, part = StorePart{key.m_table, key.m_part},
+                 sent = m_clock->Now()](const Result<store::RowPage, store::ReadError>& page) {
                   if (!Ok(page)) {
                     return Retry(
                         until, [this, id, place, until, callback] { LookUp(id, place, until, callback); },
                         [this, callback] { callback(IntakeError{Refusal("the store does not answer")}); });
                   }
-                  NoteStoreAnswer();
+                  m_watch->NoteAnswer(part, sent);
                   if (ValueOf(page).m_rows.empty()) return LookUp(id, place + 1, until, callback);
                   const store::StoredRow& row = ValueOf(page).m_rows.front();
                   const auto phase = kPlaces[place].m_phase(row.m_value);
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -3,7 +3,8 @@
 // A job is accepted once its row is stored. A write that got no answer may still take effect, so it is sent again until
 // its outcome is known or the caller's timeout is over; only then is the outcome reported as unknown. A request is
 // refused only if nothing can have been written. Therefore a store that has not answered recently is probed with a read
-// before a write is sent, and while the store is down callers are refused at once.
+// before a write is sent. While the store is down submissions are held for a while, see outage_policy.h, and stored
+// when it is back: urgent ones first, then in the order in which they came.
 #pragma once
 
 #include <functional>
@@ -17,6 +18,8 @@
 #include "hickoryquay/base/metrics.h"
 #include "hickoryquay/base/timer_service.h"
 #include "hickoryquay/jobs/job.h"
+#include "hickoryquay/service/outage_policy.h"
+#include "hickoryquay/service/part_watch.h"
 #include "hickoryquay/service/table_names.h"
 #include "hickoryquay/store/row_store.h"
 
@@ -24,13 +27,10 @@
 
 struct IntakeSettings {
   TableNames m_tables;
-  Millis m_call_timeout{2'500};       // Upper limit of a store call; AdaptiveStore usually sets a much shorter one.
-  Millis m_contact_max_age{250};      // Writes are sent without a probe if the store answered within this time.
-  Millis m_probe_timeout{1'000};      // Of a probe.
-  Millis m_probe_interval{120};       // Between probes while the store is down.
-  Millis m_retry_delay{60};           // After a refused or unanswered call.
-  Millis m_refuse_after{500};         // Writes rejected for this long are refused if no attempt can take effect.
-  Millis m_retry_after{1'000};        // Sent to refused callers; about the duration of a takeover.
+  Millis m_call_timeout{2'500};  // Upper limit of a store call; AdaptiveStore usually sets a much shorter one.
+  Millis m_retry_delay{60};      // After a refused or unanswered call.
+  Millis m_refuse_after{500};    // Writes rejected for this long are refused if no attempt can take effect.
+  OutageSettings m_outage;
   Millis m_answer_margin{60};         // Callers are answered this long before their timeout.
   Millis m_phase_retention{120'000};  // Of cached phases.
 };
@@ -106,15 +106,16 @@
   Intake(store::RowStore* store, TimerService* timers, const Clock* clock, Metrics* metrics,
          const IntakeSettings& settings);
 
+  void Start();
   void SetConfiguration(std::shared_ptr<const jobs::QueueConfiguration> configuration);
   std::shared_ptr<const jobs::QueueConfiguration> Configuration() const { return m_configuration; }
   PhaseCache& Phases() { return m_phases; }
 
-  // `on_back` is called each time the store answers again after it was down.
-  void SetOnStoreAvailable(std::function<void()> on_back) { m_on_store_available = std::move(on_back); }
+  // Which parts of the store answer this instance.
+  PartWatch& Watch() { return *m_watch; }
 
-  // Records that the store answered a call of this instance.
-  void NoteStoreAnswer() { m_last_answer = m_clock->Now(); }
+  // `on_back` is called each time a part of the store answers again, before what was held for it is stored.
+  void SetOnStoreAvailable(std::function<void()> on_back) { m_on_store_available = std::move(on_back); }
 
   // Finds the queue and the client account of a call. `key` is empty if the caller sent none.
   Result<Route, IntakeError> Find(std::string_view host, std::string_view path, std::string_view key) const;
@@ -128,20 +129,21 @@
  private:
   struct Write;
 
-  void CheckStore(std::function<void(bool answers)> then);
-  void Probe(std::function<void(bool answers)> then);
-  void MarkStoreDown();
+  void Hold(const std::shared_ptr<Write>& write);
+  void ReleaseHeld();
   void Attempt(const std::shared_ptr<Write>& write);
   void OnAttempt(const std::shared_ptr<Write>& write, Instant sent, Result<Version, store::TransactError> result);
-  // Whether the store answered after `sent`. If so, the failure of a call sent then doesn't mean that it is down.
-  bool AnsweredSince(Instant sent) const { return m_last_answer > sent; }
+  void GiveUp(const std::shared_ptr<Write>& write, const TryLater& refusal);
   void Finish(const std::shared_ptr<Write>& write, Result<Done, IntakeError> result);
   void CancelUntil(JobId id, Instant until, SubmitCallback callback);
   void LookUp(JobId id, std::size_t place, Instant until, PhaseCallback callback);
   void Retry(Instant until, std::function<void()> again, std::function<void()> give_up);
   store::RowKey JobRow(JobId job) const;
+  StorePart PartOf(JobId job) const { return {m_settings.m_tables.m_intake, m_settings.m_tables.IntakePart(job)}; }
   store::RowKey CancelRow(JobId job) const;
-  TryLater Refusal(const char* why) const { return {m_settings.m_retry_after, why}; }
+  TryLater Refusal(const char* why, const StorePart& part = {}) const {
+    return {ReturnAfter(m_watch->SilentFor(part), m_settings.m_outage), why};
+  }
 
   store::RowStore* m_store;
   TimerService* m_timers;
@@ -149,10 +151,9 @@
   IntakeSettings m_settings;
   std::shared_ptr<const jobs::QueueConfiguration> m_configuration;
   PhaseCache m_phases;
-  Instant m_last_answer;      // Of the store.
-  bool m_store_down = false;  // The last probe or write got no answer.
+  std::shared_ptr<PartWatch> m_watch;
+  std::multimap<int, std::shared_ptr<Write>> m_held;  // Until their parts are back, by priority of their queues.
   std::function<void()> m_on_store_available;
-  Subscription m_probe;
   Metrics* m_metrics;
   Counter* m_accepted;
   Counter* m_unknown;
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -154,6 +154,10 @@
         if (reachable) self->m_leadership->OnStoreAvailable();
       });
   m_configuration_rows->Start();
+  m_intake->Watch().SetContact([weak] {
+    const auto self = weak.lock();
+    return self ? self->m_configuration_rows->CurrentAt() : Instant{};
+  });
 
   store::FollowerSettings members;
   members.m_table = m_settings.m_members_table;
@@ -169,9 +173,14 @@
   m_leadership = std::make_shared<Leadership>(
       m_parts.m_store, m_parts.m_timers, m_parts.m_clock, MakeLeadershipSettings(m_settings, m_self),
       Leadership::Events{[this](Epoch epoch) { OnElected(epoch); }, [this](const std::string& why) { OnDeposed(why); },
-                         [this](Epoch epoch) { m_beats->SendReleased(epoch); }});
+                         [this](Epoch epoch) { m_beats->SendReleased(epoch); },
+                         [this](Instant sent) {
+                           const TableNames tables;
+                           m_intake->Watch().NoteSilence({tables.m_state, tables.m_leader_part}, sent);
+                         }});
   m_leadership->SetRank([this] { return Rank(); });
   m_leadership->Start();
+  m_intake->Start();
   m_intake->SetOnStoreAvailable([weak] {
     if (const auto self = weak.lock()) self->m_leadership->OnStoreAvailable();
   });
--- a/hickoryquay/service/leadership.cc
+++ b/hickoryquay/service/leadership.cc
@@ -288,6 +288,7 @@
     if (!m_leading || m_epoch != epoch || m_call_number != call) return;
     if (!Ok(read)) {
       if (silence > Millis{0}) m_write_time.TimedOut(silence);
+      m_events.m_silent(sent);
       m_retry = m_timers->After(m_settings.m_retry_delay, [weak = weak_from_this()] {
         if (const auto self = weak.lock(); self && self->m_leading) self->VerifyWrite(Millis{0});
       });
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -87,7 +87,8 @@
   struct Events {
     std::function<void(Epoch)> m_elected;
     std::function<void(const std::string& why)> m_deposed;
-    std::function<void(Epoch)> m_released = [](Epoch) {};  // After m_deposed: the row says so.
+    std::function<void(Epoch)> m_released = [](Epoch) {};    // After m_deposed: the row says so.
+    std::function<void(Instant)> m_silent = [](Instant) {};  // A read of the row, sent then, got no answer.
   };
 
   Leadership(store::RowStore* store, TimerService* timers, const Clock* clock, const LeadershipSettings& settings,
--- /dev/null
+++ b/hickoryquay/service/part_watch.cc
@@ -0,0 +1,90 @@
+#include "hickoryquay/service/part_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "hickoryquay/base/log.h"
+
+namespace hickoryquay::service {
+
+namespace {
+
+constexpr log::Part kLog{"store"};
+
+}  // namespace
+
+PartWatch::PartWatch(store::RowStore* store, TimerService* timers, const Clock* clock,
+                     const PartWatchSettings& settings)
+    : m_store(store), m_timers(timers), m_clock(clock), m_settings(settings) {}
+
+Instant PartWatch::LastAnswer() const {
+  return std::max(m_last_answer, m_contact());
+}
+
+Millis PartWatch::SilentFor(const StorePart& part) const {
+  const Instant now = m_clock->Now();
+  if (AllSilent()) return now - std::max(LastAnswer(), m_first_silence);
+  const auto found = m_silent.find(part);
+  return found == m_silent.end() ? Millis{0} : now - found->second;
+}
+
+void PartWatch::Check(const StorePart& part, std::function<void(bool)> then) {
+  if (AllSilent()) Add(part, m_last_silence);  // To learn when it is back.
+  if (IsSilent(part)) return then(false);
+  const Millis recent = std::max(m_settings.m_recent, m_settings.m_recent_calls * m_call_time);
+  if (m_clock->Now() - LastAnswer() <= recent) return then(true);
+  Probe(part, std::move(then));
+}
+
+void PartWatch::Probe(const StorePart& part, std::function<void(bool)> then) {
+  m_store->Read({part.m_table, part.m_part, "", ""}, 1, m_settings.m_probe_timeout,
+                [self = shared_from_this(), part, sent = m_clock->Now(),
+                 then = std::move(then)](const Result<store::RowPage, store::ReadError>& page) {
+                  Ok(page) ? self->NoteAnswer(part, sent) : self->NoteSilence(part, sent);
+                  then(!self->IsSilent(part));
+                });
+}
+
+void PartWatch::ProbeSilentParts(std::size_t most) {
+  for (std::size_t i = 0; i < std::min(most, m_silent.size()); ++i) {
+    auto next = m_silent.upper_bound(m_last_probed);
+    if (next == m_silent.end()) next = m_silent.begin();
+    m_last_probed = next->first;
+    Probe(m_last_probed, [](bool) {});
+  }
+}
+
+void PartWatch::NoteAnswer(const StorePart& part, Instant sent) {
+  m_last_answer = m_clock->Now();
+  m_call_time = m_last_answer - sent;
+  m_answered[part] = m_last_answer;
+  const auto silence = m_silent.find(part);
+  if (silence == m_silent.end()) return;
+  log::Info(kLog, "Part answers again",
+            {{"table", part.m_table},
+             {"part", part.m_part},
+             {"after_ms", std::to_string((m_last_answer - silence->second).count())}});
+  m_silent.erase(silence);
+  m_silent.empty() ? m_probes.Cancel() : ProbeSilentParts(m_silent.size());
+  if (m_on_back) m_on_back();
+}
+
+void PartWatch::NoteSilence(const StorePart& part, Instant sent) {
+  const auto answered = m_answered.find(part);
+  if (answered == m_answered.end() || answered->second <= sent) Add(part, sent);
+}
+
+void PartWatch::Add(const StorePart& part, Instant since) {
+  if (m_silent.empty()) {
+    m_first_silence = since;
+    m_probes = m_timers->Every(m_settings.m_probe_interval, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->ProbeSilentParts(self->m_settings.m_probes_at_once);
+    });
+  }
+  if (!m_silent.emplace(part, since).second) return;
+  m_last_silence = std::max(m_last_silence, since);
+  log::Warn(kLog, "Part does not answer", {{"table", part.m_table}, {"part", part.m_part}});
+  Probe(part, [](bool) {});
+}
+
+}  // namespace hickoryquay::service
--- a/standin/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -84,6 +84,7 @@
   self->m_port = std::make_unique<GatedWorkers>(self->m_gate, m_workers.get());
   self->m_intake =
       std::make_shared<Intake>(self->m_store.get(), self->m_timers.get(), &m_clock, &m_metrics, IntakeSettings{});
+  self->m_intake->Start();
   self->m_intake->SetConfiguration(m_configuration);
   LeadershipSettings leadership;
   const TableNames tables;
--- a/standin/sim_store.h
+++ b/standin/sim_store.h
@@ -7,7 +7,9 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hickoryquay/base/timer_service.h"
@@ -77,6 +79,9 @@
     m_share = share;
   }
 
+  // Reads and transactions of these parts get no answer, whatever the mood.
+  void SetSilentParts(std::set<std::string> parts) { m_silent_parts = std::move(parts); }
+
   // Answers arrive, and transactions leave, one after another at this rate each way; 0: at once. A read whose answer
   // has not begun in time fails, and so does a transaction that has not left whole: the store never sees it.
   void SetLink(int bytes_per_ms) { m_bytes_per_ms = bytes_per_ms; }
@@ -98,6 +103,7 @@
   SimStore* m_store;
   StoreMood m_mood = StoreMood::kServes;
   double m_share = 1.0;
+  std::set<std::string> m_silent_parts;
   int m_bytes_per_ms = 0;
   Instant m_link_free;  // When the answers under way have arrived.
   Instant m_uplink_free;
