Jobs: workers rest after tasks failed there, so that they don't attract the work of a busy pool

What callers saw: while four of 48 workers failed all that they started, urgent jobs failed for good, with both attempts on failing workers, some on the same one within 40 ms.

Cause: such a worker is always free. Failures only put a worker last in the order of choice, which decides nothing where the others are full or are in another rack.

Fix: jobs/soundness.h. A failure takes a worker out for 1 s, then 2 s, at most 2.5 s; a task that is done there ends the doubt. A failure counts by the share that the worker has in the failures of the job, so that a job that fails everywhere rests one worker. The state is the leader's memory: a new leader learns it anew from the next failure.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -76,6 +76,7 @@
   // without news is answered.
   Millis m_avoid_slow_for{2'500};
   ChoiceSettings m_choice;
+  SoundnessSettings m_soundness;
 };
 
 struct Now {
@@ -250,6 +251,7 @@
   void RecordProgress(WorkerSlot* slot, const PollReply& reply, Now now);
   void ClearIfSound(Unit* unit);
   void RecordSpeed(const Unit& unit, Member* member, Now now);
+  void DoubtWorker(WorkerSlot* slot, JobState* job, Now now);
   void RecordFailure(Unit* unit, RunNumber run, Now now);
   void RecordDone(Unit* unit, Now now);
   void Settle(Unit* unit, std::size_t member);
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -247,13 +247,16 @@
   const bool lasts = unit->m_step->m_spec->m_long_running;
   if (current && unit->m_step->m_spec->m_checkpoints && !end.m_checkpoint.empty())
     unit->m_checkpoint = end.m_checkpoint;
-  if (end.m_kind == EndKind::kDone) slot->m_failures = 0;
+  if (end.m_kind == EndKind::kDone) {
+    slot->m_failures = 0;
+    slot->m_soundness.OnDone();
+  }
   if (end.m_kind == EndKind::kDone && !lasts) {
     if (current) RecordSpeed(*unit, &unit->m_members[index], now);
     RecordDone(unit, now);
     if (!current && unit->m_active) StopRun(unit, "an earlier run is done");
   } else if (end.m_kind == EndKind::kFailed) {
-    ++slot->m_failures;
+    DoubtWorker(slot, unit->m_step->m_job, now);
     RecordFailure(unit, end.m_run, now);
   }
   if (!current) return;
@@ -368,6 +371,19 @@
               m_settings.m_choice.m_speed, &member->m_slot->m_speed, &unit.m_step->m_pace, &member->m_pace);
 }
 
+// A task of the job failed on the worker.
+void Scheduler::DoubtWorker(WorkerSlot* slot, JobState* job, Now now) {
+  ++slot->m_failures;
+  job->m_failed_on.insert(slot->m_entry.m_id);
+  const Millis rest = slot->m_soundness.OnFailure(job->m_failed_on.size(), m_settings.m_soundness);
+  if (rest == Millis{0}) return;
+  slot->m_avoid_until = std::max(slot->m_avoid_until, now.m_steady + rest);
+  log::Info(kLog, "Worker rests after failures",
+            {{"worker", slot->m_entry.m_id.m_value},
+             {"failures", std::to_string(slot->m_failures)},
+             {"for_ms", std::to_string(rest.count())}});
+}
+
 void Scheduler::RecordFailure(Unit* unit, RunNumber run, Now now) {
   auto& failed = unit->m_failed_runs;
   if (std::find(failed.begin(), failed.end(), run) != failed.end()) return;
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -10,6 +10,7 @@
   m_processed_ends = 0;
   m_released_ends = 0;
   m_failures = 0;
+  m_soundness = Soundness{};
   m_refusals = 0;
   m_avoid_until = Instant{};
   m_speed = WorkerSpeed{};
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -9,6 +9,7 @@
 
 #include "hickoryquay/jobs/incarnation.h"
 #include "hickoryquay/jobs/job.h"
+#include "hickoryquay/jobs/soundness.h"
 #include "hickoryquay/jobs/units.h"
 
 namespace hickoryquay::jobs {
@@ -38,8 +39,9 @@
   Unit* m_held_for = nullptr;          // Gets nothing but this unit, which must run alone.
   std::optional<Instant> m_leaves_at;  // Earliest steady time at which a draining worker is removed.
   int m_failures = 0;                  // Consecutive failed tasks; a successful one resets it.
-  int m_refusals = 0;                  // Consecutive refused starts.
-  Instant m_avoid_until;               // Steady time until which nothing new is placed here.
+  Soundness m_soundness;
+  int m_refusals = 0;     // Consecutive refused starts.
+  Instant m_avoid_until;  // Steady time until which nothing new is placed here.
   WorkerSpeed m_speed;
 
   // The entry describes the incarnation that answers, which may be of another kind than the one before.
