Service: conflicts count as answers of their part; reasons of the outage policy, changelog

A write that finds its row there was answered: its part is not silent. No test saw the difference; found by reading. The suites of service, store and platform pass.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -287,7 +287,10 @@
   }
   const store::TransactError& error = ErrorOf(result);
   if (std::holds_alternative<store::StoreSilent>(error)) m_watch->NoteSilence(write->m_part, sent);
-  if (const auto* differ = std::get_if<store::RowsDiffer>(&error)) return Finish(write, write->m_on_conflict(*differ));
+  if (const auto* differ = std::get_if<store::RowsDiffer>(&error)) {
+    m_watch->NoteAnswer(write->m_part, sent);
+    return Finish(write, write->m_on_conflict(*differ));
+  }
   write->m_maybe_applied = write->m_maybe_applied || std::holds_alternative<store::StoreSilent>(error);
   if (m_watch->IsSilent(write->m_part)) return Hold(write);
   const bool expired = m_clock->Now() - write->m_started >= m_settings.m_refuse_after;
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -3,8 +3,8 @@
 // A job is accepted once its row is stored. A write that got no answer may still take effect, so it is sent again until
 // its outcome is known or the caller's timeout is over; only then is the outcome reported as unknown. A request is
 // refused only if nothing can have been written. Therefore a store that has not answered recently is probed with a read
-// before a write is sent. While the store is down submissions are held for a while, see outage_policy.h, and stored
-// when it is back: urgent ones first, then in the order in which they came.
+// before a write is sent. While the part of the store that keeps a job does not answer, the job is held for a while,
+// see outage_policy.h, and stored when the part is back: urgent ones first, then in the order in which they came.
 #pragma once
 
 #include <functional>
@@ -106,7 +106,7 @@
   Intake(store::RowStore* store, TimerService* timers, const Clock* clock, Metrics* metrics,
          const IntakeSettings& settings);
 
-  void Start();
+  void Start();  // Once it is owned by a shared pointer.
   void SetConfiguration(std::shared_ptr<const jobs::QueueConfiguration> configuration);
   std::shared_ptr<const jobs::QueueConfiguration> Configuration() const { return m_configuration; }
   PhaseCache& Phases() { return m_phases; }
--- a/hickoryquay/service/outage_policy.h
+++ b/hickoryquay/service/outage_policy.h
@@ -1,10 +1,9 @@
-// OutagePolicy: what callers are told while the store is away and nothing can be accepted.
+// OutagePolicy: what callers are told while the store, or the part of it that keeps their job, does not answer.
 //
-// A submission is held for a part of its caller's time, since most outages end soon: it is stored the moment the store
-// is back, ahead of what its caller could learn by asking again. The rest of the time is left for attempts at other
-// instances, which may reach the store. In an outage that has lasted long compared to the caller's time, waiting is in
-// vain: the submission is refused at once. An outage that has lasted long is likely to go on for long, so the time
-// after which callers are told to return grows with its age.
+// A submission is held for a share of its caller's time: it is stored the moment the store is back, earlier than its
+// caller could come again. The rest of the time is left for attempts at other instances, which may reach the store. In
+// an outage that has lasted long compared to the caller's time, waiting is in vain, and the submission is refused at
+// once. An outage that has lasted long is likely to go on for long, so callers are told to return later.
 //
 // Pure.
 #pragma once
--- a/hickoryquay/service/part_watch.h
+++ b/hickoryquay/service/part_watch.h
@@ -25,8 +25,8 @@
 };
 
 struct PartWatchSettings {
-  // A part counts as answering if the store answered any call within m_recent, or within m_recent_calls times what its
-  // last answer took: a probe of a slow store takes long.
+  // A part that is not known to be silent counts as answering if the store answered any call within m_recent, or within
+  // m_recent_calls times what its last answer took: a probe of a slow store takes long.
   Millis m_recent{250};
   int m_recent_calls = 4;
   Millis m_probe_timeout{1'000};
@@ -48,7 +48,8 @@
   // Calls `then` at once if the part is known to be silent or the store answered recently, otherwise after a probe.
   void Check(const StorePart& part, std::function<void(bool answers)> then);
 
-  // A call to the part, sent then, was answered, or got no answer. The latter is ignored if a later call was answered.
+  // A call to the part, sent then, was answered, or got no answer. The latter is ignored if the part answered after
+  // that.
   void NoteAnswer(const StorePart& part, Instant sent);
   void NoteSilence(const StorePart& part, Instant sent);
 
