--- a/hickoryquay/service/part_watch.cc
+++ b/hickoryquay/service/part_watch.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr log::Part kLog{"store"};
+constexpr log::Part kLog{"intake"};
 
 }  // namespace
 
@@ -60,7 +60,8 @@
   m_answered[part] = m_last_answer;
   const auto silence = m_silent.find(part);
   if (silence == m_silent.end()) return;
-  log::Info(kLog, "Part answers again",
+  if (std::exchange(m_reported_away, false)) log::Info(kLog, "Store answers again");
+  log::Info(kLog, "Part of the store answers again",
             {{"table", part.m_table},
              {"part", part.m_part},
              {"after_ms", std::to_string((m_last_answer - silence->second).count())}});
@@ -83,7 +84,8 @@
   }
   if (!m_silent.emplace(part, since).second) return;
   m_last_silence = std::max(m_last_silence, since);
-  log::Warn(kLog, "Part does not answer", {{"table", part.m_table}, {"part", part.m_part}});
+  log::Warn(kLog, "Part of the store does not answer", {{"table", part.m_table}, {"part", part.m_part}});
+  if (AllSilent() && !std::exchange(m_reported_away, true)) log::Warn(kLog, "Store is away, refusing new work");
   Probe(part, [](bool) {});
 }
 
--- a/hickoryquay/service/part_watch.h
+++ b/hickoryquay/service/part_watch.h
@@ -70,6 +70,7 @@
   std::map<StorePart, Instant> m_silent;  // When the first call without an answer was sent.
   Instant m_first_silence;                // The earliest of these.
   Instant m_last_silence;                 // The latest of these.
+  bool m_reported_away = false;           // The log says that the whole store is away.
   StorePart m_last_probed;
   Subscription m_probes;                    // While parts are silent.
   std::map<StorePart, Instant> m_answered;  // When each part last answered; as many entries as the store has parts.
