--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(CallersReturnLaterTheLongerTheOutage);
   CPPUNIT_TEST(SilentPartOfTheStoreDoesNotStopTheOthers);
   CPPUNIT_TEST(UnansweredWriteToASilentPartIsStoredWhenThePartIsBack);
+  CPPUNIT_TEST(HeldWriteThatMayBeStoredIsNeverRefused);
   CPPUNIT_TEST(UnansweredWriteIsReportedUnknown);
   CPPUNIT_TEST(SubmissionToARefusingStoreIsHeldForAThirdOfItsCallersTime);
   CPPUNIT_TEST(WriteRefusedByStoreIsRefusedSoon);
@@ -205,6 +206,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string("accepted"), m_outcomes.at(JobId{2}));
   }
 
+  // A job whose write was held after an unanswered attempt must not be said not to have run.
+  void HeldWriteThatMayBeStoredIsNeverRefused() {
+    Submit(JobId{1}, Millis{100});
+    m_client->SetMood(StoreMood::kLateWrites);
+    CPPUNIT_ASSERT_EQUAL(std::string("none yet"), Submit(JobId{17}, Millis{100}));
+    m_client->SetMood(StoreMood::kSilent);
+    m_timers.Advance(kCallerTimeout);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), m_outcomes.at(JobId{17}));
+    m_timers.Advance(Millis{10'000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_store->Rows(TableNames{}.m_intake).size());  // It was stored after all.
+  }
+
   void SubmissionToARefusingStoreIsHeldForAThirdOfItsCallersTime() {
     Submit(JobId{1}, kCallerTimeout);
     m_client->SetMood(StoreMood::kRefuses);
