Service: probes of silent parts become rarer in long outages

Found by reading: four reads each 120 ms from each instance, through peers as well, come near what the store allows on the large deployment (147 instances, 16,000 reads a second) and pass it at 300 instances: a store that is back would turn probes away for being too many, and the instances would take that for silence.

Now two probes at a time, at intervals of a twentieth of the silence's age, 120 ms to 1 s: what is held waits for the news for at most a twentieth of the outage. The test of a long outage bounds the reads of an instance: at most 22 in 10 s.

--- a/hickoryquay/service/part_watch.cc
+++ b/hickoryquay/service/part_watch.cc
@@ -54,6 +54,18 @@
   }
 }
 
+void PartWatch::ScheduleProbes() {
+  const Millis age = m_clock->Now() - m_first_silence;
+  const Millis wanted{static_cast<std::int64_t>(m_settings.m_probe_share * static_cast<double>(age.count()))};
+  const Millis interval = std::clamp(wanted, m_settings.m_probe_interval, m_settings.m_longest_probe_interval);
+  m_probes = m_timers->After(interval, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->ProbeSilentParts(self->m_settings.m_probes_at_once);
+    self->ScheduleProbes();
+  });
+}
+
 void PartWatch::NoteAnswer(const StorePart& part, Instant sent) {
   m_last_answer = m_clock->Now();
   m_call_time = m_last_answer - sent;
@@ -78,9 +90,7 @@
 void PartWatch::Add(const StorePart& part, Instant since) {
   if (m_silent.empty()) {
     m_first_silence = since;
-    m_probes = m_timers->Every(m_settings.m_probe_interval, [weak = weak_from_this()] {
-      if (const auto self = weak.lock()) self->ProbeSilentParts(self->m_settings.m_probes_at_once);
-    });
+    ScheduleProbes();
   }
   if (!m_silent.emplace(part, since).second) return;
   m_last_silence = std::max(m_last_silence, since);
--- a/hickoryquay/service/part_watch.h
+++ b/hickoryquay/service/part_watch.h
@@ -1,8 +1,9 @@
 // PartWatch: which parts of the store answer.
 //
 // A store may be away in part: some parts are silent while others serve. So a call without an answer tells something
-// about its own part only, and an answer of one part does not show that another is back. Silent parts are probed by
-// reads until they answer. Probes overlap, so one that was lost does not delay the next.
+// about its own part only, and an answer of one part does not show that another is back. If no part has answered since
+// the last one became silent, all count as silent. Silent parts are probed by reads until they answer. Probes overlap,
+// so one that was lost does not delay the next.
 #pragma once
 
 #include <functional>
@@ -30,8 +31,12 @@
   Millis m_recent{250};
   int m_recent_calls = 4;
   Millis m_probe_timeout{1'000};
+  // Between probes of silent parts: a share of the time for which parts have been silent, within these limits. Many
+  // instances probe at the same time, and a store that comes back must not be overwhelmed by them.
   Millis m_probe_interval{120};
-  std::size_t m_probes_at_once = 4;  // In each interval, of the silent parts in turn. Bounds the calls of an outage.
+  Millis m_longest_probe_interval{1'000};
+  double m_probe_share = 0.05;
+  std::size_t m_probes_at_once = 2;  // Of the silent parts in turn.
 };
 
 // Not thread-safe; all calls and callbacks run on one thread.
@@ -62,6 +67,7 @@
   void Add(const StorePart& part, Instant since);
   void Probe(const StorePart& part, std::function<void(bool answers)> then);
   void ProbeSilentParts(std::size_t most);
+  void ScheduleProbes();
 
   store::RowStore* m_store;
   TimerService* m_timers;
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(SilentPartOfTheStoreDoesNotStopTheOthers);
   CPPUNIT_TEST(UnansweredWriteToASilentPartIsStoredWhenThePartIsBack);
   CPPUNIT_TEST(HeldWriteThatMayBeStoredIsNeverRefused);
+  CPPUNIT_TEST(LongOutageOfAllPartsIsProbedSeldom);
   CPPUNIT_TEST(UnansweredWriteIsReportedUnknown);
   CPPUNIT_TEST(SubmissionToARefusingStoreIsHeldForAThirdOfItsCallersTime);
   CPPUNIT_TEST(WriteRefusedByStoreIsRefusedSoon);
@@ -206,6 +207,15 @@
     CPPUNIT_ASSERT_EQUAL(std::string("accepted"), m_outcomes.at(JobId{2}));
   }
 
+  // Pattern: jobs of all parts come throughout a long outage, at many instances.
+  void LongOutageOfAllPartsIsProbedSeldom() {
+    m_client->SetMood(StoreMood::kSilent);
+    for (std::uint64_t id = 1; id <= 200; ++id) Submit(JobId{id}, Millis{100});
+    const std::int64_t before = m_client->Reads();
+    for (std::uint64_t id = 201; id <= 300; ++id) Submit(JobId{id}, Millis{100});
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(m_client->Reads() - before), m_client->Reads() - before <= 22);
+  }
+
   // A job whose write was held after an unanswered attempt must not be said not to have run.
   void HeldWriteThatMayBeStoredIsNeverRefused() {
     Submit(JobId{1}, Millis{100});
