--- a/hickoryquay/service/part_watch.cc
+++ b/hickoryquay/service/part_watch.cc
@@ -31,7 +31,8 @@
 void PartWatch::Check(const StorePart& part, std::function<void(bool)> then) {
   if (AllSilent()) Add(part, m_last_silence);  // To learn when it is back.
   if (IsSilent(part)) return then(false);
-  const Millis recent = std::max(m_settings.m_recent, m_settings.m_recent_calls * m_call_time);
+  const Millis recent =
+      std::clamp(m_settings.m_recent_calls * m_call_time, m_settings.m_recent, m_settings.m_longest_recent);
   if (m_clock->Now() - LastAnswer() <= recent) return then(true);
   Probe(part, std::move(then));
 }
--- a/hickoryquay/service/part_watch.h
+++ b/hickoryquay/service/part_watch.h
@@ -27,9 +27,10 @@
 
 struct PartWatchSettings {
   // A part that is not known to be silent counts as answering if the store answered any call within m_recent, or within
-  // m_recent_calls times what its last answer took: a probe of a slow store takes long.
+  // m_recent_calls times what its last answer took, at most m_longest_recent: a probe of a slow store takes long.
   Millis m_recent{250};
   int m_recent_calls = 4;
+  Millis m_longest_recent{1'000};
   Millis m_probe_timeout{1'000};
   // Between probes of silent parts: a share of the time for which parts have been silent, within these limits. Many
   // instances probe at the same time, and a store that comes back must not be overwhelmed by them.
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(UnansweredWriteToASilentPartIsStoredWhenThePartIsBack);
   CPPUNIT_TEST(HeldWriteThatMayBeStoredIsNeverRefused);
   CPPUNIT_TEST(LongOutageOfAllPartsIsProbedSeldom);
+  CPPUNIT_TEST(SlowAnswerIsNoContactForLong);
   CPPUNIT_TEST(UnansweredWriteIsReportedUnknown);
   CPPUNIT_TEST(SubmissionToARefusingStoreIsHeldForAThirdOfItsCallersTime);
   CPPUNIT_TEST(WriteRefusedByStoreIsRefusedSoon);
@@ -216,6 +217,17 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(m_client->Reads() - before), m_client->Reads() - before <= 22);
   }
 
+  // A write to a store that had fallen silent seconds ago, which leaves its outcome unknown.
+  void SlowAnswerIsNoContactForLong() {
+    m_store->SetLatency(Millis{300});
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, Millis{600}));  // A probe, then the write.
+    m_client->SetMood(StoreMood::kSilent);
+    const std::int64_t before = m_client->Transactions();
+    m_timers.Advance(Millis{1'001});
+    CPPUNIT_ASSERT_EQUAL(std::string("try later"), Submit(JobId{2}, kHeld));
+    CPPUNIT_ASSERT_EQUAL(before, m_client->Transactions());
+  }
+
   // A job whose write was held after an unanswered attempt must not be said not to have run.
   void HeldWriteThatMayBeStoredIsNeverRefused() {
     Submit(JobId{1}, Millis{100});
