--- a/hickoryquay/jobs/preemption.cc
+++ b/hickoryquay/jobs/preemption.cc
@@ -177,6 +177,9 @@
 }
 
 bool MayHost(const WorkerSlot& slot, const Unit& unit, const CrashSettings& crashes, Instant steady) {
+  const auto& avoided = unit.m_step->m_avoided;
+  const auto failed_here = avoided.find(slot.m_entry.m_id);
+  if (failed_here != avoided.end() && steady < failed_here->second) return false;
   return slot.IsSchedulable() && steady >= slot.m_avoid_until && slot.m_unrecorded_runs == 0 &&
          MayShare(slot, unit, crashes);
 }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -251,7 +251,7 @@
   void RecordProgress(WorkerSlot* slot, const PollReply& reply, Now now);
   void ClearIfSound(Unit* unit);
   void RecordSpeed(const Unit& unit, Member* member, Now now);
-  void DoubtWorker(WorkerSlot* slot, JobState* job, Now now);
+  void DoubtWorker(WorkerSlot* slot, StepState* step, Now now);
   void RecordFailure(Unit* unit, RunNumber run, Now now);
   void RecordDone(Unit* unit, Now now);
   void Settle(Unit* unit, std::size_t member);
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -256,7 +256,7 @@
     RecordDone(unit, now);
     if (!current && unit->m_active) StopRun(unit, "an earlier run is done");
   } else if (end.m_kind == EndKind::kFailed) {
-    DoubtWorker(slot, unit->m_step->m_job, now);
+    DoubtWorker(slot, unit->m_step, now);
     RecordFailure(unit, end.m_run, now);
   }
   if (!current) return;
@@ -371,11 +371,11 @@
               m_settings.m_choice.m_speed, &member->m_slot->m_speed, &unit.m_step->m_pace, &member->m_pace);
 }
 
-// A task of the job failed on the worker.
-void Scheduler::DoubtWorker(WorkerSlot* slot, JobState* job, Now now) {
+// A task of the step failed on the worker.
+void Scheduler::DoubtWorker(WorkerSlot* slot, StepState* step, Now now) {
   ++slot->m_failures;
-  job->m_failed_on.insert(slot->m_entry.m_id);
-  const Millis rest = slot->m_soundness.OnFailure(job->m_failed_on.size(), m_settings.m_soundness);
+  step->m_avoided[slot->m_entry.m_id] = now.m_steady + m_settings.m_soundness.m_longest_rest;
+  const Millis rest = slot->m_soundness.OnFailure(step->m_avoided.size(), m_settings.m_soundness);
   if (rest == Millis{0}) return;
   slot->m_avoid_until = std::max(slot->m_avoid_until, now.m_steady + rest);
   log::Info(kLog, "Worker rests after failures",
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -2,6 +2,7 @@
 // task. Each of its tasks is a member.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -104,6 +105,7 @@
   int m_units_left = 0;         // Units that are not done.
   std::set<int> m_stored_rows;  // Of which a row is stored.
   StepPace m_pace;
+  std::map<WorkerId, Instant> m_avoided;  // Workers on which its tasks failed, each until a steady time.
 
   Unit* FindUnit(int task) const;
 };
@@ -116,10 +118,9 @@
   bool m_begun = false;    // All tasks of its first step have run, at least once at the same time.
   Instant m_taken_in;      // Steady time at which this scheduler learned of it.
   bool m_phase_stored = false;
-  bool m_settled = false;          // Returned by TakeSettledJobs.
-  Instant m_ended;                 // Wall time.
-  Millis m_critical_path{0};       // By the caller's estimates.
-  std::set<WorkerId> m_failed_on;  // Workers on which its tasks failed.
+  bool m_settled = false;     // Returned by TakeSettledJobs.
+  Instant m_ended;            // Wall time.
+  Millis m_critical_path{0};  // By the caller's estimates.
   int m_occurrences = 1;
   int m_created_occurrences = 0;                                 // Number of occurrences that have their steps created.
   std::vector<std::vector<std::unique_ptr<StepState>>> m_steps;  // By occurrence and step; empty until created.
