Service: a failure domain that is cut off gets nothing new

Cause: idle workers are not polled, so a cut shows only at busy ones. During a cut of 5.5 s each idle worker of the domain was sent a start, of an urgent job as a rule; the job waited for the answer, three resends and the end of the lease (6 s), or its gang ended alone after 4 s.

Change: DomainContact takes the silence of three workers, with no answer from any worker of the domain since, for that of the domain. Its workers get nothing new, starts that are not sent yet are withdrawn, and idle workers are probed. The first answer restores contact. Runs and leases there are left as they are.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -188,6 +188,10 @@
   void SetEvacuated(std::set<DomainId> domains, Now now);
   std::map<DomainId, EvacuatedDomain> EvacuatedDomains() const;  // Includes domains that no worker has.
 
+  // Sets the failure domains whose workers don't answer. Nothing new is placed there, and what is not sent yet is
+  // placed elsewhere.
+  void SetLost(std::set<DomainId> domains);
+
   // All runs that were placed on the worker have ended. They can't start again, unless it may return under its id while
   // a copy of their start is under way: such a run is kept, and the worker stays busy, until it is certain.
   void OnWorkerCleared(const WorkerId& worker, WorkerLoss loss, Now now);
@@ -271,6 +275,7 @@
 
   // scheduler_evacuation.cc
   void ReturnWorkers(Now now);
+  void WithdrawUnsent(WorkerSlot* slot, const char* why);
 
   // scheduler_place.cc
   // Accelerators of schedulable workers.
@@ -303,6 +308,7 @@
   std::map<JobId, JobState*> m_open_jobs;  // Those of m_jobs that have not ended: few of many at most times.
   WorkerTable m_workers;
   std::set<DomainId> m_evacuated;
+  std::set<DomainId> m_lost;                   // Failure domains that don't answer.
   std::set<StepRowKey> m_changed_rows;         // Their rows must be written.
   std::map<JobId, JobPhase> m_changed_phases;  // Their rows must be written.
   std::vector<StartCommand> m_unsent_starts;   // Wait until their rows are stored.
--- a/hickoryquay/jobs/scheduler_evacuation.cc
+++ b/hickoryquay/jobs/scheduler_evacuation.cc
@@ -1,4 +1,4 @@
-// Evacuated failure domains: withdrawal of what is not sent yet, and the return of the workers after the lift.
+// Failure domains out of use, evacuated or lost: withdrawal of what is not sent yet, and the return of the workers.
 
 #include <utility>
 
@@ -17,10 +17,7 @@
     slot->m_evacuated = evacuated;
     if (!evacuated) continue;
     slot->m_returns_at.reset();
-    const UnitMemberSet members = slot->m_members;
-    for (const auto& [unit, member] : members) {
-      if (unit->m_members[member].m_state == MemberState::kPlanned) StopRun(unit, "its failure domain is evacuated");
-    }
+    WithdrawUnsent(slot.get(), "its failure domain is evacuated");
   }
   for (const auto& [domain, workers] : lifted) {
     for (const auto& [id, delay] : PlanReturn(workers, ReturnSettings{})) {
@@ -29,6 +26,21 @@
   }
 }
 
+void Scheduler::SetLost(std::set<DomainId> domains) {
+  m_lost = std::move(domains);
+  for (const auto& [id, slot] : m_workers.All()) {
+    slot->m_domain_lost = m_lost.contains(slot->m_entry.m_domain);
+    if (slot->m_domain_lost) WithdrawUnsent(slot.get(), "its failure domain does not answer");
+  }
+}
+
+void Scheduler::WithdrawUnsent(WorkerSlot* slot, const char* why) {
+  const UnitMemberSet members = slot->m_members;
+  for (const auto& [unit, member] : members) {
+    if (unit->m_members[member].m_state == MemberState::kPlanned) StopRun(unit, why);
+  }
+}
+
 void Scheduler::ReturnWorkers(Now now) {
   for (const auto& [id, slot] : m_workers.All()) {
     if (slot->m_returns_at && *slot->m_returns_at <= now.m_steady) slot->m_returns_at.reset();
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -25,6 +25,7 @@
   bool m_listed = false;                // Listed by the platform.
   bool m_usable = false;                // Answers, and has accepted this scheduler's epoch.
   bool m_evacuated = false;             // Its failure domain is evacuated: nothing new may be sent to it.
+  bool m_domain_lost = false;           // Its failure domain does not answer: nothing new is sent to it.
   std::optional<Instant> m_returns_at;  // Steady time from which it is used again after an evacuation.
   Instant m_cold_until;                 // Steady time until which it is slow after its start.
   Instant m_born;         // Wall time of the start of the incarnation that answers, as it reports; 0: never reported.
@@ -47,7 +48,8 @@
   // The entry describes the incarnation that answers, which may be of another kind than the one before.
   bool IsDescribed() const { return CompareRow(m_born, m_entry.m_born) == RowIncarnation::kCurrent; }
   bool IsSchedulable() const {
-    return m_listed && m_usable && !m_entry.m_draining && IsDescribed() && !m_evacuated && !m_returns_at;
+    return m_listed && m_usable && !m_entry.m_draining && IsDescribed() && !m_evacuated && !m_domain_lost &&
+           !m_returns_at;
   }
 
   bool IsOverCapacity() const { return !Resources{}.FitsIn(m_free); }
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -34,6 +34,7 @@
       m_epoch(epoch),
       m_events(std::move(events)),
       m_commands(WindowOf(settings)),
+      m_contact(settings.m_domains),
       m_started(clock->Now()),
       m_metrics(metrics),
       m_polls_sent(&metrics->GetCounter("hq_worker_looks_total")),
@@ -159,6 +160,9 @@
                  if (!self || self->m_stopped) return;
                  self->m_start_ms->Add(static_cast<double>((self->m_clock->Now() - sent).count()));
                  self->OnCommandAnswer(sent);
+                 const bool silent =
+                     reply.m_outcome == jobs::StartOutcome::kUnknown || reply.m_outcome == jobs::StartOutcome::kNotSent;
+                 self->NoteContact(command.m_worker, *session, !silent, sent);
                  if (reply.m_outcome == jobs::StartOutcome::kFenced) return self->m_events.m_fenced();
                  if (!self->IsCurrent(command.m_worker, session.get(), incarnation, reply.m_born, sent)) return;
                  self->m_scheduler->OnStartAnswer(command, reply.m_outcome, self->Time());
@@ -179,6 +183,7 @@
                 const auto self = weak.lock();
                 if (!self || self->m_stopped) return;
                 self->OnCommandAnswer(sent);
+                self->NoteContact(command.m_worker, *session, outcome != jobs::StopOutcome::kNoAnswer, sent);
                 if (outcome == jobs::StopOutcome::kFenced) return self->m_events.m_fenced();
                 if (!self->IsCurrent(command.m_worker, session.get(), incarnation, std::nullopt, sent)) return;
                 self->m_scheduler->OnStopAnswer(command, outcome, self->Time());
@@ -196,6 +201,42 @@
   session.m_recorded_ends = std::max(session.m_recorded_ends, ends.m_number);
 }
 
+//-------------------------------------------------------------------------------------------------
+// Contact with failure domains
+//-------------------------------------------------------------------------------------------------
+
+void WorkerSessions::NoteContact(const WorkerId& id, const Session& session, bool answered, Instant sent) {
+  const bool changed =
+      answered ? m_contact.OnAnswer(session.m_domain, m_clock->Now()) : m_contact.OnSilence(session.m_domain, id, sent);
+  if (changed) OnContactChanged(session.m_domain);
+}
+
+void WorkerSessions::OnContactChanged(const DomainId& domain) {
+  if (m_contact.IsLost(domain)) {
+    log::Warn(kLog, "Failure domain does not answer, nothing is started there", {{"domain", domain.m_value}});
+  } else {
+    log::Info(kLog, "Failure domain answers again", {{"domain", domain.m_value}});
+  }
+  m_metrics->GetGauge("hq_domains_lost").Set(static_cast<double>(m_contact.Lost().size()));
+  m_scheduler->SetLost(m_contact.Lost());
+  m_events.m_changed();
+}
+
+// Without busy workers nothing else would show that a domain answers again.
+void WorkerSessions::ProbeLostDomains() {
+  const Instant now = m_clock->Now();
+  if (m_contact.Lost().empty() || now - m_last_probe < m_settings.m_domains.m_probe_interval) return;
+  m_last_probe = now;
+  std::map<DomainId, std::size_t> probed;
+  for (const auto& [id, session] : m_sessions) {
+    const bool idle = session->m_established && session->m_polls_pending == 0 && session->m_listed;
+    if (!idle || !m_contact.IsLost(session->m_domain)) continue;
+    if (++probed[session->m_domain] > m_settings.m_domains.m_probes_at_once) continue;
+    session->m_established = false;
+    m_scheduler->SetWorkerUsable(id, false);
+  }
+}
+
 //-------------------------------------------------------------------------------------------------
 // Incarnations
 //-------------------------------------------------------------------------------------------------
@@ -203,6 +244,7 @@
 void WorkerSessions::OnRow(const jobs::WorkerEntry& worker, Session* session) {
   const auto row = jobs::CompareRow(session->m_known.m_born, worker.m_born);
   if (row != jobs::RowIncarnation::kLagging) session->m_target = {worker.m_id, worker.m_address};
+  session->m_domain = worker.m_domain;
   // Polled at once, but only once for each change, since the row may be wrong.
   const bool changed = worker.m_born != session->m_row_born;
   session->m_row_born = worker.m_born;
@@ -279,6 +321,7 @@
 //-------------------------------------------------------------------------------------------------
 
 void WorkerSessions::Update() {
+  ProbeLostDomains();
   const Sessions sessions = m_sessions;  // Copy: UpdateOne may erase a session.
   for (const auto& [id, session] : sessions) UpdateOne(id, session);
   const bool unreachable = std::any_of(sessions.begin(), sessions.end(),
@@ -385,6 +428,9 @@
                                  Result<jobs::PollReply, jobs::PollFailure> result) {
   --session->m_polls_pending;
   if (call.m_wait.count() > 0) session->m_long_poll_pending = false;
+  const bool answered = Ok(result) || ErrorOf(result) == jobs::PollFailure::kFenced ||
+                        ErrorOf(result) == jobs::PollFailure::kOtherIncarnation;
+  NoteContact(id, *session, answered, sent);
   if (!Ok(result)) return OnFailure(id, session, ErrorOf(result));
   const jobs::PollReply& reply = ValueOf(result);
   const int incarnation = session->m_incarnation;
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -23,6 +23,7 @@
 #include "hickoryquay/jobs/scheduler.h"
 #include "hickoryquay/jobs/worker_api.h"
 #include "hickoryquay/service/command_queue.h"
+#include "hickoryquay/service/domain_contact.h"
 
 namespace hickoryquay::service {
 
@@ -41,6 +42,7 @@
   Millis m_list_max_lag{3'000};   // An incarnation younger than this may be missing from the list.
   Millis m_list_timeout{1'500};   // Of the whole list.
   Millis m_longest_queued{0};     // A start that waits longer for the link is not sent; 0: no limit.
+  DomainContactSettings m_domains;
 };
 
 // Not thread-safe. `scheduler`, `api`, `directory`, `timers` and `clock` must outlive it.
@@ -78,6 +80,7 @@
  private:
   struct Session {
     jobs::WorkerTarget m_target;
+    DomainId m_domain;  // Empty if no row has told it.
     bool m_listed = false;
     bool m_established = false;  // The worker has seen this leader's epoch.
     bool m_long_poll_pending = false;
@@ -106,6 +109,9 @@
   void SendNow(const jobs::StartCommand& command);
   void SendNow(const jobs::StopCommand& command);
   void OnCommandAnswer(Instant sent);
+  void NoteContact(const WorkerId& id, const Session& session, bool answered, Instant sent);
+  void OnContactChanged(const DomainId& domain);
+  void ProbeLostDomains();
   void ListWorkerIds();
   void OnWorkerIds(const std::set<WorkerId>& worker_ids, Instant asked);
   void OnRow(const jobs::WorkerEntry& worker, Session* session);
@@ -136,6 +142,8 @@
   Events m_events;
   Sessions m_sessions;
   CommandQueue m_commands;
+  DomainContact m_contact;
+  Instant m_last_probe;  // Of idle workers of lost domains.
   Instant m_started;
   Instant m_last_listing;  // When the ids of live workers were last requested.
   bool m_listing = false;
