Service: workers that leave together don't make their failure domain lost

Cause: calls to workers that have left fail at once. Callers saw urgent jobs placed up to three times.

Change: a domain is lost only if none of its workers has answered for 300 ms as well.

--- a/hickoryquay/service/domain_contact.h
+++ b/hickoryquay/service/domain_contact.h
@@ -20,6 +20,7 @@
 
 struct DomainContactSettings {
   std::size_t m_silent_workers = 3;  // That make a domain lost.
+  Millis m_least_silence{300};       // Without an answer. Calls to many workers that leave fail at the same moment.
   Millis m_probe_interval{300};      // Between probes of the idle workers of a lost domain.
   std::size_t m_probes_at_once = 2;  // Of each lost domain.
 };
@@ -37,13 +38,15 @@
     return m_lost.erase(domain) > 0;
   }
 
-  // A call to the worker, sent then, got no answer. Returns true if the domain is lost by it.
-  bool OnSilence(const DomainId& domain, const WorkerId& worker, Instant sent) {
+  // A call to the worker, sent then, got no answer until now. Returns true if the domain is lost by it.
+  bool OnSilence(const DomainId& domain, const WorkerId& worker, Instant sent, Instant now) {
     if (domain.m_value.empty()) return false;
     Domain& state = m_domains[domain];
     if (sent <= state.m_last_answer) return false;
     state.m_silent.insert(worker);
-    return state.m_silent.size() >= m_settings.m_silent_workers && m_lost.insert(domain).second;
+    const bool lost =
+        state.m_silent.size() >= m_settings.m_silent_workers && now - state.m_last_answer >= m_settings.m_least_silence;
+    return lost && m_lost.insert(domain).second;
   }
 
   bool IsLost(const DomainId& domain) const { return m_lost.contains(domain); }
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -206,8 +206,8 @@
 //-------------------------------------------------------------------------------------------------
 
 void WorkerSessions::NoteContact(const WorkerId& id, const Session& session, bool answered, Instant sent) {
-  const bool changed =
-      answered ? m_contact.OnAnswer(session.m_domain, m_clock->Now()) : m_contact.OnSilence(session.m_domain, id, sent);
+  const bool changed = answered ? m_contact.OnAnswer(session.m_domain, m_clock->Now())
+                                : m_contact.OnSilence(session.m_domain, id, sent, m_clock->Now());
   if (changed) OnContactChanged(session.m_domain);
 }
 
--- a/tests/service/domain_contact_test.cc
+++ b/tests/service/domain_contact_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(SilenceOfSeveralWorkersSpeaksForTheirDomain);
   CPPUNIT_TEST(OneWorkerDoesNotSpeakForItsDomain);
   CPPUNIT_TEST(CrashedWorkersAmongOthersThatAnswerDoNot);
+  CPPUNIT_TEST(WorkersThatLeaveTogetherDoNotSpeakForTheOthers);
   CPPUNIT_TEST(FirstAnswerRestoresContact);
   CPPUNIT_TEST(WorkersWithoutDomainAreIgnored);
   CPPUNIT_TEST_SUITE_END();
@@ -45,6 +46,17 @@
     CPPUNIT_ASSERT(!m_contact.IsLost(kCut));
   }
 
+  // Guards against flapping: calls to workers that left fail at once, many of them between two answers of others.
+  void WorkersThatLeaveTogetherDoNotSpeakForTheOthers() {
+    for (int ms = 1'000; ms < 2'000; ms += 50) {
+      m_contact.OnAnswer(kCut, Instant{ms});
+      for (int i = 0; i < 20; ++i) {
+        const WorkerId left{"w" + std::to_string(i)};
+        CPPUNIT_ASSERT(!m_contact.OnSilence(kCut, left, Instant{ms + 10 + i}, Instant{ms + 11 + i}));
+      }
+    }
+  }
+
   void FirstAnswerRestoresContact() {
     for (const char* worker : {"a", "b", "c"}) Silence(worker, 100);
     CPPUNIT_ASSERT(m_contact.OnAnswer(kCut, Instant{200}) && !m_contact.IsLost(kCut));
@@ -52,15 +64,18 @@
   }
 
   void WorkersWithoutDomainAreIgnored() {
-    for (const char* worker : {"a", "b", "c"}) CPPUNIT_ASSERT(!m_contact.OnSilence({}, WorkerId{worker}, Instant{1}));
+    for (const char* worker : {"a", "b", "c"})
+      CPPUNIT_ASSERT(!m_contact.OnSilence({}, WorkerId{worker}, Instant{1}, Instant{1'000}));
     CPPUNIT_ASSERT(m_contact.Lost().empty());
   }
 
  private:
   bool Silence(const std::string& worker, std::int64_t sent) {
-    return m_contact.OnSilence(kCut, WorkerId{worker}, Instant{sent});
+    return m_contact.OnSilence(kCut, WorkerId{worker}, Instant{sent}, Instant{sent + kTimeout});
   }
 
+  static constexpr std::int64_t kTimeout = 350;
+
   DomainContact m_contact{DomainContactSettings{}};
 };
 
