Service: the leader hears of accepted jobs from the instance that stored them

Cause: the leader learned of jobs by the feed of their table only. A slow store delays the feed by one call.

Change: once the row of a new job is stored, the instance sends it to the leader (message AcceptedJob). AnnouncedJobs takes a job in only while the feed has not come to the version at which it was stored: a late copy could otherwise start a job that has run and is forgotten. A new leader ignores announcements until its tables are loaded. A lost message costs nothing: the feed names the job as before.

Ruled out: announcing before the row is stored (accepted means stored, and the leader would run refused work).

Tests: jobs that are accepted while feeds are held start within 200 ms, red without announcements; copies 40 s late start nothing, red without the version (each job ran twice). The cluster of the fuzz announces each job twice.

--- a/hickoryquay/inner/gen/inner_types.cpp
+++ b/hickoryquay/inner/gen/inner_types.cpp
@@ -2080,6 +2080,151 @@
 }
 
 
+AcceptedJob::~AcceptedJob() noexcept {
+}
+
+
+void AcceptedJob::__set_job(const int64_t val) {
+  this->job = val;
+}
+
+void AcceptedJob::__set_row(const std::string& val) {
+  this->row = val;
+}
+
+void AcceptedJob::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const AcceptedJob& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AcceptedJob::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->row);
+          this->__isset.row = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AcceptedJob::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AcceptedJob");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("row", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->row);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AcceptedJob &a, AcceptedJob &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.row, b.row);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+AcceptedJob::AcceptedJob(const AcceptedJob& other88) {
+  job = other88.job;
+  row = other88.row;
+  version = other88.version;
+  __isset = other88.__isset;
+}
+AcceptedJob::AcceptedJob(AcceptedJob&& other89) noexcept {
+  job = other89.job;
+  row = std::move(other89.row);
+  version = other89.version;
+  __isset = other89.__isset;
+}
+AcceptedJob& AcceptedJob::operator=(const AcceptedJob& other90) {
+  job = other90.job;
+  row = other90.row;
+  version = other90.version;
+  __isset = other90.__isset;
+  return *this;
+}
+AcceptedJob& AcceptedJob::operator=(AcceptedJob&& other91) noexcept {
+  job = other91.job;
+  row = std::move(other91.row);
+  version = other91.version;
+  __isset = other91.__isset;
+  return *this;
+}
+void AcceptedJob::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AcceptedJob(";
+  out << "job=" << to_string(job);
+  out << ", " << "row=" << to_string(row);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
 Acknowledged::~Acknowledged() noexcept {
 }
 
@@ -2134,18 +2279,18 @@
   (void) b;
 }
 
-Acknowledged::Acknowledged(const Acknowledged& other88) noexcept {
-  (void) other88;
+Acknowledged::Acknowledged(const Acknowledged& other92) noexcept {
+  (void) other92;
 }
-Acknowledged::Acknowledged(Acknowledged&& other89) noexcept {
-  (void) other89;
+Acknowledged::Acknowledged(Acknowledged&& other93) noexcept {
+  (void) other93;
 }
-Acknowledged& Acknowledged::operator=(const Acknowledged& other90) noexcept {
-  (void) other90;
+Acknowledged& Acknowledged::operator=(const Acknowledged& other94) noexcept {
+  (void) other94;
   return *this;
 }
-Acknowledged& Acknowledged::operator=(Acknowledged&& other91) noexcept {
-  (void) other91;
+Acknowledged& Acknowledged::operator=(Acknowledged&& other95) noexcept {
+  (void) other95;
   return *this;
 }
 void Acknowledged::printTo(std::ostream& out) const {
@@ -2230,22 +2375,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Unsupported::Unsupported(const Unsupported& other92) noexcept {
-  protocol = other92.protocol;
-  __isset = other92.__isset;
+Unsupported::Unsupported(const Unsupported& other96) noexcept {
+  protocol = other96.protocol;
+  __isset = other96.__isset;
 }
-Unsupported::Unsupported(Unsupported&& other93) noexcept {
-  protocol = other93.protocol;
-  __isset = other93.__isset;
+Unsupported::Unsupported(Unsupported&& other97) noexcept {
+  protocol = other97.protocol;
+  __isset = other97.__isset;
 }
-Unsupported& Unsupported::operator=(const Unsupported& other94) noexcept {
-  protocol = other94.protocol;
-  __isset = other94.__isset;
+Unsupported& Unsupported::operator=(const Unsupported& other98) noexcept {
+  protocol = other98.protocol;
+  __isset = other98.__isset;
   return *this;
 }
-Unsupported& Unsupported::operator=(Unsupported&& other95) noexcept {
-  protocol = other95.protocol;
-  __isset = other95.__isset;
+Unsupported& Unsupported::operator=(Unsupported&& other99) noexcept {
+  protocol = other99.protocol;
+  __isset = other99.__isset;
   return *this;
 }
 void Unsupported::printTo(std::ostream& out) const {
@@ -2314,6 +2459,11 @@
   this->store_answer = val;
 __isset.store_answer = true;
 }
+
+void Body::__set_accepted_job(const AcceptedJob& val) {
+  this->accepted_job = val;
+__isset.accepted_job = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -2430,6 +2580,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->accepted_job.read(iprot);
+          this->__isset.accepted_job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2502,6 +2660,11 @@
     xfer += this->store_answer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.accepted_job) {
+    xfer += oprot->writeFieldBegin("accepted_job", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->accepted_job.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2520,65 +2683,70 @@
   swap(a.leader_beat, b.leader_beat);
   swap(a.store_call, b.store_call);
   swap(a.store_answer, b.store_answer);
+  swap(a.accepted_job, b.accepted_job);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other96) {
-  heartbeat = other96.heartbeat;
-  configuration_pull = other96.configuration_pull;
-  configuration_documents = other96.configuration_documents;
-  job_notice = other96.job_notice;
-  state_query = other96.state_query;
-  state_answer = other96.state_answer;
-  acknowledged = other96.acknowledged;
-  unsupported = other96.unsupported;
-  leader_beat = other96.leader_beat;
-  store_call = other96.store_call;
-  store_answer = other96.store_answer;
-  __isset = other96.__isset;
+Body::Body(const Body& other100) {
+  heartbeat = other100.heartbeat;
+  configuration_pull = other100.configuration_pull;
+  configuration_documents = other100.configuration_documents;
+  job_notice = other100.job_notice;
+  state_query = other100.state_query;
+  state_answer = other100.state_answer;
+  acknowledged = other100.acknowledged;
+  unsupported = other100.unsupported;
+  leader_beat = other100.leader_beat;
+  store_call = other100.store_call;
+  store_answer = other100.store_answer;
+  accepted_job = other100.accepted_job;
+  __isset = other100.__isset;
 }
-Body::Body(Body&& other97) noexcept {
-  heartbeat = std::move(other97.heartbeat);
-  configuration_pull = std::move(other97.configuration_pull);
-  configuration_documents = std::move(other97.configuration_documents);
-  job_notice = std::move(other97.job_notice);
-  state_query = std::move(other97.state_query);
-  state_answer = std::move(other97.state_answer);
-  acknowledged = std::move(other97.acknowledged);
-  unsupported = std::move(other97.unsupported);
-  leader_beat = std::move(other97.leader_beat);
-  store_call = std::move(other97.store_call);
-  store_answer = std::move(other97.store_answer);
-  __isset = other97.__isset;
+Body::Body(Body&& other101) noexcept {
+  heartbeat = std::move(other101.heartbeat);
+  configuration_pull = std::move(other101.configuration_pull);
+  configuration_documents = std::move(other101.configuration_documents);
+  job_notice = std::move(other101.job_notice);
+  state_query = std::move(other101.state_query);
+  state_answer = std::move(other101.state_answer);
+  acknowledged = std::move(other101.acknowledged);
+  unsupported = std::move(other101.unsupported);
+  leader_beat = std::move(other101.leader_beat);
+  store_call = std::move(other101.store_call);
+  store_answer = std::move(other101.store_answer);
+  accepted_job = std::move(other101.accepted_job);
+  __isset = other101.__isset;
 }
-Body& Body::operator=(const Body& other98) {
-  heartbeat = other98.heartbeat;
-  configuration_pull = other98.configuration_pull;
-  configuration_documents = other98.configuration_documents;
-  job_notice = other98.job_notice;
-  state_query = other98.state_query;
-  state_answer = other98.state_answer;
-  acknowledged = other98.acknowledged;
-  unsupported = other98.unsupported;
-  leader_beat = other98.leader_beat;
-  store_call = other98.store_call;
-  store_answer = other98.store_answer;
-  __isset = other98.__isset;
+Body& Body::operator=(const Body& other102) {
+  heartbeat = other102.heartbeat;
+  configuration_pull = other102.configuration_pull;
+  configuration_documents = other102.configuration_documents;
+  job_notice = other102.job_notice;
+  state_query = other102.state_query;
+  state_answer = other102.state_answer;
+  acknowledged = other102.acknowledged;
+  unsupported = other102.unsupported;
+  leader_beat = other102.leader_beat;
+  store_call = other102.store_call;
+  store_answer = other102.store_answer;
+  accepted_job = other102.accepted_job;
+  __isset = other102.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other99) noexcept {
-  heartbeat = std::move(other99.heartbeat);
-  configuration_pull = std::move(other99.configuration_pull);
-  configuration_documents = std::move(other99.configuration_documents);
-  job_notice = std::move(other99.job_notice);
-  state_query = std::move(other99.state_query);
-  state_answer = std::move(other99.state_answer);
-  acknowledged = std::move(other99.acknowledged);
-  unsupported = std::move(other99.unsupported);
-  leader_beat = std::move(other99.leader_beat);
-  store_call = std::move(other99.store_call);
-  store_answer = std::move(other99.store_answer);
-  __isset = other99.__isset;
+Body& Body::operator=(Body&& other103) noexcept {
+  heartbeat = std::move(other103.heartbeat);
+  configuration_pull = std::move(other103.configuration_pull);
+  configuration_documents = std::move(other103.configuration_documents);
+  job_notice = std::move(other103.job_notice);
+  state_query = std::move(other103.state_query);
+  state_answer = std::move(other103.state_answer);
+  acknowledged = std::move(other103.acknowledged);
+  unsupported = std::move(other103.unsupported);
+  leader_beat = std::move(other103.leader_beat);
+  store_call = std::move(other103.store_call);
+  store_answer = std::move(other103.store_answer);
+  accepted_job = std::move(other103.accepted_job);
+  __isset = other103.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -2595,6 +2763,7 @@
   out << ", " << "leader_beat="; (__isset.leader_beat ? (out << to_string(leader_beat)) : (out << "<null>"));
   out << ", " << "store_call="; (__isset.store_call ? (out << to_string(store_call)) : (out << "<null>"));
   out << ", " << "store_answer="; (__isset.store_answer ? (out << to_string(store_answer)) : (out << "<null>"));
+  out << ", " << "accepted_job="; (__isset.accepted_job ? (out << to_string(accepted_job)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2725,34 +2894,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other100) {
-  protocol = other100.protocol;
-  id = other100.id;
-  answer = other100.answer;
-  body = other100.body;
-  __isset = other100.__isset;
-}
-Envelope::Envelope(Envelope&& other101) noexcept {
-  protocol = other101.protocol;
-  id = other101.id;
-  answer = other101.answer;
-  body = std::move(other101.body);
-  __isset = other101.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other102) {
-  protocol = other102.protocol;
-  id = other102.id;
-  answer = other102.answer;
-  body = other102.body;
-  __isset = other102.__isset;
+Envelope::Envelope(const Envelope& other104) {
+  protocol = other104.protocol;
+  id = other104.id;
+  answer = other104.answer;
+  body = other104.body;
+  __isset = other104.__isset;
+}
+Envelope::Envelope(Envelope&& other105) noexcept {
+  protocol = other105.protocol;
+  id = other105.id;
+  answer = other105.answer;
+  body = std::move(other105.body);
+  __isset = other105.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other106) {
+  protocol = other106.protocol;
+  id = other106.id;
+  answer = other106.answer;
+  body = other106.body;
+  __isset = other106.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other103) noexcept {
-  protocol = other103.protocol;
-  id = other103.id;
-  answer = other103.answer;
-  body = std::move(other103.body);
-  __isset = other103.__isset;
+Envelope& Envelope::operator=(Envelope&& other107) noexcept {
+  protocol = other107.protocol;
+  id = other107.id;
+  answer = other107.answer;
+  body = std::move(other107.body);
+  __isset = other107.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/hickoryquay/inner/gen/inner_types.h
+++ b/hickoryquay/inner/gen/inner_types.h
@@ -45,6 +45,8 @@
 
 class StoreAnswer;
 
+class AcceptedJob;
+
 class Acknowledged;
 
 class Unsupported;
@@ -818,6 +820,65 @@
 
 std::ostream& operator<<(std::ostream& out, const StoreAnswer& obj);
 
+typedef struct _AcceptedJob__isset {
+  _AcceptedJob__isset() : job(false), row(false), version(false) {}
+  bool job :1;
+  bool row :1;
+  bool version :1;
+} _AcceptedJob__isset;
+
+class AcceptedJob : public virtual ::apache::thrift::TBase {
+ public:
+
+  AcceptedJob(const AcceptedJob&);
+  AcceptedJob(AcceptedJob&&) noexcept;
+  AcceptedJob& operator=(const AcceptedJob&);
+  AcceptedJob& operator=(AcceptedJob&&) noexcept;
+  AcceptedJob() noexcept
+              : job(0),
+                row(),
+                version(0) {
+  }
+
+  virtual ~AcceptedJob() noexcept;
+  int64_t job;
+  std::string row;
+  int64_t version;
+
+  _AcceptedJob__isset __isset;
+
+  void __set_job(const int64_t val);
+
+  void __set_row(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const AcceptedJob & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(row == rhs.row))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const AcceptedJob &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AcceptedJob & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AcceptedJob &a, AcceptedJob &b);
+
+std::ostream& operator<<(std::ostream& out, const AcceptedJob& obj);
+
 
 class Acknowledged : public virtual ::apache::thrift::TBase {
  public:
@@ -897,7 +958,7 @@
 std::ostream& operator<<(std::ostream& out, const Unsupported& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : heartbeat(false), configuration_pull(false), configuration_documents(false), job_notice(false), state_query(false), state_answer(false), acknowledged(false), unsupported(false), leader_beat(false), store_call(false), store_answer(false) {}
+  _Body__isset() : heartbeat(false), configuration_pull(false), configuration_documents(false), job_notice(false), state_query(false), state_answer(false), acknowledged(false), unsupported(false), leader_beat(false), store_call(false), store_answer(false), accepted_job(false) {}
   bool heartbeat :1;
   bool configuration_pull :1;
   bool configuration_documents :1;
@@ -909,6 +970,7 @@
   bool leader_beat :1;
   bool store_call :1;
   bool store_answer :1;
+  bool accepted_job :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -933,6 +995,7 @@
   LeaderBeat leader_beat;
   StoreCall store_call;
   StoreAnswer store_answer;
+  AcceptedJob accepted_job;
 
   _Body__isset __isset;
 
@@ -958,6 +1021,8 @@
 
   void __set_store_answer(const StoreAnswer& val);
 
+  void __set_accepted_job(const AcceptedJob& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1004,6 +1069,10 @@
       return false;
     else if (__isset.store_answer && !(store_answer == rhs.store_answer))
       return false;
+    if (__isset.accepted_job != rhs.__isset.accepted_job)
+      return false;
+    else if (__isset.accepted_job && !(accepted_job == rhs.accepted_job))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/hickoryquay/inner/inner.thrift
+++ b/hickoryquay/inner/inner.thrift
@@ -95,6 +95,13 @@
   3: bool sent,    // Without an answer: the store may have got the call.
 }
 
+// From an instance that accepted a job to the leader, once the job's row is stored; answered with Acknowledged.
+struct AcceptedJob {
+  1: i64 job,
+  2: string row,      // As stored.
+  3: i64 version,     // Of the store after that.
+}
+
 struct Acknowledged {
 }
 
@@ -114,6 +121,7 @@
   9: LeaderBeat leader_beat,
   10: StoreCall store_call,
   11: StoreAnswer store_answer,
+  12: AcceptedJob accepted_job,
 }
 
 struct Envelope {
--- a/hickoryquay/inner/message.cc
+++ b/hickoryquay/inner/message.cc
@@ -71,6 +71,9 @@
 bool HasStoreAnswer(const wire::Body& body) {
   return body.__isset.store_answer;
 }
+bool HasAcceptedJob(const wire::Body& body) {
+  return body.__isset.accepted_job;
+}
 
 using B = wire::Body;
 constexpr BodyField kFields[] = {
@@ -85,7 +88,8 @@
     MakeField<wire::Unsupported, &B::unsupported, &B::__set_unsupported, &HasUnsupported>(),
     MakeField<wire::LeaderBeat, &B::leader_beat, &B::__set_leader_beat, &HasLeaderBeat>(),
     MakeField<wire::StoreCall, &B::store_call, &B::__set_store_call, &HasStoreCall>(),
-    MakeField<wire::StoreAnswer, &B::store_answer, &B::__set_store_answer, &HasStoreAnswer>()};
+    MakeField<wire::StoreAnswer, &B::store_answer, &B::__set_store_answer, &HasStoreAnswer>(),
+    MakeField<wire::AcceptedJob, &B::accepted_job, &B::__set_accepted_job, &HasAcceptedJob>()};
 
 std::shared_ptr<thrift::TConfiguration> Limits() {
   return std::make_shared<thrift::TConfiguration>(kMaxFrameBytes, kMaxFrameBytes, kMaxNesting);
--- a/hickoryquay/inner/message.h
+++ b/hickoryquay/inner/message.h
@@ -16,9 +16,10 @@
 constexpr std::size_t kLengthBytes = 4;
 
 // One alternative for each field of wire::Body. monostate: a body that this build doesn't know.
-using Message = std::variant<std::monostate, wire::Heartbeat, wire::ConfigurationPull, wire::ConfigurationDocuments,
-                             wire::JobNotice, wire::StateQuery, wire::StateAnswer, wire::Acknowledged,
-                             wire::Unsupported, wire::LeaderBeat, wire::StoreCall, wire::StoreAnswer>;
+using Message =
+    std::variant<std::monostate, wire::Heartbeat, wire::ConfigurationPull, wire::ConfigurationDocuments,
+                 wire::JobNotice, wire::StateQuery, wire::StateAnswer, wire::Acknowledged, wire::Unsupported,
+                 wire::LeaderBeat, wire::StoreCall, wire::StoreAnswer, wire::AcceptedJob>;
 
 struct Frame {
   std::int32_t m_protocol = kProtocol;
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -117,6 +117,7 @@
   Instant m_until;               // Deadline of the answer to the caller.
   bool m_maybe_applied = false;  // An attempt without an answer may still take effect.
   std::function<Result<Done, IntakeError>(const store::RowsDiffer&)> m_on_conflict;
+  std::function<void(Version)> m_on_stored;  // May be empty.
   SubmitCallback m_callback;
 };
 
@@ -190,6 +191,9 @@
   write->m_until = write->m_started + std::max(Millis{0}, time - m_settings.m_answer_margin);
   // The job is known already: an earlier attempt, of the caller or of this instance, stored the same job.
   write->m_on_conflict = [](const store::RowsDiffer&) { return Result<Done, IntakeError>(Done{}); };
+  write->m_on_stored = [this, id, row = write->m_transaction.m_puts.front().m_value](Version stored) {
+    if (m_on_accepted) m_on_accepted(id, row, stored);
+  };
   write->m_callback = [this, id, callback = std::move(callback)](Result<Done, IntakeError> result) {
     if (Ok(result) && !m_phases.Find(id, m_clock->Now())) m_phases.Set(id, jobs::JobPhase::kQueued, m_clock->Now());
     const auto* refused = Ok(result) ? nullptr : std::get_if<TryLater>(&ErrorOf(result));
@@ -283,6 +287,7 @@
                        Result<Version, store::TransactError> result) {
   if (Ok(result)) {
     m_watch->NoteAnswer(write->m_part, sent);
+    if (write->m_on_stored) write->m_on_stored(ValueOf(result));
     return Finish(write, Done{});
   }
   const store::TransactError& error = ErrorOf(result);
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -117,6 +117,10 @@
   // `on_back` is called each time a part of the store answers again, before what was held for it is stored.
   void SetOnStoreAvailable(std::function<void()> on_back) { m_on_store_available = std::move(on_back); }
 
+  // `on_accepted` is called when the row of a new job is stored, with the store's version after that.
+  using OnAccepted = std::function<void(JobId job, const std::string& row, Version stored)>;
+  void SetOnAccepted(OnAccepted on_accepted) { m_on_accepted = std::move(on_accepted); }
+
   // Finds the queue and the client account of a call. `key` is empty if the caller sent none.
   Result<Route, IntakeError> Find(std::string_view host, std::string_view path, std::string_view key) const;
 
@@ -154,6 +158,7 @@
   std::shared_ptr<PartWatch> m_watch;
   std::multimap<int, std::shared_ptr<Write>> m_held;  // Until their parts are back, by priority of their queues.
   std::function<void()> m_on_store_available;
+  OnAccepted m_on_accepted;
   Metrics* m_metrics;
   Counter* m_accepted;
   Counter* m_unknown;
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -22,7 +22,8 @@
 constexpr Millis kExpiryInterval{5'000};   // Of cached phases.
 constexpr Millis kConfigurationWait{700};  // Of a feed call; short, so that a lost connection doesn't delay changes.
 constexpr Millis kConfigurationTimeout{500};
-constexpr Millis kMemberWait{5'000};  // Of a feed call; may be long, since new instances also send heartbeats.
+constexpr Millis kMemberWait{5'000};     // Of a feed call; may be long, since new instances also send heartbeats.
+constexpr Millis kAnnounceTimeout{500};  // Of the call that tells the leader of a new job.
 constexpr int kHexDigits = 16;
 constexpr double kMostFitness = 1e9;
 
@@ -184,6 +185,9 @@
   m_intake->SetOnStoreAvailable([weak] {
     if (const auto self = weak.lock()) self->m_leadership->OnStoreAvailable();
   });
+  m_intake->SetOnAccepted([weak](JobId job, const std::string& row, Version stored) {
+    if (const auto self = weak.lock()) self->Announce(job, row, stored);
+  });
   m_beats->Start();
   m_handover_timer = m_parts.m_timers->Every(m_settings.m_handover_interval, [weak] {
     if (const auto self = weak.lock()) self->ConsiderHandover();
@@ -348,11 +352,30 @@
   m_intake->Phases().DropUnfinished();
 }
 
+// Tells the leader of a new job. Nothing is repeated: the feed of the table names the job as well.
+void JobService::Announce(JobId job, const std::string& row, Version stored) {
+  if (m_driver) return m_driver->OnAnnounced(job, row, stored);
+  const auto leader = m_beats->LeaderEndpoint();
+  if (!leader) return;
+  wire::AcceptedJob accepted;
+  accepted.__set_job(static_cast<std::int64_t>(Raw(job)));
+  accepted.__set_row(row);
+  accepted.__set_version(static_cast<std::int64_t>(Raw(stored)));
+  m_inner_client->Call(*leader, accepted, kAnnounceTimeout, [](const Result<inner::Message, inner::InnerError>&) {});
+}
+
 void JobService::OnMessage(const inner::Message& message, const inner::Answer& answer) {
   if (const auto* heartbeat = std::get_if<wire::LeaderBeat>(&message)) {
     m_beats->Receive(*heartbeat);
     return answer(wire::Acknowledged{});
   }
+  if (const auto* accepted = std::get_if<wire::AcceptedJob>(&message)) {
+    if (m_driver) {
+      m_driver->OnAnnounced(JobId{static_cast<std::uint64_t>(accepted->job)}, accepted->row,
+                            Version{static_cast<std::uint64_t>(accepted->version)});
+    }
+    return answer(wire::Acknowledged{});
+  }
   if (const auto* call = std::get_if<wire::StoreCall>(&message)) return m_parts.m_relay->Handle(*call, answer);
   if (!m_peers->Handle(message, answer)) answer(wire::Unsupported{});
 }
--- a/hickoryquay/service/leader_beats.cc
+++ b/hickoryquay/service/leader_beats.cc
@@ -107,6 +107,13 @@
   return best;
 }
 
+std::optional<net::Endpoint> LeaderBeats::LeaderEndpoint() const {
+  for (const peers::Peer& peer : m_parts.m_peers()) {
+    if (peer.m_id == m_leader) return peer.m_inner;
+  }
+  return std::nullopt;
+}
+
 void LeaderBeats::SendToAll(const wire::LeaderBeat& beat) {
   const Instant now = m_parts.m_clock->Now();
   std::erase_if(m_silent_until, [now](const auto& entry) { return entry.second <= now; });
@@ -158,6 +165,7 @@
   const bool gap = new_term || beat.sequence > m_received_sequence + 1;
   if (gap) cache.DropUnfinished();
   if (!overtaken) {
+    m_leader = beat.released ? InstanceId{} : InstanceId{beat.instance};
     m_received_epoch = beat.epoch;
     m_received_sequence = beat.sequence;
     const Epoch epoch{static_cast<std::uint64_t>(beat.epoch)};
--- a/hickoryquay/service/leader_beats.h
+++ b/hickoryquay/service/leader_beats.h
@@ -72,6 +72,9 @@
   // Leader: the highest fitness among peers that answered within m_answered_within; 0 if there are none.
   double BestAnswering() const;
 
+  // Where the leader of the newest heartbeat received is called; empty if it is not a known peer.
+  std::optional<net::Endpoint> LeaderEndpoint() const;
+
   // Handles a heartbeat of the leader, and passes it on where it says so.
   void Receive(const inner::wire::LeaderBeat& beat);
 
@@ -91,6 +94,7 @@
   std::size_t m_peer_count = 0;                     // When it was sent.
   std::map<net::Endpoint, Instant> m_silent_until;  // Peers that did not answer pass nothing on until then.
   std::map<net::Endpoint, Instant> m_answered_at;   // The last answer of each peer in this term.
+  InstanceId m_leader;                              // Of the newest heartbeat received.
   std::int64_t m_received_epoch = 0;                // Of the newest heartbeat received.
   std::int64_t m_received_sequence = 0;             // Of the same heartbeat.
   Subscription m_timer;
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -52,6 +52,7 @@
       m_store_ms(&parts.m_metrics->GetDistribution("hq_store_write_ms")),
       m_guarantee_start_s(&parts.m_metrics->GetDistribution("hq_guarantee_start_seconds")),
       m_guarantee_starts_late(&parts.m_metrics->GetCounter("hq_guarantee_starts_late_total")),
+      m_jobs_announced(&parts.m_metrics->GetCounter("hq_jobs_announced_total")),
       m_evacuation_report(parts.m_metrics) {
   // Started later, a task could arrive in a domain whose evacuation is in force already.
   m_settings.m_sessions.m_longest_queued = m_settings.m_evacuate;
@@ -154,6 +155,15 @@
   ScheduleRound();
 }
 
+void SchedulerDriver::OnAnnounced(JobId id, const std::string& row, Version stored) {
+  if (!m_ready || m_stopped || !m_announced.Take(id, stored, m_intake->At())) return;
+  const auto job = jobs::ReadAcceptedJob(id, row);
+  if (!Ok(job)) return ReportUnreadable("announced job", jobs::HexText(id), ErrorOf(job).m_field);
+  m_jobs_announced->Add();
+  m_scheduler.OnJob(ValueOf(job), Time());
+  ScheduleRound();
+}
+
 void SchedulerDriver::OnWorkerRows(const std::vector<store::StoredRow>& rows, bool whole) {
   std::set<std::string> removed;
   if (whole) {
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "hickoryquay/jobs/scheduler.h"
+#include "hickoryquay/service/announced_jobs.h"
 #include "hickoryquay/service/evacuation_report.h"
 #include "hickoryquay/service/job_archive.h"
 #include "hickoryquay/service/leadership.h"
@@ -62,6 +63,8 @@
   void SetConfiguration(std::shared_ptr<const jobs::QueueConfiguration> configuration);
   // Until the first call nothing is placed, for at most m_evacuation_wait after Ready().
   void SetEvacuated(const std::set<DomainId>& domains);
+  // An instance has stored the row of a job; see AnnouncedJobs. Ignored until Ready().
+  void OnAnnounced(JobId job, const std::string& row, Version stored);
   bool Ready() const { return m_ready; }  // All tables are loaded.
   std::map<jobs::QueueName, int> Pending() const { return m_scheduler.Pending(); }
   jobs::SchedulerCounts Counts() const { return m_scheduler.Counts(); }
@@ -102,7 +105,8 @@
   std::map<std::string, Instant> m_missing_until;      // When to drop workers whose rows expired, by row key.
   std::optional<Instant> m_reachable_since;            // When the worker table last became readable again.
   std::vector<jobs::StartCommand> m_held_starts;       // Stored, and not sent yet; see MaySendStarts.
-  std::vector<store::StoredRow> m_buffered_intake;     // Rows received before Ready().
+  AnnouncedJobs m_announced;
+  std::vector<store::StoredRow> m_buffered_intake;  // Rows received before Ready().
   std::vector<store::StoredRow> m_state_rows;
   std::set<JobId> m_whole_part_jobs;  // Accepted by an earlier version, see TableNames.
   bool m_intake_read = false;
@@ -122,6 +126,7 @@
   Distribution* m_store_ms;
   Distribution* m_guarantee_start_s;
   Counter* m_guarantee_starts_late;
+  Counter* m_jobs_announced;
   EvacuationReport m_evacuation_report;
 };
 
--- a/standin/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -15,10 +15,12 @@
 constexpr const char* kConfigurationTable = "configuration";
 constexpr const char* kEvacuationPrefix = "evacuated/";  // Of keys in that table.
 constexpr Millis kExchangeInterval{1'000};               // As the heartbeats between peers.
-constexpr Millis kHeartbeat{1'500};                      // Of workers, in their rows.
-constexpr Millis kRowRemovalDelay{3 * kHeartbeat};       // Three missed heartbeats.
-constexpr Millis kCrashedFor{3'000};                     // Until a crashed worker is back.
-constexpr Millis kRowDelay{100};                         // Until its row follows.
+constexpr Millis kAnnounceDelay{1};
+constexpr Millis kLateCopyDelay{40'000};            // Longer than a scheduler remembers an archived job.
+constexpr Millis kHeartbeat{1'500};                 // Of workers, in their rows.
+constexpr Millis kRowRemovalDelay{3 * kHeartbeat};  // Three missed heartbeats.
+constexpr Millis kCrashedFor{3'000};                // Until a crashed worker is back.
+constexpr Millis kRowDelay{100};                    // Until its row follows.
 constexpr int kPriorities = 3;
 
 std::string Text(const jobs::WorkerEntry& entry) {
@@ -84,6 +86,8 @@
   self->m_port = std::make_unique<GatedWorkers>(self->m_gate, m_workers.get());
   self->m_intake =
       std::make_shared<Intake>(self->m_store.get(), self->m_timers.get(), &m_clock, &m_metrics, IntakeSettings{});
+  self->m_intake->SetOnAccepted(
+      [this](JobId job, const std::string& row, Version stored) { Announce(job, row, stored); });
   self->m_intake->Start();
   self->m_intake->SetConfiguration(m_configuration);
   LeadershipSettings leadership;
@@ -156,6 +160,21 @@
   }
 }
 
+// To every instance that schedules, those included that lost the leadership unnoticed. A copy of each arrives again
+// when the job may be forgotten.
+void SimCluster::Announce(JobId job, const std::string& row, Version stored) {
+  if (!m_settings.m_announces_jobs) return;
+  const auto deliver = [this, job, row, stored] {
+    for (const auto& instance : m_instances) {
+      if (!instance) continue;
+      instance->m_gate->Deliver([self = instance.get(), job, row, stored] {
+        if (self->m_driver) self->m_driver->OnAnnounced(job, row, stored);
+      });
+    }
+  };
+  for (const Millis delay : {kAnnounceDelay, kLateCopyDelay}) m_timers.After(delay, deliver).Detach();
+}
+
 void SimCluster::KillInstance(int index) {
   auto instance = std::move(m_instances[Slot(index)]);
   instance->m_gate->Kill();
--- a/standin/sim_cluster.h
+++ b/standin/sim_cluster.h
@@ -34,6 +34,7 @@
   std::size_t m_payload_bytes = 7;
   std::uint64_t m_random_seed = 1;
   Millis m_evacuate{5'000};          // See DriverSettings.
+  bool m_announces_jobs = true;      // Instances tell leaders of the jobs that they accept, as in JobService.
   bool m_follow_evacuations = true;  // Instances read the evacuated domains and exchange them, as in JobService.
 };
 
@@ -113,6 +114,7 @@
 
   static std::size_t Slot(int index) { return static_cast<std::size_t>(index); }
   void ExchangeDocuments(Instance* self);
+  void Announce(JobId job, const std::string& row, Version stored);
   void PutWorkerRow(const jobs::WorkerEntry& entry);
   void OnCrash(const WorkerId& id);
 
--- a/standin/sim_store.cc
+++ b/standin/sim_store.cc
@@ -218,6 +218,8 @@
 void SimStoreClient::PollFeed(const std::string& table, Version after, Millis left, Instant until,
                               store::ReadCallback callback) {
   auto page = m_store->Changes(table, after);
+  const bool held = m_store->m_clock->Now() < m_store->m_feeds_held_until;
+  if (held) page = store::RowPage{{}, false, after};
   if (!Ok(page) || !ValueOf(page).m_rows.empty() || left.count() <= 0) {
     m_store->m_timers
         ->After(m_store->m_settings.m_latency, [this, until, callback, page] { Deliver(page, until, callback); })
--- a/standin/sim_store.h
+++ b/standin/sim_store.h
@@ -45,6 +45,7 @@
   void SetLatency(Millis latency) { m_settings.m_latency = latency; }  // Calls that take longer than allowed time out.
   void SetTransactionTime(Millis time) { m_settings.m_transaction = time; }
   void ForgetHistory() { m_history_from = m_version; }
+  void HoldFeeds(Millis time) { m_feeds_held_until = m_clock->Now() + time; }  // They hear of nothing meanwhile.
   std::vector<store::StoredRow> Rows(const std::string& table) const;
   std::int64_t Writes() const { return m_writes; }
 
@@ -66,6 +67,7 @@
   std::vector<store::StoredRow> m_history;     // In order of versions.
   Version m_version{};
   Version m_history_from{};
+  Instant m_feeds_held_until;
   std::int64_t m_writes = 0;
 };
 
