Jobs: a worker that falls silent with its failure domain did not crash

Cause: a worker whose lease ended counted as crashed under each run that had begun within 2 s before it fell silent, cut off or not.

Change: a loss by the end of the lease is no crash if the domain was lost within 2.5 s of the worker's silence. A worker that had been silent before, or that the platform no longer lists, counts as before.

--- a/hickoryquay/jobs/crash_isolation.cc
+++ b/hickoryquay/jobs/crash_isolation.cc
@@ -45,6 +45,7 @@
 bool CountsAsCrash(const Unit& unit, const Member& member, const LostWorker& lost, const CrashSettings& settings) {
   if (member.m_slot->m_entry.m_draining || member.m_state == MemberState::kPlanned) return false;
   if (unit.m_done || unit.m_sound) return false;
+  if (lost.m_why == WorkerLoss::kLeaseOver && lost.m_with_domain) return false;
   if (lost.m_why != WorkerLoss::kLeaseOver || member.m_restored) return true;
   return lost.m_silent_since - member.m_since <= settings.m_sound_after;
 }
--- a/hickoryquay/jobs/crash_isolation.h
+++ b/hickoryquay/jobs/crash_isolation.h
@@ -39,7 +39,8 @@
 
 // Whether the loss of the member's worker counts as a crash under it. Not if the worker had announced that it leaves,
 // if the start was not sent, or if the unit is done or has run on for m_sound_after. A worker whose lease ended may be
-// cut off: it counts if it fell silent soon after the start, or if it is not known when the run began.
+// cut off: it counts if it fell silent soon after the start, or if it is not known when the run began, but not if its
+// failure domain fell silent with it. The platform no longer lists a worker that crashed before its lease ends.
 bool CountsAsCrash(const Unit& unit, const Member& member, const LostWorker& lost, const CrashSettings& settings);
 
 // Whether the crash is evidence against the unit: it was alone and had just begun.
--- a/hickoryquay/jobs/incarnation.h
+++ b/hickoryquay/jobs/incarnation.h
@@ -86,8 +86,9 @@
 // A worker whose runs are lost.
 struct LostWorker {
   WorkerLoss m_why = WorkerLoss::kLeaseOver;
-  int m_units = 0;         // That had runs there.
-  Instant m_silent_since;  // Steady time of the first sign of the loss.
+  int m_units = 0;             // That had runs there.
+  Instant m_silent_since;      // Steady time of the first sign of the loss.
+  bool m_with_domain = false;  // It fell silent together with its failure domain.
 };
 
 // A run that was placed on an earlier incarnation, when a reply of a later one arrives for the first time.
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -190,7 +190,7 @@
 
   // Sets the failure domains whose workers don't answer. Nothing new is placed there, and what is not sent yet is
   // placed elsewhere.
-  void SetLost(std::set<DomainId> domains);
+  void SetLost(std::set<DomainId> domains, Now now);
 
   // All runs that were placed on the worker have ended. They can't start again, unless it may return under its id while
   // a copy of their start is under way: such a run is kept, and the worker stays busy, until it is certain.
--- a/hickoryquay/jobs/scheduler_evacuation.cc
+++ b/hickoryquay/jobs/scheduler_evacuation.cc
@@ -7,6 +7,13 @@
 
 namespace hickoryquay::jobs {
 
+namespace {
+
+// From the first silent worker of a domain that is cut off until the domain counts as lost.
+constexpr Millis kLongestNotice{2'500};
+
+}  // namespace
+
 void Scheduler::SetEvacuated(std::set<DomainId> domains, Now now) {
   m_evacuated = std::move(domains);
   std::map<DomainId, std::vector<ReturningWorker>> lifted;
@@ -26,11 +33,15 @@
   }
 }
 
-void Scheduler::SetLost(std::set<DomainId> domains) {
+void Scheduler::SetLost(std::set<DomainId> domains, Now now) {
   m_lost = std::move(domains);
   for (const auto& [id, slot] : m_workers.All()) {
-    slot->m_domain_lost = m_lost.contains(slot->m_entry.m_domain);
-    if (slot->m_domain_lost) WithdrawUnsent(slot.get(), "its failure domain does not answer");
+    const bool lost = m_lost.contains(slot->m_entry.m_domain);
+    // One that had been silent for long when its domain was lost has its own reason.
+    const bool together = slot->m_silent_since == Instant{} || now.m_steady - slot->m_silent_since <= kLongestNotice;
+    if (lost && !slot->m_domain_lost) slot->m_silent_with_domain = together;
+    slot->m_domain_lost = lost;
+    if (lost) WithdrawUnsent(slot.get(), "its failure domain does not answer");
   }
 }
 
--- a/hickoryquay/jobs/scheduler_restart.cc
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -79,7 +79,8 @@
 }
 
 LostWorker Scheduler::Describe(const WorkerSlot& slot, WorkerLoss loss, Now now) {
-  return {loss, slot.CountUnits(), slot.m_silent_since == Instant{} ? now.m_steady : slot.m_silent_since};
+  return {loss, slot.CountUnits(), slot.m_silent_since == Instant{} ? now.m_steady : slot.m_silent_since,
+          slot.m_silent_with_domain};
 }
 
 void Scheduler::RecordCrash(Unit* unit, std::size_t index, const LostWorker& lost, Now now) {
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -208,6 +208,7 @@
   RecordProgress(slot, reply, now);
   SettleAbsent(slot, reply, sent);
   slot->m_silent_since = Instant{};
+  slot->m_silent_with_domain = false;
 }
 
 void Scheduler::OnRunning(WorkerSlot* slot, const RunningTask& running, Now now) {
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -25,6 +25,7 @@
   bool m_listed = false;                // Listed by the platform.
   bool m_usable = false;                // Answers, and has accepted this scheduler's epoch.
   bool m_evacuated = false;             // Its failure domain is evacuated: nothing new may be sent to it.
+  bool m_silent_with_domain = false;    // It has not answered since its failure domain was lost.
   bool m_domain_lost = false;           // Its failure domain does not answer: nothing new is sent to it.
   std::optional<Instant> m_returns_at;  // Steady time from which it is used again after an evacuation.
   Instant m_cold_until;                 // Steady time until which it is slow after its start.
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -218,7 +218,7 @@
     log::Info(kLog, "Failure domain answers again", {{"domain", domain.m_value}});
   }
   m_metrics->GetGauge("hq_domains_lost").Set(static_cast<double>(m_contact.Lost().size()));
-  m_scheduler->SetLost(m_contact.Lost());
+  m_scheduler->SetLost(m_contact.Lost(), Time());
   m_events.m_changed();
 }
 
--- a/tests/jobs/crash_isolation_test.cc
+++ b/tests/jobs/crash_isolation_test.cc
@@ -12,6 +12,7 @@
 namespace {
 
 const PoolName kPool{"pool"};
+const DomainId kDomain{"domain"};
 constexpr JobId kJob{7};
 constexpr JobId kOther{8};
 constexpr CrashSettings kSettings;
@@ -29,6 +30,8 @@
   CPPUNIT_TEST(UnitsAreGivenUpByEvidenceOrStarts);
   CPPUNIT_TEST(OnlyACrashAloneAndAtOnceIsEvident);
   CPPUNIT_TEST(LossesOfOtherKindsDoNotCount);
+  CPPUNIT_TEST(CutsOfTheDomainAreNoCrashes);
+  CPPUNIT_TEST(CrashDuringACutCounts);
   CPPUNIT_TEST(UnitThatRunsOnIsCleared);
   CPPUNIT_TEST(SuspectsDoNotShareAWorker);
   CPPUNIT_TEST(WorkerIsHeldUntilItIsEmpty);
@@ -93,6 +96,41 @@
     CPPUNIT_ASSERT(!Counts(unit, member, WorkerLoss::kUnlisted));
   }
 
+  // Guards against jobs being given up because cuts of their failure domain were taken for crashes under them.
+  void CutsOfTheDomainAreNoCrashes() {
+    MakeScheduler(1);
+    Submit(kJob, 1);
+    std::int64_t ms = 0;
+    for (int cut = 0; cut < 5; ++cut, ms += 10'000) {
+      const StartCommand start = StartOnly(At(ms));
+      m_scheduler->OnWorkerSilent(start.m_worker, At(ms + 100));
+      m_scheduler->SetLost({kDomain}, At(ms + 400));
+      m_scheduler->OnWorkerCleared(start.m_worker, WorkerLoss::kLeaseOver, At(ms + 7'000));
+      m_scheduler->SetLost({}, At(ms + 8'000));
+      m_scheduler->OnPollReply(start.m_worker, PollReply{}, At(ms + 8'000).m_steady, At(ms + 8'000));
+    }
+    m_stored_crashes = 0;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, StoredCrashes());
+    CPPUNIT_ASSERT(m_scheduler->Phase(kJob) != JobPhase::kFailed);
+  }
+
+  // The worker was silent before its domain, or the platform says that it is gone.
+  void CrashDuringACutCounts() {
+    MakeScheduler(2);
+    Submit(kJob, 1);
+    StartCommand start = StartOnly(At(0));
+    m_scheduler->OnWorkerSilent(start.m_worker, At(100));
+    m_scheduler->SetLost({kDomain}, At(4'000));
+    m_scheduler->OnWorkerCleared(start.m_worker, WorkerLoss::kLeaseOver, At(7'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, StoredCrashes());
+    m_scheduler->SetLost({}, At(8'000));
+    start = StartOnly(At(8'000));
+    m_scheduler->OnWorkerSilent(start.m_worker, At(8'100));
+    m_scheduler->SetLost({kDomain}, At(8'400));
+    m_scheduler->OnWorkerCleared(start.m_worker, WorkerLoss::kUnlisted, At(13'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, StoredCrashes());
+  }
+
   void UnitThatRunsOnIsCleared() {
     MakeScheduler(2);
     SubmitSuspect(kJob, 1);
@@ -188,6 +226,7 @@
       WorkerEntry worker;
       worker.m_id = Worker(i);
       worker.m_pool = kPool;
+      worker.m_domain = kDomain;
       worker.m_capacity = Resources{8, 8, 8};
       m_scheduler->OnWorkerListed(worker, At(0));
       m_scheduler->SetWorkerUsable(worker.m_id, true);
--- a/tests/jobs/domain_choice_test.cc
+++ b/tests/jobs/domain_choice_test.cc
@@ -60,12 +60,12 @@
   }
 
   void LostDomainGetsNothingNew() {
-    m_scheduler->SetLost({DomainId{"d0"}, DomainId{"d1"}});
+    m_scheduler->SetLost({DomainId{"d0"}, DomainId{"d1"}}, At(0));
     for (int i = 0; i < kDomains * kWorkers; ++i) Submit(1);
     const auto starts = Decide(0);
     CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(kWorkers), starts.size());
     CPPUNIT_ASSERT(DomainsOf(starts) == std::set<std::string>{"d2"});
-    m_scheduler->SetLost({});
+    m_scheduler->SetLost({}, At(10));
     CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(2 * kWorkers), Decide(10).size());
   }
 
@@ -74,7 +74,7 @@
     Submit(2);
     const auto planned = Decide(0);
     const std::string lost = *DomainsOf(planned).begin();
-    m_scheduler->SetLost({DomainId{lost}});
+    m_scheduler->SetLost({DomainId{lost}}, At(5));
     for (const StartCommand& start : planned) CPPUNIT_ASSERT(!m_scheduler->MaySend(start));
     const auto again = Decide(10);
     CPPUNIT_ASSERT_EQUAL(planned.size(), again.size());
