Base: an exception in a handler no longer ends the process

Cause: nothing stood between a handler's exception and the end of the process: hickoryquay-node ended with the code of a failed start and no log line, threads of hickoryquayd by std::terminate. A message that makes one handler throw is sent again by its caller and would take one instance after the other down. Found by reading; no such message is known.

Change: RunLoop ends that handler only and logs an error. Errors at the start of a process still end it, and so do failed assertions.

--- a/daemons/hickoryquayd/main.cc
+++ b/daemons/hickoryquayd/main.cc
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "hickoryquay/base/log.h"
+#include "hickoryquay/base/run_loop.h"
 #include "hickoryquay/instance/entry_instance.h"
 #include "hickoryquay/settings/daemon_settings.h"
 
@@ -38,7 +39,7 @@
               << " inner=" << ToString(m_instance.Inner()) << " admin=" << ToString(m_instance.Admin()) << std::endl;
     WaitForStop();
     WaitForDump();
-    m_io.run();
+    RunLoop(&m_io);
     m_instance.Stop();
   }
 
--- a/hickoryquay/instance/entry_instance.cc
+++ b/hickoryquay/instance/entry_instance.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "hickoryquay/base/log.h"
+#include "hickoryquay/base/run_loop.h"
 #include "hickoryquay/policy/policy.h"
 
 namespace hickoryquay::instance {
@@ -316,8 +317,8 @@
                     log::Warn(kLog, "The placer role is lost", {{"why", why}});
                   }});
   m_share_view = m_timers.Every(kShareViewEvery, [this] { ShareView(); });
-  for (int i = 0; i < kControlThreads; ++i) m_threads.emplace_back([this] { m_control.run(); });
-  for (const auto& context : m_request_contexts) m_threads.emplace_back([raw = context.get()] { raw->run(); });
+  for (int i = 0; i < kControlThreads; ++i) m_threads.emplace_back([this] { RunLoop(&m_control); });
+  for (const auto& context : m_request_contexts) m_threads.emplace_back([raw = context.get()] { RunLoop(raw); });
   log::Info(kLog, "Started", {{"instance", m_id.m_value}, {"domain", m_settings.m_instance.m_domain.m_value}});
 }
 
--- a/hickoryquay/net/io_threads.cc
+++ b/hickoryquay/net/io_threads.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <thread>
 
+#include "hickoryquay/base/run_loop.h"
+
 namespace hickoryquay::net {
 
 namespace asio = boost::asio;
@@ -23,7 +25,7 @@
 IoThreads::IoThreads(int count) {
   for (int i = 0; i < std::max(1, count); ++i) {
     m_loops.push_back(std::make_unique<Loop>());
-    m_loops.back()->m_thread = std::thread([loop = m_loops.back().get()] { loop->m_io.run(); });
+    m_loops.back()->m_thread = std::thread([loop = m_loops.back().get()] { RunLoop(&loop->m_io); });
   }
 }
 
