Jobs: pace is judged once a task should have made two percent

Cause: progress is a whole percentage. A task of more than 30 s makes less than one step of it between polls that short tasks on its worker cause to be answered early, which looked like standing still: the worker got nothing for 2.5 s, again and again.

Change: a report is judged once the usual pace would have made two steps since the last one that was.

Five percent instead of two delayed a guarantee past its bound in ReclaimTest, and was dropped.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -68,10 +68,11 @@
   double m_min_free_share_batch = 0.3;   // For starts of lower priorities.
   double m_min_free_share_tight = 0.05;  // For work whose slack is below m_tight_slack_share of its estimate.
   double m_tight_slack_share = 0.5;
-  Millis m_leave_margin{300};      // Tasks with checkpoints are stopped this much before they have to leave a worker.
-  double m_evacuate_share = 0.8;   // A task that can't reach this share of its estimate before its worker leaves moves.
-  Millis m_min_pace_span{500};     // Shorter intervals are too short to compute a task's pace.
-  double m_slow_pace_share = 0.4;  // A task below this share of its usual pace counts as slow.
+  Millis m_leave_margin{300};     // Tasks with checkpoints are stopped this much before they have to leave a worker.
+  double m_evacuate_share = 0.8;  // A task that can't reach this share of its estimate before its worker leaves moves.
+  Millis m_min_pace_span{500};    // Shorter intervals are too short to compute a task's pace.
+  double m_min_expected_percent = 2.0;  // Pace is judged once a task should have made this much progress.
+  double m_slow_pace_share = 0.4;       // A task below this share of its usual pace counts as slow.
   // Time without new tasks for a worker on which most tasks are slow. More than 2 s, the time after which a poll
   // without news is answered.
   Millis m_avoid_slow_for{2'500};
