Service: a submission waits for a probe no longer than it may be held

Cause: an instance that has not heard from the store lately probes it before a write, for up to 1 s, whatever time its caller has left. Behind a cut, callers on their last attempt with 0.57 s left were answered after 1.0 s, when they had gone (log of: job, attempt at 10.88 s, deadline at 11.45 s, answer at 11.88 s).

Change: a probe counts as silence to the caller after the time for which a submission may be held, a third of what is left. The request has not run, and the refusal says so.

Test: 600 ms left, refused after 200 ms, and nothing is stored later; red before (400 ms).

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -203,7 +203,8 @@
         ->Add();
     callback(std::move(result));
   };
-  m_watch->Check(write->m_part, [self = shared_from_this(), write](bool answers) {
+  const Millis longest = HoldTime(Millis{0}, time, m_held.size(), m_settings.m_outage);
+  m_watch->Check(write->m_part, longest, [self = shared_from_this(), write](bool answers) {
     answers ? self->Attempt(write) : self->Hold(write);
   });
 }
--- a/hickoryquay/service/part_watch.cc
+++ b/hickoryquay/service/part_watch.cc
@@ -28,13 +28,17 @@
   return found == m_silent.end() ? Millis{0} : now - found->second;
 }
 
-void PartWatch::Check(const StorePart& part, std::function<void(bool)> then) {
+void PartWatch::Check(const StorePart& part, Millis longest, std::function<void(bool)> then) {
   if (AllSilent()) Add(part, m_last_silence);  // To learn when it is back.
   if (IsSilent(part)) return then(false);
   const Millis recent =
       std::clamp(m_settings.m_recent_calls * m_call_time, m_settings.m_recent, m_settings.m_longest_recent);
   if (m_clock->Now() - LastAnswer() <= recent) return then(true);
-  Probe(part, std::move(then));
+  const auto once = [shared = std::make_shared<std::function<void(bool)>>(std::move(then))](bool answers) {
+    if (*shared) std::exchange(*shared, nullptr)(answers);
+  };
+  if (longest < m_settings.m_probe_timeout) m_timers->After(longest, [once] { once(false); }).Detach();
+  Probe(part, once);
 }
 
 void PartWatch::Probe(const StorePart& part, std::function<void(bool)> then) {
--- a/hickoryquay/service/part_watch.h
+++ b/hickoryquay/service/part_watch.h
@@ -51,8 +51,9 @@
   // `contact` returns when other parts of this instance last had an answer of the store.
   void SetContact(std::function<Instant()> contact) { m_contact = std::move(contact); }
 
-  // Calls `then` at once if the part is known to be silent or the store answered recently, otherwise after a probe.
-  void Check(const StorePart& part, std::function<void(bool answers)> then);
+  // Calls `then` at once if the part is known to be silent or the store answered recently, otherwise after a probe. A
+  // probe without an answer after `longest` counts as silence to this caller.
+  void Check(const StorePart& part, Millis longest, std::function<void(bool answers)> then);
 
   // A call to the part, sent then, was answered, or got no answer. The latter is ignored if the part answered after
   // that.
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(PhaseOfAnArchivedJobIsFound);
   CPPUNIT_TEST(SilentStoreIsProbedBeforeWrite);
   CPPUNIT_TEST(SubmissionInAnOutageIsHeldForAThirdOfItsCallersTime);
+  CPPUNIT_TEST(CallerWithLittleTimeIsNotKeptByAProbe);
   CPPUNIT_TEST(SubmissionInALongOutageIsRefusedAtOnce);
   CPPUNIT_TEST(HeldSubmissionsAreStoredWhenTheStoreIsBackUrgentOnesFirst);
   CPPUNIT_TEST(LostProbesDoNotDelayTheNewsThatTheStoreIsBack);
@@ -137,6 +138,23 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_client->Transactions());  // So it has not run.
   }
 
+  // Guards against a caller on its last attempt being kept for the whole of a probe, and past the end of its time.
+  void CallerWithLittleTimeIsNotKeptByAProbe() {
+    m_client->SetMood(StoreMood::kSilent);
+    m_timers.Advance(Millis{2'000});  // Nothing tells yet that the store is away.
+    std::string outcome = "none yet";
+    jobs::JobRequest request;
+    request.m_steps.resize(1);
+    const Route route{m_intake->Configuration()->m_queues[0], AccountId{"account"}};
+    m_intake->Submit(route, JobId{1}, request, Millis{600},
+                     [&outcome](const Result<Done, IntakeError>& result) { outcome = Text(result); });
+    m_timers.Advance(Millis{200});
+    CPPUNIT_ASSERT_EQUAL(std::string("try later"), outcome);
+    m_client->SetMood(StoreMood::kServes);
+    m_timers.Advance(Millis{10'000});
+    CPPUNIT_ASSERT(m_store->Rows(TableNames{}.m_intake).empty());
+  }
+
   void SubmissionInALongOutageIsRefusedAtOnce() {
     m_client->SetMood(StoreMood::kSilent);
     Submit(JobId{1}, 4 * kCallerTimeout);
