Jobs: settings of the scheduler in a header of their own

Nothing is decided differently. The gauge hq_domains_lost goes back to 0 when an instance stops leading.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -11,7 +11,6 @@
 // Resources of a run are released only after its worker lists its end, or after it is certain that it can't run there.
 //
 // Index of this file:
-//   [SECTION] Settings
 //   [SECTION] Commands for the driver
 //   [SECTION] Scheduler
 #pragma once
@@ -29,6 +28,7 @@
 #include "hickoryquay/jobs/job.h"
 #include "hickoryquay/jobs/preemption.h"
 #include "hickoryquay/jobs/rows.h"
+#include "hickoryquay/jobs/scheduler_settings.h"
 #include "hickoryquay/jobs/units.h"
 #include "hickoryquay/jobs/worker_api.h"
 #include "hickoryquay/jobs/worker_choice.h"
@@ -36,50 +36,6 @@
 
 namespace hickoryquay::jobs {
 
-//-------------------------------------------------------------------------------------------------
-// [SECTION] Settings
-//-------------------------------------------------------------------------------------------------
-
-// Sort key of a waiting step.
-struct SchedulingKey {
-  int m_priority = 0;
-  Instant m_accepted;  // Wall time.
-  Instant m_deadline;  // Wall time: the job's objective, by the caller's estimates.
-};
-
-// Returns true if the first one is placed first.
-using SchedulingOrder = bool (*)(const SchedulingKey&, const SchedulingKey&);
-bool EarliestDeadlineFirst(const SchedulingKey& a, const SchedulingKey& b);  // By priority, then by deadline.
-bool FirstComeFirstServed(const SchedulingKey& a, const SchedulingKey& b);   // Ignores priorities: a baseline.
-
-struct SchedulerSettings {
-  SchedulingOrder m_order = &EarliestDeadlineFirst;
-  bool m_preempts = true;            // Urgent units may preempt others.
-  PreemptionSettings m_preemption;   // Also the time that a stop takes.
-  double m_remote_factor = 3.0;      // Slowdown of a gang that spans racks, or of a task away from its data.
-  Millis m_forget_after{30'000};     // An archived job is forgotten then: longer than the store keeps its history.
-  Millis m_stop_retry_delay{300};    // Time after which a stop without an answer is sent again.
-  Millis m_avoid_refusing_for{500};  // Time that a worker gets no start after it refused one.
-  int m_max_start_resends = 3;       // Resends of a start without an answer, before the run is stopped.
-  Millis m_max_early_start{50};      // Timed jobs may start this much before they are due.
-  // Shares of all accelerators that a start must leave free for more urgent work. Lower shares make urgent work wait
-  // for preemptions and lose work, higher ones delay batch work (docs/design/platform.md).
-  double m_min_free_share = 0.2;         // For starts of priority 1.
-  double m_min_free_share_batch = 0.3;   // For starts of lower priorities.
-  double m_min_free_share_tight = 0.05;  // For work whose slack is below m_tight_slack_share of its estimate.
-  double m_tight_slack_share = 0.5;
-  Millis m_leave_margin{300};     // Tasks with checkpoints are stopped this much before they have to leave a worker.
-  double m_evacuate_share = 0.8;  // A task that can't reach this share of its estimate before its worker leaves moves.
-  Millis m_min_pace_span{500};    // Shorter intervals are too short to compute a task's pace.
-  double m_min_expected_percent = 2.0;  // Pace is judged once a task should have made this much progress.
-  double m_slow_pace_share = 0.4;       // A task below this share of its usual pace counts as slow.
-  // Time without new tasks for a worker on which most tasks are slow. More than 2 s, the time after which a poll
-  // without news is answered.
-  Millis m_avoid_slow_for{2'500};
-  ChoiceSettings m_choice;
-  SoundnessSettings m_soundness;
-};
-
 struct Now {
   Instant m_steady;  // For timeouts.
   Instant m_wall;    // For objectives and timed jobs.
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -51,6 +51,7 @@
 
 void WorkerSessions::Stop() {
   m_stopped = true;
+  m_metrics->GetGauge("hq_domains_lost").Set(0.0);  // No leader, or another one, judges that from now on.
   m_tick.Cancel();
 }
 
