--- a/hickoryquay/base/run_loop.h
+++ b/hickoryquay/base/run_loop.h
@@ -6,7 +6,7 @@
 namespace hickoryquay {
 
 // Runs `io` until it is stopped or out of work. An exception that a handler lets through ends that handler only and is
-// logged: one message that nobody thought of must not end a process, and return to the next one that gets it.
+// logged. A message that makes a handler throw is sent again, and would end one process after the other.
 void RunLoop(boost::asio::io_context* io);
 
 }  // namespace hickoryquay
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -321,7 +321,7 @@
     // Without an earlier report, the usual pace is half of what the caller's estimate implies.
     const auto estimate = static_cast<double>(std::max<std::int64_t>(1, unit->m_step->m_spec->m_estimate.count()));
     const double usual = known ? member.m_percent / static_cast<double>(before.count()) : kWhole / 2.0 / estimate;
-    // Progress is a whole percentage: below some steps of it, rounding looks like a slow task.
+    // Progress is a whole percentage: where little is due, rounding makes a task look slow.
     if (usual * static_cast<double>(span.count()) < m_settings.m_min_expected_percent) continue;
     const double pace = (running.m_percent - member.m_percent) / static_cast<double>(span.count());
     member.m_percent = running.m_percent;
