Service: the leader reports how far it is behind, once a second

Change: line "Leader's load" and gauges hq_loop_late_ms, hq_view_age_ms, hq_commands_queued: lateness of a periodic timer, age of the view of each table since the last answered call was sent, rows read, tables read anew ("Table is read"), queued commands. Nothing is decided by them. SchedulerCounts counts open jobs; m_waiting_units was never set.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -446,6 +446,7 @@
 
 SchedulerCounts Scheduler::Counts() const {
   SchedulerCounts counts;
+  counts.m_open_jobs = static_cast<int>(m_open_jobs.size());
   counts.m_active_units = static_cast<int>(m_active.size());
   counts.m_starts = m_starts;
   counts.m_preemptions = m_preemptions;
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -103,7 +103,7 @@
 //-------------------------------------------------------------------------------------------------
 
 struct SchedulerCounts {
-  int m_waiting_units = 0;
+  int m_open_jobs = 0;  // Not ended.
   int m_active_units = 0;
   int m_starts = 0;       // Starts of tasks since construction.
   int m_preemptions = 0;  // Preempted units since construction.
--- a/hickoryquay/service/command_queue.cc
+++ b/hickoryquay/service/command_queue.cc
@@ -33,6 +33,12 @@
   return expired;
 }
 
+std::size_t CommandQueue::Queued() const {
+  std::size_t queued = m_stops.size();
+  for (const auto& [priority, starts] : m_starts) queued += starts.size();
+  return queued;
+}
+
 void CommandQueue::OnAnswer(Millis took, Instant now) {
   const bool full = m_in_flight >= Window();
   --m_in_flight;
--- a/hickoryquay/service/command_queue.h
+++ b/hickoryquay/service/command_queue.h
@@ -46,6 +46,7 @@
 
   int Window() const { return static_cast<int>(m_window); }
   int InFlight() const { return m_in_flight; }
+  std::size_t Queued() const;
 
  private:
   struct QueuedStart {
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -53,7 +53,8 @@
       m_guarantee_start_s(&parts.m_metrics->GetDistribution("hq_guarantee_start_seconds")),
       m_guarantee_starts_late(&parts.m_metrics->GetCounter("hq_guarantee_starts_late_total")),
       m_jobs_announced(&parts.m_metrics->GetCounter("hq_jobs_announced_total")),
-      m_evacuation_report(parts.m_metrics) {
+      m_evacuation_report(parts.m_metrics),
+      m_report(parts.m_metrics, parts.m_clock->Now()) {
   // Started later, a task could arrive in a domain whose evacuation is in force already.
   m_settings.m_sessions.m_longest_queued = m_settings.m_evacuate;
 }
@@ -301,8 +302,12 @@
       [this](const std::vector<JobId>& jobs) { m_scheduler.OnArchived(jobs, Time()); });
   m_archive->Start();
   OnIntakeRows(buffered, false);  // For the cancels; the jobs were restored above.
+  m_last_tick = m_parts.m_clock->Now();
   m_tick = m_parts.m_timers->Every(kRoundInterval, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->RunRound();
+    const auto self = weak.lock();
+    if (!self) return;
+    self->ReportLoad();
+    self->RunRound();
   });
 }
 
@@ -325,6 +330,7 @@
   m_round_timer.Cancel();
   DropExpiredWorkers();
   m_last_round = m_parts.m_clock->Now();
+  ++m_rounds;
   if (MayPlace()) m_scheduler.Decide(Time());
   m_evacuation_report.Update(m_scheduler.EvacuatedDomains());
   ReportGuaranteeStarts();
@@ -344,7 +350,7 @@
                        : write.m_removals.push_back(std::move(key));
       }
       m_write_pending = true;
-      const Instant sent = m_parts.m_clock->Now();
+      const Instant sent = m_write_sent = m_parts.m_clock->Now();
       auto stored = [weak = weak_from_this(), batch = std::move(batch), sent] {
         const auto self = weak.lock();
         if (!self || self->m_stopped) return;
@@ -411,6 +417,27 @@
   }
 }
 
+void SchedulerDriver::ReportLoad() {
+  const Instant now = m_parts.m_clock->Now();
+  const jobs::SchedulerCounts scheduled = m_scheduler.Counts();
+  LeaderSample sample;
+  sample.m_loop_late = std::max(Millis{0}, now - m_last_tick - kRoundInterval);
+  sample.m_intake_age = now - m_intake->CompleteAt();
+  sample.m_list_age = now - m_worker_rows->CompleteAt();
+  sample.m_write_age = m_write_pending ? now - m_write_sent : Millis{0};
+  sample.m_queued = static_cast<int>(m_sessions->QueuedCommands());
+  sample.m_open = scheduled.m_open_jobs;
+  sample.m_active = scheduled.m_active_units;
+  LeaderCounts counts;
+  counts.m_rounds = m_rounds;
+  counts.m_polls = m_parts.m_metrics->GetCounter("hq_worker_looks_total").Value();
+  counts.m_starts = static_cast<std::uint64_t>(scheduled.m_starts);
+  counts.m_rows = m_intake->RowsRead() + m_worker_rows->RowsRead();
+  counts.m_scans = m_intake->Scans() + m_worker_rows->Scans();
+  m_last_tick = now;
+  m_report.Update(sample, counts, now);
+}
+
 void SchedulerDriver::CountPhases(const std::vector<jobs::PhaseChange>& phases) {
   const Instant now = m_parts.m_clock->Wall();
   for (const jobs::PhaseChange& change : phases) {
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -14,6 +14,7 @@
 #include "hickoryquay/service/announced_jobs.h"
 #include "hickoryquay/service/evacuation_report.h"
 #include "hickoryquay/service/job_archive.h"
+#include "hickoryquay/service/leader_report.h"
 #include "hickoryquay/service/leadership.h"
 #include "hickoryquay/service/table_names.h"
 #include "hickoryquay/service/worker_sessions.h"
@@ -85,6 +86,7 @@
   bool MaySendStarts() const;
   void SendStarts();
   void ReportGuaranteeStarts();
+  void ReportLoad();
   void CountPhases(const std::vector<jobs::PhaseChange>& phases);
   void ArchiveSettled();
   bool MayPlace() const;
@@ -116,9 +118,12 @@
   bool m_evacuations_known = false;
   bool m_stopped = false;
   bool m_write_pending = false;
-  Instant m_started;         // Time of the election.
-  Instant m_ready_at;        // When m_ready was set.
-  Instant m_last_round;      // Time of the last scheduling round.
+  Instant m_started;   // Time of the election.
+  Instant m_ready_at;  // When m_ready was set.
+  Instant m_last_tick;
+  Instant m_write_sent;  // Of the transaction in flight.
+  Instant m_last_round;  // Time of the last scheduling round.
+  std::uint64_t m_rounds = 0;
   Instant m_last_archiving;  // When settled jobs were last looked for.
   Subscription m_load_timer;
   Subscription m_tick;
@@ -128,6 +133,7 @@
   Counter* m_guarantee_starts_late;
   Counter* m_jobs_announced;
   EvacuationReport m_evacuation_report;
+  LeaderReport m_report;
 };
 
 }  // namespace hickoryquay::service
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -76,6 +76,7 @@
   void Send(const jobs::StopCommand& command);
   void SetRecordedEnds(const jobs::RecordedEnds& ends);  // Ignored if the worker has restarted since.
   void Update();  // Sends the polls that are due. Call after each scheduling round.
+  std::size_t QueuedCommands() const { return m_commands.Queued(); }
 
  private:
   struct Session {
--- a/hickoryquay/store/table_follower.cc
+++ b/hickoryquay/store/table_follower.cc
@@ -41,6 +41,7 @@
   m_scan_has_version = false;
   m_call_time = Millis{0};
   m_most_rows = m_settings.m_max_page_rows;
+  m_scan_began = m_clock->Now();
   Scan();
 }
 
@@ -82,7 +83,14 @@
   m_at = m_scan_version;
   m_synced = true;
   m_current_at = m_clock->Now();
+  m_complete_at = m_scan_began;
   m_following = true;
+  ++m_scans;
+  m_rows_read += m_scanned.size();
+  log::Info(kLog, "Table is read",
+            {{"table", m_settings.m_table},
+             {"rows", std::to_string(m_scanned.size())},
+             {"ms", std::to_string((m_current_at - m_scan_began).count())}});
   m_on_rows(std::exchange(m_scanned, {}), true);
   if (!m_stopped) Follow();
 }
@@ -100,12 +108,13 @@
 void TableFollower::Follow() {
   const Millis wait = m_reachable ? m_settings.m_wait : Millis{0};
   const Millis timeout = m_reachable ? m_settings.m_wait + m_settings.m_timeout : m_settings.m_probe;
-  m_store->Feed(m_settings.m_table, m_at, wait, timeout, [weak = weak_from_this()](Result<RowPage, ReadError> page) {
-    if (const auto self = weak.lock(); self && !self->m_stopped) self->OnFeed(std::move(page));
-  });
+  m_store->Feed(m_settings.m_table, m_at, wait, timeout,
+                [weak = weak_from_this(), sent = m_clock->Now()](Result<RowPage, ReadError> page) {
+                  if (const auto self = weak.lock(); self && !self->m_stopped) self->OnFeed(sent, std::move(page));
+                });
 }
 
-void TableFollower::OnFeed(Result<RowPage, ReadError> result) {
+void TableFollower::OnFeed(Instant sent, Result<RowPage, ReadError> result) {
   if (!Ok(result)) {
     if (!std::holds_alternative<HistoryGone>(ErrorOf(result))) {
       MarkUnreachable("feed", ErrorOf(result));
@@ -118,6 +127,8 @@
   Reached();
   m_at = std::max(m_at, page.m_version);
   m_current_at = m_clock->Now();
+  m_complete_at = sent;
+  m_rows_read += page.m_rows.size();
   std::vector<StoredRow> rows;
   std::copy_if(page.m_rows.begin(), page.m_rows.end(), std::back_inserter(rows), [this](const StoredRow& row) {
     const auto& parts = m_settings.m_parts;
--- a/hickoryquay/store/table_follower.h
+++ b/hickoryquay/store/table_follower.h
@@ -5,6 +5,7 @@
 // page that did not arrive the scan goes on behind the last row, with fewer rows a page.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -46,7 +47,11 @@
   bool Synced() const { return m_synced; }                  // The whole table was read at some time.
   // Steady time of the last answer up to which the rows are complete; a feed without changes counts. 0: not synced yet.
   Instant CurrentAt() const { return m_current_at; }
-  bool Reachable() const { return m_reachable; }  // The last call was answered.
+  // Steady time at which the last answered call was sent: all changes before are known. 0: not synced yet.
+  Instant CompleteAt() const { return m_complete_at; }
+  bool Reachable() const { return m_reachable; }   // The last call was answered.
+  std::uint64_t Scans() const { return m_scans; }  // Complete ones.
+  std::uint64_t RowsRead() const { return m_rows_read; }
   Version At() const { return m_at; }  // Of the store that the rows passed on so far reflect, or a later one.
 
  private:
@@ -55,7 +60,7 @@
   void OnPage(Instant sent, int limit, Result<RowPage, ReadError> page);
   void SizePages(int rows, Millis took);
   void Follow();
-  void OnFeed(Result<RowPage, ReadError> page);
+  void OnFeed(Instant sent, Result<RowPage, ReadError> page);
   void Retry();
   void MarkUnreachable(const char* call, const ReadError& error);
   void Reached();
@@ -78,6 +83,10 @@
   Version m_at{};
   bool m_synced = false;
   Instant m_current_at;
+  Instant m_complete_at;
+  Instant m_scan_began;
+  std::uint64_t m_scans = 0;
+  std::uint64_t m_rows_read = 0;
   bool m_following = false;  // The feed can go on from m_at.
   bool m_stopped = false;
   bool m_reachable = true;
