Net: answers are read in pieces that double up to 64 KB

Cause: Beast reads as much as fits into the buffer of a connection and never grows it beyond 512 bytes. A feed page of 500 worker rows, about 250 KB, is 500 pieces, and each waits for its turn behind all other handlers of a busy loop: at 10 ms a turn the page takes 5 s.

Change: the buffer doubles while pieces fill it, and shrinks when the connection becomes idle. Elsewhere: requests to our server are read into 4 KB from the start; the inner protocol reads whole frames already.

Evidence: net_busy_open, LargeAnswerIsReadInFewPieces: 586 pieces for 300 KB before, passes now (60 at most). The other case of that test stays red.

--- a/hickoryquay/net/client.cc
+++ b/hickoryquay/net/client.cc
@@ -1,5 +1,6 @@
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -26,6 +27,9 @@
 
 using Deadline = std::chrono::steady_clock::time_point;
 
+constexpr std::size_t kLargestPiece = 64 * 1024;  // Of an answer, read at once.
+constexpr std::size_t kKeptBuffer = 4 * 1024;     // Of an idle connection; there are thousands.
+
 struct Call {
   http::request<http::string_body> m_request;
   Deadline m_deadline;
@@ -151,10 +155,17 @@
                             if (error) return self->FailAfterSending(error);
                             if (self->m_parser->is_done()) return self->Succeed();
                             self->OnProgress();
+                            self->GrowBuffer(received);
                             self->ReadSome();
                           });
   }
 
+  // Each piece waits for a turn of the event loop, and Beast reads no more than fits into the buffer as it is.
+  void GrowBuffer(std::size_t received) {
+    const std::size_t now = m_buffer.capacity();
+    if (2 * received >= now && now < kLargestPiece) m_buffer.reserve(std::min(kLargestPiece, 2 * now));
+  }
+
   void OnProgress() {
     if (m_call->m_large_answer) {
       const Deadline latest = m_started + m_client->m_settings.m_longest_answer;
@@ -167,6 +178,7 @@
   void Succeed() {
     auto message = m_parser->release();
     const bool reusable = message.keep_alive() && m_buffer.size() == 0;
+    if (m_buffer.capacity() > kKeptBuffer) m_buffer.shrink_to_fit();
     const auto call = std::move(m_call);
     m_stream.expires_never();
     m_idle_since = std::chrono::steady_clock::now();
--- a/hickoryquay/net/server.cc
+++ b/hickoryquay/net/server.cc
@@ -24,6 +24,7 @@
 
 namespace {
 
+constexpr std::size_t kRequestBuffer = 4 * 1024;  // Each read of a request takes no more than fits.
 constexpr std::chrono::seconds kTlsShutdownTimeout{2};
 
 HttpRequest FromBeast(http::request<http::string_body>&& message) {
@@ -159,6 +160,7 @@
 
   void Read() {
     m_parser.emplace();
+    m_buffer.reserve(kRequestBuffer);
     m_parser->body_limit(m_server->m_settings.m_max_body_bytes);
     m_parser->header_limit(static_cast<std::uint32_t>(m_server->m_settings.m_max_header_bytes));
     Lowest().expires_after(m_server->m_settings.m_idle_timeout);
