Net: an answer that has arrived is no timeout, however late it is read

Callers would see gangs stopped and workers or whole failure domains given up while all of them answer: at 1,100 workers a busy loop takes 128 ready sockets from the kernel, then its timers, and closes calls whose answers are among the rest. Each false timeout sends the start again, stops its gang or opens a new connection, which is more work for the process that is short of time.

Cause: Beast's limit of a stream closes it without a look at what has arrived.

Change: each connection has one timer, which looks at the call's deadline when it fires. Where bytes wait unread the call gets a few more turns, at most 0.3 s. The timer stays armed between calls, so that a call costs no timer of its own.

--- a/hickoryquay/net/client.cc
+++ b/hickoryquay/net/client.cc
@@ -29,6 +29,8 @@
 
 constexpr std::size_t kLargestPiece = 64 * 1024;  // Of an answer, read at once.
 constexpr std::size_t kKeptBuffer = 4 * 1024;     // Of an idle connection; there are thousands.
+constexpr Millis kUnreadGrace{30};                // For an answer that has arrived and waits for its turn to be read.
+constexpr int kMostGraces = 10;                   // Of one call.
 
 struct Call {
   http::request<http::string_body> m_request;
@@ -93,13 +95,18 @@
 class HttpClient::Impl::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(std::shared_ptr<Impl> client, const Endpoint& to)
-      : m_client(std::move(client)), m_to(to), m_stream(asio::make_strand(*m_client->m_io)) {}
+      : m_client(std::move(client)),
+        m_to(to),
+        m_stream(asio::make_strand(*m_client->m_io)),
+        m_limit(m_stream.get_executor()) {}
 
   void Run(std::shared_ptr<Call> call) {
     asio::dispatch(m_stream.get_executor(), [self = shared_from_this(), call = std::move(call)]() mutable {
       self->m_call = std::move(call);
       self->m_started = std::chrono::steady_clock::now();
-      self->m_stream.expires_at(self->m_call->m_deadline);
+      self->m_timed_out = false;
+      self->m_graces = 0;
+      self->SetDeadline(self->m_call->m_deadline);
       if (self->m_stream.socket().is_open() && self->ClosedByPeer()) self->m_stream.socket().close();
       self->m_stream.socket().is_open() ? self->Write() : self->Connect();
     });
@@ -116,6 +123,30 @@
     return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
   }
 
+  // The stream's own limits would close connections whose answers have arrived, if the process was too busy to read.
+  void SetDeadline(Deadline deadline) {
+    m_deadline = deadline;
+    if (m_limit_armed && m_limit.expiry() <= deadline) return;  // It looks at m_deadline when it fires.
+    m_limit_armed = true;
+    m_limit.expires_at(deadline);
+    m_limit.async_wait([weak = weak_from_this()](const beast::error_code& error) {
+      const auto self = weak.lock();
+      if (self && !error) self->OnLimit();
+    });
+  }
+
+  void OnLimit() {
+    m_limit_armed = false;
+    if (!m_call) return;
+    const auto now = std::chrono::steady_clock::now();
+    if (now < m_deadline) return SetDeadline(m_deadline);
+    beast::error_code error;
+    const bool unread = m_stream.socket().is_open() && m_stream.socket().available(error) > 0;
+    if (unread && m_graces++ < kMostGraces) return SetDeadline(now + kUnreadGrace);
+    m_timed_out = true;
+    m_stream.close();  // The operation under way ends.
+  }
+
   void Connect() {
     m_buffer.clear();
     beast::error_code error;
@@ -123,7 +154,7 @@
     if (error) return Fail(NotSent{error.message()});
     m_stream.async_connect(tcp::endpoint(address, m_to.m_port),
                            [self = shared_from_this()](const beast::error_code& failed) {
-                             if (failed == beast::error::timeout) return self->Fail(TimedOut{false});
+                             if (self->m_timed_out) return self->Fail(TimedOut{false});
                              if (failed) return self->Fail(NotSent{failed.message()});
                              beast::error_code ignored;
                              self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -134,6 +165,7 @@
   void Write() {
     http::async_write(m_stream, m_call->m_request,
                       [self = shared_from_this()](const beast::error_code& error, std::size_t written) {
+                        if (error && written == 0 && self->m_timed_out) return self->Fail(TimedOut{false});
                         if (error && written == 0) return self->Fail(NotSent{error.message()});
                         if (error) return self->FailAfterSending(error);
                         self->Read();
@@ -169,7 +201,7 @@
   void OnProgress() {
     if (m_call->m_large_answer) {
       const Deadline latest = m_started + m_client->m_settings.m_longest_answer;
-      m_stream.expires_at(std::min(latest, std::chrono::steady_clock::now() + m_call->m_timeout));
+      SetDeadline(std::min<Deadline>(latest, std::chrono::steady_clock::now() + m_call->m_timeout));
     }
     if (m_call->m_on_progress && m_parser->is_header_done())
       m_call->m_on_progress(static_cast<int>(m_parser->get().result_int()));
@@ -180,14 +212,13 @@
     const bool reusable = message.keep_alive() && m_buffer.size() == 0;
     if (m_buffer.capacity() > kKeptBuffer) m_buffer.shrink_to_fit();
     const auto call = std::move(m_call);
-    m_stream.expires_never();
     m_idle_since = std::chrono::steady_clock::now();
     m_client->Release(m_to, reusable ? shared_from_this() : nullptr);
     call->m_callback(FromBeast(std::move(message)));
   }
 
   void FailAfterSending(const beast::error_code& error) {
-    if (error == beast::error::timeout) return Fail(TimedOut{true, m_received});
+    if (m_timed_out) return Fail(TimedOut{true, m_received});
     const bool http_error = error.category() == make_error_code(http::error::bad_method).category();
     const bool ended = error == http::error::end_of_stream || error == http::error::partial_message;
     if (http_error && !ended) return Fail(Garbled{error.message()});
@@ -207,7 +238,12 @@
   beast::flat_buffer m_buffer;
   std::shared_ptr<Call> m_call;
   std::optional<http::response_parser<http::string_body>> m_parser;
-  std::size_t m_received = 0;                       // Bytes of the answer.
+  std::size_t m_received = 0;  // Bytes of the answer.
+  asio::steady_timer m_limit;  // Of the call; may fire early, and while there is none.
+  bool m_limit_armed = false;
+  Deadline m_deadline;
+  int m_graces = 0;
+  bool m_timed_out = false;
   std::chrono::steady_clock::time_point m_started;  // When the call was taken up.
   std::chrono::steady_clock::time_point m_idle_since;
 };
