Service: heartbeats of workers no longer list all workers again

Change: a row that describes the worker as known is dropped; a changed one reaches only its own session.

--- a/bench/jobs/trial.cc
+++ b/bench/jobs/trial.cc
@@ -57,7 +57,7 @@
 
   TrialResult Run() {
     m_sessions->Start();
-    ListWorkers();
+    for (const auto& [id, entry] : m_listed) m_sessions->List(entry);
     m_tick = m_timers.Every(kDecideEvery, [this] { Work(); });
     m_timers.Advance(kSettle);
     m_from = m_clock.Now();
@@ -83,12 +83,6 @@
     m_timers.After(At(of_day) - m_clock.Now(), std::move(what)).Detach();
   }
 
-  void ListWorkers() {
-    std::vector<jobs::WorkerEntry> entries;
-    for (const auto& [id, entry] : m_listed) entries.push_back(entry);
-    m_sessions->SetListed(entries);
-  }
-
   void PlanJob(std::size_t index) {
     const DayJob& planned = m_day.m_jobs[index];
     m_indices[planned.m_job.m_id] = index;
@@ -127,13 +121,15 @@
     if (found == m_listed.end()) return;
     found->second.m_draining = true;
     found->second.m_remaining = trouble.m_until - trouble.m_from;
-    ListWorkers();
+    m_sessions->List(found->second);
+    Kick();
   }
 
   void Leave(const WorkerId& worker) {
     if (m_listed.erase(worker) == 0) return;
     m_workers->Kill(worker);
-    ListWorkers();
+    m_sessions->Unlist(worker);
+    Kick();
   }
 
   void Sample() {
--- a/bench/leader/leader_experiment.cc
+++ b/bench/leader/leader_experiment.cc
@@ -63,6 +63,7 @@
     settings.m_workers_per_rack = kWorkersPerRack;
     settings.m_racks = std::max(1, arguments.m_workers / kWorkersPerRack);
     settings.m_payload_bytes = 1'000;
+    settings.m_heartbeats = true;
     settings.m_workers.m_stop = Millis{900};
     settings.m_workers.m_longest_lease = Millis{6'000};
     settings.m_cancel_bound = Millis{5'000};
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -165,58 +165,73 @@
   ScheduleRound();
 }
 
+// Most rows are heartbeats, which change nothing here.
 void SchedulerDriver::OnWorkerRows(const std::vector<store::StoredRow>& rows, bool whole) {
-  std::set<std::string> removed;
+  bool changed = false;
+  std::set<std::string> missing;
   if (whole) {
-    for (const auto& [key, worker] : m_workers) removed.insert(key);
+    for (const auto& [key, worker] : m_workers) missing.insert(key);
   }
   for (const auto& row : rows) {
-    const std::string& key = row.m_key.m_key;
-    removed.erase(key);
-    const auto worker = row.m_removed ? std::nullopt : m_parts.m_read_worker(row);
-    if (worker) {
-      m_workers[key] = *worker;
-      m_missing_until.erase(key);
-    } else if (!row.m_removed) {  // Can't be parsed: the worker is dropped.
-      m_workers.erase(key);
-      m_missing_until.erase(key);
-    } else if (m_workers.contains(key)) {
-      removed.insert(key);
-    }
+    missing.erase(row.m_key.m_key);
+    changed = TakeWorkerRow(row) || changed;
   }
-  for (const std::string& key : removed) OnWorkerRowRemoved(key);
+  for (const std::string& key : missing) changed = OnWorkerRowRemoved(key) || changed;
   m_workers_read = true;
-  m_ready ? ListWorkers() : BeginIfLoaded();
+  if (!m_ready) return BeginIfLoaded();
+  if (changed) ScheduleRound();
+}
+
+// Returns whether anything is different now.
+bool SchedulerDriver::TakeWorkerRow(const store::StoredRow& row) {
+  const std::string& key = row.m_key.m_key;
+  if (row.m_removed) return OnWorkerRowRemoved(key);
+  const auto worker = m_parts.m_read_worker(row);
+  const bool returned = m_missing_until.erase(key) > 0;
+  const auto known = m_workers.find(key);
+  if (!worker) {  // Can't be parsed: the worker is dropped.
+    if (known == m_workers.end()) return false;
+    DropWorker(key);
+    return true;
+  }
+  if (known != m_workers.end() && known->second == *worker) return returned;
+  m_workers[key] = *worker;
+  if (m_ready) m_sessions->List(*worker);
+  return true;
 }
 
 // A worker whose row expired during a store outage stays in use if it answers, until kRowReturnWindow is over.
-void SchedulerDriver::OnWorkerRowRemoved(const std::string& key) {
+bool SchedulerDriver::OnWorkerRowRemoved(const std::string& key) {
+  if (!m_workers.contains(key)) return false;
   const Instant now = m_parts.m_clock->Now();
   const bool expired_in_outage = m_ready && m_reachable_since && now - *m_reachable_since < kRowReturnWindow;
   if (!expired_in_outage) {
-    m_workers.erase(key);
-    return;
+    DropWorker(key);
+    return true;
   }
-  if (!m_missing_until.try_emplace(key, *m_reachable_since + kRowReturnWindow).second) return;
+  if (!m_missing_until.try_emplace(key, *m_reachable_since + kRowReturnWindow).second) return false;
   const WorkerId& worker = m_workers.at(key).m_id;
   log::Info(kLog, "Worker row expired during a store outage, polling the worker", {{"worker", worker.m_value}});
   m_sessions->MarkSuspect(worker);
+  return true;
 }
 
-void SchedulerDriver::DropExpiredWorkers() {
-  const Instant now = m_parts.m_clock->Now();
-  const std::size_t dropped = std::erase_if(m_missing_until, [&](const auto& entry) {
-    if (now < entry.second) return false;
-    m_workers.erase(entry.first);
-    return true;
-  });
-  if (dropped > 0) ListWorkers();
+void SchedulerDriver::DropWorker(const std::string& key) {
+  const auto found = m_workers.find(key);
+  if (m_ready) m_sessions->Unlist(found->second.m_id);
+  m_workers.erase(found);
 }
 
-void SchedulerDriver::ListWorkers() {
-  std::vector<jobs::WorkerEntry> workers;
-  for (const auto& [key, worker] : m_workers) workers.push_back(worker);
-  m_sessions->SetListed(workers);
+void SchedulerDriver::DropExpiredWorkers() {
+  const Instant now = m_parts.m_clock->Now();
+  std::vector<std::string> expired;
+  for (const auto& [key, until] : m_missing_until) {
+    if (now >= until) expired.push_back(key);
+  }
+  for (const std::string& key : expired) {
+    m_missing_until.erase(key);
+    if (m_workers.contains(key)) DropWorker(key);
+  }
 }
 
 // Tells how far the load has come, so that a slow one can be told from one that stands still.
@@ -287,7 +302,7 @@
              {"workers", std::to_string(m_workers.size())}});
   m_state_rows.clear();
   const auto buffered = std::exchange(m_buffered_intake, {});
-  ListWorkers();
+  for (const auto& [key, worker] : m_workers) m_sessions->List(worker);
   for (const auto& [id, address] : m_scheduler.OccupiedWorkers()) m_sessions->AddUnlisted(id, address);
   m_sessions->Start();
   ArchiveSettings archive;
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -75,9 +75,10 @@
   void OnIntakeRows(const std::vector<store::StoredRow>& rows, bool whole);
   void OnStateRows(const std::vector<store::StoredRow>& rows);
   void OnWorkerRows(const std::vector<store::StoredRow>& rows, bool whole);
-  void OnWorkerRowRemoved(const std::string& key);
+  bool TakeWorkerRow(const store::StoredRow& row);
+  bool OnWorkerRowRemoved(const std::string& key);
   void DropExpiredWorkers();
-  void ListWorkers();
+  void DropWorker(const std::string& key);
   void ReportLoading();
   void BeginIfLoaded();
   void ScheduleRound();
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -55,28 +55,24 @@
   m_tick.Cancel();
 }
 
-void WorkerSessions::SetListed(const std::vector<jobs::WorkerEntry>& workers) {
-  std::set<WorkerId> listed;
-  for (const jobs::WorkerEntry& worker : workers) {
-    listed.insert(worker.m_id);
-    auto& session = m_sessions[worker.m_id];
-    if (!session) {
-      session = std::make_shared<Session>();
-      session->m_created = m_clock->Now();
-      session->m_lease_end = LatestLeaseEnd(m_started + m_settings.m_prior_grant_window);
-    }
-    OnRow(worker, session.get());
-    session->m_listed = true;
-    m_scheduler->OnWorkerListed(worker, Time());
-  }
-  for (auto& [id, session] : m_sessions) {
-    if (!session->m_listed || listed.contains(id)) continue;
-    session->m_listed = false;
-    log::Info(kLog, "Worker is no longer listed", {{"worker", id.m_value}});
-    m_scheduler->OnWorkerUnlisted(id);
-    m_last_listing = Instant{};  // Request the list of live workers at once.
+void WorkerSessions::List(const jobs::WorkerEntry& worker) {
+  auto& session = m_sessions[worker.m_id];
+  if (!session) {
+    session = std::make_shared<Session>();
+    session->m_created = m_clock->Now();
+    session->m_lease_end = LatestLeaseEnd(m_started + m_settings.m_prior_grant_window);
   }
-  m_events.m_changed();
+  OnRow(worker, session.get());
+  session->m_listed = true;
+  m_scheduler->OnWorkerListed(worker, Time());
+}
+
+void WorkerSessions::Unlist(const WorkerId& worker) {
+  const auto found = m_sessions.find(worker);
+  if (found == m_sessions.end() || !std::exchange(found->second->m_listed, false)) return;
+  log::Info(kLog, "Worker is no longer listed", {{"worker", worker.m_value}});
+  m_scheduler->OnWorkerUnlisted(worker);
+  m_last_listing = Instant{};  // Request the list of live workers at once.
 }
 
 void WorkerSessions::AddUnlisted(const WorkerId& id, const std::string& address) {
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -61,8 +61,9 @@
   void Start();
   void Stop();
 
-  // Sets the complete list of workers. Call on each change.
-  void SetListed(const std::vector<jobs::WorkerEntry>& workers);
+  // The worker is listed, or its entry has changed.
+  void List(const jobs::WorkerEntry& worker);
+  void Unlist(const WorkerId& worker);
 
   // Adds a worker that stored rows refer to and that is not listed. Its tasks may still run.
   void AddUnlisted(const WorkerId& id, const std::string& address);
--- a/standin/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -16,8 +16,9 @@
 constexpr const char* kEvacuationPrefix = "evacuated/";  // Of keys in that table.
 constexpr Millis kExchangeInterval{1'000};               // As the heartbeats between peers.
 constexpr Millis kAnnounceDelay{1};
-constexpr Millis kLateCopyDelay{40'000};            // Longer than a scheduler remembers an archived job.
-constexpr Millis kHeartbeat{1'500};                 // Of workers, in their rows.
+constexpr Millis kLateCopyDelay{40'000};  // Longer than a scheduler remembers an archived job.
+constexpr Millis kHeartbeat{1'500};       // Of workers, in their rows.
+constexpr Millis kHeartbeatSlice{20};
 constexpr Millis kRowRemovalDelay{3 * kHeartbeat};  // Three missed heartbeats.
 constexpr Millis kCrashedFor{3'000};                // Until a crashed worker is back.
 constexpr Millis kRowDelay{100};                    // Until its row follows.
@@ -61,6 +62,7 @@
       AddWorker(WorkerOf(rack, i), "r" + std::to_string(rack), settings.m_speeds[Slot(i) % settings.m_speeds.size()]);
     }
   }
+  if (settings.m_heartbeats) m_heartbeats = m_timers.Every(kHeartbeatSlice, [this] { WriteHeartbeats(); });
   for (int i = 0; i < settings.m_instances; ++i) {
     m_clients.push_back(std::make_unique<standin::SimStoreClient>(m_store.get()));
     m_clients.back()->SetLink(settings.m_link_bytes_per_ms);
@@ -215,6 +217,16 @@
   m_store->Put({kWorkerTable, "", entry.m_id.m_value}, Text(entry));
 }
 
+// The next share of the workers, so that each writes once every kHeartbeat.
+void SimCluster::WriteHeartbeats() {
+  const std::size_t slices = static_cast<std::size_t>(kHeartbeat / kHeartbeatSlice);
+  for (std::size_t left = m_worker_ids.size() / slices + 1; left > 0; --left) {
+    const WorkerId& id = m_worker_ids[m_next_heartbeat++ % m_worker_ids.size()];
+    const auto entry = m_entries.find(id);
+    if (entry != m_entries.end() && m_workers->IsAlive(id)) PutWorkerRow(entry->second);
+  }
+}
+
 void SimCluster::AddWorker(const WorkerId& id, const std::string& rack, double speed) {
   jobs::WorkerEntry entry;
   entry.m_id = id;
--- a/standin/sim_cluster.h
+++ b/standin/sim_cluster.h
@@ -30,6 +30,7 @@
   bool m_workers_report_born = false;  // Workers tell when they started; needed for RestartWorkerInPlace.
   std::vector<double> m_speeds{1.0};   // Of the workers of a rack; repeated if there are more workers.
   standin::SimSettings m_workers;
+  bool m_heartbeats = false;    // Workers write their rows again every 1.5 s, as those of the platform do.
   int m_link_bytes_per_ms = 0;  // Of each instance, to the store; 0: answers arrive at once.
   std::size_t m_payload_bytes = 7;
   std::uint64_t m_random_seed = 1;
@@ -121,6 +122,7 @@
   void Announce(JobId job, const std::string& row, Version stored);
   void PutWorkerRow(const jobs::WorkerEntry& entry);
   void OnCrash(const WorkerId& id);
+  void WriteHeartbeats();
 
   ClusterSettings m_settings;
   ManualClock m_clock;
@@ -139,6 +141,8 @@
   std::uint64_t m_next_job = 1;
   std::uint64_t m_next_ended_job = 1'000'000;
   int m_incarnations = 0;
+  std::size_t m_next_heartbeat = 0;  // Index of a worker.
+  Subscription m_heartbeats;
   int m_crashes = 0;  // Names workers that return under another id.
 };
 
