Service: starts wait while the leader's view is older than the terms allow

Callers saw starts of cancelled jobs and on leaving workers whenever a feed was late: by reading in small pieces, by a short processor, by anything that comes next.

Cause: the leader didn't know how old what it knows is. The list of workers counted as young for 3 s from the arrival of an answer, whenever the store had given it, also where starts must end 2 s after the announcement; cancels had no age at all, only "the last call was answered".

Change: the store tells its steady clock with each answer, which gives the moment that the answer describes (StoreClock). Before each placement and each sending, the ages of both views are compared with what was promised, [terms] cancel and drain, less the time that a start is under way (StartView); older ones hold starts back, stops go on. Feeds of a quiet table are asked for three answers within that age. Feeds that bring rows pause for 50 ms (accepted jobs) and 150 ms (workers) between calls, so that heartbeats come together. Log lines and hq_views_old_total tell when starts wait.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -158,8 +158,9 @@
   void OnStartAnswer(const StartCommand& command, StartOutcome outcome, Now now);
   void OnStopAnswer(const StopCommand& command, StopOutcome outcome, Now now);
 
-  // Places waiting units and starts preemptions. Call after every event, and at least every 100 ms.
-  void Decide(Now now);
+  // Places waiting units and starts preemptions, unless `places` is false. Call after every event, and at least every
+  // 100 ms.
+  void Decide(Now now, bool places = true);
 
   // Starts without an answer, to be sent again unchanged; a worker that already has the run accepts them.
   std::vector<StartCommand> TakeResends(Instant now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -110,10 +110,11 @@
   }
 }
 
-void Scheduler::Decide(Now now) {
+void Scheduler::Decide(Now now, bool places) {
   ForgetArchivedJobs(now);
   EvacuateDraining(now);
   ReturnWorkers(now);
+  if (!places) return;
   m_racks.clear();
   m_paces.clear();
   m_guarantees = m_configuration ? Guarantees(m_jobs, *m_configuration) : Guarantees();
--- a/hickoryquay/service/command_queue.cc
+++ b/hickoryquay/service/command_queue.cc
@@ -5,14 +5,14 @@
 
 namespace hickoryquay::service {
 
-std::optional<CommandQueue::Command> CommandQueue::Next() {
+std::optional<CommandQueue::Command> CommandQueue::Next(bool starts) {
   if (m_in_flight >= Window()) return std::nullopt;
   if (!m_stops.empty()) {
     Command next = std::move(m_stops.front());
     m_stops.pop_front();
     return next;
   }
-  if (m_starts.empty()) return std::nullopt;
+  if (!starts || m_starts.empty()) return std::nullopt;
   auto& first = m_starts.begin()->second;
   Command next = std::move(first.front().m_start);
   first.pop_front();
--- a/hickoryquay/service/command_queue.h
+++ b/hickoryquay/service/command_queue.h
@@ -39,8 +39,9 @@
   // Removes and returns the starts that have waited longer than m_longest_queued.
   std::vector<jobs::StartCommand> TakeExpired(Instant now);
 
-  // Removes and returns the next command; empty if there is none or the window is full.
-  std::optional<Command> Next();
+  // Removes and returns the next command; empty if there is none or the window is full. Starts wait if `starts` is
+  // false.
+  std::optional<Command> Next(bool starts = true);
   void OnSent() { ++m_in_flight; }
   void OnAnswer(Millis took, Instant now);  // Also when a command gets no answer.
 
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -55,6 +55,8 @@
   driver.m_scheduler.m_preemption.m_restore = terms.m_restore;
   driver.m_keep_ended = terms.m_keep_ended;
   driver.m_evacuate = terms.m_evacuate;
+  driver.m_start_terms.m_cancel = terms.m_cancel;
+  driver.m_start_terms.m_drain = terms.m_drain;
   driver.m_sessions.m_lease = std::min(driver.m_sessions.m_lease, terms.m_longest_lease);
   // The previous leader may have extended leases until m_grant_window after its last renewal. The takeover came at
   // least m_takeover_after after that renewal.
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -53,6 +53,7 @@
       m_guarantee_start_s(&parts.m_metrics->GetDistribution("hq_guarantee_start_seconds")),
       m_guarantee_starts_late(&parts.m_metrics->GetCounter("hq_guarantee_starts_late_total")),
       m_jobs_announced(&parts.m_metrics->GetCounter("hq_jobs_announced_total")),
+      m_views_old(&parts.m_metrics->GetCounter("hq_views_old_total")),
       m_evacuation_report(parts.m_metrics),
       m_report(parts.m_metrics, parts.m_clock->Now()) {
   // Started later, a task could arrive in a domain whose evacuation is in force already.
@@ -66,11 +67,14 @@
 void SchedulerDriver::Start() {
   m_started = m_parts.m_clock->Now();
   const auto weak = weak_from_this();
-  const auto follow = [this](const std::string& table, std::vector<std::string> parts,
+  const StartTerms& terms = m_settings.m_start_terms;
+  const auto follow = [this](const std::string& table, std::vector<std::string> parts, Millis longest_age, Millis pause,
                              store::TableFollower::OnRows on_rows,
                              store::TableFollower::OnReachable on_reachable = nullptr) {
     store::FollowerSettings settings;
     settings.m_table = table;
+    settings.m_wait = m_settings.m_start_terms.LongestWait(longest_age, settings.m_wait);
+    settings.m_pause = pause;
     settings.m_parts = std::move(parts);
     auto follower = std::make_shared<store::TableFollower>(m_parts.m_store, m_parts.m_timers, m_parts.m_clock, settings,
                                                            std::move(on_rows), std::move(on_reachable));
@@ -78,16 +82,16 @@
     return follower;
   };
   using Rows = std::vector<store::StoredRow>;
-  m_state =
-      follow(m_settings.m_tables.m_state, {m_settings.m_tables.m_leader_part}, [weak](const Rows& rows, bool whole) {
-        if (const auto self = weak.lock(); self && whole) self->OnStateRows(rows);
-      });
-  m_intake =
-      follow(m_settings.m_tables.m_intake, m_settings.m_tables.AllIntakeParts(), [weak](const Rows& rows, bool whole) {
-        if (const auto self = weak.lock()) self->OnIntakeRows(rows, whole);
-      });
+  m_state = follow(m_settings.m_tables.m_state, {m_settings.m_tables.m_leader_part}, terms.LongestIntakeAge(),
+                   Millis{0}, [weak](const Rows& rows, bool whole) {
+                     if (const auto self = weak.lock(); self && whole) self->OnStateRows(rows);
+                   });
+  m_intake = follow(m_settings.m_tables.m_intake, m_settings.m_tables.AllIntakeParts(), terms.LongestIntakeAge(),
+                    m_settings.m_intake_pause, [weak](const Rows& rows, bool whole) {
+                      if (const auto self = weak.lock()) self->OnIntakeRows(rows, whole);
+                    });
   m_worker_rows = follow(
-      m_settings.m_worker_table, {""},
+      m_settings.m_worker_table, {""}, terms.LongestListAge(), m_settings.m_workers_pause,
       [weak](const Rows& rows, bool whole) {
         if (const auto self = weak.lock()) self->OnWorkerRows(rows, whole);
       },
@@ -295,7 +299,7 @@
       m_leadership->CurrentEpoch(), m_parts.m_metrics,
       WorkerSessions::Events{[this] { ScheduleRound(); },
                              [this] { m_events.m_fenced("a worker has seen a higher epoch"); },
-                             [this] { return m_leadership->MayGrant(); }});
+                             [this] { return m_leadership->MayGrant(); }, [this] { return MaySendStarts(); }});
   log::Info(kLog, "Tables are loaded",
             {{"intake", std::to_string(m_buffered_intake.size())},
              {"state", std::to_string(m_state_rows.size())},
@@ -346,7 +350,8 @@
   DropExpiredWorkers();
   m_last_round = m_parts.m_clock->Now();
   ++m_rounds;
-  if (MayPlace()) m_scheduler.Decide(Time());
+  NoteStartView();
+  if (MayPlace()) m_scheduler.Decide(Time(), MayStart());
   m_evacuation_report.Update(m_scheduler.EvacuatedDomains());
   ReportGuaranteeStarts();
   for (const jobs::StopCommand& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
@@ -395,12 +400,23 @@
   if (!settled.empty()) m_archive->Add(settled);
 }
 
-// A start that was stored at the end of an outage would leave before the changes during the outage are read: a worker
-// may have shrunk or begun to drain, a job may have been cancelled.
-bool SchedulerDriver::MaySendStarts() const {
-  return m_intake->Reachable() && m_parts.m_clock->Now() - m_worker_rows->CurrentAt() <= m_settings.m_max_list_age;
+bool SchedulerDriver::MayStart() const {
+  return View().MayStart(m_settings.m_start_terms, m_parts.m_clock->Now());
 }
 
+void SchedulerDriver::NoteStartView() {
+  const bool old = !MayStart();
+  if (std::exchange(m_view_is_old, old) == old) return;
+  const Instant now = m_parts.m_clock->Now();
+  const StartView view = View();
+  if (old) m_views_old->Add();
+  log::Info(kLog, old ? "What is known is too old, starts wait" : "Starts go on",
+            {{"intake_age_ms", std::to_string((now - view.m_intake).count())},
+             {"list_age_ms", std::to_string((now - view.m_workers).count())}});
+}
+
+// A start that was stored at the end of an outage would leave before the changes during the outage are read: a worker
+// may have shrunk or begun to drain, a job may have been cancelled.
 void SchedulerDriver::SendStarts() {
   if (!MaySendStarts()) return;
   for (const jobs::StartCommand& start : std::exchange(m_held_starts, {})) m_sessions->Send(start);
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -16,6 +16,7 @@
 #include "hickoryquay/service/job_archive.h"
 #include "hickoryquay/service/leader_report.h"
 #include "hickoryquay/service/leadership.h"
+#include "hickoryquay/service/start_view.h"
 #include "hickoryquay/service/table_names.h"
 #include "hickoryquay/service/worker_sessions.h"
 #include "hickoryquay/store/table_follower.h"
@@ -32,8 +33,10 @@
   SessionSettings m_sessions;
   Millis m_keep_ended{120'000};  // Phases of ended jobs are kept this long.
   Millis m_evacuate{0};          // Bound after which nothing starts in an evacuated domain; 0: none is evacuated.
-  // Starts are sent only while the list of workers is no older. Longer than its follower waits for a change.
-  Millis m_max_list_age{3'000};
+  StartTerms m_start_terms;
+  // From one call of a feed to the next if the first brought rows. Accepted jobs and cancels are announced as well.
+  Millis m_intake_pause{50};
+  Millis m_workers_pause{150};
   Millis m_evacuation_wait{1'000};  // Longest wait for the first SetEvacuated, since the store may be unreachable.
 };
 
@@ -84,10 +87,13 @@
   void ScheduleRound();
   void RunRound();
   void OnStored(const jobs::Batch& batch);
-  bool MaySendStarts() const;
+  bool MayStart() const;
+  bool MaySendStarts() const { return m_intake->Reachable() && MayStart(); }
+  void NoteStartView();
   void SendStarts();
   void ReportGuaranteeStarts();
   void ReportLoad();
+  StartView View() const { return {m_intake->CompleteAt(), m_worker_rows->CompleteAt()}; }
   void CountPhases(const std::vector<jobs::PhaseChange>& phases);
   void ArchiveSettled();
   bool MayPlace() const;
@@ -119,6 +125,7 @@
   bool m_evacuations_known = false;
   bool m_stopped = false;
   bool m_write_pending = false;
+  bool m_view_is_old = false;
   Instant m_started;   // Time of the election.
   Instant m_ready_at;  // When m_ready was set.
   Instant m_last_tick;
@@ -133,6 +140,7 @@
   Distribution* m_guarantee_start_s;
   Counter* m_guarantee_starts_late;
   Counter* m_jobs_announced;
+  Counter* m_views_old;
   EvacuationReport m_evacuation_report;
   LeaderReport m_report;
 };
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -127,7 +127,8 @@
   for (const jobs::StartCommand& start : m_commands.TakeExpired(m_clock->Now())) {
     m_scheduler->OnStartWithheld(start, Time());
   }
-  while (const auto command = m_commands.Next()) {
+  // Asked anew for each: a start may follow a pause of this process.
+  while (const auto command = m_commands.Next(m_events.m_may_start())) {
     std::visit([this](const auto& next) { SendNow(next); }, *command);
   }
 }
@@ -318,6 +319,7 @@
 //-------------------------------------------------------------------------------------------------
 
 void WorkerSessions::Update() {
+  SendCommands();
   ProbeLostDomains();
   const Sessions sessions = m_sessions;  // Copy: UpdateOne may erase a session.
   for (const auto& [id, session] : sessions) UpdateOne(id, session);
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -52,6 +52,7 @@
     std::function<void()> m_changed;    // Events were passed to the scheduler: decide again.
     std::function<void()> m_fenced;     // A worker has seen a higher epoch.
     std::function<bool()> m_may_grant;  // Whether leases may be extended.
+    std::function<bool()> m_may_start;  // Whether starts may be sent; others wait.
   };
 
   WorkerSessions(jobs::Scheduler* scheduler, jobs::WorkerApi* api, jobs::WorkerDirectory* directory,
@@ -72,7 +73,8 @@
   // its answer or failure decides.
   void MarkSuspect(const WorkerId& worker);
 
-  // Commands are sent as the link carries them (see command_queue.h), starts unless they are withdrawn before.
+  // Commands are sent as the link carries them (see command_queue.h), starts while m_may_start allows it and unless
+  // they are withdrawn before.
   void Send(const jobs::StartCommand& command);
   void Send(const jobs::StopCommand& command);
   void SetRecordedEnds(const jobs::RecordedEnds& ends);  // Ignored if the worker has restarted since.
--- a/hickoryquay/settings/node_settings.cc
+++ b/hickoryquay/settings/node_settings.cc
@@ -84,6 +84,8 @@
           {"terms", "restore", Need::kOptional, FractionOf(&All::m_terms, &S::m_restore)},
           {"terms", "keep_ended", Need::kOptional, FractionOf(&All::m_terms, &S::m_keep_ended)},
           {"terms", "evacuate", Need::kOptional, FractionOf(&All::m_terms, &S::m_evacuate)},
+          {"terms", "cancel", Need::kOptional, FractionOf(&All::m_terms, &S::m_cancel)},
+          {"terms", "drain", Need::kOptional, FractionOf(&All::m_terms, &S::m_drain)},
           {"terms", "remote_factor", Need::kOptional,
            Number(&All::m_terms, &S::m_remote_factor, 1.0, kMostRemote, "expected a number from 1 to 100")}};
 }
--- a/hickoryquay/settings/node_settings.h
+++ b/hickoryquay/settings/node_settings.h
@@ -58,6 +58,8 @@
   Millis m_restore{250};          // What a start from a checkpoint costs.
   Millis m_keep_ended{120'000};   // The state of an ended job can be asked for this long.
   Millis m_evacuate{0};           // No task is started in an evacuated failure domain after this; 0: none is evacuated.
+  Millis m_cancel{3'000};         // Nothing of a cancelled job is started later than this.
+  Millis m_drain{2'000};          // Nothing is started later than this on a worker that has announced its leaving.
   double m_remote_factor = 3.0;   // Slowdown of work away from its data, and of gangs across racks.
 };
 
--- a/hickoryquay/store/table_follower.cc
+++ b/hickoryquay/store/table_follower.cc
@@ -31,6 +31,7 @@
 void TableFollower::Stop() {
   m_stopped = true;
   m_retry.Cancel();
+  m_next.Cancel();
 }
 
 void TableFollower::ScanAnew() {
@@ -72,7 +73,11 @@
   SizePages(static_cast<int>(page.m_rows.size()), m_clock->Now() - sent);
   Reached();
   // Changes between two pages come again through the feed, which starts at the version of the first.
-  if (!std::exchange(m_scan_has_version, true)) m_scan_version = page.m_version;
+  const Instant answered = m_store_clock.AnsweredAt(page.m_answered, sent, m_clock->Now());
+  if (!std::exchange(m_scan_has_version, true)) {
+    m_scan_version = page.m_version;
+    m_scan_complete_at = answered;
+  }
   std::move(page.m_rows.begin(), page.m_rows.end(), std::back_inserter(m_scanned));
   if (page.m_more && !page.m_rows.empty()) {
     m_scan_from = m_scanned.back().m_key.m_key + '\0';
@@ -83,7 +88,7 @@
   m_at = m_scan_version;
   m_synced = true;
   m_current_at = m_clock->Now();
-  m_complete_at = m_scan_began;
+  m_complete_at = m_scan_complete_at;
   m_following = true;
   ++m_scans;
   m_rows_read += m_scanned.size();
@@ -127,7 +132,7 @@
   Reached();
   m_at = std::max(m_at, page.m_version);
   m_current_at = m_clock->Now();
-  m_complete_at = sent;
+  m_complete_at = m_store_clock.AnsweredAt(page.m_answered, sent, m_current_at);
   m_rows_read += page.m_rows.size();
   std::vector<StoredRow> rows;
   std::copy_if(page.m_rows.begin(), page.m_rows.end(), std::back_inserter(rows), [this](const StoredRow& row) {
@@ -135,7 +140,16 @@
     return std::find(parts.begin(), parts.end(), row.m_key.m_part) != parts.end();
   });
   if (!rows.empty()) m_on_rows(rows, false);
-  if (!m_stopped) Follow();
+  if (m_stopped) return;
+  page.m_rows.empty() ? Follow() : FollowLater(sent);
+}
+
+void TableFollower::FollowLater(Instant sent) {
+  const Millis left = m_settings.m_pause - (m_clock->Now() - sent);
+  if (left.count() <= 0) return Follow();
+  m_next = m_timers->After(left, [weak = weak_from_this()] {
+    if (const auto self = weak.lock(); self && !self->m_stopped) self->Follow();
+  });
 }
 
 void TableFollower::MarkUnreachable(const char* call, const ReadError& error) {
--- a/hickoryquay/store/table_follower.h
+++ b/hickoryquay/store/table_follower.h
@@ -14,12 +14,14 @@
 #include "hickoryquay/base/log.h"
 #include "hickoryquay/base/timer_service.h"
 #include "hickoryquay/store/row_store.h"
+#include "hickoryquay/store/store_clock.h"
 
 namespace hickoryquay::store {
 
 struct FollowerSettings {
   std::string m_table;
   std::vector<std::string> m_parts{""};
+  Millis m_pause{0};          // From one feed call to the next if the first brought rows, so that more come at a time.
   Millis m_wait{2'000};       // Of one feed call. A connection that went silent is noticed this much later.
   Millis m_timeout{1'000};    // Of a call, beyond its wait.
   Millis m_probe{600};        // Of a feed call while the store is away, which does not wait: a slow store takes 300 ms.
@@ -47,7 +49,7 @@
   bool Synced() const { return m_synced; }                  // The whole table was read at some time.
   // Steady time of the last answer up to which the rows are complete; a feed without changes counts. 0: not synced yet.
   Instant CurrentAt() const { return m_current_at; }
-  // Steady time at which the last answered call was sent: all changes before are known. 0: not synced yet.
+  // Steady time up to which all changes are known: when the store gave the last answer. 0: not synced yet.
   Instant CompleteAt() const { return m_complete_at; }
   bool Reachable() const { return m_reachable; }   // The last call was answered.
   std::uint64_t Scans() const { return m_scans; }  // Complete ones.
@@ -58,6 +60,7 @@
   void Scan();  // Reads the next page.
   void ScanAnew();
   void OnPage(Instant sent, int limit, Result<RowPage, ReadError> page);
+  void FollowLater(Instant sent);
   void SizePages(int rows, Millis took);
   void Follow();
   void OnFeed(Instant sent, Result<RowPage, ReadError> page);
@@ -85,6 +88,8 @@
   Instant m_current_at;
   Instant m_complete_at;
   Instant m_scan_began;
+  Instant m_scan_complete_at;  // Of its first page: changes since then come through the feed.
+  StoreClock m_store_clock;
   std::uint64_t m_scans = 0;
   std::uint64_t m_rows_read = 0;
   bool m_following = false;  // The feed can go on from m_at.
@@ -92,6 +97,7 @@
   bool m_reachable = true;
   Millis m_delay{0};
   Subscription m_retry;
+  Subscription m_next;
 };
 
 }  // namespace hickoryquay::store
--- a/standin/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -102,6 +102,8 @@
   DriverSettings driver;
   driver.m_worker_table = kWorkerTable;
   driver.m_evacuate = m_settings.m_evacuate;
+  driver.m_start_terms.m_cancel = m_settings.m_cancel_bound;
+  driver.m_start_terms.m_drain = m_settings.m_drain_bound;
   driver.m_scheduler.m_preemption.m_stop_timeout = m_settings.m_workers.m_stop;
   driver.m_sessions.m_lease = std::min(driver.m_sessions.m_lease, m_settings.m_workers.m_longest_lease);
   const auto elected = [this, self, driver](Epoch) {
--- a/standin/sim_store.cc
+++ b/standin/sim_store.cc
@@ -66,6 +66,7 @@
 Result<store::RowPage, store::ReadError> SimStore::Page(const store::RowRange& range, int limit) const {
   store::RowPage page;
   page.m_version = m_version;
+  page.m_answered = StoreTime();
   std::int64_t bytes = 0;
   for (auto it = m_rows.lower_bound({range.m_table, range.m_part, range.m_from}); it != m_rows.end(); ++it) {
     const store::RowKey& key = it->first;
@@ -86,6 +87,7 @@
   if (after < m_history_from) return store::ReadError{store::HistoryGone{}};
   store::RowPage page;
   page.m_version = m_version;
+  page.m_answered = StoreTime();
   for (const store::StoredRow& row : m_history) {
     if (row.m_version > after && row.m_key.m_table == table) page.m_rows.push_back(row);
   }
@@ -219,7 +221,7 @@
                               store::ReadCallback callback) {
   auto page = m_store->Changes(table, after);
   const bool held = m_store->m_clock->Now() < m_store->m_feeds_held_until;
-  if (held) page = store::RowPage{{}, false, after};
+  if (held) page = store::RowPage{{}, false, after, m_store->StoreTime()};
   if (!Ok(page) || !ValueOf(page).m_rows.empty() || left.count() <= 0) {
     m_store->m_timers
         ->After(m_store->m_settings.m_latency + m_feed_delay,
--- a/standin/sim_store.h
+++ b/standin/sim_store.h
@@ -36,6 +36,8 @@
 
 // Not thread-safe.
 class SimStore {
+  static constexpr Millis kClockAhead{12'345};  // Of its own clock.
+
  public:
   SimStore(TimerService* timers, const Clock* clock, const SimStoreSettings& settings)
       : m_timers(timers), m_clock(clock), m_settings(settings), m_random(settings.m_random_seed) {}
@@ -55,6 +57,7 @@
   Result<Version, store::TransactError> Apply(const store::Transaction& transaction);
   Result<store::RowPage, store::ReadError> Page(const store::RowRange& range, int limit) const;
   Result<store::RowPage, store::ReadError> Changes(const std::string& table, Version after) const;
+  Instant StoreTime() const { return m_clock->Now() + kClockAhead; }
   Version Next() { return m_version = Version{Raw(m_version) + 1}; }
   bool Chance(double share) { return std::uniform_real_distribution<>(0.0, 1.0)(m_random) < share; }
 
--- a/tests/settings/node_settings_test.cc
+++ b/tests/settings/node_settings_test.cc
@@ -30,13 +30,15 @@
   void TermsTakeFractions() {
     const auto read =
         Read(std::string(kNode) + "grace = 4.5s\nseeds = 10.0.0.1:3, 10.0.0.5:3\n" + kStore +
-             "[terms]\nlongest_lease = 6000ms\nrestore = 250.0ms\nevacuate = 5000ms\nremote_factor = 3.0\n");
+             "[terms]\nlongest_lease = 6000ms\nrestore = 250.0ms\nevacuate = 5000ms\ncancel = 5000ms\ndrain = 1.5s\nremote_factor = 3.0\n");
     CPPUNIT_ASSERT_MESSAGE(Ok(read) ? "" : ToString(ErrorOf(read)), Ok(read));
     CPPUNIT_ASSERT(ValueOf(read).m_node.m_grace == Millis{4'500});
     CPPUNIT_ASSERT(ValueOf(read).m_terms.m_longest_lease == Millis{6'000});
     CPPUNIT_ASSERT(ValueOf(read).m_terms.m_restore == Millis{250});
     CPPUNIT_ASSERT(ValueOf(read).m_terms.m_evacuate == Millis{5'000});
     CPPUNIT_ASSERT_EQUAL(3.0, ValueOf(read).m_terms.m_remote_factor);
+    CPPUNIT_ASSERT(ValueOf(read).m_terms.m_cancel == Millis{5'000});
+    CPPUNIT_ASSERT(ValueOf(read).m_terms.m_drain == Millis{1'500});
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ValueOf(read).m_node.m_seeds.size());
   }
 
