Jobs: starts decided before their worker announced its leaving are withheld

Callers saw starts on workers that had announced their leaving seconds before: a start waits for its record, for a recent view and for the link, and only evacuations and shrunk capacity withdrew it meanwhile; its second copy after a lost answer likewise.

Change: a draining worker takes no start that is not sent yet (TakesStarts). The unit is placed elsewhere; one whose first copy got no answer is asked for, as before an evacuation.

Evidence: jobs_stale_test, both cases failed before; service_stale_test, the case of the short processor: "its worker drains" 4 times before, none now.

--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -68,7 +68,7 @@
   if (unit == nullptr || !unit->m_active || unit->m_run != command.m_run) return false;
   const Member& member = unit->m_members[static_cast<std::size_t>(command.m_task.m_index - unit->m_first)];
   return (member.m_state == MemberState::kPlanned || member.m_state == MemberState::kSent) && !unit->m_stopping &&
-         !member.m_slot->m_evacuated && !member.m_slot->IsOverCapacity();
+         member.m_slot->TakesStarts();
 }
 
 // Returns the unit of a task and the index of its member; nullptr if the job or its step is unknown.
@@ -90,8 +90,8 @@
     if (!wanted) continue;
     Member& member = unit->m_members[index];
     // A run that is not sent again is stopped if the worker does not list it; see SettleAbsent.
-    const bool withheld = member.m_slot->m_evacuated || member.m_slot->IsOverCapacity();
-    withheld ? SetState(&member, MemberState::kUnknown, now) : resends.push_back(std::move(command));
+    member.m_slot->TakesStarts() ? resends.push_back(std::move(command))
+                                 : SetState(&member, MemberState::kUnknown, now);
   }
   return resends;
 }
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -54,6 +54,8 @@
   }
 
   bool IsOverCapacity() const { return !Resources{}.FitsIn(m_free); }
+  // Whether starts that were decided before may still be sent.
+  bool TakesStarts() const { return !m_entry.m_draining && !m_evacuated && !IsOverCapacity(); }
   int CountUnits() const;  // Whose starts were sent here.
 
   void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
