Service: sessions with workers are looked at every 40 ms per thousand, without a copy

Change: with many workers only some calls look at all of them, and none copies them. Below 25 workers nothing changes.

--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -13,6 +13,8 @@
 
 constexpr log::Part kLog{"workers"};
 constexpr Millis kUpdateInterval{50};  // Short compared to the delays in SessionSettings.
+// Shortest time between two looks at all sessions, for each thousand of them: rounds come more often than that.
+constexpr Millis kUpdatePausePerThousand{40};
 
 CommandWindow WindowOf(const SessionSettings& settings) {
   CommandWindow window;
@@ -320,11 +322,19 @@
 
 void WorkerSessions::Update() {
   SendCommands();
+  const Instant now = m_clock->Now();
+  if (now - m_last_update < static_cast<std::int64_t>(m_sessions.size()) * kUpdatePausePerThousand / 1'000) return;
+  m_last_update = now;
   ProbeLostDomains();
-  const Sessions sessions = m_sessions;  // Copy: UpdateOne may erase a session.
-  for (const auto& [id, session] : sessions) UpdateOne(id, session);
-  const bool unreachable = std::any_of(sessions.begin(), sessions.end(),
-                                       [this](const auto& entry) { return IsUnreachable(entry.first, *entry.second); });
+  bool unreachable = false;
+  for (auto next = m_sessions.begin(); next != m_sessions.end();) {
+    const auto current = next++;
+    if (!UpdateOne(current->first, current->second)) {
+      m_sessions.erase(current);
+      continue;
+    }
+    unreachable = unreachable || IsUnreachable(current->first, *current->second);
+  }
   if (unreachable && !m_listing && m_clock->Now() - m_last_listing >= m_settings.m_list_interval) ListWorkerIds();
 }
 
@@ -357,13 +367,13 @@
   m_events.m_changed();
 }
 
-void WorkerSessions::UpdateOne(const WorkerId& id, const std::shared_ptr<Session>& session) {
+// Returns false if the session has nothing left to do.
+bool WorkerSessions::UpdateOne(const WorkerId& id, const std::shared_ptr<Session>& session) {
   const Instant now = m_clock->Now();
   const bool busy = m_scheduler->IsBusy(id);
   if (!session->m_listed && !busy && session->m_polls_pending == 0 &&
       session->m_acked_ends >= session->m_reported_ends) {
-    m_sessions.erase(id);
-    return;
+    return false;
   }
   if (busy && session->m_failures > 0 && now >= session->m_lease_end && !session->m_cleared) {
     Clear(id, session, jobs::WorkerLoss::kLeaseOver);
@@ -372,22 +382,28 @@
   if (session->m_polls_pending > 0) {
     const bool poll_now = session->m_long_poll_pending && session->m_polls_pending == 1 &&
                           (!session->m_established || m_scheduler->NeedsPoll(id, session->m_last_poll));
-    if (!poll_now) return;
-    return Poll(id, session, Millis{0});
+    if (poll_now) Poll(id, session, Millis{0});
+    return true;
+  }
+  if (now < session->m_retry_at) return true;
+  if (!session->m_established) {
+    Poll(id, session, Millis{0});
+    return true;
   }
-  if (now < session->m_retry_at) return;
-  if (!session->m_established) return Poll(id, session, Millis{0});
   const bool unstored = session->m_reported_ends > session->m_recorded_ends;
   if (unstored) {
     if (busy && now - session->m_last_poll >= m_settings.m_unstored_poll_delay) Poll(id, session, Millis{0});
-    return;
+    return true;
+  }
+  if (busy) {
+    Poll(id, session, m_scheduler->NeedsPoll(id, session->m_last_poll) ? Millis{0} : m_settings.m_poll_wait);
+    return true;
   }
-  if (busy)
-    return Poll(id, session, m_scheduler->NeedsPoll(id, session->m_last_poll) ? Millis{0} : m_settings.m_poll_wait);
   const bool waits_for_end =
       m_scheduler->HasUnrecordedRuns(id) && now - session->m_last_poll >= m_settings.m_unstored_poll_delay;
   if (session->m_acked_ends < session->m_recorded_ends || session->m_failures > 0 || waits_for_end)
     Poll(id, session, Millis{0});
+  return true;
 }
 
 // The number of ends that the next poll tells the worker are recorded; 0: none.
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -78,7 +78,8 @@
   void Send(const jobs::StartCommand& command);
   void Send(const jobs::StopCommand& command);
   void SetRecordedEnds(const jobs::RecordedEnds& ends);  // Ignored if the worker has restarted since.
-  void Update();  // Sends the polls that are due. Call after each scheduling round.
+  // Sends the polls that are due. Call after each scheduling round; with many workers, only some calls look at them.
+  void Update();
   std::size_t QueuedCommands() const { return m_commands.Queued(); }
 
  private:
@@ -126,7 +127,7 @@
   // Whether an answer belongs to the present incarnation; `incarnation` is the one that the call was sent to.
   bool IsCurrent(const WorkerId& id, Session* session, int incarnation, std::optional<Instant> born, Instant sent);
   std::int64_t EndsToTell(const Session& session) const;
-  void UpdateOne(const WorkerId& id, const std::shared_ptr<Session>& session);
+  bool UpdateOne(const WorkerId& id, const std::shared_ptr<Session>& session);
   void Poll(const WorkerId& id, const std::shared_ptr<Session>& session, Millis wait);
   void OnPollReply(const WorkerId& id, const std::shared_ptr<Session>& session, const jobs::PollCall& call,
                    Instant sent, Result<jobs::PollReply, jobs::PollFailure> result);
@@ -147,7 +148,8 @@
   Sessions m_sessions;
   CommandQueue m_commands;
   DomainContact m_contact;
-  Instant m_last_probe;  // Of idle workers of lost domains.
+  Instant m_last_update;  // Of all sessions.
+  Instant m_last_probe;   // Of idle workers of lost domains.
   Instant m_started;
   Instant m_last_listing;  // When the ids of live workers were last requested.
   bool m_listing = false;
