Service: a late event loop is not taken for a slow link to workers

Cause: the window of commands in flight shrinks when answers take over 120 ms. In a loop that is 0.2 s late all answers do, and 8 commands in flight are 40 a second.

Change: the lateness of a timer in the same loop is taken off what an answer took.

Evidence: service_stale_test, LateLoopIsNotTakenForASlowLink: 163 of 600 starts sent in 4 s before, all of them now.

--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -37,6 +37,7 @@
       m_events(std::move(events)),
       m_commands(WindowOf(settings)),
       m_contact(settings.m_domains),
+      m_lateness(kUpdateInterval),
       m_started(clock->Now()),
       m_metrics(metrics),
       m_polls_sent(&metrics->GetCounter("hq_worker_looks_total")),
@@ -47,7 +48,10 @@
 
 void WorkerSessions::Start() {
   m_tick = m_timers->Every(kUpdateInterval, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->Update();
+    const auto self = weak.lock();
+    if (!self) return;
+    self->m_lateness.OnTick(self->m_clock->Now());
+    self->Update();
   });
 }
 
@@ -137,7 +141,8 @@
 
 void WorkerSessions::OnCommandAnswer(Instant sent) {
   const Instant now = m_clock->Now();
-  m_commands.OnAnswer(now - sent, now);
+  // What the answer waited for in this process says nothing about the link.
+  m_commands.OnAnswer(std::max(Millis{0}, now - sent - m_lateness.At(now)), now);
   SendCommands();
 }
 
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -24,6 +24,7 @@
 #include "hickoryquay/jobs/worker_api.h"
 #include "hickoryquay/service/command_queue.h"
 #include "hickoryquay/service/domain_contact.h"
+#include "hickoryquay/service/loop_lateness.h"
 
 namespace hickoryquay::service {
 
@@ -148,6 +149,7 @@
   Sessions m_sessions;
   CommandQueue m_commands;
   DomainContact m_contact;
+  LoopLateness m_lateness;
   Instant m_last_update;  // Of all sessions.
   Instant m_last_probe;   // Of idle workers of lost domains.
   Instant m_started;
