Service: scheduling rounds take at most half of the leader's time

Cause: with 3,000 units active and over 100 jobs waiting, rounds on the large deployment take 0.15 to 0.3 s and follow each other at once (line "Leader's load": 5 to 9 rounds a second, the loop 0.3 s late): feeds, polls and answers wait behind them.

Change: the pause between two rounds is no shorter than the last round. Rounds of a few milliseconds come as before.

--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -326,7 +326,7 @@
     const auto self = weak.lock();
     if (!self) return;
     self->ReportLoad();
-    self->RunRound();
+    self->ScheduleRound();
   });
 }
 
@@ -334,11 +334,13 @@
 // Scheduling rounds
 //-------------------------------------------------------------------------------------------------
 
-// Schedules a round to handle the events received so far: at once, or after the pause that depends on the pool size.
+// Schedules a round to handle the events received so far: at once, or after a pause. The pause depends on the size of
+// the pool, and is no shorter than the last round, so that rounds leave half of the processor to what they decide upon.
 void SchedulerDriver::ScheduleRound() {
   if (!m_ready || m_stopped || m_round_timer.Active()) return;
-  const Millis pause{static_cast<std::int64_t>(m_workers.size()) * kPausePerThousandMs / 1'000};
-  const Millis passed = m_parts.m_clock->Now() - m_last_round;
+  const Millis by_size{static_cast<std::int64_t>(m_workers.size()) * kPausePerThousandMs / 1'000};
+  const Millis pause = std::max(by_size, m_round_took);
+  const Millis passed = m_parts.m_clock->Now() - m_round_ended;
   m_round_timer = m_parts.m_timers->After(std::max(Millis{0}, pause - passed), [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->RunRound();
   });
@@ -384,6 +386,8 @@
     }
   }
   m_sessions->Update();
+  m_round_ended = m_parts.m_clock->Now();
+  m_round_took = m_round_ended - m_last_round;
 }
 
 // A new leader must know the evacuated domains before it places work.
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -131,6 +131,8 @@
   Instant m_last_tick;
   Instant m_write_sent;  // Of the transaction in flight.
   Instant m_last_round;  // Time of the last scheduling round.
+  Instant m_round_ended;
+  Millis m_round_took{0};
   std::uint64_t m_rounds = 0;
   Instant m_last_archiving;  // When settled jobs were last looked for.
   Subscription m_load_timer;
