Service: workers whose rows return within one answer are polled again

Callers would see workers that are free and get nothing, for good: after a cut that lets rows expire, the removal of a row and its return may arrive in one answer.

Cause: since heartbeats no longer list all workers again, the removal erases what the scheduler knew of an idle worker while its session stays established, so that nobody polls it and it never counts as usable. Found by review.

Change: a worker that is listed again has to answer a poll before it is used.

--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -69,7 +69,8 @@
     session->m_lease_end = LatestLeaseEnd(m_started + m_settings.m_prior_grant_window);
   }
   OnRow(worker, session.get());
-  session->m_listed = true;
+  // The scheduler has forgotten an idle worker that was not listed: it is usable once it answers.
+  if (!std::exchange(session->m_listed, true)) session->m_established = false;
   m_scheduler->OnWorkerListed(worker, Time());
 }
 
