Service: the leader hears of cancels from the instance that stored them

Callers saw tasks run on for seconds after the cancel of their job was acknowledged: the leader learned of it by a feed only, which may be late; holding starts back does not stop what runs. Found by review.

Change: the instance that stored a cancel tells the leader (CancelledJob). An instance of the version before answers Unsupported, and its cancels come by the feed as before. Metric hq_cancels_announced_total.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -264,6 +264,9 @@
                   write->m_part = PartOf(id);
                   write->m_transaction.m_checks.push_back({JobRow(id), ValueOf(page).m_rows.front().m_version});
                   write->m_transaction.m_puts.push_back({CancelRow(id), "{}"});
+                  write->m_on_stored = [this, id](Version stored) {
+                    if (m_on_cancelled) m_on_cancelled(id, stored);
+                  };
                   write->m_started = m_clock->Now();
                   write->m_until = until;
                   write->m_on_conflict = [](const store::RowsDiffer&) {
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -121,6 +121,10 @@
   using OnAccepted = std::function<void(JobId job, const std::string& row, Version stored)>;
   void SetOnAccepted(OnAccepted on_accepted) { m_on_accepted = std::move(on_accepted); }
 
+  // Called when the cancel of a job is stored, with the version of the store.
+  using OnCancelled = std::function<void(JobId, Version)>;
+  void SetOnCancelled(OnCancelled on_cancelled) { m_on_cancelled = std::move(on_cancelled); }
+
   // Finds the queue and the client account of a call. `key` is empty if the caller sent none.
   Result<Route, IntakeError> Find(std::string_view host, std::string_view path, std::string_view key) const;
 
@@ -159,6 +163,7 @@
   std::multimap<int, std::shared_ptr<Write>> m_held;  // Until their parts are back, by priority of their queues.
   std::function<void()> m_on_store_available;
   OnAccepted m_on_accepted;
+  OnCancelled m_on_cancelled;
   Metrics* m_metrics;
   Counter* m_accepted;
   Counter* m_unknown;
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -190,6 +190,9 @@
   m_intake->SetOnAccepted([weak](JobId job, const std::string& row, Version stored) {
     if (const auto self = weak.lock()) self->Announce(job, row, stored);
   });
+  m_intake->SetOnCancelled([weak](JobId job, Version stored) {
+    if (const auto self = weak.lock()) self->AnnounceCancel(job, stored);
+  });
   m_beats->Start();
   m_handover_timer = m_parts.m_timers->Every(m_settings.m_handover_interval, [weak] {
     if (const auto self = weak.lock()) self->ConsiderHandover();
@@ -366,6 +369,17 @@
   m_inner_client->Call(*leader, accepted, kAnnounceTimeout, [](const Result<inner::Message, inner::InnerError>&) {});
 }
 
+// An instance of a version before answers Unsupported; the feed tells it.
+void JobService::AnnounceCancel(JobId job, Version stored) {
+  if (m_driver) return m_driver->OnCancelAnnounced(job);
+  const auto leader = m_beats->LeaderEndpoint();
+  if (!leader) return;
+  wire::CancelledJob cancelled;
+  cancelled.__set_job(static_cast<std::int64_t>(Raw(job)));
+  cancelled.__set_version(static_cast<std::int64_t>(Raw(stored)));
+  m_inner_client->Call(*leader, cancelled, kAnnounceTimeout, [](const Result<inner::Message, inner::InnerError>&) {});
+}
+
 void JobService::OnMessage(const inner::Message& message, const inner::Answer& answer) {
   if (const auto* heartbeat = std::get_if<wire::LeaderBeat>(&message)) {
     m_beats->Receive(*heartbeat);
@@ -378,6 +392,10 @@
     }
     return answer(wire::Acknowledged{});
   }
+  if (const auto* cancelled = std::get_if<wire::CancelledJob>(&message)) {
+    if (m_driver) m_driver->OnCancelAnnounced(JobId{static_cast<std::uint64_t>(cancelled->job)});
+    return answer(wire::Acknowledged{});
+  }
   if (const auto* call = std::get_if<wire::StoreCall>(&message)) return m_parts.m_relay->Handle(*call, answer);
   if (!m_peers->Handle(message, answer)) answer(wire::Unsupported{});
 }
--- a/hickoryquay/service/job_service.h
+++ b/hickoryquay/service/job_service.h
@@ -94,6 +94,7 @@
   void ConsiderHandover();
   void OnElected(Epoch epoch);
   void OnDeposed(const std::string& why);
+  void AnnounceCancel(JobId job, Version stored);
   void Announce(JobId job, const std::string& row, Version stored);
   void OnMessage(const inner::Message& message, const inner::Answer& answer);
   void WriteMember();
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -53,6 +53,7 @@
       m_guarantee_start_s(&parts.m_metrics->GetDistribution("hq_guarantee_start_seconds")),
       m_guarantee_starts_late(&parts.m_metrics->GetCounter("hq_guarantee_starts_late_total")),
       m_jobs_announced(&parts.m_metrics->GetCounter("hq_jobs_announced_total")),
+      m_cancels_announced(&parts.m_metrics->GetCounter("hq_cancels_announced_total")),
       m_views_old(&parts.m_metrics->GetCounter("hq_views_old_total")),
       m_evacuation_report(parts.m_metrics),
       m_report(parts.m_metrics, parts.m_clock->Now()) {
@@ -169,6 +170,13 @@
   ScheduleRound();
 }
 
+void SchedulerDriver::OnCancelAnnounced(JobId id) {
+  if (!m_ready || m_stopped) return;
+  m_cancels_announced->Add();
+  m_scheduler.OnCancel(id, Time());
+  ScheduleRound();
+}
+
 // Most rows are heartbeats, which change nothing here.
 void SchedulerDriver::OnWorkerRows(const std::vector<store::StoredRow>& rows, bool whole) {
   bool changed = false;
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -69,6 +69,8 @@
   void SetEvacuated(const std::set<DomainId>& domains);
   // An instance has stored the row of a job; see AnnouncedJobs. Ignored until Ready().
   void OnAnnounced(JobId job, const std::string& row, Version stored);
+  // An instance has stored the cancel of a job. Its row comes through the feed as well; ignored until Ready().
+  void OnCancelAnnounced(JobId job);
   bool Ready() const { return m_ready; }  // All tables are loaded.
   std::map<jobs::QueueName, int> Pending() const { return m_scheduler.Pending(); }
   jobs::SchedulerCounts Counts() const { return m_scheduler.Counts(); }
@@ -142,6 +144,7 @@
   Distribution* m_guarantee_start_s;
   Counter* m_guarantee_starts_late;
   Counter* m_jobs_announced;
+  Counter* m_cancels_announced;
   Counter* m_views_old;
   EvacuationReport m_evacuation_report;
   LeaderReport m_report;
--- a/standin/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -92,6 +92,7 @@
       std::make_shared<Intake>(self->m_store.get(), self->m_timers.get(), &m_clock, &m_metrics, IntakeSettings{});
   self->m_intake->SetOnAccepted(
       [this](JobId job, const std::string& row, Version stored) { Announce(job, row, stored); });
+  self->m_intake->SetOnCancelled([this](JobId job, Version) { AnnounceCancel(job); });
   self->m_intake->Start();
   self->m_intake->SetConfiguration(m_configuration);
   LeadershipSettings leadership;
@@ -181,6 +182,19 @@
   for (const Millis delay : {kAnnounceDelay, kLateCopyDelay}) m_timers.After(delay, deliver).Detach();
 }
 
+void SimCluster::AnnounceCancel(JobId job) {
+  if (!m_settings.m_announces_cancels) return;
+  const auto deliver = [this, job] {
+    for (const auto& instance : m_instances) {
+      if (!instance) continue;
+      instance->m_gate->Deliver([self = instance.get(), job] {
+        if (self->m_driver) self->m_driver->OnCancelAnnounced(job);
+      });
+    }
+  };
+  for (const Millis delay : {kAnnounceDelay, kLateCopyDelay}) m_timers.After(delay, deliver).Detach();
+}
+
 void SimCluster::KillInstance(int index) {
   auto instance = std::move(m_instances[Slot(index)]);
   instance->m_gate->Kill();
--- a/standin/sim_cluster.h
+++ b/standin/sim_cluster.h
@@ -39,6 +39,7 @@
   Millis m_drain_bound{2'000};       // After which nothing may start on a draining worker.
   ProcessorSettings m_processor;     // Of each instance; takes effect with m_event_us or m_measured.
   bool m_announces_jobs = true;      // Instances tell leaders of the jobs that they accept, as in JobService.
+  bool m_announces_cancels = true;   // And of cancels.
   bool m_follow_evacuations = true;  // Instances read the evacuated domains and exchange them, as in JobService.
 };
 
@@ -119,6 +120,7 @@
 
   static std::size_t Slot(int index) { return static_cast<std::size_t>(index); }
   void ExchangeDocuments(Instance* self);
+  void AnnounceCancel(JobId job);
   void Announce(JobId job, const std::string& row, Version stored);
   void PutWorkerRow(const jobs::WorkerEntry& entry);
   void OnCrash(const WorkerId& id);
--- a/tests/service/stale_view_test.cc
+++ b/tests/service/stale_view_test.cc
@@ -15,21 +15,27 @@
 class StaleViewTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StaleViewTest);
   CPPUNIT_TEST(CancelledJobIsNotStartedByALateFeed);
+  CPPUNIT_TEST(CancelledTasksAreStoppedAheadOfALateFeed);
   CPPUNIT_TEST(LeavingWorkerIsNotUsedByALateFeed);
   CPPUNIT_TEST(ShortProcessorStartsNothingOfCancelledJobs);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
-    m_cluster = std::make_unique<SimCluster>(ClusterSettings{});
+  void setUp() override { Make(ClusterSettings{}); }
+  void tearDown() override { m_cluster.reset(); }
+
+  void Make(const ClusterSettings& settings) {
+    m_cluster = std::make_unique<SimCluster>(settings);
     m_cluster->Run(kStartup);
     m_leader = m_cluster->Leader().value();
     m_other = (m_leader + 1) % 3;
   }
-  void tearDown() override { m_cluster.reset(); }
 
   // Guards against starts of a job whose cancel was acknowledged long before, while the feed of cancels is late.
   void CancelledJobIsNotStartedByALateFeed() {
+    ClusterSettings settings;
+    settings.m_announces_cancels = false;  // As from an instance of an earlier version.
+    Make(settings);
     m_cluster->StoreOf(m_leader).DelayFeeds(kFeedDelay);
     m_cluster->Run(Millis{2'500});  // Until the call under way has been answered.
     // The first run fails halfway, after the bound of the cancel; the second would start then.
@@ -41,6 +47,18 @@
     CPPUNIT_ASSERT(m_cluster->StoredPhase(job) == JobPhase::kCancelled);
   }
 
+  // Guards against tasks that run on for seconds after their job's cancel was acknowledged.
+  void CancelledTasksAreStoppedAheadOfALateFeed() {
+    const JobId job = m_cluster->Submit(m_other, Tasks(2, 1, Millis{60'000}), Millis{60'000}, 1);
+    m_cluster->Run(Millis{1'000});
+    m_cluster->StoreOf(m_leader).DelayFeeds(kFeedDelay);
+    m_cluster->Run(Millis{2'500});
+    CPPUNIT_ASSERT_EQUAL(2, m_cluster->Sim().Running());
+    m_cluster->Cancel(m_other, job);
+    m_cluster->Run(Millis{1'000});
+    CPPUNIT_ASSERT_EQUAL(0, m_cluster->Sim().Running());
+  }
+
   // Guards against starts on a worker that announced long before that it leaves, while the feed of workers is late.
   void LeavingWorkerIsNotUsedByALateFeed() {
     m_cluster->StoreOf(m_leader).DelayFeeds(Millis{2'800});
@@ -59,11 +77,11 @@
     ClusterSettings settings;
     settings.m_racks = 8;
     settings.m_workers_per_rack = 12;
+    settings.m_announces_cancels = false;
     settings.m_cancel_bound = Millis{5'000};
     settings.m_drain_bound = Millis{4'000};
     settings.m_processor = {3'000, 0.0, 0.5};  // As 1,100 workers at a twelfth of that for each event.
-    m_cluster = std::make_unique<SimCluster>(settings);
-    m_cluster->Run(kStartup);
+    Make(settings);
     std::vector<JobId> cancelled;
     for (int i = 0; i < 150; ++i) {
       m_cluster->Submit(i % 3, Tasks(i % 10 == 0 ? 80 : 8, 2, Millis{2'500}), Millis{2'500}, i % 10 == 0 ? 2 : 0);
