Service: starts held back for 0.5 s are withdrawn, so that no gang is left in part

Callers would see gangs break alone: a view that becomes old while a gang is sent holds back the rest of its members, and those that were sent wait until the gang's time is up. Found by review.

--- a/hickoryquay/service/command_queue.cc
+++ b/hickoryquay/service/command_queue.cc
@@ -20,6 +20,14 @@
   return next;
 }
 
+std::vector<jobs::StartCommand> CommandQueue::TakeStarts() {
+  std::vector<jobs::StartCommand> taken;
+  for (auto& [priority, starts] : std::exchange(m_starts, {})) {
+    for (QueuedStart& start : starts) taken.push_back(std::move(start.m_start));
+  }
+  return taken;
+}
+
 std::vector<jobs::StartCommand> CommandQueue::TakeExpired(Instant now) {
   std::vector<jobs::StartCommand> expired;
   if (m_settings.m_longest_queued.count() == 0) return expired;
--- a/hickoryquay/service/command_queue.h
+++ b/hickoryquay/service/command_queue.h
@@ -39,6 +39,8 @@
   // Removes and returns the starts that have waited longer than m_longest_queued.
   std::vector<jobs::StartCommand> TakeExpired(Instant now);
 
+  std::vector<jobs::StartCommand> TakeStarts();  // Removes and returns all.
+
   // Removes and returns the next command; empty if there is none or the window is full. Starts wait if `starts` is
   // false.
   std::optional<Command> Next(bool starts = true);
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -42,6 +42,7 @@
   Millis m_list_interval{1'000};  // Between requests for the ids of live workers, while a busy worker is unreachable.
   Millis m_list_max_lag{3'000};   // An incarnation younger than this may be missing from the list.
   Millis m_list_timeout{1'500};   // Of the whole list.
+  Millis m_longest_held{500};     // Starts that may not be sent for longer are withdrawn: their gangs wait in part.
   Millis m_longest_queued{0};     // A start that waits longer for the link is not sent; 0: no limit.
   DomainContactSettings m_domains;
 };
@@ -112,6 +113,7 @@
 
   bool IsUnreachable(const WorkerId& id, const Session& session) const;
   void SendCommands();
+  void WithdrawHeldStarts(Instant now);
   void SendNow(const jobs::StartCommand& command);
   void SendNow(const jobs::StopCommand& command);
   void OnCommandAnswer(Instant sent);
@@ -148,6 +150,7 @@
   Events m_events;
   Sessions m_sessions;
   CommandQueue m_commands;
+  std::optional<Instant> m_held_since;  // When starts began to be held back.
   DomainContact m_contact;
   LoopLateness m_lateness;
   Instant m_last_update;  // Of all sessions.
--- a/tests/service/stale_view_test.cc
+++ b/tests/service/stale_view_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(CancelledJobIsNotStartedByALateFeed);
   CPPUNIT_TEST(CancelledTasksAreStoppedAheadOfALateFeed);
   CPPUNIT_TEST(LeavingWorkerIsNotUsedByALateFeed);
+  CPPUNIT_TEST(GangIsNotLeftInPartByALateFeed);
   CPPUNIT_TEST(ShortProcessorStartsNothingOfCancelledJobs);
   CPPUNIT_TEST_SUITE_END();
 
@@ -72,7 +73,28 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->Violations());
   }
 
-  // Guards against the same in a leader whose processor is short, so that events wait for seconds before it sees them.
+  // Guards against gangs of which some members wait for others whose starts are held back, until the gang breaks.
+  void GangIsNotLeftInPartByALateFeed() {
+    for (int offset = 0; offset < 12; ++offset) {
+      ClusterSettings settings;
+      settings.m_racks = 8;
+      settings.m_workers_per_rack = 12;
+      settings.m_workers.m_latency = Millis{20};
+      Make(settings);
+      m_cluster->Run(Millis{2'000});
+      m_cluster->StoreOf(m_leader).DelayFeeds(kFeedDelay);
+      m_cluster->Run(Millis{1'000 + offset * 20});
+      jobs::StepSpec gang = Tasks(60, 1, Millis{2'000});
+      gang.m_gang = true;
+      m_cluster->Submit(m_other, gang, Millis{2'000}, 0);
+      m_cluster->Run(Millis{2'500});  // Less than a member waits for the others.
+      const int running = m_cluster->Sim().Running();
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(running) + " of 60", running == 0 || running == 60);
+    }
+  }
+
+  // Guards against stale starts by a leader whose processor is short, so that events wait for seconds before it sees
+  // them.
   void ShortProcessorStartsNothingOfCancelledJobs() {
     ClusterSettings settings;
     settings.m_racks = 8;
