Net: nothing is sent once a call's time is over

Callers would see starts that leave long after they were decided, on a view that was recent then: a call whose connection is opened, or that waits for one, is written whenever the loop comes to it.

Change: the time is looked at before the request is written.

Evidence: net_busy_test, NothingIsSentAfterItsTime: a call with a limit of 0.2 s left after 0.6 s before, and not now.

--- a/hickoryquay/net/client.cc
+++ b/hickoryquay/net/client.cc
@@ -28,7 +28,7 @@
 using Deadline = std::chrono::steady_clock::time_point;
 
 constexpr std::size_t kLargestPiece = 64 * 1024;  // Of an answer, read at once.
-constexpr std::size_t kKeptBuffer = 4 * 1024;     // Of an idle connection; there are thousands.
+constexpr std::size_t kKeptBuffer = 1024;         // Of an idle connection; there are thousands.
 constexpr Millis kUnreadGrace{30};                // For an answer that has arrived and waits for its turn to be read.
 constexpr int kMostGraces = 10;                   // Of one call.
 
@@ -163,6 +163,8 @@
   }
 
   void Write() {
+    // The caller has decided for a moment that is over; what it relied on may be too.
+    if (std::chrono::steady_clock::now() >= m_call->m_deadline) return Fail(TimedOut{false});
     http::async_write(m_stream, m_call->m_request,
                       [self = shared_from_this()](const beast::error_code& error, std::size_t written) {
                         if (error && written == 0 && self->m_timed_out) return self->Fail(TimedOut{false});
--- a/hickoryquay/net/http.h
+++ b/hickoryquay/net/http.h
@@ -170,8 +170,9 @@
   HttpClient(boost::asio::io_context* io, const ClientSettings& settings);
   ~HttpClient();
 
-  // Calls back exactly once, on a thread of the io_context: at the latest when `timeout` is over, or for a large answer
-  // when nothing of it arrived for that long.
+  // Calls back exactly once, on a thread of the io_context: when `timeout` is over, or for a large answer when nothing
+  // of it arrived for that long. An answer that has arrived then and waits to be read still counts. Nothing is sent
+  // later.
   void Send(const Endpoint& to, HttpRequest request, Millis timeout, ResponseCallback callback);
 
  private:
--- a/tests/net/busy_loop_test.cc
+++ b/tests/net/busy_loop_test.cc
@@ -3,8 +3,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
@@ -39,6 +41,7 @@
   ThreadedServer(const ThreadedServer&) = delete;
   ThreadedServer& operator=(const ThreadedServer&) = delete;
   Endpoint Local() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+  int Requests() const { return m_requests; }
 
  private:
   struct Session {
@@ -53,11 +56,14 @@
       if (error) return;
       const auto session = std::make_shared<Session>(std::move(socket));
       session->m_socket.async_read_some(asio::buffer(session->m_request),
-                                        [this, session](const error_code&, std::size_t) { AnswerLater(session); });
+                                        [this, session](const error_code& failed, std::size_t) {
+                                          if (!failed) AnswerLater(session);
+                                        });
       Accept();
     });
   }
   void AnswerLater(const std::shared_ptr<Session>& session) {
+    ++m_requests;
     session->m_timer.expires_after(m_pause);
     session->m_timer.async_wait([this, session](const error_code&) {
       asio::async_write(session->m_socket, asio::buffer(m_answer), [session](const error_code&, std::size_t) {});
@@ -68,6 +74,7 @@
   tcp::acceptor m_acceptor{m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
   std::string m_answer;
   Millis m_pause;
+  std::atomic<int> m_requests{0};
   std::thread m_thread;
 };
 
@@ -75,6 +82,7 @@
   CPPUNIT_TEST_SUITE(BusyLoopTest);
   CPPUNIT_TEST(LargeAnswerIsReadInFewPieces);
   CPPUNIT_TEST(AnswersThatWaitUnreadAreNoTimeouts);
+  CPPUNIT_TEST(NothingIsSentAfterItsTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -127,6 +135,25 @@
     CPPUNIT_ASSERT_EQUAL(kCalls, ended);
     CPPUNIT_ASSERT_EQUAL(kCalls, answered);
   }
+
+  // Guards against starts that leave long after they were decided, since their connection was opened meanwhile.
+  void NothingIsSentAfterItsTime() {
+    ThreadedServer server("{}", Millis{0});
+    asio::io_context io;
+    HttpClient client(&io, ClientSettings{});
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_target = "/start";
+    bool sent = true;
+    client.Send(server.Local(), std::move(request), Millis{200}, [&](const Result<HttpResponse, NetError>& answer) {
+      sent = Ok(answer) || MaybeSent(ErrorOf(answer));
+      io.stop();
+    });
+    asio::post(io, [] { std::this_thread::sleep_for(std::chrono::milliseconds(600)); });
+    io.run_for(kPatience);
+    CPPUNIT_ASSERT(!sent);
+    CPPUNIT_ASSERT_EQUAL(0, server.Requests());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BusyLoopTest);
