--- a/hickoryquay/store/table_follower.cc
+++ b/hickoryquay/store/table_follower.cc
@@ -132,7 +132,10 @@
   Reached();
   m_at = std::max(m_at, page.m_version);
   m_current_at = m_clock->Now();
-  m_complete_at = m_store_clock.AnsweredAt(page.m_answered, sent, m_current_at);
+  // A full page was cut off: more changes may be there.
+  const bool cut = page.m_more || static_cast<int>(page.m_rows.size()) >= m_settings.m_max_page_rows;
+  const Instant answered = m_store_clock.AnsweredAt(page.m_answered, sent, m_current_at);
+  if (!cut) m_complete_at = answered;
   m_rows_read += page.m_rows.size();
   std::vector<StoredRow> rows;
   std::copy_if(page.m_rows.begin(), page.m_rows.end(), std::back_inserter(rows), [this](const StoredRow& row) {
@@ -141,7 +144,7 @@
   });
   if (!rows.empty()) m_on_rows(rows, false);
   if (m_stopped) return;
-  page.m_rows.empty() ? Follow() : FollowLater(sent);
+  page.m_rows.empty() || cut ? Follow() : FollowLater(sent);
 }
 
 void TableFollower::FollowLater(Instant sent) {
