Service: one failed call no longer holds all starts back; leaving workers free their plans at once

Cause: starts also waited for the last call to the feed of accepted jobs to be answered, though the age of the view covers that: a feed that fails now and then holds starts up while its view is 50 ms old. Starts planned on a worker that announces its leaving were withdrawn only when the queue came to them. Found by review.

Change: the age of the view alone decides. Starts that are not sent yet are withdrawn when the announcement is read, as before an evacuation.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -260,6 +260,7 @@
   if (leave_reported) {
     slot->m_leaves_at.reset();
     if (worker.m_draining && worker.m_remaining) slot->m_leaves_at = now.m_steady + *worker.m_remaining;
+    if (worker.m_draining) WithdrawUnsent(slot, "its worker is leaving");
   }
   slot->m_evacuated = m_evacuated.contains(worker.m_domain);
   slot->m_domain_lost = m_lost.contains(worker.m_domain);
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -307,7 +307,7 @@
       m_leadership->CurrentEpoch(), m_parts.m_metrics,
       WorkerSessions::Events{[this] { ScheduleRound(); },
                              [this] { m_events.m_fenced("a worker has seen a higher epoch"); },
-                             [this] { return m_leadership->MayGrant(); }, [this] { return MaySendStarts(); }});
+                             [this] { return m_leadership->MayGrant(); }, [this] { return MayStart(); }});
   log::Info(kLog, "Tables are loaded",
             {{"intake", std::to_string(m_buffered_intake.size())},
              {"state", std::to_string(m_state_rows.size())},
@@ -366,7 +366,7 @@
   ReportGuaranteeStarts();
   for (const jobs::StopCommand& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
   SendStarts();
-  if (MaySendStarts()) {
+  if (MayStart()) {
     for (const jobs::StartCommand& start : m_scheduler.TakeResends(m_last_round)) m_sessions->Send(start);
   }
   if (!m_write_pending) {
@@ -412,6 +412,8 @@
   if (!settled.empty()) m_archive->Add(settled);
 }
 
+// A start that was stored at the end of an outage would leave before the changes during the outage are read: a worker
+// may have shrunk or begun to drain, a job may have been cancelled.
 bool SchedulerDriver::MayStart() const {
   return View().MayStart(m_settings.m_start_terms, m_parts.m_clock->Now());
 }
@@ -427,10 +429,8 @@
              {"list_age_ms", std::to_string((now - view.m_workers).count())}});
 }
 
-// A start that was stored at the end of an outage would leave before the changes during the outage are read: a worker
-// may have shrunk or begun to drain, a job may have been cancelled.
 void SchedulerDriver::SendStarts() {
-  if (!MaySendStarts()) return;
+  if (!MayStart()) return;
   for (const jobs::StartCommand& start : std::exchange(m_held_starts, {})) m_sessions->Send(start);
 }
 
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -90,7 +90,6 @@
   void RunRound();
   void OnStored(const jobs::Batch& batch);
   bool MayStart() const;
-  bool MaySendStarts() const { return m_intake->Reachable() && MayStart(); }
   void NoteStartView();
   void SendStarts();
   void ReportGuaranteeStarts();
@@ -115,7 +114,7 @@
   std::map<std::string, jobs::WorkerEntry> m_workers;  // By row key.
   std::map<std::string, Instant> m_missing_until;      // When to drop workers whose rows expired, by row key.
   std::optional<Instant> m_reachable_since;            // When the worker table last became readable again.
-  std::vector<jobs::StartCommand> m_held_starts;       // Stored, and not sent yet; see MaySendStarts.
+  std::vector<jobs::StartCommand> m_held_starts;       // Stored, and not sent yet; see MayStart.
   AnnouncedJobs m_announced;
   std::vector<store::StoredRow> m_buffered_intake;  // Rows received before Ready().
   std::vector<store::StoredRow> m_state_rows;
