Tests: odd entries of other writers in lists, rows and headers

Cause: other operators report that one odd entry of another writer (deeply nested, a number too large, a port out of range) ended the machines that read the list, or stopped them following it. Change: tests only. Lists of machines, pages of rows and the list of instances with one odd entry between good ones, rows of the worker list with odd ports, addresses, keys and capacities, and headers made of them. A header of 64 KB, which an address with text behind a NUL makes, throws std::length_error out of HttpClient::Send. The event loop outlives that, but the handler that polls all workers ends there each time.

--- a/tests/net/net_test.cc
+++ b/tests/net/net_test.cc
@@ -130,6 +130,8 @@
   CPPUNIT_TEST(LargeAnswerThatStopsTimesOut);
   CPPUNIT_TEST(DrainAnswersWhatIsInFlight);
   CPPUNIT_TEST(TargetsAndEndpoints);
+  CPPUNIT_TEST(EndpointsHoldNoHiddenText);
+  CPPUNIT_TEST(HeadersThatCannotBeSentAreNotSent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -240,11 +242,35 @@
       RC_ASSERT(QueryValue(ParseTarget("/x?k=" + PercentEncode(text)), "k") == text);
     });
     CPPUNIT_ASSERT((Endpoint{"::1", 80}) == std::get<Endpoint>(ParseEndpoint("[::1]:80")));
-    for (const char* bad : {"", "1.2.3.4", "localhost:80", "1.2.3.4:65536", "1.2.3.4:x"}) {
+    for (const char* bad : {"", "1.2.3.4", "localhost:80", "1.2.3.4:65536", "1.2.3.4:x", "1.2.3.4:-1", "1.2.3.4:80x",
+                            "1.2.3.4: 80", " 1.2.3.4:80", "1.2.3.4:99999999999", "1.2.3.4:", ":80"}) {
       CPPUNIT_ASSERT(std::holds_alternative<std::string>(ParseEndpoint(bad)));
     }
   }
 
+  // What stands behind a NUL is not seen by the parser of IP numbers, and went into the Host header.
+  void EndpointsHoldNoHiddenText() {
+    for (const std::string_view bad :
+         {std::string_view("1.2.3.4\0x:80", 12), std::string_view("1.2.3.4\0\r\nA: 1:80", 17)}) {
+      CPPUNIT_ASSERT(std::holds_alternative<std::string>(ParseEndpoint(bad)));
+    }
+  }
+
+  // A header of 64 KB, made of what another writer wrote, threw out of the handler that sent it; one
+  // with a line break added headers of its own.
+  void HeadersThatCannotBeSentAreNotSent() {
+    Serve();
+    for (const std::string& value :
+         {std::string(70'000, 'x'), std::string("a\r\nX-Added: 1"), std::string("a\0b", 3)}) {
+      HttpRequest request;
+      request.m_headers.push_back({"X-Id", value});
+      const auto result = Call(m_server->Local(), request);
+      CPPUNIT_ASSERT(!Ok(result));
+      CPPUNIT_ASSERT(std::holds_alternative<NotSent>(ErrorOf(result)));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, m_handled);
+  }
+
  private:
   void Serve() {
     m_server.emplace(&m_io, ServerSettings{}, [this](const HttpRequest& request, const Responder& respond) {
--- /dev/null
+++ b/tests/platform/odd_entries_test.cc
@@ -0,0 +1,247 @@
+// Odd entries that other writers left in lists: each costs at most itself, and a list that hides an id proves nothing.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "platform/documents.h"
+#include "platform/machine_list.h"
+#include "platform/row_store_client.h"
+#include "tests/property.h"
+
+namespace hickoryquay::platform {
+namespace {
+
+using Listed = Result<std::set<WorkerId>, std::string>;
+
+std::string Nested(int depth) {
+  return std::string(static_cast<std::size_t>(depth), '[') + std::string(static_cast<std::size_t>(depth), ']');
+}
+
+// Valid JSON that a parser with limits refuses, or a reader takes for something else.
+std::vector<std::string> OddValues() {
+  return {Nested(100),
+          Nested(10'000),
+          "1e999",
+          "-1e99999999999",
+          std::string(400, '9'),
+          "99999999999999999999",
+          R"("\ud800")",
+          "\"\xff\xfe\"",
+          "null",
+          "true",
+          "7",
+          R"("")",
+          "[]",
+          "{}",
+          R"({"a":{"b":"]}\",["}})"};
+}
+
+std::string Join(const std::vector<std::string>& elements) {
+  std::string text;
+  for (const std::string& element : elements) text += (text.empty() ? "" : ",") + element;
+  return text;
+}
+
+net::HttpResponse Answer(std::string body) {
+  return {200, {}, std::move(body)};
+}
+
+class OddEntriesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OddEntriesTest);
+  CPPUNIT_TEST(MachineWithOddFieldsIsStillNamed);
+  CPPUNIT_TEST(MachineWhoseIdIsHiddenMakesTheListProveNothing);
+  CPPUNIT_TEST(MachinesBehindAnOddOneAreRead);
+  CPPUNIT_TEST(AnyMachinesAreRead);
+  CPPUNIT_TEST(RowsBesideAnOddRowAreRead);
+  CPPUNIT_TEST(AnyRowsAreRead);
+  CPPUNIT_TEST(PortsOutOfRangeNameNoWorker);
+  CPPUNIT_TEST(AddressesWithHiddenTextNameNoWorker);
+  CPPUNIT_TEST(KeysThatNoHeaderCarriesNameNoWorker);
+  CPPUNIT_TEST(CapacitiesBeyondAnyMachineNameNoWorker);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // One odd machine made the whole list unreadable, so that no lost worker was found any more.
+  void MachineWithOddFieldsIsStillNamed() {
+    for (const std::string& odd : OddValues()) {
+      const Listed listed = List({R"({"machines":[{"machine":"m-1","id":"i-1"},{"machine":)" + odd + R"(,"labels":)" +
+                                  odd + R"(,"id":"i-2"},{"id":"i-3"}],"nextToken":""})"});
+      CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 50), Ok(listed));
+      CPPUNIT_ASSERT(ValueOf(listed) == (std::set<WorkerId>{WorkerId{"i-1"}, WorkerId{"i-2"}, WorkerId{"i-3"}}));
+    }
+  }
+
+  // An id that is no text was taken for no worker: the live worker behind it looked gone.
+  void MachineWhoseIdIsHiddenMakesTheListProveNothing() {
+    for (const std::string& odd : OddValues()) {
+      if (odd == "null" || odd == R"("")") continue;  // No worker.
+      const Listed listed = List({R"({"machines":[{"id":"i-1"},{"machine":"m-2","id":)" + odd + R"(},{"id":"i-3"}]})"});
+      CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 50), !Ok(listed));
+      CPPUNIT_ASSERT_MESSAGE(ErrorOf(listed), ErrorOf(listed).starts_with("1 of 3 entries can't be read"));
+    }
+    for (const std::string& odd : OddValues()) {
+      if (odd.starts_with('{')) continue;  // A machine without a worker.
+      const Listed listed = List({R"({"machines":[{"id":"i-1"},)" + odd + R"(]})"});
+      CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 50), !Ok(listed));
+      CPPUNIT_ASSERT_MESSAGE(ErrorOf(listed), ErrorOf(listed).starts_with("1 of 2 entries can't be read"));
+    }
+  }
+
+  // The entries behind an odd one, and the pages behind its page.
+  void MachinesBehindAnOddOneAreRead() {
+    std::set<WorkerId> lives;
+    const auto next = ReadMachinesAnswer(
+        Answer(R"({"machines":[{"id":"i-1"},)" + Nested(10'000) + R"(,{"id":"i-3"}],"nextToken":"t"})"), &lives);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, next.index());
+    CPPUNIT_ASSERT_EQUAL(std::string("t"), std::get<0>(next));
+    CPPUNIT_ASSERT(lives == (std::set<WorkerId>{WorkerId{"i-1"}, WorkerId{"i-3"}}));
+  }
+
+  void AnyMachinesAreRead() {
+    test::CheckProperty("good machines beside odd ones are read", [this] {
+      std::vector<std::string> machines;
+      std::set<WorkerId> good;
+      const auto count = *rc::gen::inRange(0, 6);
+      for (int i = 0; i < count; ++i) {
+        if (*rc::gen::arbitrary<bool>()) {
+          const std::string id = "i-" + std::to_string(i);
+          good.insert(WorkerId{id});
+          machines.push_back(R"({"machine":)" + *rc::gen::elementOf(OddValues()) + R"(,"id":")" + id + "\"}");
+        } else {
+          machines.push_back(*rc::gen::elementOf(OddValues()));
+        }
+      }
+      std::set<WorkerId> lives;
+      const auto next = ReadMachinesAnswer(Answer(R"({"machines":[)" + Join(machines) + "]}"), &lives);
+      RC_ASSERT(next.index() == 0U);
+      RC_ASSERT(lives == good);
+    });
+    test::CheckProperty("lists that are cut or changed never throw and never prove more", [this] {
+      std::string body =
+          R"({"machines":[{"id":"i-1"},{"id":"i-2","x":)" + *rc::gen::elementOf(OddValues()) + R"(}],"nextToken":""})";
+      const auto at = *rc::gen::inRange<std::size_t>(0, body.size());
+      if (*rc::gen::arbitrary<bool>()) {
+        body.resize(at);
+        RC_ASSERT(!Ok(List({body})));
+      } else {
+        body[at] = *rc::gen::arbitrary<char>();
+        List({body});
+      }
+    });
+  }
+
+  // A row whose envelope could not be parsed made the whole page unreadable: the table was no longer followed.
+  void RowsBesideAnOddRowAreRead() {
+    for (const std::string& odd : OddValues()) {
+      for (const char* field : {"key", "value", "ver", "part", "other"}) {
+        const auto page = ReadPageAnswer(
+            Answer(R"({"rows":[{"table":"servers","key":"a","value":"YQ==","ver":3},{"table":"servers",")" +
+                   std::string(field) + "\":" + odd +
+                   R"(},{"table":"servers","key":"c","value":"Yw==","ver":5}],"hasMore":true,"ver":530})"));
+        CPPUNIT_ASSERT_MESSAGE(field + odd.substr(0, 50), Ok(page));
+        const store::RowPage& read = ValueOf(page);
+        CPPUNIT_ASSERT(read.m_more && read.m_version == Version{530});
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), read.m_rows.front().m_value);
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), read.m_rows.back().m_value);
+      }
+      const auto page = ReadPageAnswer(Answer(R"({"rows":[{"table":"servers","key":"a"},)" + odd + R"(],"ver":5})"));
+      CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 50), Ok(page));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ValueOf(page).m_rows.size());
+    }
+  }
+
+  void AnyRowsAreRead() {
+    test::CheckProperty("good rows beside odd ones are read", [] {
+      std::vector<std::string> rows;
+      std::vector<std::string> good;
+      const auto count = *rc::gen::inRange(0, 6);
+      for (int i = 0; i < count; ++i) {
+        if (*rc::gen::arbitrary<bool>()) {
+          good.push_back("w-" + std::to_string(i));
+          rows.push_back(R"({"table":"servers","key":")" + good.back() + R"(","value":"YQ=="})");
+        } else {
+          rows.push_back(*rc::gen::elementOf(OddValues()));
+        }
+      }
+      const auto page = ReadPageAnswer(Answer(R"({"ver":9,"rows":[)" + Join(rows) + "]}"));
+      RC_ASSERT(Ok(page));
+      std::vector<std::string> read;
+      for (const store::StoredRow& row : ValueOf(page).m_rows) read.push_back(row.m_key.m_key);
+      RC_ASSERT(read == good);
+    });
+  }
+
+  // Pattern of another operator: an entry with a port out of range ended the machines that read the list.
+  void PortsOutOfRangeNameNoWorker() {
+    for (const char* address : {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1", "10.0.0.9: 80",
+                                "10.0.0.9:80 ", "10.0.0.9:80x", "10.0.0.9:", "10.0.0.9:+80", "10.0.0.9:0x50", ":80",
+                                " 10.0.0.9:80", "10.0.0.9:8.0", "10.0.0.9:1e3"}) {
+      CPPUNIT_ASSERT_MESSAGE(address, !IsUsable("w", "\"" + std::string(address) + "\""));
+    }
+    for (const char* address : {"10.0.0.9:1", "10.0.0.9:65535", "[::1]:80"}) {
+      CPPUNIT_ASSERT_MESSAGE(address, IsUsable("w", "\"" + std::string(address) + "\""));
+    }
+  }
+
+  // What stood behind a NUL of the address went into the head of each call to the worker; 64 KB of it ended the
+  // process.
+  void AddressesWithHiddenTextNameNoWorker() {
+    CPPUNIT_ASSERT(!IsUsable("w", R"("10.0.0.9\u0000x:80")"));
+    CPPUNIT_ASSERT(!IsUsable("w", R"("10.0.0.9\u0000\r\nX-A: 1:80")"));
+    CPPUNIT_ASSERT(!IsUsable("w", R"("10.0.0.9\u0000)" + std::string(70'000, 'x') + R"(:80")"));
+  }
+
+  // The key goes into a header of each call to the worker.
+  void KeysThatNoHeaderCarriesNameNoWorker() {
+    for (const std::string& key :
+         {std::string(), std::string("w\r\nX-A: 1"), std::string("w\0x", 3), std::string("w x"),
+          std::string("\xff\xfe"), std::string("w\x7f"), std::string(70'000, 'w')}) {
+      CPPUNIT_ASSERT_MESSAGE(key.substr(0, 20), !IsUsable(key, R"("10.0.0.9:80")"));
+    }
+    for (const std::string& key : {std::string("i-1"), std::string("a/b_c.d:9"), std::string(200, 'w')}) {
+      CPPUNIT_ASSERT_MESSAGE(key, IsUsable(key, R"("10.0.0.9:80")"));
+    }
+  }
+
+  // Sums over all workers overflowed on a single entry of 2^31-1 accelerators beside a true one.
+  void CapacitiesBeyondAnyMachineNameNoWorker() {
+    for (const char* capacity :
+         {R"({"cpu":1,"memMb":1,"gpu":2147483647})", R"({"cpu":2147483647,"memMb":1,"gpu":1})",
+          R"({"cpu":1,"memMb":2147483647,"gpu":1})", R"({"cpu":1e999})", R"({"gpu":99999999999999999999})"}) {
+      CPPUNIT_ASSERT_MESSAGE(capacity, !IsUsable("w", R"("10.0.0.9:80")", capacity));
+    }
+    CPPUNIT_ASSERT(IsUsable("w", R"("10.0.0.9:80")", R"({"cpu":1024000,"memMb":67108864,"gpu":1024})"));
+  }
+
+ private:
+  // The list of machines in these pages.
+  Listed List(std::vector<std::string> pages) {
+    std::size_t page = 0;
+    MachineList machines(
+        [&](const auto&, const net::HttpRequest&, Millis, const auto& callback) { callback(Answer(pages.at(page++))); },
+        {"10.0.0.1", 80});
+    std::optional<Listed> listed;
+    machines.ListWorkerIds(Millis{100}, [&](Listed result) { listed = std::move(result); });
+    CPPUNIT_ASSERT(listed.has_value());
+    return *listed;
+  }
+
+  static bool IsUsable(const std::string& key, const std::string& address, const std::string& capacity = "{}") {
+    std::string why;
+    const store::StoredRow row{
+        {"servers", "", key},
+        R"({"service":"s","zone":"z","state":"ready","address":)" + address + R"(,"capacity":)" + capacity + "}",
+        Version{1},
+        false};
+    return ReadWorker(row, &why).has_value();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OddEntriesTest);
+
+}  // namespace
+}  // namespace hickoryquay::platform
--- a/tests/store/instance_list_test.cc
+++ b/tests/store/instance_list_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(AsksOnlyForAChangedList);
   CPPUNIT_TEST(KeepsTheLastListInAnOutage);
   CPPUNIT_TEST(LeavesBadLinesOut);
+  CPPUNIT_TEST(LinesThatNoParserTakesCostOnlyThemselves);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -71,6 +72,20 @@
     CPPUNIT_ASSERT_EQUAL(std::string("e1"), m_list->Latest()->at(0).m_id);
   }
 
+  // One line that could not be parsed made the whole list unreadable.
+  void LinesThatNoParserTakesCostOnlyThemselves() {
+    const std::string list = kTwoEntries;
+    for (const std::string& odd :
+         {std::string(10'000, '[') + std::string(10'000, ']'), std::string(R"({"id":"w","slots":1e999})"),
+          std::string(R"({"id":"\ud800"})"), std::string("{\"id\":\"\xff\"}"), std::string(400, '9'),
+          std::string(R"({"id":"e3","kind":"entry","domain":"derby","address":"127.0.0.1:65536"})")}) {
+      const auto parsed = ParseInstances(R"({"instances":[)" + odd + "," + list.substr(list.find('[') + 1));
+      CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 50), parsed.has_value());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, parsed->m_instances.size());
+      CPPUNIT_ASSERT_EQUAL(2, parsed->m_bad_lines);
+    }
+  }
+
  private:
   void Run() {
     while (!m_tasks.empty()) {
