Net: a header that can't be written makes no call, and endpoints hold no hidden text

Callers saw: on one entry of the worker list whose address held a NUL and 64 KB of text, the leader's handler that polls all workers threw each time it ran, so that the workers whose ids sort behind were not polled and their leases ended; the log had a line "Handler failed" each time. Shorter text behind the NUL added headers to the calls to that address.

Cause: the parser of IP numbers reads up to a NUL, and the whole text went into the Host header. Beast throws on values of 64 KB and writes line breaks as they are; keys of rows go into headers too. Change: ParseEndpoint refuses a NUL. HttpClient::Send answers NotSent where a header holds a line break or a NUL or is longer than 16 KB, and never throws for it. That the poll handler ends there follows from the code; no test played the whole course.

--- a/hickoryquay/net/client.cc
+++ b/hickoryquay/net/client.cc
@@ -31,6 +31,8 @@
 constexpr std::size_t kKeptBuffer = 4 * 1024;     // Of an idle connection; there are thousands.
 constexpr Millis kUnreadGrace{30};                // For an answer that has arrived and waits for its turn to be read.
 constexpr int kMostGraces = 10;                   // Of one call.
+constexpr std::size_t kMaxHeaderBytes = 16'384;   // Of one value. Beast throws on those of 64 KB.
+constexpr std::string_view kLineEnds("\r\n\0", 3);
 
 struct Call {
   http::request<http::string_body> m_request;
@@ -41,6 +43,13 @@
   ResponseCallback m_callback;
 };
 
+// False where a header would end early, add others or be too long to be written.
+bool CanBeWritten(const HttpRequest& request) {
+  return std::all_of(request.m_headers.begin(), request.m_headers.end(), [](const Header& header) {
+    return header.m_value.size() <= kMaxHeaderBytes && header.m_value.find_first_of(kLineEnds) == std::string::npos;
+  });
+}
+
 http::request<http::string_body> ToBeast(const Endpoint& to, HttpRequest&& request) {
   http::request<http::string_body> message;
   message.version(11);
@@ -249,6 +258,10 @@
 };
 
 void HttpClient::Impl::Send(const Endpoint& to, HttpRequest request, Millis timeout, ResponseCallback callback) {
+  if (!CanBeWritten(request)) {
+    return asio::post(*m_io,
+                      [callback = std::move(callback)] { callback(NetError{NotSent{"a header can't be written"}}); });
+  }
   auto call = std::make_shared<Call>();
   call->m_timeout = timeout;
   call->m_large_answer = request.m_large_answer;
--- a/hickoryquay/net/message.cc
+++ b/hickoryquay/net/message.cc
@@ -54,8 +54,8 @@
   std::string host(text.substr(0, colon));
   if (host.size() >= 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
   boost::system::error_code error;
-  boost::asio::ip::make_address(host, error);
-  if (error) return "\"" + host + "\" is not an IP number";
+  boost::asio::ip::make_address(host, error);  // Reads up to a NUL.
+  if (error || host.find('\0') != std::string::npos) return "\"" + host + "\" is not an IP number";
   std::uint16_t port = 0;
   const std::string_view digits = text.substr(colon + 1);
   const auto [end, failed] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
