Store: one line that no parser takes costs the list of instances only itself

Callers saw: one line nested 10,000 deep, with a number of 400 digits or 1e999, or with half a surrogate made the whole list unreadable, so that instances that came and left were not seen while the line stood.

Cause: the list was parsed as one text; a limit of the parser that any part reaches ends all of it. Change: ParseAroundOdd (model/json_salvage.h). Where the whole can't be parsed, the elements of the list are split as texts, by an iterative scan without a limit of depth, and parsed one by one. Good lists cost what they did.

--- a/hickoryquay/store/instance_list.cc
+++ b/hickoryquay/store/instance_list.cc
@@ -8,6 +8,7 @@
 #include "hickoryquay/base/log.h"
 #include "hickoryquay/model/field_reader.h"
 #include "hickoryquay/model/json.h"
+#include "hickoryquay/model/json_salvage.h"
 
 namespace hickoryquay::store {
 
@@ -112,11 +113,12 @@
 }  // namespace
 
 std::optional<ParsedInstances> ParseInstances(std::string_view body) {
-  const auto parsed = ParseJson(body);
-  if (!Ok(parsed) || !ValueOf(parsed).is_object()) return std::nullopt;
-  const json::value* list = ValueOf(parsed).get_object().if_contains("instances");
+  const auto parsed = ParseAroundOdd(body, "instances");
+  if (!Ok(parsed) || !ValueOf(parsed).m_json.is_object()) return std::nullopt;
+  const json::value* list = ValueOf(parsed).m_json.get_object().if_contains("instances");
   if (list == nullptr || !list->is_array()) return std::nullopt;
   ParsedInstances result;
+  result.m_bad_lines = static_cast<int>(ValueOf(parsed).m_unparsed.size());
   for (const json::value& element : list->get_array()) {
     ListedInstance instance;
     if (ReadInstance(element, &instance)) {
