Store: a row whose envelope can't be read costs its page only itself

Callers saw: a row with a key that is no Unicode text, or an envelope that the parser refuses, made each page and feed answer with it unreadable: the store looked unreachable and the table was not followed while the row stood.

Cause: the page was parsed as one text, and one row's error was the page's. Change: such rows are left out, counted in RowPage and in hq_list_entries_unreadable_total, and logged within a bound. A page of a scan that holds nothing else tells no key to go on from: the next one is larger, so that a table is not taken to end there. More of them than the largest page holds can't be passed; the table then counts as unreachable.

--- a/hickoryquay/store/row_store.h
+++ b/hickoryquay/store/row_store.h
@@ -77,8 +77,9 @@
 struct RowPage {
   std::vector<StoredRow> m_rows;  // Ascending by key in a range, in order of their versions in a feed.
   bool m_more = false;
-  Version m_version{};  // Of the store as a whole when it answered.
-  Instant m_answered;   // By the store's steady clock; 0: not told.
+  Version m_version{};           // Of the store as a whole when it answered.
+  Instant m_answered;            // By the store's steady clock; 0: not told.
+  std::size_t m_unreadable = 0;  // Further rows, of which not even the key is known.
 };
 
 struct HistoryGone {};  // The feed can't go on from there: read the table anew.
--- a/hickoryquay/store/table_follower.cc
+++ b/hickoryquay/store/table_follower.cc
@@ -69,6 +69,7 @@
     return Retry();
   }
   RowPage page = TakeValue(std::move(result));
+  if (page.m_more && page.m_rows.empty() && page.m_unreadable > 0) return ScanPastUnreadable(limit);
   m_failed_pages = 0;
   SizePages(static_cast<int>(page.m_rows.size()), m_clock->Now() - sent);
   Reached();
@@ -100,6 +101,16 @@
   if (!m_stopped) Follow();
 }
 
+// Keys that can't be read say nothing on where the next page begins: a larger one reaches the rows behind them.
+void TableFollower::ScanPastUnreadable(int limit) {
+  if (limit < m_settings.m_max_page_rows) {
+    m_page_rows = std::min(kPageGrowth * limit, m_settings.m_max_page_rows);
+    return Scan();
+  }
+  MarkUnreachable("scan", Unreachable{"no row of the largest page can be read"});
+  Retry();
+}
+
 // Sizes the next page by the rate at which the rows of the last one arrived.
 void TableFollower::SizePages(int rows, Millis took) {
   m_call_time = m_call_time.count() == 0 ? took : std::min(m_call_time, took);
--- a/hickoryquay/store/table_follower.h
+++ b/hickoryquay/store/table_follower.h
@@ -60,6 +60,7 @@
   void Scan();  // Reads the next page.
   void ScanAnew();
   void OnPage(Instant sent, int limit, Result<RowPage, ReadError> page);
+  void ScanPastUnreadable(int limit);
   void FollowLater(Instant sent);
   void SizePages(int rows, Millis took);
   void Follow();
--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -1,5 +1,7 @@
 // Odd entries that other writers left in lists: each costs at most itself, and a list that hides an id proves nothing.
 
+#include "platform/odd_entries.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <optional>
@@ -58,6 +60,7 @@
   CPPUNIT_TEST(AnyMachinesAreRead);
   CPPUNIT_TEST(RowsBesideAnOddRowAreRead);
   CPPUNIT_TEST(AnyRowsAreRead);
+  CPPUNIT_TEST(OddEntriesAreCountedAndLoggedWithinABound);
   CPPUNIT_TEST(PortsOutOfRangeNameNoWorker);
   CPPUNIT_TEST(AddressesWithHiddenTextNameNoWorker);
   CPPUNIT_TEST(KeysThatNoHeaderCarriesNameNoWorker);
@@ -175,6 +178,26 @@
     });
   }
 
+  // One that stays is seen again with each reading of its list.
+  void OddEntriesAreCountedAndLoggedWithinABound() {
+    for (int i = 0; i < 100; ++i) {
+      List({R"({"machines":[7,{"id":"i-1"}],"nextToken":"t"})", R"({"machines":[{"id":[]}]})"});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, Unreadable("machines"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_odd.Lines());
+    RowStoreClient rows(
+        [](const auto&, const net::HttpRequest&, Millis, const auto& callback) {
+          callback(Answer(R"({"rows":[{"table":"servers","key":"\ud800"},{"table":"servers","key":"a"}],"ver":5})"));
+        },
+        {"10.0.0.1", 80}, &m_odd);
+    rows.Feed("servers", Version{1}, Millis{0}, Millis{100}, [](const auto& page) { CPPUNIT_ASSERT(Ok(page)); });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Unreadable("servers"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_odd.Lines());
+    m_clock.Set(Instant{60'000});
+    List({R"({"machines":[7]})"});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, m_odd.Lines());
+  }
+
   // Pattern of another operator: an entry with a port out of range ended the machines that read the list.
   void PortsOutOfRangeNameNoWorker() {
     for (const char* address : {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1", "10.0.0.9: 80",
@@ -223,7 +246,7 @@
     std::size_t page = 0;
     MachineList machines(
         [&](const auto&, const net::HttpRequest&, Millis, const auto& callback) { callback(Answer(pages.at(page++))); },
-        {"10.0.0.1", 80});
+        {"10.0.0.1", 80}, &m_odd);
     std::optional<Listed> listed;
     machines.ListWorkerIds(Millis{100}, [&](Listed result) { listed = std::move(result); });
     CPPUNIT_ASSERT(listed.has_value());
@@ -239,6 +262,14 @@
         false};
     return ReadWorker(row, &why).has_value();
   }
+
+  std::uint64_t Unreadable(const std::string& list) {
+    return m_metrics.GetCounter("hq_list_entries_unreadable_total", {{"list", list}}).Value();
+  }
+
+  ManualClock m_clock;
+  Metrics m_metrics;
+  OddEntries m_odd{&m_clock, &m_metrics};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OddEntriesTest);
--- a/tests/store/table_follower_test.cc
+++ b/tests/store/table_follower_test.cc
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
+#include <set>
 
 #include "hickoryquay/store/adaptive_store.h"
 #include "standin/sim_store.h"
@@ -19,6 +20,40 @@
 constexpr const char* kTable = "table";
 constexpr const char* kPart = "part";
 
+// A store some of whose rows can't be read, not even their keys.
+class UnreadableRows final : public RowStore {
+ public:
+  explicit UnreadableRows(RowStore* store) : m_store(store) {}
+
+  void Transact(const Transaction& transaction, Millis timeout, TransactCallback callback) override {
+    m_store->Transact(transaction, timeout, std::move(callback));
+  }
+  void Read(const RowRange& range, int limit, Millis timeout, ReadCallback callback) override {
+    ++m_reads;
+    m_store->Read(range, limit, timeout, Hiding(std::move(callback)));
+  }
+  void Feed(const std::string& table, Version after, Millis wait, Millis timeout, ReadCallback callback) override {
+    m_store->Feed(table, after, wait, timeout, Hiding(std::move(callback)));
+  }
+
+  std::set<RowKey> m_hidden;
+  int m_reads = 0;
+
+ private:
+  ReadCallback Hiding(ReadCallback callback) {
+    return [this, callback = std::move(callback)](Result<RowPage, ReadError> page) {
+      if (Ok(page)) {
+        auto& read = std::get<RowPage>(page);
+        read.m_unreadable =
+            std::erase_if(read.m_rows, [this](const StoredRow& row) { return m_hidden.contains(row.m_key); });
+      }
+      callback(std::move(page));
+    };
+  }
+
+  RowStore* m_store;
+};
+
 class TableFollowerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TableFollowerTest);
   CPPUNIT_TEST(LargeTableArrivesOverASlowLink);
@@ -30,6 +65,8 @@
   CPPUNIT_TEST(RowsChangedDuringAScanAreCurrent);
   CPPUNIT_TEST(SlowPageIsNoUnreachableStore);
   CPPUNIT_TEST(SilentStoreIsReportedUnreachable);
+  CPPUNIT_TEST(UnreadableRowsCostOnlyThemselves);
+  CPPUNIT_TEST(TableOfUnreadablePagesIsNotTakenForEmpty);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -151,6 +188,41 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{kRows}, m_rows.size());
   }
 
+  // A page without a readable row was taken for the end of the table: all workers behind it looked gone.
+  void UnreadableRowsCostOnlyThemselves() {
+    Fill(kRows, 100);
+    UnreadableRows odd(m_client.get());
+    for (int i = 0; i < 40; ++i) odd.m_hidden.insert(KeyOf(i));  // More than the first page has.
+    odd.m_hidden.insert({KeyOf(99), KeyOf(kRows - 1)});
+    Follow(&odd);
+    m_timers.Advance(Millis{2'000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kRows - 42}, m_rows.size());
+    CPPUNIT_ASSERT_EQUAL(0, m_unreachable);
+    odd.m_hidden.insert(KeyOf(kRows));
+    m_store->Put(KeyOf(kRows), "odd");
+    m_timers.Advance(Millis{100});
+    m_store->Put(KeyOf(kRows + 1), "good");
+    m_timers.Advance(Millis{2'000});
+    CPPUNIT_ASSERT_EQUAL(std::string("good"), m_rows.at(KeyOf(kRows + 1).m_key));
+    m_follower->Stop();
+  }
+
+  // More unreadable rows than a page holds can't be passed: the rows known so far stay, and the table is tried again.
+  void TableOfUnreadablePagesIsNotTakenForEmpty() {
+    Fill(1'100, 10);
+    UnreadableRows odd(m_client.get());
+    for (int i = 100; i < 700; ++i) odd.m_hidden.insert(KeyOf(i));
+    Follow(&odd);
+    m_timers.Advance(Millis{10'000});
+    CPPUNIT_ASSERT(!m_follower->Synced());
+    CPPUNIT_ASSERT_EQUAL(1, m_unreachable);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(odd.m_reads), odd.m_reads < 100);
+    odd.m_hidden.clear();
+    m_timers.Advance(Millis{5'000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1'100}, m_rows.size());
+    m_follower->Stop();
+  }
+
  private:
   static RowKey KeyOf(int index) { return {kTable, kPart, "row-" + std::to_string(10'000 + index)}; }
 
@@ -158,12 +230,14 @@
     for (int i = 0; i < rows; ++i) m_store->Put(KeyOf(i), std::string(bytes, 'x'));
   }
 
-  void Follow() {
+  void Follow() { Follow(m_adaptive.get()); }
+
+  void Follow(RowStore* store) {
     FollowerSettings settings;
     settings.m_table = kTable;
     settings.m_parts = {kPart};
     m_follower = std::make_shared<TableFollower>(
-        m_adaptive.get(), &m_timers, &m_clock, settings,
+        store, &m_timers, &m_clock, settings,
         [this](const std::vector<StoredRow>& rows, bool whole) {
           if (whole) m_rows.clear();
           for (const StoredRow& row : rows) {
