Platform: rows of workers that nobody can call or count name no worker

Callers saw: one entry of 2^31-1 accelerators beside a true one overflowed the sums over all workers, by which the share that must stay free is judged; texts of any length were copied, compared and logged with each change; a key with a line break went into a header of each call; a port of 0 was polled in vain.

Cause: ReadWorker checked the types of the fields and hardly their ranges, and the key not at all. The overflow follows from the types of CountAccelerators; no test played it.

--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -12,6 +12,7 @@
 #include "platform/documents.h"
 #include "platform/machine_list.h"
 #include "platform/row_store_client.h"
+#include "platform/worker_rows.h"
 #include "tests/property.h"
 
 namespace hickoryquay::platform {
@@ -65,6 +66,8 @@
   CPPUNIT_TEST(AddressesWithHiddenTextNameNoWorker);
   CPPUNIT_TEST(KeysThatNoHeaderCarriesNameNoWorker);
   CPPUNIT_TEST(CapacitiesBeyondAnyMachineNameNoWorker);
+  CPPUNIT_TEST(TextsWithoutBoundNameNoWorker);
+  CPPUNIT_TEST(GoodWorkersBesideAnyRowsAreRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -240,7 +243,95 @@
     CPPUNIT_ASSERT(IsUsable("w", R"("10.0.0.9:80")", R"({"cpu":1024000,"memMb":67108864,"gpu":1024})"));
   }
 
+  // They are copied, compared and logged with each change of the list.
+  void TextsWithoutBoundNameNoWorker() {
+    const std::string text(100'000, 'x');
+    for (const char* field : {"service", "zone", "state", "address"}) {
+      std::string why;
+      const std::string row = R"({"service":"s","zone":"z","state":"ready","address":"10.0.0.9:80","capacity":{},")" +
+                              std::string(field) + "\":\"" + text + "\"}";
+      CPPUNIT_ASSERT_MESSAGE(field, !ReadWorker({{"servers", "", "w"}, row, Version{1}, false}, &why));
+      CPPUNIT_ASSERT_MESSAGE(why, why.size() < 200);
+    }
+    const std::string many = std::string(R"(["l")") + Repeat(R"(,"l")", 1'000) + "]";
+    for (const std::string& labels : {"[\"" + text + "\"]", many}) {
+      CPPUNIT_ASSERT(!IsUsable("w", R"("10.0.0.9:80","labels":)" + labels));
+    }
+    CPPUNIT_ASSERT(IsUsable("w", R"("10.0.0.9:80","labels":["a","r1"])"));
+  }
+
+  // From the store's answer to the entries of the workers, with values of any other writer between those of workers.
+  void GoodWorkersBesideAnyRowsAreRead() {
+    test::CheckProperty("good workers beside any rows are read", [this] {
+      std::vector<std::string> rows;
+      std::vector<std::string> good;
+      const auto count = *rc::gen::inRange(1, 8);
+      for (int i = 0; i < count; ++i) {
+        std::string key = "w-" + std::to_string(i);
+        std::string value = *rc::gen::weightedOneOf<std::string>({{2, rc::gen::just(GoodRow())},
+                                                                  {1, rc::gen::elementOf(OddValues())},
+                                                                  {1, rc::gen::map(rc::gen::arbitrary<int>(), Mutated)},
+                                                                  {1, rc::gen::arbitrary<std::string>()}});
+        if (value == GoodRow()) {
+          good.push_back(key);
+        } else if (*rc::gen::inRange(0, 4) == 0) {
+          rows.push_back(R"({"table":"servers","key":)" + *rc::gen::elementOf(OddValues()) + R"(,"value":"YQ=="})");
+          continue;
+        } else {
+          key += "-odd";
+        }
+        rows.push_back(R"({"table":"servers","key":")" + key + R"(","ver":1,"value":")" + Base64(value) + "\"}");
+      }
+      const auto page = ReadPageAnswer(Answer(R"({"ver":9,"rows":[)" + Join(rows) + "]}"));
+      RC_ASSERT(Ok(page));
+      WorkerRows workers(&m_clock, &m_metrics, WorkerRowSettings{});
+      std::vector<std::string> read;
+      for (const store::StoredRow& row : ValueOf(page).m_rows) {
+        const auto worker = workers.Read(row);
+        if (worker && !row.m_key.m_key.ends_with("-odd")) read.push_back(worker->m_id.m_value);
+        RC_ASSERT(!worker || Resources{}.FitsIn(worker->m_capacity));
+      }
+      RC_ASSERT(read == good);
+    });
+  }
+
  private:
+  static std::string Repeat(const std::string& text, int times) {
+    std::string all;
+    for (int i = 0; i < times; ++i) all += text;
+    return all;
+  }
+
+  static std::string GoodRow() {
+    return R"({"service":"s","zone":"z","state":"ready","address":"10.0.0.9:80",)"
+           R"("capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1"],"born":1775519749021})";
+  }
+
+  // A good row with one byte changed, cut, or with an odd value for one of its values.
+  static std::string Mutated(int choice) {
+    std::string row = GoodRow();
+    const auto seed = static_cast<std::size_t>(static_cast<unsigned>(choice));
+    const std::size_t at = seed / 3 % row.size();
+    const std::vector<std::string> odd = OddValues();
+    if (seed % 3 == 0) {
+      row[at] = static_cast<char>(seed / 1'000);
+    } else if (seed % 3 == 1) {
+      row.resize(at);
+    } else if (const std::size_t colon = row.find(':', at); colon != std::string::npos) {
+      row.replace(colon + 1, row.find_first_of(",}", colon) - colon - 1, odd[seed % odd.size()]);
+    }
+    return row == GoodRow() ? "" : row;
+  }
+
+  // As the client of the store writes values.
+  static std::string Base64(const std::string& bytes) {
+    store::Transaction transaction;
+    transaction.m_puts.push_back({{"t", "", "k"}, bytes});
+    const std::string body = TransactionBody(transaction);
+    const std::size_t begin = body.find(R"("value":")") + 9;
+    return body.substr(begin, body.find('"', begin) - begin);
+  }
+
   // The list of machines in these pages.
   Listed List(std::vector<std::string> pages) {
     std::size_t page = 0;
