Platform: numbers out of range in a worker's answer make it prove nothing

Cause: a run number beyond 2^32 was cut to a low one, an odd one read as 0, and clocks and numbers of ends near 2^63 would overflow where one is added. Nobody is known to have seen it. That one row drops the answer is kept on purpose: a run that is left out counts as lost, and an end that is left out is acknowledged with those behind it.

--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -12,6 +12,7 @@
 #include "platform/documents.h"
 #include "platform/machine_list.h"
 #include "platform/row_store_client.h"
+#include "platform/worker_client.h"
 #include "platform/worker_rows.h"
 #include "tests/property.h"
 
@@ -68,6 +69,7 @@
   CPPUNIT_TEST(CapacitiesBeyondAnyMachineNameNoWorker);
   CPPUNIT_TEST(TextsWithoutBoundNameNoWorker);
   CPPUNIT_TEST(GoodWorkersBesideAnyRowsAreRead);
+  CPPUNIT_TEST(PollsWithNumbersOutOfRangeProveNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -295,6 +297,31 @@
     });
   }
 
+  // A run number of 2^32+1 was taken for run 1, an odd one for run 0. A row that is left out would do harm: a run that
+  // is not listed counts as lost, and an end as acknowledged by the ends behind it. So the answer as a whole proves
+  // nothing.
+  void PollsWithNumbersOutOfRangeProveNothing() {
+    const std::string task = R"("5c0e7a21d94b36f8.0.1.17")";
+    const auto is_read = [](const std::string& body) { return Ok(ReadLookAnswer(Answer(body))); };
+    CPPUNIT_ASSERT(is_read(R"({"clockMs":1,"running":[[)" + task + R"(,4294967295,"",41]]})"));
+    for (const char* odd :
+         {"0", "-1", "4294967296", "4294967297", "1.5", "1e999", "99999999999999999999", "null", R"("1")", "[]"}) {
+      CPPUNIT_ASSERT_MESSAGE(odd, !is_read(R"({"clockMs":1,"running":[[)" + task + "," + odd + R"(,"",41]]})"));
+      CPPUNIT_ASSERT_MESSAGE(odd, !is_read(R"({"clockMs":1,"ended":[[1,)" + task + "," + odd + R"(,"done",""]]})"));
+    }
+    for (const char* odd : {"0", "-1", "9223372036854775807", "1e999", "null"}) {
+      CPPUNIT_ASSERT_MESSAGE(
+          odd, !is_read(R"({"clockMs":1,"ended":[[)" + std::string(odd) + "," + task + R"(,1,"done",""]]})"));
+    }
+    CPPUNIT_ASSERT(!is_read(R"({"clockMs":9223372036854775807})"));
+    for (const auto& [text, percent] : {std::pair{"-1", 0}, {"101", 100}, {"1e300", 0}, {"4294967297", 100}}) {
+      const auto reply =
+          ReadLookAnswer(Answer(R"({"clockMs":1,"running":[[)" + task + R"(,1,"",)" + std::string(text) + "]]}"));
+      CPPUNIT_ASSERT_MESSAGE(text, Ok(reply));
+      CPPUNIT_ASSERT_EQUAL(percent, ValueOf(reply).m_running.at(0).m_percent);
+    }
+  }
+
  private:
   static std::string Repeat(const std::string& text, int times) {
     std::string all;
