Tests: the splitting of lists, on its own

The scan behind the lists was tested through their readers only. Elements of any kind are found where they were joined, any bytes are split or refused, five million brackets take no stack. platform_test passes with 2,000 cases a property.

--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -4,11 +4,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "hickoryquay/model/json_salvage.h"
 #include "platform/documents.h"
 #include "platform/machine_list.h"
 #include "platform/row_store_client.h"
@@ -56,6 +58,7 @@
 
 class OddEntriesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OddEntriesTest);
+  CPPUNIT_TEST(SplittingFindsTheElements);
   CPPUNIT_TEST(MachineWithOddFieldsIsStillNamed);
   CPPUNIT_TEST(MachineWhoseIdIsHiddenMakesTheListProveNothing);
   CPPUNIT_TEST(MachinesBehindAnOddOneAreRead);
@@ -73,6 +76,35 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void SplittingFindsTheElements() {
+    test::CheckProperty("elements are split where they were joined", [] {
+      const auto elements = *rc::gen::container<std::vector<std::string>>(rc::gen::elementOf(OddValues()));
+      const std::string array = " [ " + Join(elements) + " ]\n";
+      const auto split = SplitArray(array);
+      RC_ASSERT(split.has_value());
+      RC_ASSERT(std::vector<std::string>(split->begin(), split->end()) == elements);
+      std::string object;
+      for (const std::string& element : elements) object += R"(,"a\",:" : )" + element;
+      object = "{" + object.substr(std::min<std::size_t>(1, object.size())) + "}";
+      const auto fields = SplitObject(object);
+      RC_ASSERT(fields.has_value());
+      RC_ASSERT(fields->size() == elements.size());
+      for (std::size_t i = 0; i < elements.size(); ++i) RC_ASSERT(fields->at(i).second == elements[i]);
+    });
+    test::CheckProperty("any bytes are split or refused", [] {
+      const auto text =
+          *rc::gen::container<std::string>(rc::gen::element('[', ']', '{', '}', '"', '\\', ',', ':', ' ', '1'));
+      SplitArray(text);
+      SplitObject(text);
+      ParseAroundOdd(text, "1");
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, SplitArray("[" + Nested(5'000'000) + ",1]").value().size());
+    for (const char* text : {"", "[", "]", "[1", "1]", "[1]]", "[[1]", "{}", "[1}", "[\"]", "][", "1"}) {
+      const auto split = SplitArray(text);
+      CPPUNIT_ASSERT_MESSAGE(text, !split || split->front() == "\"");  // That one is refused by the parser.
+    }
+  }
+
   // One odd machine made the whole list unreadable, so that no lost worker was found any more.
   void MachineWithOddFieldsIsStillNamed() {
     for (const std::string& odd : OddValues()) {
