Placer: a gang's reports are judged by the rule of its phase under UndefinedBehaviorSanitizer too

Callers see nothing of it: builds without sanitizers are right. The sanitized build of arm64 tested another placer: each report was judged as if the gang were being restored, so a gang that started ended with "its start was cut off", and again with each report that followed.

Cause: GCC 12.2 on arm64 computes the index in `(this->*array[index])()` on one branch only under -fsanitize=bounds, and reads the element with an uninitialised index on the other ("may be used uninitialized" in the build's log). Pointers to members keep the virtual bit in the second word there, so x86 is not affected.

Change: the element is copied before the call, in Gang::OnReport and in the fuzz test's table of actions. Other calls through pointers to members don't index an array in the call.

--- a/hickoryquay/placer/gang.cc
+++ b/hickoryquay/placer/gang.cc
@@ -161,7 +161,9 @@
                                           &Gang::ReportIgnored};
   Part* part = Find(worker);
   if (part == nullptr || part->m_lost) return {};
-  return (this->*kRules[static_cast<int>(m_phase)])(part, report);
+  // Called through an element, another rule runs: GCC 12 on arm64 loses the index under -fsanitize=bounds.
+  const ReportRule rule = kRules[static_cast<int>(m_phase)];
+  return (this->*rule)(part, report);
 }
 
 GangOutputs Gang::ReportIgnored(Part*, const std::optional<TaskReport>&) {
--- a/tests/placer/fuzz_test.cc
+++ b/tests/placer/fuzz_test.cc
@@ -49,7 +49,8 @@
     static constexpr Action kActions[] = {
         &Run::SubmitOnce, &Run::SubmitRepeatable,  &Run::SetTable, &Run::SetNet, &Run::Crash,         &Run::Pause,
         &Run::Resume,     &Run::ToggleUnreachable, &Run::Restart,  &Run::Cancel, &Run::StepPartially, &Run::FailTasks};
-    (this->*kActions[step.m_action])(step.m_choice);
+    const Action action = kActions[step.m_action];
+    (this->*action)(step.m_choice);
     m_simulation.Advance(Millis{step.m_wait_ms});
   }
 
