Service: a call that ended long after its time limit is no silence of its failure domain

Callers saw starts of a whole failure domain placed anew after the leader's process had paused: calls to three of its workers, sent before the pause, timed out at its end, though the answers had arrived and were only unread.

Cause: DomainContact counted a call without an answer by when it was sent alone. A call that ends long after its own limit proves that this process was late; about the worker it proves nothing.

Change: the limit of the call goes into OnSilence, and a call that ended more than m_longest_late (300 ms) after it counts for nothing. Starts, stops and polls pass their own limits. Calls that are sent after the pause count as before, so a cut that goes on is found one time limit later.

--- a/hickoryquay/service/domain_contact.h
+++ b/hickoryquay/service/domain_contact.h
@@ -3,7 +3,8 @@
 // An idle worker is sent nothing until it gets a start, so a cut does not show there: each start that is sent to it
 // holds its job up until a lease is over. Therefore the silence of several workers speaks for their failure domain. A
 // call counts only if no worker of the domain has answered anything since it was sent, so a few crashed workers among
-// others that answer never do. The first answer restores contact.
+// others that answer never do. A call that ended long after its time limit shows that this process was late: its answer
+// may be unread, so it counts for nothing. The first answer restores contact.
 //
 // Pure: no I/O, no clock.
 #pragma once
@@ -21,10 +22,17 @@
 struct DomainContactSettings {
   std::size_t m_silent_workers = 3;  // That make a domain lost.
   Millis m_least_silence{300};       // Without an answer. Calls to many workers that leave fail at the same moment.
+  Millis m_longest_late{300};        // Between the time limit of a call and its end.
   Millis m_probe_interval{300};      // Between probes of the idle workers of a lost domain.
   std::size_t m_probes_at_once = 2;  // Of each lost domain.
 };
 
+struct UnansweredCall {
+  WorkerId m_worker;
+  Instant m_sent;
+  Millis m_limit{0};  // Time that it was given for its answer.
+};
+
 // Not thread-safe.
 class DomainContact {
  public:
@@ -38,12 +46,13 @@
     return m_lost.erase(domain) > 0;
   }
 
-  // A call to the worker, sent then, got no answer until now. Returns true if the domain is lost by it.
-  bool OnSilence(const DomainId& domain, const WorkerId& worker, Instant sent, Instant now) {
+  // The call got no answer until now. Returns true if the domain is lost by it.
+  bool OnSilence(const DomainId& domain, const UnansweredCall& call, Instant now) {
     if (domain.m_value.empty()) return false;
     Domain& state = m_domains[domain];
-    if (sent <= state.m_last_answer) return false;
-    state.m_silent.insert(worker);
+    if (call.m_sent <= state.m_last_answer) return false;
+    if (now - call.m_sent > call.m_limit + m_settings.m_longest_late) return false;
+    state.m_silent.insert(call.m_worker);
     const bool lost =
         state.m_silent.size() >= m_settings.m_silent_workers && now - state.m_last_answer >= m_settings.m_least_silence;
     return lost && m_lost.insert(domain).second;
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -160,7 +160,7 @@
                  self->OnCommandAnswer(sent);
                  const bool silent =
                      reply.m_outcome == jobs::StartOutcome::kUnknown || reply.m_outcome == jobs::StartOutcome::kNotSent;
-                 self->NoteContact(command.m_worker, *session, !silent, sent);
+                 self->NoteContact(*session, !silent, {command.m_worker, sent, self->m_settings.m_command_timeout});
                  if (reply.m_outcome == jobs::StartOutcome::kFenced) return self->m_events.m_fenced();
                  if (!self->IsCurrent(command.m_worker, session.get(), incarnation, reply.m_born, sent)) return;
                  self->m_scheduler->OnStartAnswer(command, reply.m_outcome, self->Time());
@@ -181,7 +181,8 @@
                 const auto self = weak.lock();
                 if (!self || self->m_stopped) return;
                 self->OnCommandAnswer(sent);
-                self->NoteContact(command.m_worker, *session, outcome != jobs::StopOutcome::kNoAnswer, sent);
+                self->NoteContact(*session, outcome != jobs::StopOutcome::kNoAnswer,
+                                  {command.m_worker, sent, self->m_settings.m_command_timeout});
                 if (outcome == jobs::StopOutcome::kFenced) return self->m_events.m_fenced();
                 if (!self->IsCurrent(command.m_worker, session.get(), incarnation, std::nullopt, sent)) return;
                 self->m_scheduler->OnStopAnswer(command, outcome, self->Time());
@@ -203,9 +204,9 @@
 // Contact with failure domains
 //-------------------------------------------------------------------------------------------------
 
-void WorkerSessions::NoteContact(const WorkerId& id, const Session& session, bool answered, Instant sent) {
+void WorkerSessions::NoteContact(const Session& session, bool answered, const UnansweredCall& call) {
   const bool changed = answered ? m_contact.OnAnswer(session.m_domain, m_clock->Now())
-                                : m_contact.OnSilence(session.m_domain, id, sent, m_clock->Now());
+                                : m_contact.OnSilence(session.m_domain, call, m_clock->Now());
   if (changed) OnContactChanged(session.m_domain);
 }
 
@@ -429,7 +430,7 @@
   if (call.m_wait.count() > 0) session->m_long_poll_pending = false;
   const bool answered = Ok(result) || ErrorOf(result) == jobs::PollFailure::kFenced ||
                         ErrorOf(result) == jobs::PollFailure::kOtherIncarnation;
-  NoteContact(id, *session, answered, sent);
+  NoteContact(*session, answered, {id, sent, call.m_wait + m_settings.m_poll_timeout});
   if (!Ok(result)) return OnFailure(id, session, ErrorOf(result));
   const jobs::PollReply& reply = ValueOf(result);
   const int incarnation = session->m_incarnation;
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -113,7 +113,7 @@
   void SendNow(const jobs::StartCommand& command);
   void SendNow(const jobs::StopCommand& command);
   void OnCommandAnswer(Instant sent);
-  void NoteContact(const WorkerId& id, const Session& session, bool answered, Instant sent);
+  void NoteContact(const Session& session, bool answered, const UnansweredCall& call);
   void OnContactChanged(const DomainId& domain);
   void ProbeLostDomains();
   void ListWorkerIds();
