Placer: a refused commit proves nothing about a part that ran and ended since

Callers could see a job that may run at most once run twice: the first commit of a part was carried out and its answer lost, the task failed or was stopped, and the repeated commit was refused, since nothing is reserved any more. The gang took the refusal for the proof that the part never ran, and the job was started again.

Cause: Gang::OnCommitted decided by the result alone, before the report of the same answer, which lists the ended run.

Change: a refused part stays undecided until that report, which follows in the same answer. Without a run in it, or with a reservation only, the part never ran, as before; with an ended run the job counts as one that may have run.

Not covered: a worker that restarts between the two commits forgets the run, so its refusal still counts as a proof.

--- a/hickoryquay/placer/gang.cc
+++ b/hickoryquay/placer/gang.cc
@@ -123,10 +123,16 @@
     part->m_state = State::kRunning;
     return m_phase == Phase::kCommitting ? CheckCommitted() : GangOutputs{};
   }
-  part->m_state = State::kGone;
-  part->m_never_ran = true;
-  if (m_phase == Phase::kCommitting) return AbandonStart(part->m_worker, why);
-  return CheckStopped();
+  part->m_commit_refused = true;
+  part->m_why = why;
+  return {};
+}
+
+// A repeated commit is refused too where the part ran and ended since the first, whose answer was lost. Its report
+// shows that run.
+bool Gang::NeverBegan(const Part& part, const std::optional<TaskReport>& report) {
+  return part.m_state == State::kCommitting && part.m_commit_refused &&
+         (!report || report->m_state == TaskState::kReserved);
 }
 
 GangOutputs Gang::CheckCommitted() {
@@ -180,6 +186,11 @@
 // The report may have been made before the commit command arrived. So while the command is unanswered, a part that is
 // missing or still reserved in the report means nothing: the result of the command decides.
 GangOutputs Gang::ReportCommitting(Part* part, const std::optional<TaskReport>& report) {
+  if (NeverBegan(*part, report)) {
+    part->m_state = State::kGone;
+    part->m_never_ran = true;
+    return AbandonStart(part->m_worker, part->m_why);
+  }
   if (!report) {
     if (part->m_state != State::kRunning) return {};
     part->m_state = State::kGone;
@@ -212,6 +223,10 @@
   const bool may_run =
       part->m_state == State::kRunning || part->m_state == State::kCommitting || part->m_state == State::kUnknown;
   if (!may_run) return {};
+  if (NeverBegan(*part, report)) {
+    part->m_state = State::kGone;
+    part->m_never_ran = true;
+  }
   if (report && workers::IsTerminal(report->m_state)) ApplyTerminalReport(part, *report);
   if (!report && part->m_stop_answered) part->m_state = State::kGone;
   return CheckStopped();
--- a/hickoryquay/placer/gang.h
+++ b/hickoryquay/placer/gang.h
@@ -85,7 +85,8 @@
   struct Part {
     WorkerId m_worker;
     State m_state = State::kReserving;
-    bool m_never_ran = true;  // The part provably never ran.
+    bool m_never_ran = true;        // The part provably never ran.
+    bool m_commit_refused = false;  // What its report says then tells whether it ran.
     bool m_stop_answered = false;
     bool m_lost = false;
     std::string m_why;  // Why the part ended, if the worker gives a reason.
@@ -106,6 +107,7 @@
 
   GangOutputs OnReserved(Part* part, bool ok, const std::string& why);
   GangOutputs OnCommitted(Part* part, bool ok, const std::string& why);
+  static bool NeverBegan(const Part& part, const std::optional<workers::TaskReport>& report);
   GangOutputs Commit();
   GangOutputs CheckCommitted();
   GangOutputs CheckFinished();
--- a/tests/placer/gang_test.cc
+++ b/tests/placer/gang_test.cc
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <optional>
+#include <vector>
+
 namespace hickoryquay::placer {
 namespace {
 
@@ -11,6 +15,9 @@
 class GangTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GangTest);
   CPPUNIT_TEST(ReportsAreJudgedByThePhase);
+  CPPUNIT_TEST(RefusedCommitOfARunThatEndedIsNoProofThatItNeverRan);
+  CPPUNIT_TEST(RefusedCommitWithoutARunNeverRan);
+  CPPUNIT_TEST(RefusedCommitWhileTheGangStops);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -35,7 +42,54 @@
     CheckIgnored(&gang, m_a, TaskState::kStopped, Gang::Phase::kEnded);
   }
 
+  // Guards against a job that may run once running twice: the first commit was carried out and its answer lost, the run
+  // failed, and the second commit is refused.
+  void RefusedCommitOfARunThatEndedIsNoProofThatItNeverRan() {
+    Gang gang = Committing({{m_a, 1}});
+    gang.OnResult(m_a, Op::kCommit, false, "refused");
+    CheckFailed(gang.OnReport(m_a, Report(TaskState::kFailed)), true);
+    CPPUNIT_ASSERT(gang.Ended());
+  }
+
+  void RefusedCommitWithoutARunNeverRan() {
+    Gang lapsed = Committing({{m_a, 1}});
+    lapsed.OnResult(m_a, Op::kCommit, false, "refused");
+    CheckFailed(lapsed.OnReport(m_a, std::nullopt), false);
+    Gang reserved = Committing({{m_a, 1}});
+    reserved.OnResult(m_a, Op::kCommit, false, "refused");
+    CheckFailed(reserved.OnReport(m_a, Report(TaskState::kReserved)), false);
+  }
+
+  // Guards against the same while another part of the gang has failed to start.
+  void RefusedCommitWhileTheGangStops() {
+    for (const bool ran : {false, true}) {
+      Gang gang = Committing({{m_a, 1}, {m_b, 1}});
+      gang.OnResult(m_a, Op::kCommit, false, "refused");
+      gang.OnReport(m_a, std::nullopt);
+      CPPUNIT_ASSERT(gang.CurrentPhase() == Gang::Phase::kStopping);
+      gang.OnResult(m_b, Op::kCommit, false, "refused");
+      CPPUNIT_ASSERT(gang.CurrentPhase() == Gang::Phase::kStopping);
+      CheckFailed(gang.OnReport(m_b, ran ? std::optional(Report(TaskState::kStopped)) : std::nullopt), ran);
+    }
+  }
+
  private:
+  static Gang Committing(const std::vector<Placement>& placements) {
+    Gang gang(placements, true);
+    gang.Begin();
+    for (const Placement& placement : placements) gang.OnResult(placement.m_worker, Op::kReserve, true, "");
+    gang.OnRecorded();
+    return gang;
+  }
+
+  static void CheckFailed(const GangOutputs& outputs, bool may_have_run) {
+    const auto failed = std::find_if(outputs.begin(), outputs.end(), [](const GangOutput& output) {
+      return std::holds_alternative<StartFailed>(output);
+    });
+    CPPUNIT_ASSERT(failed != outputs.end());
+    CPPUNIT_ASSERT_EQUAL(may_have_run, std::get<StartFailed>(*failed).m_may_have_run);
+  }
+
   static workers::TaskReport Report(TaskState state) {
     workers::TaskReport report;
     report.m_state = state;
