Service: a store call that ended long after its time limit is no silence of its part

Callers saw new work refused ("Store is away") for the length of a probe after a pause of their instance: a write that was under way timed out at the end of the pause, its answer only unread, and its part of the store, without a later answer of any part the whole store, counted as silent.

Change: NoteSilence takes the limit of the call. One that ended more than m_longest_late (300 ms) after it leaves the part as it was and sends a probe, unless one is under way, which decides.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -115,6 +115,7 @@
   StorePart m_part;
   Instant m_started;
   Instant m_until;               // Deadline of the answer to the caller.
+  Millis m_limit{0};             // Of the attempt under way.
   bool m_maybe_applied = false;  // An attempt without an answer may still take effect.
   std::function<Result<Done, IntakeError>(const store::RowsDiffer&)> m_on_conflict;
   std::function<void(Version)> m_on_stored;  // May be empty.
@@ -277,8 +278,9 @@
 void Intake::Attempt(const std::shared_ptr<Write>& write) {
   const Millis left = write->m_until - m_clock->Now();
   if (left.count() <= 0) return GiveUp(write, Refusal("the store does not answer", write->m_part));
+  write->m_limit = std::min(left, m_settings.m_call_timeout);
   m_store->Transact(
-      write->m_transaction, std::min(left, m_settings.m_call_timeout),
+      write->m_transaction, write->m_limit,
       [self = shared_from_this(), write, sent = m_clock->Now()](Result<Version, store::TransactError> result) {
         self->OnAttempt(write, sent, std::move(result));
       });
@@ -292,7 +294,7 @@
     return Finish(write, Done{});
   }
   const store::TransactError& error = ErrorOf(result);
-  if (std::holds_alternative<store::StoreSilent>(error)) m_watch->NoteSilence(write->m_part, sent);
+  if (std::holds_alternative<store::StoreSilent>(error)) m_watch->NoteSilence(write->m_part, sent, write->m_limit);
   if (const auto* differ = std::get_if<store::RowsDiffer>(&error)) {
     m_watch->NoteAnswer(write->m_part, sent);
     return Finish(write, write->m_on_conflict(*differ));
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -173,13 +173,14 @@
   m_member_rows->Start();
   WriteMember();
 
+  const LeadershipSettings leadership = MakeLeadershipSettings(m_settings, m_self);
   m_leadership = std::make_shared<Leadership>(
-      m_parts.m_store, m_parts.m_timers, m_parts.m_clock, MakeLeadershipSettings(m_settings, m_self),
+      m_parts.m_store, m_parts.m_timers, m_parts.m_clock, leadership,
       Leadership::Events{[this](Epoch epoch) { OnElected(epoch); }, [this](const std::string& why) { OnDeposed(why); },
                          [this](Epoch epoch) { m_beats->SendReleased(epoch); },
-                         [this](Instant sent) {
+                         [this, limit = leadership.m_call_timeout](Instant sent) {
                            const TableNames tables;
-                           m_intake->Watch().NoteSilence({tables.m_state, tables.m_leader_part}, sent);
+                           m_intake->Watch().NoteSilence({tables.m_state, tables.m_leader_part}, sent, limit);
                          }});
   m_leadership->SetRank([this] { return Rank(); });
   m_leadership->Start();
--- a/hickoryquay/service/part_watch.cc
+++ b/hickoryquay/service/part_watch.cc
@@ -42,10 +42,13 @@
 }
 
 void PartWatch::Probe(const StorePart& part, std::function<void(bool)> then) {
+  ++m_probes_pending;
   m_store->Read({part.m_table, part.m_part, "", ""}, 1, m_settings.m_probe_timeout,
                 [self = shared_from_this(), part, sent = m_clock->Now(),
                  then = std::move(then)](const Result<store::RowPage, store::ReadError>& page) {
-                  Ok(page) ? self->NoteAnswer(part, sent) : self->NoteSilence(part, sent);
+                  --self->m_probes_pending;
+                  Ok(page) ? self->NoteAnswer(part, sent)
+                           : self->NoteSilence(part, sent, self->m_settings.m_probe_timeout);
                   then(!self->IsSilent(part));
                 });
 }
@@ -87,9 +90,11 @@
   if (m_on_back) m_on_back();
 }
 
-void PartWatch::NoteSilence(const StorePart& part, Instant sent) {
+void PartWatch::NoteSilence(const StorePart& part, Instant sent, Millis limit) {
   const auto answered = m_answered.find(part);
-  if (answered == m_answered.end() || answered->second <= sent) Add(part, sent);
+  if (answered != m_answered.end() && answered->second > sent) return;
+  if (m_clock->Now() - sent <= limit + m_settings.m_longest_late) return Add(part, sent);
+  if (m_probes_pending == 0) Probe(part, [](bool) {});
 }
 
 void PartWatch::Add(const StorePart& part, Instant since) {
--- a/hickoryquay/service/part_watch.h
+++ b/hickoryquay/service/part_watch.h
@@ -3,7 +3,8 @@
 // A store may be away in part: some parts are silent while others serve. So a call without an answer tells something
 // about its own part only, and an answer of one part does not show that another is back. If no part has answered since
 // the last one became silent, all count as silent. Silent parts are probed by reads until they answer. Probes overlap,
-// so one that was lost does not delay the next.
+// so one that was lost does not delay the next. A call that ended long after its time limit shows that this process was
+// late: its answer may be unread, so a probe is sent and decides.
 #pragma once
 
 #include <functional>
@@ -32,6 +33,7 @@
   int m_recent_calls = 4;
   Millis m_longest_recent{1'000};
   Millis m_probe_timeout{1'000};
+  Millis m_longest_late{300};  // Between the time limit of a call and its end.
   // Between probes of silent parts: a share of the time for which parts have been silent, within these limits. Many
   // instances probe at the same time, and a store that comes back must not be overwhelmed by them.
   Millis m_probe_interval{120};
@@ -55,10 +57,10 @@
   // probe without an answer after `longest` counts as silence to this caller.
   void Check(const StorePart& part, Millis longest, std::function<void(bool answers)> then);
 
-  // A call to the part, sent then, was answered, or got no answer. The latter is ignored if the part answered after
-  // that.
+  // A call to the part, sent then, was answered, or got no answer though it was given `limit`. The latter is ignored if
+  // the part answered after that.
   void NoteAnswer(const StorePart& part, Instant sent);
-  void NoteSilence(const StorePart& part, Instant sent);
+  void NoteSilence(const StorePart& part, Instant sent, Millis limit);
 
   bool IsSilent(const StorePart& part) const { return m_silent.contains(part) || AllSilent(); }
   Millis SilentFor(const StorePart& part) const;  // 0 if it answers.
@@ -80,6 +82,7 @@
   Instant m_last_silence;                 // The latest of these.
   bool m_reported_away = false;           // The log says that the whole store is away.
   StorePart m_last_probed;
+  int m_probes_pending = 0;
   Subscription m_probes;                    // While parts are silent.
   std::map<StorePart, Instant> m_answered;  // When each part last answered; as many entries as the store has parts.
   Instant m_last_answer;                    // Of any part.
