Inner: a message that names a cancelled job

Cause: the leader hears of a cancel only from the feed of its table, while an accepted job is told by the instance that stored it.

An instance of the version before finds no body that it knows and answers Unsupported; a test sends a body field that nobody knows. Nothing sends the message yet.

--- a/hickoryquay/inner/gen/inner_types.cpp
+++ b/hickoryquay/inner/gen/inner_types.cpp
@@ -2225,6 +2225,129 @@
 }
 
 
+CancelledJob::~CancelledJob() noexcept {
+}
+
+
+void CancelledJob::__set_job(const int64_t val) {
+  this->job = val;
+}
+
+void CancelledJob::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const CancelledJob& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CancelledJob::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CancelledJob::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CancelledJob");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CancelledJob &a, CancelledJob &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+CancelledJob::CancelledJob(const CancelledJob& other92) noexcept {
+  job = other92.job;
+  version = other92.version;
+  __isset = other92.__isset;
+}
+CancelledJob::CancelledJob(CancelledJob&& other93) noexcept {
+  job = other93.job;
+  version = other93.version;
+  __isset = other93.__isset;
+}
+CancelledJob& CancelledJob::operator=(const CancelledJob& other94) noexcept {
+  job = other94.job;
+  version = other94.version;
+  __isset = other94.__isset;
+  return *this;
+}
+CancelledJob& CancelledJob::operator=(CancelledJob&& other95) noexcept {
+  job = other95.job;
+  version = other95.version;
+  __isset = other95.__isset;
+  return *this;
+}
+void CancelledJob::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CancelledJob(";
+  out << "job=" << to_string(job);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
 Acknowledged::~Acknowledged() noexcept {
 }
 
@@ -2279,18 +2402,18 @@
   (void) b;
 }
 
-Acknowledged::Acknowledged(const Acknowledged& other92) noexcept {
-  (void) other92;
+Acknowledged::Acknowledged(const Acknowledged& other96) noexcept {
+  (void) other96;
 }
-Acknowledged::Acknowledged(Acknowledged&& other93) noexcept {
-  (void) other93;
+Acknowledged::Acknowledged(Acknowledged&& other97) noexcept {
+  (void) other97;
 }
-Acknowledged& Acknowledged::operator=(const Acknowledged& other94) noexcept {
-  (void) other94;
+Acknowledged& Acknowledged::operator=(const Acknowledged& other98) noexcept {
+  (void) other98;
   return *this;
 }
-Acknowledged& Acknowledged::operator=(Acknowledged&& other95) noexcept {
-  (void) other95;
+Acknowledged& Acknowledged::operator=(Acknowledged&& other99) noexcept {
+  (void) other99;
   return *this;
 }
 void Acknowledged::printTo(std::ostream& out) const {
@@ -2375,22 +2498,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Unsupported::Unsupported(const Unsupported& other96) noexcept {
-  protocol = other96.protocol;
-  __isset = other96.__isset;
+Unsupported::Unsupported(const Unsupported& other100) noexcept {
+  protocol = other100.protocol;
+  __isset = other100.__isset;
 }
-Unsupported::Unsupported(Unsupported&& other97) noexcept {
-  protocol = other97.protocol;
-  __isset = other97.__isset;
+Unsupported::Unsupported(Unsupported&& other101) noexcept {
+  protocol = other101.protocol;
+  __isset = other101.__isset;
 }
-Unsupported& Unsupported::operator=(const Unsupported& other98) noexcept {
-  protocol = other98.protocol;
-  __isset = other98.__isset;
+Unsupported& Unsupported::operator=(const Unsupported& other102) noexcept {
+  protocol = other102.protocol;
+  __isset = other102.__isset;
   return *this;
 }
-Unsupported& Unsupported::operator=(Unsupported&& other99) noexcept {
-  protocol = other99.protocol;
-  __isset = other99.__isset;
+Unsupported& Unsupported::operator=(Unsupported&& other103) noexcept {
+  protocol = other103.protocol;
+  __isset = other103.__isset;
   return *this;
 }
 void Unsupported::printTo(std::ostream& out) const {
@@ -2464,6 +2587,11 @@
   this->accepted_job = val;
 __isset.accepted_job = true;
 }
+
+void Body::__set_cancelled_job(const CancelledJob& val) {
+  this->cancelled_job = val;
+__isset.cancelled_job = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -2588,6 +2716,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->cancelled_job.read(iprot);
+          this->__isset.cancelled_job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2665,6 +2801,11 @@
     xfer += this->accepted_job.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.cancelled_job) {
+    xfer += oprot->writeFieldBegin("cancelled_job", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->cancelled_job.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2684,69 +2825,74 @@
   swap(a.store_call, b.store_call);
   swap(a.store_answer, b.store_answer);
   swap(a.accepted_job, b.accepted_job);
+  swap(a.cancelled_job, b.cancelled_job);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other100) {
-  heartbeat = other100.heartbeat;
-  configuration_pull = other100.configuration_pull;
-  configuration_documents = other100.configuration_documents;
-  job_notice = other100.job_notice;
-  state_query = other100.state_query;
-  state_answer = other100.state_answer;
-  acknowledged = other100.acknowledged;
-  unsupported = other100.unsupported;
-  leader_beat = other100.leader_beat;
-  store_call = other100.store_call;
-  store_answer = other100.store_answer;
-  accepted_job = other100.accepted_job;
-  __isset = other100.__isset;
+Body::Body(const Body& other104) {
+  heartbeat = other104.heartbeat;
+  configuration_pull = other104.configuration_pull;
+  configuration_documents = other104.configuration_documents;
+  job_notice = other104.job_notice;
+  state_query = other104.state_query;
+  state_answer = other104.state_answer;
+  acknowledged = other104.acknowledged;
+  unsupported = other104.unsupported;
+  leader_beat = other104.leader_beat;
+  store_call = other104.store_call;
+  store_answer = other104.store_answer;
+  accepted_job = other104.accepted_job;
+  cancelled_job = other104.cancelled_job;
+  __isset = other104.__isset;
 }
-Body::Body(Body&& other101) noexcept {
-  heartbeat = std::move(other101.heartbeat);
-  configuration_pull = std::move(other101.configuration_pull);
-  configuration_documents = std::move(other101.configuration_documents);
-  job_notice = std::move(other101.job_notice);
-  state_query = std::move(other101.state_query);
-  state_answer = std::move(other101.state_answer);
-  acknowledged = std::move(other101.acknowledged);
-  unsupported = std::move(other101.unsupported);
-  leader_beat = std::move(other101.leader_beat);
-  store_call = std::move(other101.store_call);
-  store_answer = std::move(other101.store_answer);
-  accepted_job = std::move(other101.accepted_job);
-  __isset = other101.__isset;
+Body::Body(Body&& other105) noexcept {
+  heartbeat = std::move(other105.heartbeat);
+  configuration_pull = std::move(other105.configuration_pull);
+  configuration_documents = std::move(other105.configuration_documents);
+  job_notice = std::move(other105.job_notice);
+  state_query = std::move(other105.state_query);
+  state_answer = std::move(other105.state_answer);
+  acknowledged = std::move(other105.acknowledged);
+  unsupported = std::move(other105.unsupported);
+  leader_beat = std::move(other105.leader_beat);
+  store_call = std::move(other105.store_call);
+  store_answer = std::move(other105.store_answer);
+  accepted_job = std::move(other105.accepted_job);
+  cancelled_job = std::move(other105.cancelled_job);
+  __isset = other105.__isset;
 }
-Body& Body::operator=(const Body& other102) {
-  heartbeat = other102.heartbeat;
-  configuration_pull = other102.configuration_pull;
-  configuration_documents = other102.configuration_documents;
-  job_notice = other102.job_notice;
-  state_query = other102.state_query;
-  state_answer = other102.state_answer;
-  acknowledged = other102.acknowledged;
-  unsupported = other102.unsupported;
-  leader_beat = other102.leader_beat;
-  store_call = other102.store_call;
-  store_answer = other102.store_answer;
-  accepted_job = other102.accepted_job;
-  __isset = other102.__isset;
+Body& Body::operator=(const Body& other106) {
+  heartbeat = other106.heartbeat;
+  configuration_pull = other106.configuration_pull;
+  configuration_documents = other106.configuration_documents;
+  job_notice = other106.job_notice;
+  state_query = other106.state_query;
+  state_answer = other106.state_answer;
+  acknowledged = other106.acknowledged;
+  unsupported = other106.unsupported;
+  leader_beat = other106.leader_beat;
+  store_call = other106.store_call;
+  store_answer = other106.store_answer;
+  accepted_job = other106.accepted_job;
+  cancelled_job = other106.cancelled_job;
+  __isset = other106.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other103) noexcept {
-  heartbeat = std::move(other103.heartbeat);
-  configuration_pull = std::move(other103.configuration_pull);
-  configuration_documents = std::move(other103.configuration_documents);
-  job_notice = std::move(other103.job_notice);
-  state_query = std::move(other103.state_query);
-  state_answer = std::move(other103.state_answer);
-  acknowledged = std::move(other103.acknowledged);
-  unsupported = std::move(other103.unsupported);
-  leader_beat = std::move(other103.leader_beat);
-  store_call = std::move(other103.store_call);
-  store_answer = std::move(other103.store_answer);
-  accepted_job = std::move(other103.accepted_job);
-  __isset = other103.__isset;
+Body& Body::operator=(Body&& other107) noexcept {
+  heartbeat = std::move(other107.heartbeat);
+  configuration_pull = std::move(other107.configuration_pull);
+  configuration_documents = std::move(other107.configuration_documents);
+  job_notice = std::move(other107.job_notice);
+  state_query = std::move(other107.state_query);
+  state_answer = std::move(other107.state_answer);
+  acknowledged = std::move(other107.acknowledged);
+  unsupported = std::move(other107.unsupported);
+  leader_beat = std::move(other107.leader_beat);
+  store_call = std::move(other107.store_call);
+  store_answer = std::move(other107.store_answer);
+  accepted_job = std::move(other107.accepted_job);
+  cancelled_job = std::move(other107.cancelled_job);
+  __isset = other107.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -2764,6 +2910,7 @@
   out << ", " << "store_call="; (__isset.store_call ? (out << to_string(store_call)) : (out << "<null>"));
   out << ", " << "store_answer="; (__isset.store_answer ? (out << to_string(store_answer)) : (out << "<null>"));
   out << ", " << "accepted_job="; (__isset.accepted_job ? (out << to_string(accepted_job)) : (out << "<null>"));
+  out << ", " << "cancelled_job="; (__isset.cancelled_job ? (out << to_string(cancelled_job)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2894,34 +3041,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other104) {
-  protocol = other104.protocol;
-  id = other104.id;
-  answer = other104.answer;
-  body = other104.body;
-  __isset = other104.__isset;
-}
-Envelope::Envelope(Envelope&& other105) noexcept {
-  protocol = other105.protocol;
-  id = other105.id;
-  answer = other105.answer;
-  body = std::move(other105.body);
-  __isset = other105.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other106) {
-  protocol = other106.protocol;
-  id = other106.id;
-  answer = other106.answer;
-  body = other106.body;
-  __isset = other106.__isset;
+Envelope::Envelope(const Envelope& other108) {
+  protocol = other108.protocol;
+  id = other108.id;
+  answer = other108.answer;
+  body = other108.body;
+  __isset = other108.__isset;
+}
+Envelope::Envelope(Envelope&& other109) noexcept {
+  protocol = other109.protocol;
+  id = other109.id;
+  answer = other109.answer;
+  body = std::move(other109.body);
+  __isset = other109.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other110) {
+  protocol = other110.protocol;
+  id = other110.id;
+  answer = other110.answer;
+  body = other110.body;
+  __isset = other110.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other107) noexcept {
-  protocol = other107.protocol;
-  id = other107.id;
-  answer = other107.answer;
-  body = std::move(other107.body);
-  __isset = other107.__isset;
+Envelope& Envelope::operator=(Envelope&& other111) noexcept {
+  protocol = other111.protocol;
+  id = other111.id;
+  answer = other111.answer;
+  body = std::move(other111.body);
+  __isset = other111.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/hickoryquay/inner/gen/inner_types.h
+++ b/hickoryquay/inner/gen/inner_types.h
@@ -47,6 +47,8 @@
 
 class AcceptedJob;
 
+class CancelledJob;
+
 class Acknowledged;
 
 class Unsupported;
@@ -879,6 +881,58 @@
 
 std::ostream& operator<<(std::ostream& out, const AcceptedJob& obj);
 
+typedef struct _CancelledJob__isset {
+  _CancelledJob__isset() : job(false), version(false) {}
+  bool job :1;
+  bool version :1;
+} _CancelledJob__isset;
+
+class CancelledJob : public virtual ::apache::thrift::TBase {
+ public:
+
+  CancelledJob(const CancelledJob&) noexcept;
+  CancelledJob(CancelledJob&&) noexcept;
+  CancelledJob& operator=(const CancelledJob&) noexcept;
+  CancelledJob& operator=(CancelledJob&&) noexcept;
+  CancelledJob() noexcept
+               : job(0),
+                 version(0) {
+  }
+
+  virtual ~CancelledJob() noexcept;
+  int64_t job;
+  int64_t version;
+
+  _CancelledJob__isset __isset;
+
+  void __set_job(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const CancelledJob & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const CancelledJob &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CancelledJob & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CancelledJob &a, CancelledJob &b);
+
+std::ostream& operator<<(std::ostream& out, const CancelledJob& obj);
+
 
 class Acknowledged : public virtual ::apache::thrift::TBase {
  public:
@@ -958,7 +1012,7 @@
 std::ostream& operator<<(std::ostream& out, const Unsupported& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : heartbeat(false), configuration_pull(false), configuration_documents(false), job_notice(false), state_query(false), state_answer(false), acknowledged(false), unsupported(false), leader_beat(false), store_call(false), store_answer(false), accepted_job(false) {}
+  _Body__isset() : heartbeat(false), configuration_pull(false), configuration_documents(false), job_notice(false), state_query(false), state_answer(false), acknowledged(false), unsupported(false), leader_beat(false), store_call(false), store_answer(false), accepted_job(false), cancelled_job(false) {}
   bool heartbeat :1;
   bool configuration_pull :1;
   bool configuration_documents :1;
@@ -971,6 +1025,7 @@
   bool store_call :1;
   bool store_answer :1;
   bool accepted_job :1;
+  bool cancelled_job :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -996,6 +1051,7 @@
   StoreCall store_call;
   StoreAnswer store_answer;
   AcceptedJob accepted_job;
+  CancelledJob cancelled_job;
 
   _Body__isset __isset;
 
@@ -1023,6 +1079,8 @@
 
   void __set_accepted_job(const AcceptedJob& val);
 
+  void __set_cancelled_job(const CancelledJob& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1073,6 +1131,10 @@
       return false;
     else if (__isset.accepted_job && !(accepted_job == rhs.accepted_job))
       return false;
+    if (__isset.cancelled_job != rhs.__isset.cancelled_job)
+      return false;
+    else if (__isset.cancelled_job && !(cancelled_job == rhs.cancelled_job))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/hickoryquay/inner/inner.thrift
+++ b/hickoryquay/inner/inner.thrift
@@ -102,6 +102,12 @@
   3: i64 version,     // Of the store after that.
 }
 
+// From an instance that stored a cancel to the leader, once its row is stored; answered with Acknowledged.
+struct CancelledJob {
+  1: i64 job,
+  2: i64 version,  // Of the store after that.
+}
+
 struct Acknowledged {
 }
 
@@ -122,6 +128,7 @@
   10: StoreCall store_call,
   11: StoreAnswer store_answer,
   12: AcceptedJob accepted_job,
+  13: CancelledJob cancelled_job,
 }
 
 struct Envelope {
--- a/hickoryquay/inner/message.cc
+++ b/hickoryquay/inner/message.cc
@@ -74,6 +74,9 @@
 bool HasAcceptedJob(const wire::Body& body) {
   return body.__isset.accepted_job;
 }
+bool HasCancelledJob(const wire::Body& body) {
+  return body.__isset.cancelled_job;
+}
 
 using B = wire::Body;
 constexpr BodyField kFields[] = {
@@ -89,7 +92,8 @@
     MakeField<wire::LeaderBeat, &B::leader_beat, &B::__set_leader_beat, &HasLeaderBeat>(),
     MakeField<wire::StoreCall, &B::store_call, &B::__set_store_call, &HasStoreCall>(),
     MakeField<wire::StoreAnswer, &B::store_answer, &B::__set_store_answer, &HasStoreAnswer>(),
-    MakeField<wire::AcceptedJob, &B::accepted_job, &B::__set_accepted_job, &HasAcceptedJob>()};
+    MakeField<wire::AcceptedJob, &B::accepted_job, &B::__set_accepted_job, &HasAcceptedJob>(),
+    MakeField<wire::CancelledJob, &B::cancelled_job, &B::__set_cancelled_job, &HasCancelledJob>()};
 
 std::shared_ptr<thrift::TConfiguration> Limits() {
   return std::make_shared<thrift::TConfiguration>(kMaxFrameBytes, kMaxFrameBytes, kMaxNesting);
--- a/hickoryquay/inner/message.h
+++ b/hickoryquay/inner/message.h
@@ -19,7 +19,7 @@
 using Message =
     std::variant<std::monostate, wire::Heartbeat, wire::ConfigurationPull, wire::ConfigurationDocuments,
                  wire::JobNotice, wire::StateQuery, wire::StateAnswer, wire::Acknowledged, wire::Unsupported,
-                 wire::LeaderBeat, wire::StoreCall, wire::StoreAnswer, wire::AcceptedJob>;
+                 wire::LeaderBeat, wire::StoreCall, wire::StoreAnswer, wire::AcceptedJob, wire::CancelledJob>;
 
 struct Frame {
   std::int32_t m_protocol = kProtocol;
--- a/tests/inner/message_test.cc
+++ b/tests/inner/message_test.cc
@@ -1,6 +1,10 @@
 #include "hickoryquay/inner/message.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
 
 #include "tests/property.h"
 
@@ -13,6 +17,7 @@
   CPPUNIT_TEST(ArbitraryBytesNeverThrow);
   CPPUNIT_TEST(TruncatedFramesAreBad);
   CPPUNIT_TEST(UnknownBodyIsEmpty);
+  CPPUNIT_TEST(MessageOfALaterVersionIsEmpty);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -47,12 +52,45 @@
     CPPUNIT_ASSERT_EQUAL(kProtocol + 1, ValueOf(decoded).m_protocol);
   }
 
+  // Guards against a bad frame, which ends the connection, where a later version sends a message of its own.
+  void MessageOfALaterVersionIsEmpty() {
+    const auto decoded = Decode(LaterMessage());
+    CPPUNIT_ASSERT(Ok(decoded));
+    CPPUNIT_ASSERT(std::holds_alternative<std::monostate>(ValueOf(decoded).m_message));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, ValueOf(decoded).m_id);
+  }
+
  private:
   static std::string Body(const std::string& bytes) { return bytes.substr(kLengthBytes); }
 
+  // An envelope with the body field 200, a struct of a number and a text.
+  static std::string LaterMessage() {
+    namespace protocol = apache::thrift::protocol;
+    auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    protocol::TCompactProtocol out(buffer);
+    out.writeFieldBegin("protocol", protocol::T_I32, 1);
+    out.writeI32(kProtocol + 1);
+    out.writeFieldBegin("id", protocol::T_I64, 2);
+    out.writeI64(7);
+    out.writeFieldBegin("body", protocol::T_STRUCT, 4);
+    out.writeStructBegin("Body");
+    out.writeFieldBegin("later", protocol::T_STRUCT, 200);
+    out.writeStructBegin("Later");
+    out.writeFieldBegin("number", protocol::T_I64, 1);
+    out.writeI64(1);
+    out.writeFieldBegin("text", protocol::T_STRING, 2);
+    out.writeString(std::string("text"));
+    for (int open = 0; open < 2; ++open) {
+      out.writeFieldStop();
+      out.writeStructEnd();
+    }
+    out.writeFieldStop();
+    return buffer->getBufferAsString();
+  }
+
   static rc::Gen<Message> AnyMessage() {
     return rc::gen::exec([]() -> Message {
-      switch (*rc::gen::inRange(0, 4)) {
+      switch (*rc::gen::inRange(0, 6)) {
         case 0: {
           wire::Heartbeat heartbeat;
           heartbeat.__set_instance(*rc::gen::arbitrary<std::string>());
@@ -71,6 +109,19 @@
           notice.__set_cancelled(*rc::gen::arbitrary<bool>());
           return notice;
         }
+        case 3: {
+          wire::AcceptedJob accepted;
+          accepted.__set_job(*rc::gen::arbitrary<std::int64_t>());
+          accepted.__set_row(*rc::gen::arbitrary<std::string>());
+          accepted.__set_version(*rc::gen::arbitrary<std::int64_t>());
+          return accepted;
+        }
+        case 4: {
+          wire::CancelledJob cancelled;
+          cancelled.__set_job(*rc::gen::arbitrary<std::int64_t>());
+          cancelled.__set_version(*rc::gen::arbitrary<std::int64_t>());
+          return cancelled;
+        }
         default: {
           wire::StateAnswer answer;
           answer.__set_known(*rc::gen::arbitrary<bool>());
