Settings: facts of the platform that a later version adds are ignored

Cause: an unknown key was an error in every section.

Unknown sections and unknown keys in [node], [store] and [log] stay errors, as do wrong values. A misspelt fact is no longer an error but a warning: its default applies.

--- a/hickoryquay/settings/keys.h
+++ b/hickoryquay/settings/keys.h
@@ -140,14 +140,19 @@
   return known ? "is not a known key" : "is in no known section";
 }
 
-// Reads every entry by its key; `on_entry` is called behind each.
+// Reads every entry by its key; `on_entry` is called behind each. `passes_over` returns whether an entry that nothing
+// reads is no error.
 template <typename All>
 Settled<All> FillByKeys(const IniFile& file, const std::vector<Key<All>>& keys,
-                        const std::function<void(const IniEntry&, All*)>& on_entry = nullptr) {
+                        const std::function<void(const IniEntry&, All*)>& on_entry = nullptr,
+                        const std::function<bool(const IniEntry&, All*)>& passes_over = nullptr) {
   All all;
   for (const IniEntry& entry : file.m_entries) {
     const auto key = std::find_if(keys.begin(), keys.end(), [&](const Key<All>& k) { return k.Matches(entry); });
-    if (key == keys.end()) return SettingsError{file.m_name, entry.m_section, entry.m_key, UnknownKey(keys, entry)};
+    if (key == keys.end()) {
+      if (passes_over && passes_over(entry, &all)) continue;
+      return SettingsError{file.m_name, entry.m_section, entry.m_key, UnknownKey(keys, entry)};
+    }
     std::string wrong = key->m_read(entry.m_value, &all);
     if (!wrong.empty()) return SettingsError{file.m_name, entry.m_section, entry.m_key, std::move(wrong)};
     if (on_entry) on_entry(entry, &all);
--- a/hickoryquay/settings/node_settings.cc
+++ b/hickoryquay/settings/node_settings.cc
@@ -1,6 +1,8 @@
 #include "hickoryquay/settings/node_settings.h"
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
 
 #include "hickoryquay/settings/keys.h"
 
@@ -10,6 +12,7 @@
 
 using All = NodeSettings;
 
+constexpr const char* kFacts[] = {"capacity", "machines", "terms"};  // Sections that the platform's fields fill.
 constexpr double kMostRemote = 100.0;
 constexpr double kMostCores = 1'000.0;
 constexpr double kMostMbitS = 1'000'000.0;
@@ -101,18 +104,26 @@
   return keys;
 }
 
+Settled<NodeSettings> Fill(const IniFile& file) {
+  return FillByKeys<All>(file, Keys(), nullptr, [](const IniEntry& entry, All* all) {
+    if (std::find(std::begin(kFacts), std::end(kFacts), entry.m_section) == std::end(kFacts)) return false;
+    all->m_ignored.push_back("[" + entry.m_section + "] " + entry.m_key);
+    return true;
+  });
+}
+
 }  // namespace
 
 Settled<NodeSettings> ParseNodeSettings(const std::string& path) {
   const auto file = ReadIniFile(path);
   if (!Ok(file)) return ErrorOf(file);
-  return FillByKeys<All>(ValueOf(file), Keys());
+  return Fill(ValueOf(file));
 }
 
 Settled<NodeSettings> ParseNodeSettings(const std::string& name, std::istream& text) {
   const auto file = ReadIni(name, text);
   if (!Ok(file)) return ErrorOf(file);
-  return FillByKeys<All>(ValueOf(file), Keys());
+  return Fill(ValueOf(file));
 }
 
 std::vector<std::string> KnownNodeKeys() {
--- a/hickoryquay/settings/node_settings.h
+++ b/hickoryquay/settings/node_settings.h
@@ -74,9 +74,11 @@
   MachinesSection m_machines;
   TermsSection m_terms;
   log::Settings m_log;
+  std::vector<std::string> m_ignored;  // "[section] key" of the platform's facts that this version doesn't know.
 };
 
-// Reads and checks the file. Unknown sections and keys are errors.
+// Reads and checks the file. Unknown sections and keys are errors, but for keys in the sections of the platform's facts
+// ([capacity], [machines], [terms]): a file made for a later version must not stop this one.
 Settled<NodeSettings> ParseNodeSettings(const std::string& path);
 Settled<NodeSettings> ParseNodeSettings(const std::string& name, std::istream& text);
 
