Tests: bytes of the message that names a cancelled job

Cause: versions that run side by side exchange CancelledJob, so its field numbers must stay. No test held them.

Change: the bytes stand in the test.

Measured: inner_test, 14 of 14.

--- a/tests/inner/message_test.cc
+++ b/tests/inner/message_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(TruncatedFramesAreBad);
   CPPUNIT_TEST(UnknownBodyIsEmpty);
   CPPUNIT_TEST(MessageOfALaterVersionIsEmpty);
+  CPPUNIT_TEST(CancelledJobKeepsItsBytes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -60,6 +61,15 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, ValueOf(decoded).m_id);
   }
 
+  // Guards against other numbers of the fields: two versions that run side by side exchange this message.
+  void CancelledJobKeepsItsBytes() {
+    wire::CancelledJob cancelled;
+    cancelled.__set_job(0x1f);
+    cancelled.__set_version(1'234);
+    const std::string bytes("\x00\x00\x00\x10\x15\x02\x16\x9a\x01\x12\x1c\xdc\x16\x3e\x16\xa4\x13\x00\x00\x00", 20);
+    CPPUNIT_ASSERT(bytes == Encode({kProtocol, 77, false, cancelled}));
+  }
+
  private:
   static std::string Body(const std::string& bytes) { return bytes.substr(kLengthBytes); }
 
