Service: rows of members that can't be read are reported

Cause: a row of the list of instances that is no JSON was passed over without a word, and none of the unreadable ones was counted. Operators could not tell such an instance from one that is not there.

Change: reading and writing such a row stand in member_row.h, and a row that can't be read is logged with its field and counted as hq_rows_unreadable_total{row="member"}. The others are used as before. The row that writes is held by the test; today's is the same byte by byte, and unknown fields are ignored.

Measured: service_compatibility_test. UnreadableMemberRowsAreReported counts 3 of 3 wrong rows; with the counter taken out again it fails with 0.

--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -1,13 +1,11 @@
 #include "hickoryquay/service/job_service.h"
 
 #include <algorithm>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 #include <random>
 #include <utility>
 
 #include "hickoryquay/base/log.h"
-#include "hickoryquay/model/field_reader.h"
+#include "hickoryquay/service/member_row.h"
 
 namespace hickoryquay::service {
 
@@ -25,7 +23,6 @@
 constexpr Millis kMemberWait{5'000};     // Of a feed call; may be long, since new instances also send heartbeats.
 constexpr Millis kAnnounceTimeout{500};  // Of the call that tells the leader of a new job.
 constexpr int kHexDigits = 16;
-constexpr double kMostFitness = 1e9;
 
 std::string RandomHex() {
   std::random_device device;
@@ -249,10 +246,7 @@
   const settings::NodeSection& node = m_settings.m_node.m_node;
   store::Transaction member;
   member.m_puts.push_back({{m_settings.m_members_table, "", node.m_name},
-                           boost::json::serialize(boost::json::object{{"instance", m_self.m_value},
-                                                                      {"domain", node.m_domain.m_value},
-                                                                      {"inner", net::ToString(node.m_inner)},
-                                                                      {"fitness", Fitness()}})});
+                           WriteMemberRow({m_self, node.m_domain, node.m_inner, false, Fitness()})});
   m_parts.m_store->Transact(member, kMemberTimeout,
                             [weak = weak_from_this()](const Result<Version, store::TransactError>& result) {
                               const auto self = weak.lock();
@@ -268,24 +262,13 @@
   for (const store::StoredRow& row : rows) {
     m_members.erase(row.m_key.m_key);
     if (row.m_removed) continue;
-    const auto json = ParseJson(row.m_value);
-    if (!Ok(json)) continue;
-    FieldReader reader(ValueOf(json));
-    peers::PeerInfo sighting;
-    std::string inner;
-    if (!reader.Failed()) {
-      reader.Read("instance", &sighting.m_id);
-      reader.Read("domain", &sighting.m_domain);
-      reader.Read("inner", &inner);
-      reader.Read("fitness", &sighting.m_fitness, 0.0, kMostFitness, FieldReader::Need::kOptional);
-    }
-    const auto address = net::ParseEndpoint(inner);
-    if (reader.Failed() || !Ok(address)) {
-      log::Error(kLog, "Member row can't be read", {{"key", row.m_key.m_key}});
+    const auto member = ReadMemberRow(row.m_value);
+    if (!Ok(member)) {
+      log::Error(kLog, "Member row can't be read", {{"key", row.m_key.m_key}, {"field", ErrorOf(member).m_field}});
+      m_parts.m_metrics->GetCounter("hq_rows_unreadable_total", {{"row", "member"}}).Add();
       continue;
     }
-    sighting.m_inner = ValueOf(address);
-    if (sighting.m_id != m_self) m_members[row.m_key.m_key] = sighting;
+    if (ValueOf(member).m_id != m_self) m_members[row.m_key.m_key] = ValueOf(member);
   }
   std::vector<peers::PeerInfo> listed;
   for (const auto& [key, member] : m_members) listed.push_back(member);
