Jobs: a new leader ends jobs whose last end is stored and whose phase is not

Cause: rows of steps and the phase that follows from them may go into two transactions, where one is full. A leader that is lost between the two leaves a job with all its tasks done, or with its attempts used up, and the phase "running". The next leader judged only by ends that it is told itself, and passes over those that the rows hold.

What callers saw: none has reported it; found while a test for rows that can't be read restored a row. Such a job stayed "running" until it was cancelled, or ran once more than its queue allows.

Change: once all rows are restored and the cancels are applied, open jobs are judged by their rows.

That a leader was in fact lost between the two transactions was not played.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -87,6 +87,20 @@
   }
 }
 
+void Scheduler::EndRestoredJobs(Now now) {
+  std::vector<JobState*> jobs;
+  for (const auto& [id, job] : m_open_jobs) jobs.push_back(job);
+  for (JobState* job : jobs) {
+    const bool failed = std::any_of(job->m_steps.begin(), job->m_steps.end(), [job](const auto& steps) {
+      return std::any_of(steps.begin(), steps.end(), [job](const auto& step) {
+        return std::any_of(step->m_units.begin(), step->m_units.end(),
+                           [job](const auto& unit) { return !unit->m_done && HasUsedAllAttempts(*unit, *job); });
+      });
+    });
+    failed ? EndJob(job, JobPhase::kFailed, now) : FinishIfComplete(job, now);
+  }
+}
+
 //-------------------------------------------------------------------------------------------------
 // Jobs
 //-------------------------------------------------------------------------------------------------
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -129,6 +129,9 @@
   void RestoreJob(const AcceptedJob& job);
   void RestorePhase(JobId job, JobPhase phase, Instant since);
   void RestoreStep(const StepRow& row);
+  // Call once all is restored and cancels are applied. Ends jobs whose last end is stored and whose phase is not: the
+  // leader before was lost between the two. O(tasks of open jobs).
+  void EndRestoredJobs(Now now);
 
   void OnJob(const AcceptedJob& job, Now now);  // Ignores a job that exists already.
   void OnCancel(JobId job, Now now);
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -393,8 +393,7 @@
   failed.push_back(run);
   MarkChanged(*unit);
   JobState* job = unit->m_step->m_job;
-  const bool attempts_used_up = static_cast<int>(failed.size()) >= job->m_job.m_max_attempts;
-  if (attempts_used_up && !unit->m_done && !unit->m_step->m_spec->m_long_running && !Ended(job->m_phase)) {
+  if (HasUsedAllAttempts(*unit, *job) && !unit->m_done && !Ended(job->m_phase)) {
     EndJob(job, JobPhase::kFailed, now);
   }
 }
--- a/hickoryquay/jobs/units.cc
+++ b/hickoryquay/jobs/units.cc
@@ -28,6 +28,11 @@
   return m_units[m_spec->m_gang ? 0 : static_cast<std::size_t>(task)].get();
 }
 
+bool HasUsedAllAttempts(const Unit& unit, const JobState& job) {
+  return !unit.m_step->m_spec->m_long_running &&
+         static_cast<int>(unit.m_failed_runs.size()) >= job.m_job.m_max_attempts;
+}
+
 Instant ObjectiveDeadline(const JobState& job, int occurrence) {
   const JobRequest& request = job.m_job.m_request;
   const Instant from =
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -126,6 +126,9 @@
   std::vector<std::vector<std::unique_ptr<StepState>>> m_steps;  // By occurrence and step; empty until created.
 };
 
+// Whether the unit has failed as often as its job allows. A step that lasts may fail any number of times.
+bool HasUsedAllAttempts(const Unit& unit, const JobState& job);
+
 // Wall time by which the occurrence must end to meet the job's objective.
 Instant ObjectiveDeadline(const JobState& job, int occurrence);
 
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -321,6 +321,7 @@
       [this](const std::vector<JobId>& jobs) { m_scheduler.OnArchived(jobs, Time()); });
   m_archive->Start();
   OnIntakeRows(buffered, false);  // For the cancels; the jobs were restored above.
+  m_scheduler.EndRestoredJobs(Time());
   m_last_tick = m_parts.m_clock->Now();
   m_tick = m_parts.m_timers->Every(kRoundInterval, [weak = weak_from_this()] {
     const auto self = weak.lock();
--- a/tests/service/takeover_test.cc
+++ b/tests/service/takeover_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(ArchiveSurvivesLostAnswers);
   CPPUNIT_TEST(RowsLeftByACrashAreDeleted);
   CPPUNIT_TEST(RowsOfEarlierLeadersExpire);
+  CPPUNIT_TEST(JobIsEndedWhoseLastEndAloneWasStored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -102,7 +103,36 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_cluster->Store().Rows(TableNames{}.m_ended).size());
   }
 
+  // Guards against jobs that never end: their leader was lost after it had stored the last end of a task, and before it
+  // stored that the job has ended.
+  void JobIsEndedWhoseLastEndAloneWasStored() {
+    Build(0);
+    m_cluster->KillInstance(*m_cluster->Leader());
+    PutRunningJob(JobId{0x998}, jobs::UnitRow{0, jobs::RunNumber{1}, true, {}, {}, "", {}});
+    PutRunningJob(JobId{0x999}, jobs::UnitRow{0, jobs::RunNumber{1}, false, {jobs::RunNumber{1}}, {}, "", {}});
+    m_cluster->Run(Millis{5'000});
+    CPPUNIT_ASSERT(m_cluster->StoredPhase(JobId{0x998}) == JobPhase::kCompleted);
+    CPPUNIT_ASSERT(m_cluster->StoredPhase(JobId{0x999}) == JobPhase::kFailed);
+    CPPUNIT_ASSERT_EQUAL(0, m_cluster->Sim().Starts());
+  }
+
  private:
+  // Stores a job of one task, which may fail once.
+  void PutRunningJob(JobId id, const jobs::UnitRow& unit) {
+    const TableNames tables;
+    jobs::AcceptedJob job;
+    job.m_queue = jobs::QueueName{"q1"};
+    job.m_account = AccountId{"account"};
+    job.m_pool = jobs::PoolName{"pool"};
+    job.m_request.m_steps.push_back(Tasks(1, 1, Millis{1'000}));
+    const auto put = [&](const std::string& key, const std::string& value) {
+      m_cluster->Store().Put({tables.m_state, tables.m_leader_part, key}, value);
+    };
+    m_cluster->Store().Put({tables.m_intake, tables.IntakePart(id), JobRowKey(id)}, Write(job));
+    put(jobs::HexText(id), Write(jobs::PhaseRow{JobPhase::kRunning, Instant{1'000'000}}));
+    put(jobs::ToText(jobs::StepKey{id, 0, 0}), Write(jobs::StepRow{{id, 0, 0}, {unit}, 0}));
+  }
+
   void Build(int link) {
     ClusterSettings settings;
     settings.m_link_bytes_per_ms = link;
