Jobs: tasks whose row can't be read are not started

Cause: a new leader passed over a row of a step that it could not read and took its tasks for ones that had never run. It started them a second time while they ran, or after they were done.

What callers saw: none has reported it; rows of versions that can be read are not concerned. In the test four running tasks were started on a second worker ("runs on w0-0 already").

Change: such a row marks its tasks, which wait then. Ends that workers tell count as usual, so a job whose tasks ran goes on. The row stays as it is: a leader that can read it, such as one of a later version, goes on with it. A cancel ends the job and deletes the row. A first row that can't be read may be of an early version and hold all tasks of the step, so all wait whose own row is not stored.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -87,6 +87,22 @@
   }
 }
 
+void Scheduler::RestoreUnreadStep(const StepRowKey& row) {
+  JobState* job = Find(row.m_step.m_job);
+  if (job == nullptr) return;
+  StepState* step = FindOrCreateStep(job, row.m_step.m_occurrence, row.m_step.m_step);
+  if (step == nullptr) return;
+  // The first row may be of an earlier version and hold units of all rows.
+  const auto told = [step, &row](const Unit& unit) {
+    const int index = RowOf(unit).m_index;
+    return index == row.m_index || (row.m_index == 0 && !step->m_stored_rows.contains(index));
+  };
+  for (const auto& unit : step->m_units) {
+    if (told(*unit) && unit->IsWaiting()) unit->m_unread = true;
+  }
+  step->m_stored_rows.insert(row.m_index);
+}
+
 void Scheduler::EndRestoredJobs(Now now) {
   std::vector<JobState*> jobs;
   for (const auto& [id, job] : m_open_jobs) jobs.push_back(job);
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -129,6 +129,9 @@
   void RestoreJob(const AcceptedJob& job);
   void RestorePhase(JobId job, JobPhase phase, Instant since);
   void RestoreStep(const StepRow& row);
+  // A row of a step that can't be read. Call after RestoreStep of all others. None of its units is started here, and
+  // the row stays as it is, so that a later leader may read it.
+  void RestoreUnreadStep(const StepRowKey& row);
   // Call once all is restored and cancels are applied. Ends jobs whose last end is stored and whose phase is not: the
   // leader before was lost between the two. O(tasks of open jobs).
   void EndRestoredJobs(Now now);
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -69,6 +69,7 @@
   std::string m_checkpoint;  // The next start resumes here; empty: starts from the beginning.
   bool m_active = false;     // At least one member has resources allocated.
   bool m_done = false;
+  bool m_unread = false;           // Its row can't be read: it may run or be done, so it is not started.
   bool m_stopping = false;         // All members are being stopped.
   bool m_sound = false;            // This run has lasted too long to crash its workers.
   bool m_may_share = false;        // It has found no worker without other work, and is placed beside others.
@@ -79,7 +80,7 @@
   Instant m_reserved_until;        // Steady time at which the reservation ends at the latest.
   bool m_may_span_racks = false;   // No rack can hold the gang by the last plan for it.
 
-  bool IsWaiting() const { return !m_active && !m_done; }
+  bool IsWaiting() const { return !m_active && !m_done && !m_unread; }
   TaskKey Key(std::size_t member) const;
   int Accelerators() const;
 };
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -268,6 +268,7 @@
     }
   }
   std::vector<jobs::StepRow> steps;
+  std::vector<jobs::StepRowKey> unread;
   // Rows of jobs that an earlier leader archived, and whose deletion it did not live to see.
   const auto archived = [&](const store::StoredRow& row, JobId job) {
     if (accepted.contains(job)) return false;
@@ -283,11 +284,16 @@
     } else if (const auto key = jobs::ParseStepRowKey(row.m_key.m_key)) {
       if (archived(row, key->m_step.m_job)) continue;
       auto step = jobs::ReadStepRow(*key, row.m_value);
-      Ok(step) ? steps.push_back(TakeValue(std::move(step)))
-               : ReportUnreadable("step", row.m_key.m_key, ErrorOf(step).m_field);
+      if (Ok(step)) {
+        steps.push_back(TakeValue(std::move(step)));
+      } else {
+        unread.push_back(*key);
+        ReportUnreadable("step", row.m_key.m_key, ErrorOf(step).m_field);
+      }
     }
   }
   for (const jobs::StepRow& step : steps) m_scheduler.RestoreStep(step);
+  for (const jobs::StepRowKey& row : unread) m_scheduler.RestoreUnreadStep(row);
   m_load_timer.Cancel();
   m_ready = true;
   m_ready_at = m_parts.m_clock->Now();
--- a/tests/service/side_by_side_test.cc
+++ b/tests/service/side_by_side_test.cc
@@ -38,6 +38,9 @@
   CPPUNIT_TEST(JobsAndCancelsWithUnknownFieldsAreTakenFromTheFeed);
   CPPUNIT_TEST(UnreadableRowsCostOnlyThemselves);
   CPPUNIT_TEST(UnreadableJobInTheFeedCostsOnlyItself);
+  CPPUNIT_TEST(UnreadableStepOfARunningJobRunsNothingTwice);
+  CPPUNIT_TEST(UnreadableStepThatIsDoneIsNotRepeated);
+  CPPUNIT_TEST(JobWithAnUnreadableStepCanBeCancelled);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -120,11 +123,81 @@
     CPPUNIT_ASSERT_EQUAL(1, Unreadable(m_cluster->MetricsText(), "job"));
   }
 
+  // Guards against a second start of tasks that run, where only the row that tells of them can't be read. The workers
+  // tell their ends.
+  void UnreadableStepOfARunningJobRunsNothingTwice() {
+    const JobId job = m_cluster->Submit(0, Tasks(4, 1, kWork), kWork);
+    const JobId other = m_cluster->Submit(0, Tasks(4, 1, kWork), kWork);
+    m_cluster->Run(Millis{700});
+    m_cluster->KillInstance(*m_cluster->Leader());
+    m_cluster->Store().Put(FirstStep(job), "garbled");
+    m_cluster->Run(Millis{8'000});
+    CPPUNIT_ASSERT_EQUAL(1, Unreadable(m_cluster->MetricsText(), "step"));
+    CPPUNIT_ASSERT_EQUAL(8, m_cluster->Sim().Starts());
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->Violations());
+    for (const JobId each : {job, other}) CheckPhase(each, JobPhase::kCompleted);
+  }
+
+  // The same of tasks that are done. Their job waits for a leader that can read the row.
+  void UnreadableStepThatIsDoneIsNotRepeated() {
+    const JobId job = SubmitTwoSteps();
+    const std::string readable = Stored(FirstStep(job));
+    TakeOverWithGarbled(FirstStep(job));
+    CheckPhase(job, JobPhase::kRunning);
+    CPPUNIT_ASSERT_EQUAL(5, m_cluster->Sim().Starts());
+    CPPUNIT_ASSERT_EQUAL(std::string("garbled"), Stored(FirstStep(job)));
+    m_cluster->Store().Put(FirstStep(job), readable);
+    m_cluster->KillInstance(*m_cluster->Leader());
+    m_cluster->Run(Millis{5'000});
+    CheckPhase(job, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(5, m_cluster->Sim().Starts());
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->Violations());
+  }
+
+  void JobWithAnUnreadableStepCanBeCancelled() {
+    const JobId job = SubmitTwoSteps();
+    TakeOverWithGarbled(FirstStep(job));
+    CheckPhase(job, JobPhase::kRunning);
+    m_cluster->Cancel(*m_cluster->Leader(), job);
+    m_cluster->Run(Millis{2'000});
+    CheckPhase(job, JobPhase::kCancelled);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Stored(FirstStep(job)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->Violations());
+  }
+
  private:
   store::RowKey Row(const std::string& key, JobId job) const {
     return {m_tables.m_intake, m_tables.IntakePart(job), key};
   }
 
+  std::string Stored(const store::RowKey& key) const {
+    for (const store::StoredRow& row : m_cluster->Store().Rows(key.m_table)) {
+      if (row.m_key == key) return row.m_value;
+    }
+    return "";
+  }
+
+  store::RowKey FirstStep(JobId job) const {
+    return {m_tables.m_state, m_tables.m_leader_part, jobs::ToText(jobs::StepKey{job, 0, 0})};
+  }
+
+  // Two tasks, then three: the second step runs.
+  JobId SubmitTwoSteps() {
+    jobs::StepSpec second = Tasks(3, 1, kWork);
+    second.m_after = {0};
+    const JobId job = m_cluster->SubmitSteps(0, {Tasks(2, 1, kWork), second}, kWork, 1);
+    m_cluster->Run(kWork + Millis{800});
+    CPPUNIT_ASSERT_EQUAL(5, m_cluster->Sim().Starts());
+    return job;
+  }
+
+  void TakeOverWithGarbled(const store::RowKey& row) {
+    m_cluster->KillInstance(*m_cluster->Leader());
+    m_cluster->Store().Put(row, "garbled");
+    m_cluster->Run(Millis{8'000});
+    CPPUNIT_ASSERT(m_cluster->Leader());
+  }
+
   // A job of one short task.
   std::string PlainJob(JobId id) {
     standin::StepTruth truth;
