--- a/bench/jobs/load.cc
+++ b/bench/jobs/load.cc
@@ -383,6 +383,12 @@
   }
 }
 
+// As above, and 13% of the workers announce soon after that they leave.
+void FillQueueAndLeave(DayLoad* day, Draw* draw) {
+  FillQueueAtOnce(day, draw);
+  AddTrouble(day, draw, WorkerTrouble::Kind::kDrains, 0.13, Instant{10'000}, Millis{6'500});
+}
+
 struct Pattern {
   const char* m_name;
   const char* m_summary;
@@ -465,6 +471,8 @@
     {"scarce-cores", "workers run out of cores before accelerators", &MakeCoresScarce, nullptr},
     {"scarce-memory", "workers run out of memory before accelerators", &MakeMemoryScarce, nullptr},
     {"deep-queue", "nine tasks for each worker wait at once, from 24 client accounts", nullptr, &FillQueueAtOnce},
+    {"mass-leave", "nine tasks for each worker wait while 13% of the workers leave at once", nullptr,
+     &FillQueueAndLeave},
 };
 
 }  // namespace
