Jobs: full workers are passed over first, and candidates are grouped once a round

Cause: for each unit, the choice of workers went through the members of every candidate before it looked at the room, sorted all that were left, and grouped the candidates by failure domain anew. Members were kept in trees.

Change: the room is tested first, a single task takes the best option without sorting, a gang for which the options are too few is turned down before they are sorted, speeds are computed only where they decide. Candidates are flattened and grouped by domain once a round for each pool and label. Members of a worker are a flat set. The view of guarantees is built from the open jobs only.

--- a/hickoryquay/jobs/preemption.cc
+++ b/hickoryquay/jobs/preemption.cc
@@ -138,12 +138,11 @@
 // Guarantees
 //-------------------------------------------------------------------------------------------------
 
-Guarantees::Guarantees(const std::map<JobId, std::unique_ptr<JobState>>& jobs,
-                       const QueueConfiguration& configuration) {
+Guarantees::Guarantees(const std::map<JobId, JobState*>& jobs, const QueueConfiguration& configuration) {
   std::map<AccountId, std::vector<std::pair<const JobState*, int>>> by_account;
   for (const auto& [id, job] : jobs) {
     if (Ended(job->m_phase) || job->m_job.m_priority != 0) continue;
-    by_account[job->m_job.m_account].emplace_back(job.get(), CurrentNeed(*job));
+    by_account[job->m_job.m_account].emplace_back(job, CurrentNeed(*job));
   }
   for (auto& [account, urgent] : by_account) {
     std::stable_sort(urgent.begin(), urgent.end(), [](const auto& a, const auto& b) {
--- a/hickoryquay/jobs/preemption.h
+++ b/hickoryquay/jobs/preemption.h
@@ -42,7 +42,7 @@
 class Guarantees {
  public:
   Guarantees() = default;
-  Guarantees(const std::map<JobId, std::unique_ptr<JobState>>& jobs, const QueueConfiguration& configuration);
+  Guarantees(const std::map<JobId, JobState*>& jobs, const QueueConfiguration& configuration);
 
   // The guarantee covers all of the account's jobs, so that this one may reclaim room.
   bool Covers(const JobState& job) const { return m_covered.contains(&job); }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -245,7 +245,7 @@
   AcceleratorCount CountAccelerators() const;
   double RequiredFreeShare(const Unit& unit, Now now) const;
   std::vector<StepState*> ReadySteps(Now now);
-  const WorkerTable::RackMap& RacksFor(const Unit& unit);
+  const Candidates& CandidatesFor(const Unit& unit);
   const PoolPace& PaceOf(const PoolName& pool, Now now);
   Choice ChooseFor(const Unit& unit, const std::vector<WorkerSlot*>& candidates, Now now);
   void PlaceStep(StepState* step, AcceleratorCount* accelerators, Now now);
@@ -275,7 +275,7 @@
   UnitSet m_active;                            // Units with a member that has resources allocated.
   std::set<std::pair<WorkerId, std::pair<TaskKey, RunNumber>>> m_unrecorded_runs;  // In no row.
   // Caches, valid until the end of the current Decide.
-  std::map<std::pair<PoolName, std::string>, WorkerTable::RackMap> m_racks;  // By pool and label.
+  std::map<std::pair<PoolName, std::string>, Candidates> m_candidates;  // By pool and label.
   std::map<PoolName, PoolPace> m_paces;
   Guarantees m_guarantees;
   std::vector<GuaranteeStart> m_guarantee_starts;    // Not taken yet.
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -115,9 +115,9 @@
   EvacuateDraining(now);
   ReturnWorkers(now);
   if (!places) return;
-  m_racks.clear();
+  m_candidates.clear();
   m_paces.clear();
-  m_guarantees = m_configuration ? Guarantees(m_jobs, *m_configuration) : Guarantees();
+  m_guarantees = m_configuration ? Guarantees(m_open_jobs, *m_configuration) : Guarantees();
   DropReservations(now);
   AcceleratorCount accelerators = CountAccelerators();
   for (StepState* step : ReadySteps(now)) PlaceStep(step, &accelerators, now);
@@ -190,18 +190,6 @@
 
 namespace {
 
-std::vector<WorkerSlot*> Flatten(const WorkerGroups& racks) {
-  std::vector<WorkerSlot*> all;
-  for (const auto& [name, slots] : racks) all.insert(all.end(), slots.begin(), slots.end());
-  return all;
-}
-
-WorkerGroups ByDomain(const std::vector<WorkerSlot*>& slots) {
-  WorkerGroups domains;
-  for (WorkerSlot* slot : slots) domains[slot->m_entry.m_domain.m_value].push_back(slot);
-  return domains;
-}
-
 // Returns true if the rack could hold the unit if nothing else ran there.
 bool FitsWhenEmpty(const std::vector<WorkerSlot*>& slots, const Unit& unit) {
   int times = 0;
@@ -217,7 +205,7 @@
 
 bool Scheduler::TryPlace(Unit* unit, Now now) {
   const StepSpec& spec = *unit->m_step->m_spec;
-  const auto& racks = RacksFor(*unit);
+  const auto& [racks, domains, all] = CandidatesFor(*unit);
   const bool gang = unit->m_members.size() > 1;
   const bool uneven = PaceOf(unit->m_step->m_job->m_job.m_pool, now).m_uneven;
   const auto choose = [&](const std::vector<WorkerSlot*>& slots) { return ChooseFor(*unit, slots, now); };
@@ -239,9 +227,8 @@
       if (now.m_wall + Millis{remote_ms} < deadline) return false;  // There is time to wait for the rack of the data.
     }
   }
-  const std::vector<WorkerSlot*> all = Flatten(racks);
   Choice chosen;
-  if (gang) chosen = ChooseGroup(ByDomain(all), GroupOrder::kSpread, uneven, choose);
+  if (gang) chosen = ChooseGroup(domains, GroupOrder::kSpread, uneven, choose);
   if (chosen.m_slots.empty()) chosen = choose(all);
   if (chosen.m_slots.empty()) return false;
   if (chosen.m_rank < 0) --m_paces[unit->m_step->m_job->m_job.m_pool].m_probes;
@@ -283,11 +270,11 @@
 // Preemption
 //-------------------------------------------------------------------------------------------------
 
-const WorkerTable::RackMap& Scheduler::RacksFor(const Unit& unit) {
+const Candidates& Scheduler::CandidatesFor(const Unit& unit) {
   const PoolName& pool = unit.m_step->m_job->m_job.m_pool;
   const std::string& label = unit.m_step->m_spec->m_required_label;
-  const auto [entry, added] = m_racks.try_emplace({pool, label});
-  if (added) entry->second = m_workers.Racks(pool, label);
+  const auto [entry, added] = m_candidates.try_emplace({pool, label});
+  if (added) entry->second = m_workers.CandidatesOf(pool, label);
   return entry->second;
 }
 
@@ -318,14 +305,14 @@
   }
   const StepSpec& spec = *unit->m_step->m_spec;
   const bool needs_rack = spec.m_rack_local && unit->m_members.size() > 1;
-  const auto& racks = RacksFor(*unit);
+  const auto& [racks, domains, all] = CandidatesFor(*unit);
   std::vector<WorkerSlot*> chosen;
   for (const auto& [name, slots] : racks) {
     if (!needs_rack && name != spec.m_data_rack) continue;
     chosen = ChooseWorkersToHold(*unit, slots, m_settings.m_choice.m_crashes);
     if (!chosen.empty()) break;
   }
-  if (chosen.empty()) chosen = ChooseWorkersToHold(*unit, Flatten(racks), m_settings.m_choice.m_crashes);
+  if (chosen.empty()) chosen = ChooseWorkersToHold(*unit, all, m_settings.m_choice.m_crashes);
   for (WorkerSlot* slot : chosen) slot->m_held_for = unit;
   unit->m_alone_until = now.m_steady + m_settings.m_choice.m_crashes.m_longest_wait;
   return false;
@@ -356,7 +343,7 @@
 std::optional<PreemptionPlan> Scheduler::FindPlan(Unit* unit, Now now) {
   const StepSpec& spec = *unit->m_step->m_spec;
   const PreemptionRound round = MakeRound(now);
-  const auto& racks = RacksFor(*unit);
+  const auto& [racks, domains, all] = CandidatesFor(*unit);
   std::optional<PreemptionPlan> best;
   const bool needs_rack = spec.m_rack_local && unit->m_members.size() > 1;
   if (needs_rack) {
@@ -366,7 +353,7 @@
     }
   }
   unit->m_may_span_racks = !best && needs_rack && m_guarantees.Covers(*unit->m_step->m_job);
-  if (!best && (!needs_rack || unit->m_may_span_racks)) best = PlanPreemption(*unit, Flatten(racks), round);
+  if (!best && (!needs_rack || unit->m_may_span_racks)) best = PlanPreemption(*unit, all, round);
   return best;
 }
 
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -2,6 +2,7 @@
 // task. Each of its tasks is a member.
 #pragma once
 
+#include <boost/container/flat_set.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -95,7 +96,7 @@
 struct UnitMemberLess {
   bool operator()(const UnitMember& a, const UnitMember& b) const;
 };
-using UnitMemberSet = std::set<UnitMember, UnitMemberLess>;
+using UnitMemberSet = boost::container::flat_set<UnitMember, UnitMemberLess>;
 
 struct StepState {
   StepKey m_key;
--- a/hickoryquay/jobs/worker_choice.cc
+++ b/hickoryquay/jobs/worker_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <tuple>
 #include <utility>
 
@@ -66,18 +67,22 @@
   // At equal rank and room, urgent work prefers fast workers, batch work slow ones.
   const double sign = input.m_priority == 0 ? -1.0 : input.m_priority == 1 ? 0.0 : 1.0;
   const bool probes = input.m_pace.m_probes > 0 && input.m_priority > 0 && unit.m_members.size() == 1;
+  const Resources& task = unit.m_step->m_spec->m_task;
+  // Where all ranks are equal and no speed is preferred, it decides nothing.
+  const bool asks_speed = sign != 0.0 || input.m_pace.m_uneven;
   std::vector<Option> options;
   for (WorkerSlot* slot : candidates) {
+    if (!task.FitsIn(slot->m_free)) continue;  // The cheapest rule first: most workers are full.
     if (!MayHost(*slot, unit, settings.m_crashes, input.m_now)) continue;
     const Resources room = RoomFor(*slot, unit, input.m_guaranteed);
-    const int times = LimitPerWorker(*slot, unit, CountFitting(room, unit.m_step->m_spec->m_task));
+    const int times = LimitPerWorker(*slot, unit, CountFitting(room, task));
     if (times <= 0) continue;
     const bool probe = probes && slot->m_members.empty() && !slot->m_speed.IsMeasured(input.m_now, settings.m_speed);
     if (probe) {
       options.push_back({slot, 1, kProbeRank, 0, false});
       continue;
     }
-    const LogBelief speed = slot->m_speed.At(input.m_now, settings.m_speed);
+    const LogBelief speed = asks_speed ? slot->m_speed.At(input.m_now, settings.m_speed) : LogBelief{};
     options.push_back({slot, times, RankOf(input, speed, settings),
                        static_cast<int>(std::lround(sign * speed.m_mean / settings.m_speed_step)),
                        input.m_now < slot->m_cold_until});
@@ -88,7 +93,16 @@
     return std::tuple(urgent && option.m_cold, slot.m_failures, option.m_rank, slot.m_free.m_accelerators,
                       option.m_speed, option.m_cold);
   };
-  std::stable_sort(options.begin(), options.end(), [&](const Option& a, const Option& b) { return key(a) < key(b); });
+  const auto before = [&](const Option& a, const Option& b) { return key(a) < key(b); };
+  if (unit.m_members.size() == 1 && !options.empty()) {
+    const Option& best = *std::min_element(options.begin(), options.end(), before);
+    return {{best.m_slot}, best.m_rank, urgent && best.m_cold};
+  }
+  const auto room = std::accumulate(
+      options.begin(), options.end(), std::size_t{0},
+      [](std::size_t sum, const Option& option) { return sum + static_cast<std::size_t>(option.m_times); });
+  if (room < unit.m_members.size()) return {};
+  std::stable_sort(options.begin(), options.end(), before);
   Choice choice;
   for (const Option& option : options) {
     for (int i = 0; i < option.m_times && choice.m_slots.size() < unit.m_members.size(); ++i) {
@@ -97,7 +111,6 @@
       choice.m_cold = choice.m_cold || (urgent && option.m_cold);
     }
   }
-  if (choice.m_slots.size() < unit.m_members.size()) return {};
   return choice;
 }
 
--- a/hickoryquay/jobs/worker_choice.h
+++ b/hickoryquay/jobs/worker_choice.h
@@ -57,9 +57,6 @@
 Choice ChooseWorkers(const ChoiceInput& input, const std::vector<WorkerSlot*>& candidates,
                      const ChoiceSettings& settings);
 
-// Racks or failure domains, by name.
-using WorkerGroups = WorkerTable::RackMap;
-
 // A gang that spans groups runs slower, or is lost with any of them. Packing puts it into the group with the least
 // room, spreading into the one with the most, so that a group that is lost takes no more than its share of the work.
 enum class GroupOrder { kPack, kSpread };
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -65,16 +65,20 @@
   if (slot->m_members.erase({unit, member}) > 0) slot->m_free += unit->m_step->m_spec->m_task;
 }
 
-WorkerTable::RackMap WorkerTable::Racks(const PoolName& pool, const std::string& label) {
-  RackMap racks;
+Candidates WorkerTable::CandidatesOf(const PoolName& pool, const std::string& label) {
+  Candidates candidates;
   for (const auto& [id, slot] : m_slots) {
     const WorkerEntry& entry = slot->m_entry;
     if (!slot->IsSchedulable() || entry.m_pool != pool) continue;
     if (!label.empty() && std::find(entry.m_labels.begin(), entry.m_labels.end(), label) == entry.m_labels.end())
       continue;
-    racks[entry.m_rack].push_back(slot.get());
+    candidates.m_racks[entry.m_rack].push_back(slot.get());
   }
-  return racks;
+  for (const auto& [name, slots] : candidates.m_racks) {
+    candidates.m_all.insert(candidates.m_all.end(), slots.begin(), slots.end());
+  }
+  for (WorkerSlot* slot : candidates.m_all) candidates.m_domains[slot->m_entry.m_domain.m_value].push_back(slot);
+  return candidates;
 }
 
 }  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -61,6 +61,16 @@
   void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
 };
 
+// Racks or failure domains, by name.
+using WorkerGroups = std::map<std::string, std::vector<WorkerSlot*>>;
+
+// Schedulable workers that a step may run on.
+struct Candidates {
+  WorkerGroups m_racks;
+  WorkerGroups m_domains;
+  std::vector<WorkerSlot*> m_all;  // Rack by rack; the domains have the same order.
+};
+
 // The address of a slot is stable until the slot is erased.
 class WorkerTable {
  public:
@@ -73,9 +83,7 @@
   void Allocate(WorkerSlot* slot, Unit* unit, std::size_t member);
   void Release(WorkerSlot* slot, Unit* unit, std::size_t member);
 
-  // Schedulable workers of a pool that have the label (empty: any), grouped by rack.
-  using RackMap = std::map<std::string, std::vector<WorkerSlot*>>;
-  RackMap Racks(const PoolName& pool, const std::string& label);
+  Candidates CandidatesOf(const PoolName& pool, const std::string& label);  // Of any label if it is empty.
 
   std::map<WorkerId, std::unique_ptr<WorkerSlot>>& All() { return m_slots; }
   const std::map<WorkerId, std::unique_ptr<WorkerSlot>>& All() const { return m_slots; }
