Jobs: single tasks of a step are placed from one ranked list of workers

Change: RankedWorkers keeps the options of the step as a heap; after a task is placed, only its worker is evaluated again. The list is dropped when a unit is not like the others of its step (crashes, a reservation, held workers), after a probe, and before a preemption, so that each task gets the worker it got before.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -247,9 +247,9 @@
   std::vector<StepState*> ReadySteps(Now now);
   const Candidates& CandidatesFor(const Unit& unit);
   const PoolPace& PaceOf(const PoolName& pool, Now now);
-  Choice ChooseFor(const Unit& unit, const std::vector<WorkerSlot*>& candidates, Now now);
+  ChoiceInput InputFor(const Unit& unit, Now now);
   void PlaceStep(StepState* step, AcceleratorCount* accelerators, Now now);
-  bool TryPlace(Unit* unit, Now now);
+  bool TryPlace(Unit* unit, Now now, std::optional<RankedWorkers>* ranked = nullptr);
   bool PlaceOn(Unit* unit, const std::vector<WorkerSlot*>& slots, Now now);
   void EvacuateDraining(Now now);
   bool PlaceAlone(Unit* unit, Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -129,6 +129,7 @@
   if (Ended(step->m_job->m_phase)) return;                 // Another step has ended it in this round.
   const bool urgent = step->m_job->m_job.m_priority == 0;  // May preempt others.
   const bool guaranteed = m_guarantees.Covers(*step->m_job);
+  std::optional<RankedWorkers> ranked;
   for (const auto& owned : step->m_units) {
     Unit* unit = owned.get();
     if (!unit->IsWaiting()) continue;
@@ -136,6 +137,7 @@
     if (Judge(unit->m_crashes, unit->m_run, m_settings.m_choice.m_crashes) == CrashVerdict::kGiveUp)
       return EndJob(step->m_job, JobPhase::kFailed, now);
     if (NeedsIsolation(*unit, m_settings.m_choice.m_crashes)) {
+      ranked.reset();
       if (PlaceAlone(unit, now)) accelerators->m_free -= unit->Accelerators();
       continue;  // The other units of the step need no worker of their own.
     }
@@ -145,7 +147,12 @@
         std::min(RequiredFreeShare(*unit, now) * accelerators->m_total, (accelerators->m_total - takes) / 2.0);
     if (!urgent && accelerators->m_free - takes < min_free) return;
     const bool preempts = m_settings.m_preempts && urgent;
-    if (TryPlace(unit, now) || (preempts && PreemptFor(unit, now) && TryPlace(unit, now))) {
+    bool placed = TryPlace(unit, now, &ranked);
+    if (!placed) {
+      ranked.reset();
+      placed = preempts && PreemptFor(unit, now) && TryPlace(unit, now);
+    }
+    if (placed) {
       accelerators->m_free -= takes;
       continue;
     }
@@ -175,7 +182,7 @@
   return entry->second;
 }
 
-Choice Scheduler::ChooseFor(const Unit& unit, const std::vector<WorkerSlot*>& candidates, Now now) {
+ChoiceInput Scheduler::InputFor(const Unit& unit, Now now) {
   const JobState& job = *unit.m_step->m_job;
   ChoiceInput input;
   input.m_unit = &unit;
@@ -185,11 +192,17 @@
   input.m_pace = PaceOf(job.m_job.m_pool, now);
   input.m_guaranteed = m_guarantees.Covers(job);
   input.m_now = now.m_steady;
-  return ChooseWorkers(input, candidates, m_settings.m_choice);
+  return input;
 }
 
 namespace {
 
+// Nothing but its step distinguishes the unit from the others of the step.
+bool IsPlainTask(const Unit& unit) {
+  return unit.m_members.size() == 1 && unit.m_step->m_spec->m_data_rack.empty() && unit.m_crashes.empty() &&
+         !unit.m_has_reservation && unit.m_alone_until == Instant{};
+}
+
 // Returns true if the rack could hold the unit if nothing else ran there.
 bool FitsWhenEmpty(const std::vector<WorkerSlot*>& slots, const Unit& unit) {
   int times = 0;
@@ -203,12 +216,30 @@
 
 }  // namespace
 
-bool Scheduler::TryPlace(Unit* unit, Now now) {
+// `ranked`: of the units of the step that were placed just before, kept for the next one.
+bool Scheduler::TryPlace(Unit* unit, Now now, std::optional<RankedWorkers>* ranked) {
   const StepSpec& spec = *unit->m_step->m_spec;
   const auto& [racks, domains, all] = CandidatesFor(*unit);
+  const ChoiceInput input = InputFor(*unit, now);
+  if (ranked != nullptr && IsPlainTask(*unit)) {
+    if (!*ranked) ranked->emplace(input, all, m_settings.m_choice);
+    const Choice best = (*ranked)->Best();
+    if (best.m_slots.empty()) return false;
+    PlaceOn(unit, best.m_slots, now);
+    if (best.m_rank >= 0) {
+      (*ranked)->OnPlaced();
+    } else {
+      --m_paces[unit->m_step->m_job->m_job.m_pool].m_probes;
+      ranked->reset();
+    }
+    return true;
+  }
+  if (ranked != nullptr) ranked->reset();
   const bool gang = unit->m_members.size() > 1;
-  const bool uneven = PaceOf(unit->m_step->m_job->m_job.m_pool, now).m_uneven;
-  const auto choose = [&](const std::vector<WorkerSlot*>& slots) { return ChooseFor(*unit, slots, now); };
+  const bool uneven = input.m_pace.m_uneven;
+  const auto choose = [&](const std::vector<WorkerSlot*>& slots) {
+    return ChooseWorkers(input, slots, m_settings.m_choice);
+  };
   if (spec.m_rack_local && gang) {
     const Choice best = ChooseGroup(racks, GroupOrder::kPack, uneven, choose);
     if (!best.m_slots.empty()) return PlaceOn(unit, best.m_slots, now);
@@ -219,7 +250,7 @@
   } else if (!spec.m_data_rack.empty()) {
     const auto rack = racks.find(spec.m_data_rack);
     if (rack != racks.end()) {
-      const auto chosen = ChooseFor(*unit, rack->second, now).m_slots;
+      const auto chosen = choose(rack->second).m_slots;
       if (!chosen.empty()) return PlaceOn(unit, chosen, now);
       const Instant deadline = ObjectiveDeadline(*unit->m_step->m_job, unit->m_step->m_key.m_occurrence);
       const auto remote_ms =
--- a/hickoryquay/jobs/worker_choice.cc
+++ b/hickoryquay/jobs/worker_choice.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -12,14 +13,6 @@
 
 constexpr int kProbeRank = -1;  // An unknown worker that a single task measures.
 
-struct Option {
-  WorkerSlot* m_slot = nullptr;
-  int m_times = 0;
-  int m_rank = 0;
-  int m_speed = 0;
-  bool m_cold = false;
-};
-
 // Lower ranks are preferred. Urgent work takes the best chance. Other work leaves fast workers free: it takes those
 // that are too slow for urgent work first, then unknown ones, if its own objective allows that; where it does not, the
 // best chance.
@@ -36,6 +29,59 @@
   return speed.m_variance >= known ? kUnknown : kFast;
 }
 
+bool IsBetter(const WorkerOption& a, const WorkerOption& b) {
+  const auto key = [](const WorkerOption& option) {
+    return std::tie(option.m_avoid_cold, option.m_failures, option.m_rank, option.m_free, option.m_speed, option.m_cold,
+                    option.m_index);
+  };
+  return key(a) < key(b);
+}
+
+bool IsWorse(const WorkerOption& a, const WorkerOption& b) {
+  return IsBetter(b, a);
+}
+
+// Empty if the worker can't take a member of the unit now.
+std::optional<WorkerOption> OptionOn(WorkerSlot* slot, std::size_t index, const ChoiceInput& input,
+                                     const ChoiceSettings& settings) {
+  const Unit& unit = *input.m_unit;
+  const Resources& task = unit.m_step->m_spec->m_task;
+  if (!task.FitsIn(slot->m_free)) return std::nullopt;  // The cheapest rule first: most workers are full.
+  if (!MayHost(*slot, unit, settings.m_crashes, input.m_now)) return std::nullopt;
+  WorkerOption option;
+  option.m_times = LimitPerWorker(*slot, unit, CountFitting(RoomFor(*slot, unit, input.m_guaranteed), task));
+  if (option.m_times <= 0) return std::nullopt;
+  option.m_slot = slot;
+  option.m_index = index;
+  option.m_failures = slot->m_failures;
+  option.m_free = slot->m_free.m_accelerators;
+  const bool probes = input.m_pace.m_probes > 0 && input.m_priority > 0 && unit.m_members.size() == 1;
+  if (probes && slot->m_members.empty() && !slot->m_speed.IsMeasured(input.m_now, settings.m_speed)) {
+    option.m_times = 1;
+    option.m_rank = kProbeRank;
+    return option;
+  }
+  option.m_cold = input.m_now < slot->m_cold_until;
+  option.m_avoid_cold = input.m_priority == 0 && option.m_cold;
+  // At equal rank and room, urgent work prefers fast workers, batch work slow ones.
+  const double sign = input.m_priority == 0 ? -1.0 : input.m_priority == 1 ? 0.0 : 1.0;
+  // Where all ranks are equal and no speed is preferred, it decides nothing.
+  if (sign == 0.0 && !input.m_pace.m_uneven) return option;
+  const LogBelief speed = slot->m_speed.At(input.m_now, settings.m_speed);
+  option.m_rank = RankOf(input, speed, settings);
+  option.m_speed = static_cast<int>(std::lround(sign * speed.m_mean / settings.m_speed_step));
+  return option;
+}
+
+std::vector<WorkerOption> OptionsAmong(const ChoiceInput& input, const std::vector<WorkerSlot*>& candidates,
+                                       const ChoiceSettings& settings) {
+  std::vector<WorkerOption> options;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (const auto option = OptionOn(candidates[i], i, input, settings)) options.push_back(*option);
+  }
+  return options;
+}
+
 }  // namespace
 
 PoolPace JudgePool(const std::vector<const WorkerSlot*>& workers, double tightest_stretch, Instant now,
@@ -63,57 +109,49 @@
 
 Choice ChooseWorkers(const ChoiceInput& input, const std::vector<WorkerSlot*>& candidates,
                      const ChoiceSettings& settings) {
-  const Unit& unit = *input.m_unit;
-  // At equal rank and room, urgent work prefers fast workers, batch work slow ones.
-  const double sign = input.m_priority == 0 ? -1.0 : input.m_priority == 1 ? 0.0 : 1.0;
-  const bool probes = input.m_pace.m_probes > 0 && input.m_priority > 0 && unit.m_members.size() == 1;
-  const Resources& task = unit.m_step->m_spec->m_task;
-  // Where all ranks are equal and no speed is preferred, it decides nothing.
-  const bool asks_speed = sign != 0.0 || input.m_pace.m_uneven;
-  std::vector<Option> options;
-  for (WorkerSlot* slot : candidates) {
-    if (!task.FitsIn(slot->m_free)) continue;  // The cheapest rule first: most workers are full.
-    if (!MayHost(*slot, unit, settings.m_crashes, input.m_now)) continue;
-    const Resources room = RoomFor(*slot, unit, input.m_guaranteed);
-    const int times = LimitPerWorker(*slot, unit, CountFitting(room, task));
-    if (times <= 0) continue;
-    const bool probe = probes && slot->m_members.empty() && !slot->m_speed.IsMeasured(input.m_now, settings.m_speed);
-    if (probe) {
-      options.push_back({slot, 1, kProbeRank, 0, false});
-      continue;
-    }
-    const LogBelief speed = asks_speed ? slot->m_speed.At(input.m_now, settings.m_speed) : LogBelief{};
-    options.push_back({slot, times, RankOf(input, speed, settings),
-                       static_cast<int>(std::lround(sign * speed.m_mean / settings.m_speed_step)),
-                       input.m_now < slot->m_cold_until});
-  }
-  const bool urgent = input.m_priority == 0;
-  const auto key = [urgent](const Option& option) {
-    const WorkerSlot& slot = *option.m_slot;
-    return std::tuple(urgent && option.m_cold, slot.m_failures, option.m_rank, slot.m_free.m_accelerators,
-                      option.m_speed, option.m_cold);
-  };
-  const auto before = [&](const Option& a, const Option& b) { return key(a) < key(b); };
-  if (unit.m_members.size() == 1 && !options.empty()) {
-    const Option& best = *std::min_element(options.begin(), options.end(), before);
-    return {{best.m_slot}, best.m_rank, urgent && best.m_cold};
+  const std::size_t members = input.m_unit->m_members.size();
+  std::vector<WorkerOption> options = OptionsAmong(input, candidates, settings);
+  if (members == 1 && !options.empty()) {
+    const WorkerOption& best = *std::min_element(options.begin(), options.end(), &IsBetter);
+    return {{best.m_slot}, best.m_rank, best.m_avoid_cold};
   }
   const auto room = std::accumulate(
       options.begin(), options.end(), std::size_t{0},
-      [](std::size_t sum, const Option& option) { return sum + static_cast<std::size_t>(option.m_times); });
-  if (room < unit.m_members.size()) return {};
-  std::stable_sort(options.begin(), options.end(), before);
+      [](std::size_t sum, const WorkerOption& option) { return sum + static_cast<std::size_t>(option.m_times); });
+  if (room < members) return {};
+  std::sort(options.begin(), options.end(), &IsBetter);
   Choice choice;
-  for (const Option& option : options) {
-    for (int i = 0; i < option.m_times && choice.m_slots.size() < unit.m_members.size(); ++i) {
+  for (const WorkerOption& option : options) {
+    for (int i = 0; i < option.m_times && choice.m_slots.size() < members; ++i) {
       choice.m_slots.push_back(option.m_slot);
       choice.m_rank = choice.m_slots.size() == 1 ? option.m_rank : std::max(choice.m_rank, option.m_rank);
-      choice.m_cold = choice.m_cold || (urgent && option.m_cold);
+      choice.m_cold = choice.m_cold || option.m_avoid_cold;
     }
   }
   return choice;
 }
 
+RankedWorkers::RankedWorkers(const ChoiceInput& input, const std::vector<WorkerSlot*>& candidates,
+                             const ChoiceSettings& settings)
+    : m_input(input), m_settings(settings), m_options(OptionsAmong(input, candidates, settings)) {
+  std::make_heap(m_options.begin(), m_options.end(), &IsWorse);
+}
+
+Choice RankedWorkers::Best() const {
+  if (m_options.empty()) return {};
+  const WorkerOption& best = m_options.front();
+  return {{best.m_slot}, best.m_rank, best.m_avoid_cold};
+}
+
+void RankedWorkers::OnPlaced() {
+  std::pop_heap(m_options.begin(), m_options.end(), &IsWorse);
+  const auto option = OptionOn(m_options.back().m_slot, m_options.back().m_index, m_input, m_settings);
+  m_options.pop_back();
+  if (!option) return;
+  m_options.push_back(*option);
+  std::push_heap(m_options.begin(), m_options.end(), &IsWorse);
+}
+
 Choice ChooseGroup(const WorkerGroups& groups, GroupOrder order, bool uneven,
                    const std::function<Choice(const std::vector<WorkerSlot*>&)>& choose) {
   std::vector<std::pair<int, const std::vector<WorkerSlot*>*>> by_room;
--- a/hickoryquay/jobs/worker_choice.h
+++ b/hickoryquay/jobs/worker_choice.h
@@ -57,6 +57,35 @@
 Choice ChooseWorkers(const ChoiceInput& input, const std::vector<WorkerSlot*>& candidates,
                      const ChoiceSettings& settings);
 
+// A worker that can take members of a unit. Better ones compare by the fields in this order, lower values first.
+struct WorkerOption {
+  bool m_avoid_cold = false;  // Urgent work, and the worker is cold.
+  int m_failures = 0;
+  int m_rank = 0;
+  int m_free = 0;  // Accelerators.
+  int m_speed = 0;
+  bool m_cold = false;
+  std::size_t m_index = 0;  // Among the candidates.
+  WorkerSlot* m_slot = nullptr;
+  int m_times = 0;  // Members that fit.
+};
+
+// Workers for the single tasks of one step, which are placed one after the other. Each gets the worker that
+// ChooseWorkers would choose, without a look at all the others again. Valid while nothing else changes.
+class RankedWorkers {
+ public:
+  // `input` is that of the step's first unit to be placed.
+  RankedWorkers(const ChoiceInput& input, const std::vector<WorkerSlot*>& candidates, const ChoiceSettings& settings);
+
+  Choice Best() const;  // Empty if no worker has room.
+  void OnPlaced();      // A task of the step was placed on the best worker.
+
+ private:
+  ChoiceInput m_input;
+  const ChoiceSettings& m_settings;
+  std::vector<WorkerOption> m_options;  // A heap, the best one first.
+};
+
 // A gang that spans groups runs slower, or is lost with any of them. Packing puts it into the group with the least
 // room, spreading into the one with the most, so that a group that is lost takes no more than its share of the work.
 enum class GroupOrder { kPack, kSpread };
