--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -68,7 +68,7 @@
 
 Scheduler::AcceleratorCount Scheduler::CountAccelerators() const {
   AcceleratorCount accelerators;
-  for (const auto& [id, slot] : m_workers.All()) {
+  for (const WorkerSlot* slot : m_workers.Slots()) {
     if (!slot->IsSchedulable()) continue;
     accelerators.m_free += slot->m_free.m_accelerators;
     accelerators.m_total += slot->m_entry.m_capacity.m_accelerators;
@@ -93,7 +93,7 @@
 // Stops work on workers that are about to leave. Tasks with checkpoints are stopped in time to save their progress;
 // others are stopped as soon as they can't end in time, so that they restart elsewhere sooner.
 void Scheduler::EvacuateDraining(Now now) {
-  for (const auto& [id, slot] : m_workers.All()) {
+  for (WorkerSlot* slot : m_workers.Slots()) {
     if (!slot->m_leaves_at || slot->m_members.empty()) continue;
     const Millis left =
         *slot->m_leaves_at - now.m_steady - m_settings.m_preemption.m_stop_timeout - m_settings.m_leave_margin;
@@ -115,9 +115,9 @@
   EvacuateDraining(now);
   ReturnWorkers(now);
   if (!places) return;
-  m_racks.clear();
+  m_candidates.clear();
   m_paces.clear();
-  m_guarantees = m_configuration ? Guarantees(m_jobs, *m_configuration) : Guarantees();
+  m_guarantees = m_configuration ? Guarantees(m_open_jobs, *m_configuration) : Guarantees();
   DropReservations(now);
   AcceleratorCount accelerators = CountAccelerators();
   for (StepState* step : ReadySteps(now)) PlaceStep(step, &accelerators, now);
@@ -126,16 +126,19 @@
 // Places the waiting units of a step until one does not fit. The others won't fit either, and must not use resources
 // that are left free for more urgent work. Within a guarantee, room is made for all of them at the same time.
 void Scheduler::PlaceStep(StepState* step, AcceleratorCount* accelerators, Now now) {
-  if (Ended(step->m_job->m_phase)) return;                 // Another step has ended it in this round.
+  if (Ended(step->m_job->m_phase)) return;  // Another step has ended it in this round.
+  if (!step->HasWaiting()) return;
   const bool urgent = step->m_job->m_job.m_priority == 0;  // May preempt others.
   const bool guaranteed = m_guarantees.Covers(*step->m_job);
-  for (const auto& owned : step->m_units) {
-    Unit* unit = owned.get();
+  std::optional<RankedWorkers> ranked;
+  for (std::size_t i = step->m_passed; i < step->m_units.size(); ++i) {
+    Unit* unit = step->m_units[i].get();
     if (!unit->IsWaiting()) continue;
     // Its last start did not end in a crash, or an earlier leader has stored the crash and not the end of the job.
     if (Judge(unit->m_crashes, unit->m_run, m_settings.m_choice.m_crashes) == CrashVerdict::kGiveUp)
       return EndJob(step->m_job, JobPhase::kFailed, now);
     if (NeedsIsolation(*unit, m_settings.m_choice.m_crashes)) {
+      ranked.reset();
       if (PlaceAlone(unit, now)) accelerators->m_free -= unit->Accelerators();
       continue;  // The other units of the step need no worker of their own.
     }
@@ -145,7 +148,12 @@
         std::min(RequiredFreeShare(*unit, now) * accelerators->m_total, (accelerators->m_total - takes) / 2.0);
     if (!urgent && accelerators->m_free - takes < min_free) return;
     const bool preempts = m_settings.m_preempts && urgent;
-    if (TryPlace(unit, now) || (preempts && PreemptFor(unit, now) && TryPlace(unit, now))) {
+    bool placed = TryPlace(unit, now, &ranked);
+    if (!placed) {
+      ranked.reset();
+      placed = preempts && PreemptFor(unit, now) && TryPlace(unit, now);
+    }
+    if (placed) {
       accelerators->m_free -= takes;
       continue;
     }
@@ -168,14 +176,14 @@
   }
   if (!tightest) return entry->second;
   std::vector<const WorkerSlot*> workers;
-  for (const auto& [id, slot] : m_workers.All()) {
-    if (slot->m_entry.m_pool == pool && slot->IsSchedulable()) workers.push_back(slot.get());
+  for (WorkerSlot* slot : m_workers.Slots()) {
+    if (slot->m_entry.m_pool == pool && slot->IsSchedulable()) workers.push_back(slot);
   }
   entry->second = JudgePool(workers, *tightest, now.m_steady, m_settings.m_choice);
   return entry->second;
 }
 
-Choice Scheduler::ChooseFor(const Unit& unit, const std::vector<WorkerSlot*>& candidates, Now now) {
+ChoiceInput Scheduler::InputFor(const Unit& unit, Now now) {
   const JobState& job = *unit.m_step->m_job;
   ChoiceInput input;
   input.m_unit = &unit;
@@ -185,21 +193,15 @@
   input.m_pace = PaceOf(job.m_job.m_pool, now);
   input.m_guaranteed = m_guarantees.Covers(job);
   input.m_now = now.m_steady;
-  return ChooseWorkers(input, candidates, m_settings.m_choice);
+  return input;
 }
 
 namespace {
 
-std::vector<WorkerSlot*> Flatten(const WorkerGroups& racks) {
-  std::vector<WorkerSlot*> all;
-  for (const auto& [name, slots] : racks) all.insert(all.end(), slots.begin(), slots.end());
-  return all;
-}
-
-WorkerGroups ByDomain(const std::vector<WorkerSlot*>& slots) {
-  WorkerGroups domains;
-  for (WorkerSlot* slot : slots) domains[slot->m_entry.m_domain.m_value].push_back(slot);
-  return domains;
+// Nothing but its step distinguishes the unit from the others of the step.
+bool IsPlainTask(const Unit& unit) {
+  return unit.m_members.size() == 1 && unit.m_step->m_spec->m_data_rack.empty() && unit.m_crashes.empty() &&
+         !unit.m_has_reservation && unit.m_alone_until == Instant{};
 }
 
 // Returns true if the rack could hold the unit if nothing else ran there.
@@ -215,12 +217,30 @@
 
 }  // namespace
 
-bool Scheduler::TryPlace(Unit* unit, Now now) {
+// `ranked`: of the units of the step that were placed just before, kept for the next one.
+bool Scheduler::TryPlace(Unit* unit, Now now, std::optional<RankedWorkers>* ranked) {
   const StepSpec& spec = *unit->m_step->m_spec;
-  const auto& racks = RacksFor(*unit);
+  const auto& [racks, domains, all] = CandidatesFor(*unit);
+  const ChoiceInput input = InputFor(*unit, now);
+  if (ranked != nullptr && IsPlainTask(*unit)) {
+    if (!*ranked) ranked->emplace(input, all, m_settings.m_choice);
+    const Choice best = (*ranked)->Best();
+    if (best.m_slots.empty()) return false;
+    PlaceOn(unit, best.m_slots, now);
+    if (best.m_rank >= 0) {
+      (*ranked)->OnPlaced();
+    } else {
+      --m_paces[unit->m_step->m_job->m_job.m_pool].m_probes;
+      ranked->reset();
+    }
+    return true;
+  }
+  if (ranked != nullptr) ranked->reset();
   const bool gang = unit->m_members.size() > 1;
-  const bool uneven = PaceOf(unit->m_step->m_job->m_job.m_pool, now).m_uneven;
-  const auto choose = [&](const std::vector<WorkerSlot*>& slots) { return ChooseFor(*unit, slots, now); };
+  const bool uneven = input.m_pace.m_uneven;
+  const auto choose = [&](const std::vector<WorkerSlot*>& slots) {
+    return ChooseWorkers(input, slots, m_settings.m_choice);
+  };
   if (spec.m_rack_local && gang) {
     const Choice best = ChooseGroup(racks, GroupOrder::kPack, uneven, choose);
     if (!best.m_slots.empty()) return PlaceOn(unit, best.m_slots, now);
@@ -231,7 +251,7 @@
   } else if (!spec.m_data_rack.empty()) {
     const auto rack = racks.find(spec.m_data_rack);
     if (rack != racks.end()) {
-      const auto chosen = ChooseFor(*unit, rack->second, now).m_slots;
+      const auto chosen = choose(rack->second).m_slots;
       if (!chosen.empty()) return PlaceOn(unit, chosen, now);
       const Instant deadline = ObjectiveDeadline(*unit->m_step->m_job, unit->m_step->m_key.m_occurrence);
       const auto remote_ms =
@@ -239,9 +259,8 @@
       if (now.m_wall + Millis{remote_ms} < deadline) return false;  // There is time to wait for the rack of the data.
     }
   }
-  const std::vector<WorkerSlot*> all = Flatten(racks);
   Choice chosen;
-  if (gang) chosen = ChooseGroup(ByDomain(all), GroupOrder::kSpread, uneven, choose);
+  if (gang) chosen = ChooseGroup(domains, GroupOrder::kSpread, uneven, choose);
   if (chosen.m_slots.empty()) chosen = choose(all);
   if (chosen.m_slots.empty()) return false;
   if (chosen.m_rank < 0) --m_paces[unit->m_step->m_job->m_job.m_pool].m_probes;
@@ -283,11 +302,11 @@
 // Preemption
 //-------------------------------------------------------------------------------------------------
 
-const WorkerTable::RackMap& Scheduler::RacksFor(const Unit& unit) {
+const Candidates& Scheduler::CandidatesFor(const Unit& unit) {
   const PoolName& pool = unit.m_step->m_job->m_job.m_pool;
   const std::string& label = unit.m_step->m_spec->m_required_label;
-  const auto [entry, added] = m_racks.try_emplace({pool, label});
-  if (added) entry->second = m_workers.Racks(pool, label);
+  const auto [entry, added] = m_candidates.try_emplace({pool, label});
+  if (added) entry->second = m_workers.CandidatesOf(pool, label);
   return entry->second;
 }
 
@@ -297,12 +316,12 @@
 
 void Scheduler::ReleaseReservation(Unit* unit) {
   if (!std::exchange(unit->m_has_reservation, false)) return;
-  for (const auto& [id, slot] : m_workers.All()) slot->m_reservations.erase(unit);
+  for (WorkerSlot* slot : m_workers.Slots()) slot->m_reservations.erase(unit);
 }
 
 void Scheduler::ReleaseHeldWorkers(Unit* unit) {
   if (std::exchange(unit->m_alone_until, Instant{}) == Instant{}) return;
-  for (const auto& [id, slot] : m_workers.All()) {
+  for (WorkerSlot* slot : m_workers.Slots()) {
     if (slot->m_held_for == unit) slot->m_held_for = nullptr;
   }
 }
@@ -318,14 +337,14 @@
   }
   const StepSpec& spec = *unit->m_step->m_spec;
   const bool needs_rack = spec.m_rack_local && unit->m_members.size() > 1;
-  const auto& racks = RacksFor(*unit);
+  const auto& [racks, domains, all] = CandidatesFor(*unit);
   std::vector<WorkerSlot*> chosen;
   for (const auto& [name, slots] : racks) {
     if (!needs_rack && name != spec.m_data_rack) continue;
     chosen = ChooseWorkersToHold(*unit, slots, m_settings.m_choice.m_crashes);
     if (!chosen.empty()) break;
   }
-  if (chosen.empty()) chosen = ChooseWorkersToHold(*unit, Flatten(racks), m_settings.m_choice.m_crashes);
+  if (chosen.empty()) chosen = ChooseWorkersToHold(*unit, all, m_settings.m_choice.m_crashes);
   for (WorkerSlot* slot : chosen) slot->m_held_for = unit;
   unit->m_alone_until = now.m_steady + m_settings.m_choice.m_crashes.m_longest_wait;
   return false;
@@ -336,14 +355,14 @@
 void Scheduler::DropReservations(Now now) {
   const PreemptionRound round = MakeRound(now);
   UnitSet dropped;
-  for (const auto& [id, slot] : m_workers.All()) {
+  for (WorkerSlot* slot : m_workers.Slots()) {
     for (const auto& [unit, reservation] : slot->m_reservations) {
       const bool wanted = unit->IsWaiting() && now.m_steady < unit->m_reserved_until;
       if (!wanted || !ReservationHolds(*slot, *unit, round)) dropped.insert(unit);
     }
   }
   for (Unit* unit : dropped) ReleaseReservation(unit);
-  for (const auto& [id, slot] : m_workers.All()) {
+  for (WorkerSlot* slot : m_workers.Slots()) {
     const Unit* unit = slot->m_held_for;
     if (unit == nullptr) continue;
     const bool waits = unit->IsWaiting() && !Ended(unit->m_step->m_job->m_phase);
@@ -356,7 +375,7 @@
 std::optional<PreemptionPlan> Scheduler::FindPlan(Unit* unit, Now now) {
   const StepSpec& spec = *unit->m_step->m_spec;
   const PreemptionRound round = MakeRound(now);
-  const auto& racks = RacksFor(*unit);
+  const auto& [racks, domains, all] = CandidatesFor(*unit);
   std::optional<PreemptionPlan> best;
   const bool needs_rack = spec.m_rack_local && unit->m_members.size() > 1;
   if (needs_rack) {
@@ -366,7 +385,7 @@
     }
   }
   unit->m_may_span_racks = !best && needs_rack && m_guarantees.Covers(*unit->m_step->m_job);
-  if (!best && (!needs_rack || unit->m_may_span_racks)) best = PlanPreemption(*unit, Flatten(racks), round);
+  if (!best && (!needs_rack || unit->m_may_span_racks)) best = PlanPreemption(*unit, all, round);
   return best;
 }
 
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "hickoryquay/jobs/incarnation.h"
@@ -61,6 +62,16 @@
   void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
 };
 
+// Racks or failure domains, by name.
+using WorkerGroups = std::map<std::string, std::vector<WorkerSlot*>>;
+
+// Schedulable workers that a step may run on.
+struct Candidates {
+  WorkerGroups m_racks;
+  WorkerGroups m_domains;
+  std::vector<WorkerSlot*> m_all;  // Rack by rack; the domains have the same order.
+};
+
 // The address of a slot is stable until the slot is erased.
 class WorkerTable {
  public:
@@ -73,15 +84,16 @@
   void Allocate(WorkerSlot* slot, Unit* unit, std::size_t member);
   void Release(WorkerSlot* slot, Unit* unit, std::size_t member);
 
-  // Schedulable workers of a pool that have the label (empty: any), grouped by rack.
-  using RackMap = std::map<std::string, std::vector<WorkerSlot*>>;
-  RackMap Racks(const PoolName& pool, const std::string& label);
+  Candidates CandidatesOf(const PoolName& pool, const std::string& label);  // Of any label if it is empty.
 
   std::map<WorkerId, std::unique_ptr<WorkerSlot>>& All() { return m_slots; }
   const std::map<WorkerId, std::unique_ptr<WorkerSlot>>& All() const { return m_slots; }
+  const std::vector<WorkerSlot*>& Slots() const { return m_in_order; }  // By id; faster to read through.
 
  private:
   std::map<WorkerId, std::unique_ptr<WorkerSlot>> m_slots;
+  std::unordered_map<WorkerId, WorkerSlot*> m_by_id;
+  std::vector<WorkerSlot*> m_in_order;
 };
 
 }  // namespace hickoryquay::jobs
