Jobs: rounds read workers from a vector, and pass over steps of which nothing waits

Cause: each round walked the tree of 1,100 workers six times and, for every step with units left, all of its units, also where all were placed. Sessions ask for each worker in each update; the lookup compared strings down the tree.

Change: the table of workers has a hash index and its slots in a vector in the order of their ids. A step knows how many of its first units are placed or done, so that placement begins at the first one that may wait.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -367,10 +367,10 @@
       batch.m_rows.push_back({HexText(id), Write(PhaseRow{phase, job->m_ended})});
       batch.m_phases.push_back({id, phase, job->m_job.m_priority, job->m_job.m_accepted});
     }
-    for (const auto& [id, slot] : m_workers.All()) {
+    for (WorkerSlot* slot : m_workers.Slots()) {
       if (slot->m_processed_ends <= slot->m_released_ends) continue;
       slot->m_released_ends = slot->m_processed_ends;
-      batch.m_recorded_ends.push_back({id, slot->m_processed_ends, slot->m_born});
+      batch.m_recorded_ends.push_back({slot->m_entry.m_id, slot->m_processed_ends, slot->m_born});
     }
   }
   // Deletions fill what is left, since nothing waits for them.
--- a/hickoryquay/jobs/scheduler_evacuation.cc
+++ b/hickoryquay/jobs/scheduler_evacuation.cc
@@ -53,7 +53,7 @@
 }
 
 void Scheduler::ReturnWorkers(Now now) {
-  for (const auto& [id, slot] : m_workers.All()) {
+  for (WorkerSlot* slot : m_workers.Slots()) {
     if (slot->m_returns_at && *slot->m_returns_at <= now.m_steady) slot->m_returns_at.reset();
   }
 }
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -68,7 +68,7 @@
 
 Scheduler::AcceleratorCount Scheduler::CountAccelerators() const {
   AcceleratorCount accelerators;
-  for (const auto& [id, slot] : m_workers.All()) {
+  for (const WorkerSlot* slot : m_workers.Slots()) {
     if (!slot->IsSchedulable()) continue;
     accelerators.m_free += slot->m_free.m_accelerators;
     accelerators.m_total += slot->m_entry.m_capacity.m_accelerators;
@@ -93,7 +93,7 @@
 // Stops work on workers that are about to leave. Tasks with checkpoints are stopped in time to save their progress;
 // others are stopped as soon as they can't end in time, so that they restart elsewhere sooner.
 void Scheduler::EvacuateDraining(Now now) {
-  for (const auto& [id, slot] : m_workers.All()) {
+  for (WorkerSlot* slot : m_workers.Slots()) {
     if (!slot->m_leaves_at || slot->m_members.empty()) continue;
     const Millis left =
         *slot->m_leaves_at - now.m_steady - m_settings.m_preemption.m_stop_timeout - m_settings.m_leave_margin;
@@ -126,12 +126,13 @@
 // Places the waiting units of a step until one does not fit. The others won't fit either, and must not use resources
 // that are left free for more urgent work. Within a guarantee, room is made for all of them at the same time.
 void Scheduler::PlaceStep(StepState* step, AcceleratorCount* accelerators, Now now) {
-  if (Ended(step->m_job->m_phase)) return;                 // Another step has ended it in this round.
+  if (Ended(step->m_job->m_phase)) return;  // Another step has ended it in this round.
+  if (!step->HasWaiting()) return;
   const bool urgent = step->m_job->m_job.m_priority == 0;  // May preempt others.
   const bool guaranteed = m_guarantees.Covers(*step->m_job);
   std::optional<RankedWorkers> ranked;
-  for (const auto& owned : step->m_units) {
-    Unit* unit = owned.get();
+  for (std::size_t i = step->m_passed; i < step->m_units.size(); ++i) {
+    Unit* unit = step->m_units[i].get();
     if (!unit->IsWaiting()) continue;
     // Its last start did not end in a crash, or an earlier leader has stored the crash and not the end of the job.
     if (Judge(unit->m_crashes, unit->m_run, m_settings.m_choice.m_crashes) == CrashVerdict::kGiveUp)
@@ -175,8 +176,8 @@
   }
   if (!tightest) return entry->second;
   std::vector<const WorkerSlot*> workers;
-  for (const auto& [id, slot] : m_workers.All()) {
-    if (slot->m_entry.m_pool == pool && slot->IsSchedulable()) workers.push_back(slot.get());
+  for (WorkerSlot* slot : m_workers.Slots()) {
+    if (slot->m_entry.m_pool == pool && slot->IsSchedulable()) workers.push_back(slot);
   }
   entry->second = JudgePool(workers, *tightest, now.m_steady, m_settings.m_choice);
   return entry->second;
@@ -315,12 +316,12 @@
 
 void Scheduler::ReleaseReservation(Unit* unit) {
   if (!std::exchange(unit->m_has_reservation, false)) return;
-  for (const auto& [id, slot] : m_workers.All()) slot->m_reservations.erase(unit);
+  for (WorkerSlot* slot : m_workers.Slots()) slot->m_reservations.erase(unit);
 }
 
 void Scheduler::ReleaseHeldWorkers(Unit* unit) {
   if (std::exchange(unit->m_alone_until, Instant{}) == Instant{}) return;
-  for (const auto& [id, slot] : m_workers.All()) {
+  for (WorkerSlot* slot : m_workers.Slots()) {
     if (slot->m_held_for == unit) slot->m_held_for = nullptr;
   }
 }
@@ -354,14 +355,14 @@
 void Scheduler::DropReservations(Now now) {
   const PreemptionRound round = MakeRound(now);
   UnitSet dropped;
-  for (const auto& [id, slot] : m_workers.All()) {
+  for (WorkerSlot* slot : m_workers.Slots()) {
     for (const auto& [unit, reservation] : slot->m_reservations) {
       const bool wanted = unit->IsWaiting() && now.m_steady < unit->m_reserved_until;
       if (!wanted || !ReservationHolds(*slot, *unit, round)) dropped.insert(unit);
     }
   }
   for (Unit* unit : dropped) ReleaseReservation(unit);
-  for (const auto& [id, slot] : m_workers.All()) {
+  for (WorkerSlot* slot : m_workers.Slots()) {
     const Unit* unit = slot->m_held_for;
     if (unit == nullptr) continue;
     const bool waits = unit->IsWaiting() && !Ended(unit->m_step->m_job->m_phase);
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -422,6 +422,7 @@
   unit->m_sound = false;
   unit->m_may_share = false;
   for (Member& member : unit->m_members) member = Member{};
+  unit->m_step->OnWaiting(*unit);
   m_active.erase(unit);
 }
 
--- a/hickoryquay/jobs/units.cc
+++ b/hickoryquay/jobs/units.cc
@@ -28,6 +28,15 @@
   return m_units[m_spec->m_gang ? 0 : static_cast<std::size_t>(task)].get();
 }
 
+bool StepState::HasWaiting() {
+  while (m_passed < m_units.size() && !m_units[m_passed]->IsWaiting()) ++m_passed;
+  return m_passed < m_units.size();
+}
+
+void StepState::OnWaiting(const Unit& unit) {
+  m_passed = std::min(m_passed, m_spec->m_gang ? 0 : static_cast<std::size_t>(unit.m_first));
+}
+
 Instant ObjectiveDeadline(const JobState& job, int occurrence) {
   const JobRequest& request = job.m_job.m_request;
   const Instant from =
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -104,11 +104,14 @@
   const StepSpec* m_spec = nullptr;
   std::vector<std::unique_ptr<Unit>> m_units;
   int m_units_left = 0;         // Units that are not done.
+  std::size_t m_passed = 0;     // The first ones of m_units, so many, are placed or done.
   std::set<int> m_stored_rows;  // Of which a row is stored.
   StepPace m_pace;
   std::map<WorkerId, Instant> m_avoided;  // Workers on which its tasks failed, each until a steady time.
 
   Unit* FindUnit(int task) const;
+  bool HasWaiting();                 // Of the units.
+  void OnWaiting(const Unit& unit);  // It was placed before.
 };
 
 struct JobState {
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -5,6 +5,15 @@
 
 namespace hickoryquay::jobs {
 
+namespace {
+
+std::vector<WorkerSlot*>::iterator PositionOf(std::vector<WorkerSlot*>& slots, const WorkerId& id) {
+  return std::lower_bound(slots.begin(), slots.end(), id,
+                          [](const WorkerSlot* slot, const WorkerId& wanted) { return slot->m_entry.m_id < wanted; });
+}
+
+}  // namespace
+
 void WorkerSlot::OnRestarted() {
   ++m_incarnation;
   m_processed_ends = 0;
@@ -25,13 +34,13 @@
 }
 
 WorkerSlot* WorkerTable::Find(const WorkerId& id) {
-  const auto found = m_slots.find(id);
-  return found == m_slots.end() ? nullptr : found->second.get();
+  const auto found = m_by_id.find(id);
+  return found == m_by_id.end() ? nullptr : found->second;
 }
 
 const WorkerSlot* WorkerTable::Find(const WorkerId& id) const {
-  const auto found = m_slots.find(id);
-  return found == m_slots.end() ? nullptr : found->second.get();
+  const auto found = m_by_id.find(id);
+  return found == m_by_id.end() ? nullptr : found->second;
 }
 
 WorkerSlot* WorkerTable::Add(const WorkerId& id) {
@@ -39,6 +48,8 @@
   if (!slot) {
     slot = std::make_unique<WorkerSlot>();
     slot->m_entry.m_id = id;
+    m_by_id[id] = slot.get();
+    m_in_order.insert(PositionOf(m_in_order, id), slot.get());
   }
   return slot.get();
 }
@@ -52,7 +63,10 @@
 
 void WorkerTable::EraseIfUnused(const WorkerId& id) {
   const WorkerSlot* slot = Find(id);
-  if (slot != nullptr && !slot->m_listed && slot->m_members.empty()) m_slots.erase(id);
+  if (slot == nullptr || slot->m_listed || !slot->m_members.empty()) return;
+  m_in_order.erase(PositionOf(m_in_order, id));
+  m_by_id.erase(id);
+  m_slots.erase(id);  // Last: `id` may be the slot's own.
 }
 
 void WorkerTable::Allocate(WorkerSlot* slot, Unit* unit, std::size_t member) {
@@ -67,12 +81,12 @@
 
 Candidates WorkerTable::CandidatesOf(const PoolName& pool, const std::string& label) {
   Candidates candidates;
-  for (const auto& [id, slot] : m_slots) {
+  for (WorkerSlot* slot : m_in_order) {
     const WorkerEntry& entry = slot->m_entry;
     if (!slot->IsSchedulable() || entry.m_pool != pool) continue;
     if (!label.empty() && std::find(entry.m_labels.begin(), entry.m_labels.end(), label) == entry.m_labels.end())
       continue;
-    candidates.m_racks[entry.m_rack].push_back(slot.get());
+    candidates.m_racks[entry.m_rack].push_back(slot);
   }
   for (const auto& [name, slots] : candidates.m_racks) {
     candidates.m_all.insert(candidates.m_all.end(), slots.begin(), slots.end());
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "hickoryquay/jobs/incarnation.h"
@@ -87,9 +88,12 @@
 
   std::map<WorkerId, std::unique_ptr<WorkerSlot>>& All() { return m_slots; }
   const std::map<WorkerId, std::unique_ptr<WorkerSlot>>& All() const { return m_slots; }
+  const std::vector<WorkerSlot*>& Slots() const { return m_in_order; }  // By id; faster to read through.
 
  private:
   std::map<WorkerId, std::unique_ptr<WorkerSlot>> m_slots;
+  std::unordered_map<WorkerId, WorkerSlot*> m_by_id;
+  std::vector<WorkerSlot*> m_in_order;
 };
 
 }  // namespace hickoryquay::jobs
