--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -64,10 +64,9 @@
 void WorkerTable::EraseIfUnused(const WorkerId& id) {
   const WorkerSlot* slot = Find(id);
   if (slot == nullptr || slot->m_listed || !slot->m_members.empty()) return;
-  const WorkerId erased = id;  // `id` may be the slot's own.
-  m_in_order.erase(PositionOf(m_in_order, erased));
-  m_by_id.erase(erased);
-  m_slots.erase(erased);
+  m_in_order.erase(PositionOf(m_in_order, id));
+  m_by_id.erase(id);
+  m_slots.erase(id);  // Last: `id` may be the slot's own.
 }
 
 void WorkerTable::Allocate(WorkerSlot* slot, Unit* unit, std::size_t member) {
