Store: a table of many parts is read anew with all parts at once

Callers would see no start for seconds: where the store is slow and forgets its history again and again, the 17 parts of accepted jobs were read one after the other, the view aged by 4 s meanwhile, and starts, which wait for a recent one since, never came. Found by review.

Change: a table that was read before is read anew with one page of each part at once; where one of them doesn't hold all rows, the parts are read in turn as before.

--- a/hickoryquay/store/table_follower.cc
+++ b/hickoryquay/store/table_follower.cc
@@ -43,6 +43,39 @@
   m_call_time = Millis{0};
   m_most_rows = m_settings.m_max_page_rows;
   m_scan_began = m_clock->Now();
+  ++m_scan;
+  m_synced&& m_settings.m_parts.size() > 1 ? ScanAllParts() : Scan();
+}
+
+void TableFollower::ScanAllParts() {
+  m_parts_left = m_settings.m_parts.size();
+  m_part_missing = false;
+  for (const std::string& part : m_settings.m_parts) {
+    m_store->Read({m_settings.m_table, part, "", ""}, m_settings.m_max_page_rows, m_settings.m_timeout,
+                  [weak = weak_from_this(), scan = m_scan, sent = m_clock->Now()](Result<RowPage, ReadError> page) {
+                    const auto self = weak.lock();
+                    if (self && !self->m_stopped) self->OnPart(scan, sent, std::move(page));
+                  });
+  }
+}
+
+void TableFollower::OnPart(int scan, Instant sent, Result<RowPage, ReadError> result) {
+  if (scan != m_scan) return;
+  if (Ok(result) && !ValueOf(result).m_more) {
+    RowPage page = TakeValue(std::move(result));
+    Reached();
+    const Instant answered = m_store_clock.AnsweredAt(page.m_answered, sent, m_clock->Now());
+    const bool first = !std::exchange(m_scan_has_version, true);
+    m_scan_version = first ? page.m_version : std::min(m_scan_version, page.m_version);
+    m_scan_complete_at = first ? answered : std::min(m_scan_complete_at, answered);
+    std::move(page.m_rows.begin(), page.m_rows.end(), std::back_inserter(m_scanned));
+  } else {
+    m_part_missing = true;
+  }
+  if (--m_parts_left > 0) return;
+  if (!m_part_missing) return FinishScan();
+  m_scanned.clear();
+  m_scan_has_version = false;
   Scan();
 }
 
@@ -86,6 +119,10 @@
   }
   m_scan_from.clear();
   if (++m_scan_part < m_settings.m_parts.size()) return Scan();
+  FinishScan();
+}
+
+void TableFollower::FinishScan() {
   m_at = m_scan_version;
   m_synced = true;
   m_current_at = m_clock->Now();
--- a/hickoryquay/store/table_follower.h
+++ b/hickoryquay/store/table_follower.h
@@ -2,7 +2,9 @@
 //
 // A scan asks for as many rows at a time as the link carries in m_page_time, so that other calls of the instance are
 // not held up. What the store itself takes for a call does not count: smaller pages would arrive no sooner. After a
-// page that did not arrive the scan goes on behind the last row, with fewer rows a page.
+// page that did not arrive the scan goes on behind the last row, with fewer rows a page. A table that was read before
+// is read anew with one page of each part at once, as far as these hold all rows: the changes that were missed
+// meanwhile are few, and the view of the table ages until the last part is read.
 #pragma once
 
 #include <cstdint>
@@ -57,6 +59,9 @@
   Version At() const { return m_at; }  // Of the store that the rows passed on so far reflect, or a later one.
 
  private:
+  void ScanAllParts();
+  void OnPart(int scan, Instant sent, Result<RowPage, ReadError> page);
+  void FinishScan();
   void Scan();  // Reads the next page.
   void ScanAnew();
   void OnPage(Instant sent, int limit, Result<RowPage, ReadError> page);
@@ -76,8 +81,11 @@
   OnRows m_on_rows;
   OnReachable m_on_reachable;
   std::vector<StoredRow> m_scanned;
-  std::size_t m_scan_part = 0;  // Index of the part whose pages are read.
-  std::string m_scan_from;      // Key of its next page.
+  int m_scan = 0;                // Counts scans; answers to earlier ones are ignored.
+  std::size_t m_parts_left = 0;  // Of ScanAllParts.
+  bool m_part_missing = false;   // One of them did not arrive whole.
+  std::size_t m_scan_part = 0;   // Index of the part whose pages are read.
+  std::string m_scan_from;       // Key of its next page.
   bool m_scan_has_version = false;
   int m_page_rows = 0;       // Of the next page of the scan.
   Millis m_call_time{0};     // Of the fastest page of the scan: what a call takes without rows. 0: not known yet.
--- a/tests/service/stale_view_test.cc
+++ b/tests/service/stale_view_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include "standin/sim_cluster.h"
 
 namespace hickoryquay::service {
@@ -18,6 +20,7 @@
   CPPUNIT_TEST(CancelledTasksAreStoppedAheadOfALateFeed);
   CPPUNIT_TEST(LeavingWorkerIsNotUsedByALateFeed);
   CPPUNIT_TEST(GangIsNotLeftInPartByALateFeed);
+  CPPUNIT_TEST(ShortHistoryDoesNotHoldStartsUp);
   CPPUNIT_TEST(ShortProcessorStartsNothingOfCancelledJobs);
   CPPUNIT_TEST_SUITE_END();
 
@@ -93,6 +96,29 @@
     }
   }
 
+  // Guards against seconds without a start while the store is slow and forgets its history again and again.
+  void ShortHistoryDoesNotHoldStartsUp() {
+    constexpr Millis kLatency{240};
+    constexpr int kStepMs = 50;
+    constexpr int kLongestMs = 3'000;
+    m_cluster->Store().SetLatency(kLatency);
+    m_cluster->Run(kStartup);
+    int last = m_cluster->Sim().Starts();
+    int idle_ms = 0;
+    int longest_ms = 0;
+    for (int ms = 0; ms < 15'000; ms += kStepMs) {
+      if (ms % 1'000 == 0) m_cluster->Store().ForgetHistory();
+      if (ms % 250 == 0) m_cluster->Submit(m_other, Tasks(1, 1, Millis{300}), Millis{300}, 0);
+      if (ms % 100 == 0) m_cluster->Store().Put({"hq-intake", "elsewhere", "x"}, "");
+      if (ms % 100 == 0) m_cluster->Store().Put({"workers", "", "garbled"}, "");
+      m_cluster->Run(Millis{kStepMs});
+      idle_ms = m_cluster->Sim().Starts() > last ? 0 : idle_ms + kStepMs;
+      last = m_cluster->Sim().Starts();
+      longest_ms = std::max(longest_ms, idle_ms);
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(longest_ms) + " ms without a start", longest_ms <= kLongestMs);
+  }
+
   // Guards against stale starts by a leader whose processor is short, so that events wait for seconds before it sees
   // them.
   void ShortProcessorStartsNothingOfCancelledJobs() {
