Net: a call without time left is answered later, not within the call

Cause: where a connection is idle and the call's time is already over, the failure could reach the caller before Send has returned, which callers of the store don't expect.

Change: the failure is posted.

Measured: net_busy_test and net_test pass.

--- a/hickoryquay/net/client.cc
+++ b/hickoryquay/net/client.cc
@@ -173,7 +173,9 @@
 
   void Write() {
     // The caller has decided for a moment that is over; what it relied on may be too.
-    if (std::chrono::steady_clock::now() >= m_call->m_deadline) return Fail(TimedOut{false});
+    if (std::chrono::steady_clock::now() >= m_call->m_deadline) {
+      return asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->Fail(TimedOut{false}); });
+    }
     http::async_write(m_stream, m_call->m_request,
                       [self = shared_from_this()](const beast::error_code& error, std::size_t written) {
                         if (error && written == 0 && self->m_timed_out) return self->Fail(TimedOut{false});
--- a/tests/net/busy_loop_test.cc
+++ b/tests/net/busy_loop_test.cc
@@ -83,6 +83,7 @@
   CPPUNIT_TEST(LargeAnswerIsReadInFewPieces);
   CPPUNIT_TEST(AnswersThatWaitUnreadAreNoTimeouts);
   CPPUNIT_TEST(NothingIsSentAfterItsTime);
+  CPPUNIT_TEST(CallWithoutTimeIsAnsweredLater);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -154,6 +155,33 @@
     CPPUNIT_ASSERT(!sent);
     CPPUNIT_ASSERT_EQUAL(0, server.Requests());
   }
+
+  // Guards against callers that are called back before their call has returned.
+  void CallWithoutTimeIsAnsweredLater() {
+    ThreadedServer server("{}", Millis{0});
+    asio::io_context io;
+    HttpClient client(&io, ClientSettings{});
+    bool inside = false;
+    bool answered_inside = false;
+    int left = 2;
+    const auto send = [&](const Millis timeout, const auto& then) {
+      HttpRequest request;
+      request.m_method = "GET";
+      request.m_target = "/";
+      inside = true;
+      client.Send(server.Local(), std::move(request), timeout, [&, then](const Result<HttpResponse, NetError>&) {
+        answered_inside = answered_inside || inside;
+        if (--left == 0) io.stop();
+        then();
+      });
+      inside = false;
+    };
+    // The second call finds an open connection and has no time to use it.
+    asio::post(io, [&] { send(Millis{5'000}, [&] { asio::post(io, [&] { send(Millis{0}, [] {}); }); }); });
+    io.run_for(kPatience);
+    CPPUNIT_ASSERT_EQUAL(0, left);
+    CPPUNIT_ASSERT(!answered_inside);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BusyLoopTest);
