Tests: calls are sent, and answered, before the busy loop's test blocks it

Cause: the test blocked the loop 100 ms after the calls, whether or not they had left. Played again beside 60 busy processes, with counts added: 128 requests had reached the server at the block in the play that failed, and 45 calls ended with "timed out before sending", which is what the client owes to calls whose time is over. The other 300-128-45 were on their way.

Change: the loop is blocked once the server has received all requests, the server answers when told, and the loop goes on half a second after the calls' time is over. The calls have 2 s instead of 0.3 s to leave. As strict: all 300 answers have arrived unread, past the time limit.

--- a/tests/net/busy_loop_test.cc
+++ b/tests/net/busy_loop_test.cc
@@ -10,9 +10,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "hickoryquay/net/http.h"
 
@@ -25,12 +28,14 @@
 
 constexpr std::chrono::seconds kPatience{20};  // A test that waits this long has failed.
 
-// Answers each connection's first request from a thread of its own, after a pause.
+// Answers each connection's first request from a thread of its own, at once or when told to.
 class ThreadedServer {
  public:
-  ThreadedServer(std::string body, Millis pause)
+  enum class Manner { kAtOnce, kWhenTold };
+
+  explicit ThreadedServer(std::string body, Manner manner = Manner::kAtOnce)
       : m_answer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body),
-        m_pause(pause) {
+        m_manner(manner) {
     Accept();
     m_thread = std::thread([this] { m_io.run(); });
   }
@@ -42,12 +47,17 @@
   ThreadedServer& operator=(const ThreadedServer&) = delete;
   Endpoint Local() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
   int Requests() const { return m_requests; }
+  int Answers() const { return m_answers; }
+  void AnswerAll() {
+    asio::post(m_io, [this] {
+      for (const auto& session : std::exchange(m_waiting, {})) Answer(session);
+    });
+  }
 
  private:
   struct Session {
-    explicit Session(tcp::socket socket) : m_socket(std::move(socket)), m_timer(m_socket.get_executor()) {}
+    explicit Session(tcp::socket socket) : m_socket(std::move(socket)) {}
     tcp::socket m_socket;
-    asio::steady_timer m_timer;
     std::array<char, 4096> m_request{};
   };
 
@@ -57,24 +67,29 @@
       const auto session = std::make_shared<Session>(std::move(socket));
       session->m_socket.async_read_some(asio::buffer(session->m_request),
                                         [this, session](const error_code& failed, std::size_t) {
-                                          if (!failed) AnswerLater(session);
+                                          if (!failed) OnRequest(session);
                                         });
       Accept();
     });
   }
-  void AnswerLater(const std::shared_ptr<Session>& session) {
+  void OnRequest(const std::shared_ptr<Session>& session) {
+    if (m_manner == Manner::kAtOnce) Answer(session);
+    if (m_manner == Manner::kWhenTold) m_waiting.push_back(session);
     ++m_requests;
-    session->m_timer.expires_after(m_pause);
-    session->m_timer.async_wait([this, session](const error_code&) {
-      asio::async_write(session->m_socket, asio::buffer(m_answer), [session](const error_code&, std::size_t) {});
+  }
+  void Answer(const std::shared_ptr<Session>& session) {
+    asio::async_write(session->m_socket, asio::buffer(m_answer), [this, session](const error_code& error, std::size_t) {
+      if (!error) ++m_answers;
     });
   }
 
   asio::io_context m_io;
   tcp::acceptor m_acceptor{m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
   std::string m_answer;
-  Millis m_pause;
+  Manner m_manner;
+  std::vector<std::shared_ptr<Session>> m_waiting;  // Of the thread.
   std::atomic<int> m_requests{0};
+  std::atomic<int> m_answers{0};
   std::thread m_thread;
 };
 
@@ -91,7 +106,7 @@
   void LargeAnswerIsReadInFewPieces() {
     constexpr std::size_t kBytes = 300'000;
     constexpr int kMostPieces = 60;
-    ThreadedServer server(std::string(kBytes, 'x'), Millis{0});
+    ThreadedServer server(std::string(kBytes, 'x'));
     asio::io_context io;
     HttpClient client(&io, ClientSettings{});
     HttpRequest request = LargeRead("/rows");
@@ -110,16 +125,16 @@
   // Guards against a process that was late taking the answers that it has not read yet for silence of its peers.
   void AnswersThatWaitUnreadAreNoTimeouts() {
     constexpr int kCalls = 300;  // More than the loop takes from the kernel at a time.
-    constexpr Millis kLimit{300};
-    constexpr std::chrono::milliseconds kSent{100};  // Until all requests are sent.
-    constexpr std::chrono::milliseconds kBlocked{600};
-    ThreadedServer server("{}", Millis{150});
+    constexpr Millis kLimit{2'000};
+    constexpr std::chrono::milliseconds kLook{5};
+    ThreadedServer server("{}", ThreadedServer::Manner::kWhenTold);
     asio::io_context io;
     ClientSettings settings;
     settings.m_max_connections_per_endpoint = kCalls;
     HttpClient client(&io, settings);
     int answered = 0;
     int ended = 0;
+    const auto sent = std::chrono::steady_clock::now();
     for (int i = 0; i < kCalls; ++i) {
       HttpRequest request;
       request.m_method = "POST";
@@ -130,16 +145,26 @@
         if (++ended == kCalls) io.stop();
       });
     }
-    asio::steady_timer block(io, kSent);
-    block.async_wait([&](const error_code&) { std::this_thread::sleep_for(kBlocked); });
+    const auto late = sent + std::chrono::milliseconds(kLimit.count()) + std::chrono::milliseconds(500);
+    asio::steady_timer look(io);
+    std::function<void()> block_when_sent = [&] {
+      look.expires_after(kLook);
+      look.async_wait([&](const error_code&) {
+        if (server.Requests() < kCalls) return block_when_sent();
+        server.AnswerAll();
+        std::this_thread::sleep_until(late);
+      });
+    };
+    block_when_sent();
     io.run_for(kPatience);
+    CPPUNIT_ASSERT_EQUAL(kCalls, server.Answers());
     CPPUNIT_ASSERT_EQUAL(kCalls, ended);
     CPPUNIT_ASSERT_EQUAL(kCalls, answered);
   }
 
   // Guards against starts that leave long after they were decided, since their connection was opened meanwhile.
   void NothingIsSentAfterItsTime() {
-    ThreadedServer server("{}", Millis{0});
+    ThreadedServer server("{}");
     asio::io_context io;
     HttpClient client(&io, ClientSettings{});
     HttpRequest request;
@@ -158,7 +183,7 @@
 
   // Guards against callers that are called back before their call has returned.
   void CallWithoutTimeIsAnsweredLater() {
-    ThreadedServer server("{}", Millis{0});
+    ThreadedServer server("{}");
     asio::io_context io;
     HttpClient client(&io, ClientSettings{});
     bool inside = false;
