Inner: answers of peers that wait unread are no silence

Callers would see peers taken for silent by an instance that was busy or paused itself: heads of heartbeat groups avoided, announcements of cancels sent again, calls to the store through peers given up. Each such call also cuts its connection, so that everything else that waits on it fails too.

A timer that is late ends the call without a look at what has arrived; with more than 128 connections ready the loop comes to the timers first.

Change: the rule that grants unread answers a few more turns is one type, UnreadGrace, for both clients.

--- a/hickoryquay/inner/channel.h
+++ b/hickoryquay/inner/channel.h
@@ -57,7 +57,8 @@
   ~InnerClient();
 
   // Calls back exactly once, at the latest when `timeout` is over. If a frame is arriving then, which may be the
-  // answer, the call waits for its end as long as parts of it arrive within `timeout` of each other.
+  // answer, the call waits for its end as long as parts of it arrive within `timeout` of each other. What has arrived
+  // by then and was not read yet, for want of processor time, is read first.
   void Call(const net::Endpoint& peer, Message message, Millis timeout, AnswerCallback callback);
 
   // Closes the connection to a peer that is gone.
--- a/hickoryquay/inner/client.cc
+++ b/hickoryquay/inner/client.cc
@@ -9,6 +9,7 @@
 
 #include "hickoryquay/inner/channel.h"
 #include "hickoryquay/inner/frame_stream.h"
+#include "hickoryquay/net/unread_grace.h"
 
 namespace hickoryquay::inner {
 
@@ -44,22 +45,23 @@
     std::optional<std::uint64_t>
         m_awaited_frame{};               // Number of the frame that was arriving when the time was first over.
     std::uint64_t m_received_bytes = 0;  // Of the connection when the call was last extended.
+    net::UnreadGrace m_grace{};
   };
 
   void Add(Message message, Millis timeout, AnswerCallback callback) {
     const std::int64_t id = ++m_last_id;
     auto timer = std::make_shared<asio::steady_timer>(m_strand);
     m_pending[id] = Pending{std::move(callback), timer, timeout, m_received};
-    StartTimer(id);
+    StartTimer(id, timeout);
     const Frame frame{kProtocol, id, false, std::move(message)};
     if (m_stream && !m_connecting) return m_stream->Write(frame);
     m_unsent.push_back(frame);
     if (!m_stream) Connect();
   }
 
-  void StartTimer(std::int64_t id) {
+  void StartTimer(std::int64_t id, Millis after) {
     const Pending& pending = m_pending.at(id);
-    pending.m_timer->expires_after(pending.m_timeout);
+    pending.m_timer->expires_after(after);
     pending.m_timer->async_wait([self = shared_from_this(), id](const error_code& error) {
       if (!error) self->OnTimeout(id);
     });
@@ -81,8 +83,10 @@
   void OnTimeout(std::int64_t id) {
     const auto found = m_pending.find(id);
     if (found == m_pending.end()) return;
-    if (TryExtend(&found->second)) return StartTimer(id);
-    const bool silent = found->second.m_received_before == m_received;
+    Pending& pending = found->second;
+    if (TryExtend(&pending)) return StartTimer(id, pending.m_timeout);
+    if (m_stream && pending.m_grace.Take(m_stream->Socket())) return StartTimer(id, net::UnreadGrace::kTurn);
+    const bool silent = pending.m_received_before == m_received;
     Finish(id, NoAnswer{"timed out"});
     if (silent) Break("silent");
   }
--- a/hickoryquay/net/client.cc
+++ b/hickoryquay/net/client.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "hickoryquay/net/http.h"
+#include "hickoryquay/net/unread_grace.h"
 
 namespace hickoryquay::net {
 
@@ -29,8 +30,6 @@
 
 constexpr std::size_t kLargestPiece = 64 * 1024;  // Of an answer, read at once.
 constexpr std::size_t kKeptBuffer = 1024;         // Of an idle connection; there are thousands.
-constexpr Millis kUnreadGrace{30};                // For an answer that has arrived and waits for its turn to be read.
-constexpr int kMostGraces = 10;                   // Of one call.
 constexpr std::size_t kMaxHeaderBytes = 16'384;   // Of one value. Beast throws on those of 64 KB.
 constexpr std::string_view kLineEnds("\r\n\0", 3);
 
@@ -114,7 +113,7 @@
       self->m_call = std::move(call);
       self->m_started = std::chrono::steady_clock::now();
       self->m_timed_out = false;
-      self->m_graces = 0;
+      self->m_grace = {};
       self->SetDeadline(self->m_call->m_deadline);
       if (self->m_stream.socket().is_open() && self->ClosedByPeer()) self->m_stream.socket().close();
       self->m_stream.socket().is_open() ? self->Write() : self->Connect();
@@ -149,9 +148,7 @@
     if (!m_call) return;
     const auto now = std::chrono::steady_clock::now();
     if (now < m_deadline) return SetDeadline(m_deadline);
-    beast::error_code error;
-    const bool unread = m_stream.socket().is_open() && m_stream.socket().available(error) > 0;
-    if (unread && m_graces++ < kMostGraces) return SetDeadline(now + kUnreadGrace);
+    if (m_grace.Take(m_stream.socket())) return SetDeadline(now + UnreadGrace::kTurn);
     m_timed_out = true;
     m_stream.close();  // The operation under way ends.
   }
@@ -255,7 +252,7 @@
   asio::steady_timer m_limit;  // Of the call; may fire early, and while there is none.
   bool m_limit_armed = false;
   Deadline m_deadline;
-  int m_graces = 0;
+  UnreadGrace m_grace;
   bool m_timed_out = false;
   std::chrono::steady_clock::time_point m_started;  // When the call was taken up.
   std::chrono::steady_clock::time_point m_idle_since;
