Peers: a pause of this process is no silence of others

Callers would see limits of client accounts shared among too few instances for a moment, and hints of instances that are not listed yet forgotten: after a pause of 3 s or more the first tick marks all peers suspect, before the heartbeats that arrived meanwhile are read.

Change: what a tick is late by, beyond two heartbeat periods, doesn't count.

Evidence: peers_test, PauseOfThisProcessIsNoSilenceOfOthers, failed before. Time passes in steps of a second in the other tests, as in the product; their assertions are unchanged.

--- a/hickoryquay/peers/membership.cc
+++ b/hickoryquay/peers/membership.cc
@@ -1,6 +1,8 @@
 #include "hickoryquay/peers/membership.h"
 
+#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace hickoryquay::peers {
 
@@ -64,7 +66,16 @@
   peer.m_state = peer.m_leaving ? PeerState::kLeaving : PeerState::kAlive;
 }
 
+void Membership::ForgivePause(Millis pause, Instant now) {
+  for (auto& [id, peer] : m_peers) {
+    if (peer.m_last_heard.m_ms > 0) peer.m_last_heard = std::min(now, peer.m_last_heard + pause);
+  }
+}
+
 void Membership::Tick(Instant now) {
+  const Instant last = std::exchange(m_last_tick, now);
+  const Millis beyond = now - last - m_settings.m_longest_step;
+  if (last != Instant{} && beyond > Millis{0}) ForgivePause(beyond, now);
   const auto silent_for = [now](const Peer& peer, Millis span) {
     return peer.m_last_heard.m_ms > 0 && now - peer.m_last_heard >= span;
   };
--- a/hickoryquay/peers/membership.h
+++ b/hickoryquay/peers/membership.h
@@ -18,6 +18,7 @@
 struct MembershipSettings {
   Millis m_suspect_after{3'000};  // Time without a heartbeat.
   Millis m_dead_after{10'000};    // Time without a heartbeat; unlisted peers are then removed.
+  Millis m_longest_step{2'000};   // From one Tick to the next. More means that this process was paused.
 };
 
 enum class PeerState {
@@ -65,7 +66,8 @@
   // Applies a heartbeat. One whose sequence is not above the last seen is stale and ignored.
   void OnHeartbeat(const PeerInfo& from, std::int64_t sequence, Instant now);
 
-  // Marks peers suspect and removes dead ones, by the time since their last heartbeat.
+  // Marks peers suspect and removes dead ones, by the time since their last heartbeat. A pause of this process doesn't
+  // count: heartbeats that arrived meanwhile are not read yet.
   void Tick(Instant now);
 
   // Number of entry instances that take work in a failure domain, including this one if `domain` is its own.
@@ -76,10 +78,13 @@
   const DomainId& OwnDomain() const { return m_domain; }
 
  private:
+  void ForgivePause(Millis pause, Instant now);
+
   InstanceId m_self;
   DomainId m_domain;
   MembershipSettings m_settings;
   std::map<InstanceId, Peer> m_peers;
+  Instant m_last_tick;  // 0: none yet.
 };
 
 }  // namespace hickoryquay::peers
--- a/tests/peers/membership_test.cc
+++ b/tests/peers/membership_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(ListedLeaverWithoutHeartbeatIsRemovedWithItsRow);
   CPPUNIT_TEST(SilentLeaverDoesNotBecomeAliveAgain);
   CPPUNIT_TEST(HintSurvivesAListThatLacksIt);
+  CPPUNIT_TEST(PauseOfThisProcessIsNoSilenceOfOthers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -97,12 +98,28 @@
     CPPUNIT_ASSERT(m_membership.Peers().empty());
   }
 
+  // Guards against peers, and the hints of them, given up by a process that was paused and has not read their
+  // heartbeats.
+  void PauseOfThisProcessIsNoSilenceOfOthers() {
+    AdvanceTime(1 * kSecond);
+    m_membership.OnHeartbeat(MakePeerInfo("b"), 1, m_now);
+    m_now = m_now + 12 * kSecond;
+    m_membership.Tick(m_now);
+    CPPUNIT_ASSERT(StateOf("b") == PeerState::kAlive);
+    AdvanceTime(3 * kSecond);
+    CPPUNIT_ASSERT(StateOf("b") == PeerState::kSuspect);
+    AdvanceTime(8 * kSecond);
+    CPPUNIT_ASSERT(m_membership.Peers().empty());
+  }
+
  private:
   PeerInfo MakePeerInfo(const std::string& id) const { return {InstanceId(id), m_domain, {"127.0.0.1", 1}, false}; }
 
   void AdvanceTime(Millis time) {
-    m_now = m_now + time;
-    m_membership.Tick(m_now);
+    for (; time > Millis{0}; time = time - kSecond) {
+      m_now = m_now + kSecond;
+      m_membership.Tick(m_now);
+    }
   }
 
   PeerState StateOf(const std::string& id) const { return m_membership.Peers().at(InstanceId(id)).m_state; }
