Stand-in: a start that is held up counts from when it was sent

The fuzz of the service reported "cancelled: ... run 1" for a start that was sent before its job's cancel, held up by a cut for 5 s and carried out then.

Cause: the stand-in's check looked at when the start is carried out. It didn't know when it was sent.

Change: an order carries the time that limits count from: when it is sent if it is held up or late, otherwise when it is carried out, as before.

The reverse, StartSentTooLateIsCounted, holds before and after.

--- a/standin/sim_workers.cc
+++ b/standin/sim_workers.cc
@@ -105,17 +105,18 @@
   const auto found = m_workers.find(target.m_id);
   if (Resets(found)) return After(m_settings.m_latency, [callback] { callback({StartOutcome::kNotSent, {}, {}}); });
   if (found == m_workers.end() || !found->second.m_alive || found->second.m_faults.m_cut) {
-    if (found != m_workers.end()) HoldUp(target.m_id, call, found->second.m_incarnation, kHeldUpFor);
+    if (found != m_workers.end()) HoldUp(target.m_id, {call, found->second.m_incarnation, m_clock->Now()}, kHeldUpFor);
     return After(timeout, [callback] { callback({StartOutcome::kUnknown, {}, {}}); });
   }
   const WorkerFaults& faults = found->second.m_faults;
   const bool late = Chance(faults.m_late_orders);
   const bool lost = late || Chance(faults.m_lost_answers);
-  const int sent_to = found->second.m_incarnation;
-  After(late ? LateBy() : m_settings.m_latency / 2, [this, id = target.m_id, call, sent_to, lost, callback] {
+  const Millis on_the_way = m_settings.m_latency / 2;
+  const Order order{call, found->second.m_incarnation, m_clock->Now() + (late ? Millis{0} : on_the_way)};
+  After(late ? LateBy() : on_the_way, [this, id = target.m_id, order, lost, callback] {
     Worker& worker = m_workers.at(id);
     if (!worker.m_alive) return;
-    jobs::StartReply reply = CarryOutStart(&worker, call, sent_to);
+    jobs::StartReply reply = CarryOutStart(&worker, order);
     if (worker.m_settings.m_reports_born) reply.m_born = worker.m_born;
     if (!lost) After(m_settings.m_latency / 2, [callback, reply] { callback(reply); });
   });
@@ -123,14 +124,14 @@
 }
 
 // Bytes that a partition holds up are delivered once it is over, though their sender has given up long ago.
-void SimWorkers::HoldUp(const WorkerId& id, const jobs::StartCall& call, int sent_to, Millis left) {
+void SimWorkers::HoldUp(const WorkerId& id, const Order& order, Millis left) {
   Worker& worker = m_workers.at(id);
   if (!worker.m_alive || left.count() <= 0) return;
   if (!worker.m_faults.m_cut && !worker.m_faults.m_resets) {
-    CarryOutStart(&worker, call, sent_to);
+    CarryOutStart(&worker, order);
     return;
   }
-  After(kHeldUpPoll, [this, id, call, sent_to, left] { HoldUp(id, call, sent_to, left - kHeldUpPoll); });
+  After(kHeldUpPoll, [this, id, order, left] { HoldUp(id, order, left - kHeldUpPoll); });
 }
 
 void SimWorkers::Stop(const jobs::WorkerTarget& target, const jobs::StopCall& call, Millis timeout,
@@ -257,7 +258,8 @@
   return used.FitsIn(worker.m_settings.m_entry.m_capacity);
 }
 
-jobs::StartReply SimWorkers::CarryOutStart(Worker* worker, const jobs::StartCall& call, int sent_to) {
+jobs::StartReply SimWorkers::CarryOutStart(Worker* worker, const Order& order) {
+  const jobs::StartCall& call = order.m_call;
   const jobs::WorkerTime clock = ClockOf(*worker);
   if (call.m_epoch < worker->m_epoch) return {StartOutcome::kFenced, clock, {}};
   worker->m_epoch = call.m_epoch;
@@ -274,11 +276,11 @@
     return {StartOutcome::kStaleRun, clock, {}};
   }
   if (call.m_lease_until <= clock) return {StartOutcome::kLeaseExpired, clock, {}};
-  const bool late = IsMeantForEarlier(*worker, call, sent_to);
+  const bool late = IsMeantForEarlier(*worker, call, order.m_sent_to);
   if (late && !HasRoom(*worker, call)) return {StartOutcome::kNoRoom, clock, {}};
   ExtendLease(worker, call.m_lease_until);
   const bool revived = late && WouldHaveRefused(*worker, call);
-  if (!revived) CheckStart(*worker, call);
+  if (!revived) CheckStart(*worker, order);
   if (!m_truths.contains(call.m_task.m_step)) return {StartOutcome::kMalformed, clock, {}};
   ++m_starts;
   ++worker->m_starts;
@@ -315,7 +317,8 @@
   m_violations.push_back(std::to_string(m_clock->Now().m_ms) + " ms: " + what);
 }
 
-void SimWorkers::CheckStart(const Worker& worker, const jobs::StartCall& call) {
+void SimWorkers::CheckStart(const Worker& worker, const Order& order) {
+  const jobs::StartCall& call = order.m_call;
   const std::string what = jobs::ToText(call.m_task) + " run " + std::to_string(Raw(call.m_run)) + " on " +
                            worker.m_settings.m_entry.m_id.m_value;
   const auto truth = m_truths.find(call.m_task.m_step);
@@ -352,9 +355,9 @@
     Violation("has crashed too many workers: " + what);
   }
   const auto forbidden = m_forbidden.find(call.m_task.m_step.m_job);
-  if (forbidden != m_forbidden.end() && m_clock->Now() >= forbidden->second) Violation("cancelled: " + what);
+  if (forbidden != m_forbidden.end() && order.m_counted_from >= forbidden->second) Violation("cancelled: " + what);
   const auto leaving = m_leaving.find(worker.m_settings.m_entry.m_id);
-  if (leaving != m_leaving.end() && m_clock->Now() >= leaving->second) Violation("its worker drains: " + what);
+  if (leaving != m_leaving.end() && order.m_counted_from >= leaving->second) Violation("its worker drains: " + what);
   for (const int earlier : spec.m_after) {
     jobs::StepKey before = call.m_task.m_step;
     before.m_step = earlier;
--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -161,7 +161,13 @@
   bool Resets(std::map<WorkerId, Worker>::const_iterator found) const {
     return found != m_workers.end() && found->second.m_alive && found->second.m_faults.m_resets;
   }
-  void HoldUp(const WorkerId& id, const jobs::StartCall& call, int sent_to, Millis left);
+  struct Order {
+    jobs::StartCall m_call;
+    int m_sent_to = 0;       // The incarnation that the worker had when the call was sent.
+    Instant m_counted_from;  // For limits of time, which don't hold for what a worker carries out late.
+  };
+
+  void HoldUp(const WorkerId& id, const Order& order, Millis left);
   void Tick();
   void ForgetRecordedEnds(Worker* worker);
   bool Crashes(const Run& run) const;
@@ -172,8 +178,7 @@
   bool GangWhole(const Run& run) const;
   bool GangFinished(const Run& run) const;
   bool IsRemote(const Run& run, const Worker& worker) const;
-  // `sent_to`: the incarnation that the worker had when the call was sent.
-  jobs::StartReply CarryOutStart(Worker* worker, const jobs::StartCall& call, int sent_to);
+  jobs::StartReply CarryOutStart(Worker* worker, const Order& order);
   // Whether a start was meant for an earlier incarnation: it was sent to that one, or its lease is in that one's clock.
   bool IsMeantForEarlier(const Worker& worker, const jobs::StartCall& call, int sent_to) const;
   // Whether an earlier incarnation would have refused a start that arrives only now. The scheduler may have relied on
@@ -183,7 +188,7 @@
   bool HasRoom(const Worker& worker, const jobs::StartCall& call) const;
   jobs::StopOutcome CarryOutStop(Worker* worker, const jobs::StopCall& call);
   jobs::PollReply ListOf(const Worker& worker) const;
-  void CheckStart(const Worker& worker, const jobs::StartCall& call);
+  void CheckStart(const Worker& worker, const Order& order);
   void Violation(const std::string& what);
   jobs::WorkerTime ClockOf(const Worker& worker) const;
   void ExtendLease(Worker* worker, jobs::WorkerTime until);
--- a/tests/service/fuzz_test.cc
+++ b/tests/service/fuzz_test.cc
@@ -22,7 +22,8 @@
 constexpr Millis kStartup{3'000};
 constexpr Millis kFaultPhase{20'000};
 constexpr Millis kStep{250};
-constexpr int kFewestCrashes = 3;    // Of workers, under a task of a job that may fail for it.
+constexpr int kFewestCrashes = 3;  // Of workers, under a task of a job that may fail for it.
+constexpr jobs::WorkerTime kFarAhead{10'000'000};
 constexpr Millis kRecovery{60'000};  // Enough for leases, late commands and the remaining work.
 
 // A random sequence of submissions, cancels and faults, determined by its seed.
@@ -189,6 +190,8 @@
 class FuzzTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FuzzTest);
   CPPUNIT_TEST(ResumedLeaderStartsNothing);
+  CPPUNIT_TEST(StartHeldUpByACutIsNotCountedAsLate);
+  CPPUNIT_TEST(StartSentTooLateIsCounted);
   CPPUNIT_TEST(RandomFaultsKeepInvariants);
   CPPUNIT_TEST(RandomCrashesKeepInvariants);
   CPPUNIT_TEST_SUITE_END();
@@ -201,6 +204,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), RandomScenario(109'287'315).Run());
   }
 
+  // A found case: a start is sent before its job's cancel, held up by a cut, and carried out 5 s later.
+  void StartHeldUpByACutIsNotCountedAsLate() {
+    log::Configure({log::Level::kInfo, log::Form::kText, 1'000'000});
+    CPPUNIT_ASSERT_EQUAL(std::string(), RandomScenario(102'785'751).Run());
+    CPPUNIT_ASSERT_EQUAL(std::string(), ViolationsOfHeldUpStart(true));
+  }
+
+  // Guards against an exception for starts that are held up which covers those that were sent too late as well.
+  void StartSentTooLateIsCounted() {
+    CPPUNIT_ASSERT(ViolationsOfHeldUpStart(false).find("cancelled") != std::string::npos);
+  }
+
   void RandomFaultsKeepInvariants() {
     log::Configure({log::Level::kInfo, log::Form::kText, 1'000'000});
     const bool passed = rc::check("random faults violate no invariant", [](std::uint32_t seed) {
@@ -218,6 +233,33 @@
     });
     CPPUNIT_ASSERT(passed);
   }
+
+ private:
+  // Of a start that is sent to a worker behind a cut, before its job's cancel or 5 s after it, and carried out later.
+  static std::string ViolationsOfHeldUpStart(bool before_cancel) {
+    SimCluster cluster(ClusterSettings{});
+    cluster.Run(kStartup);
+    const JobId job = cluster.Submit(0, Tasks(1, 1, Millis{60'000}), Millis{60'000}, 1);
+    cluster.Run(Millis{1'000});
+    const WorkerId worker = cluster.Workers().back();
+    const auto send = [&cluster, &worker, job] {
+      cluster.Sim().Faults(worker).m_cut = true;
+      jobs::StartCall call;
+      call.m_task.m_step.m_job = job;
+      call.m_run = jobs::RunNumber{9};
+      call.m_epoch = Epoch{9};
+      call.m_lease_until = kFarAhead;
+      cluster.Sim().Start({worker, ""}, call, Millis{500}, [](const jobs::StartReply&) {});
+    };
+    if (before_cancel) send();
+    cluster.Cancel(0, job);
+    cluster.Run(Millis{5'000});
+    if (!before_cancel) send();
+    cluster.Run(Millis{1'000});
+    cluster.Sim().Faults(worker).m_cut = false;
+    cluster.Run(Millis{1'000});
+    return cluster.Violations();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FuzzTest);
