Service: a feed that leaves changes out makes the view old

Callers would see tasks start on workers that announced seconds before that they leave, or after their job's cancel, while the store answers feeds in time, with its present clock, and leaves changes out: the platform does so for a second before it drops history.

Cause: the age of the view came from when the store gave the last answer, whatever the answer left out.

Change: VersionTimes. Each transaction raises the version of the whole store, and the leader writes at least every 350 ms. An answer to a feed that was given after one of these writes was acknowledged, and names an older version, is behind: the view is complete only up to the last write that it covers.

--- a/hickoryquay/service/leadership.cc
+++ b/hickoryquay/service/leadership.cc
@@ -197,6 +197,8 @@
   m_leading = true;
   m_epoch = row.m_epoch;
   m_version = ValueOf(result);
+  m_writes = {};
+  m_writes.Add(m_version, m_write_sent, m_clock->Now());
   m_write_count = 0;
   m_last_renewal = m_write_sent;
   m_copy_in_doubt = false;
@@ -322,6 +324,7 @@
   m_copy_in_doubt = false;
   m_refusals = 0;
   m_version = version;
+  m_writes.Add(version, m_applied_after, m_clock->Now());
   ++m_write_count;
   m_last_renewal = m_applied_after;
   m_writing = false;
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -27,6 +27,7 @@
 #include "hickoryquay/model/json.h"
 #include "hickoryquay/store/adaptive_store.h"
 #include "hickoryquay/store/row_store.h"
+#include "hickoryquay/store/version_times.h"
 
 namespace hickoryquay::service {
 
@@ -123,6 +124,7 @@
   bool Leading() const { return m_leading; }
   bool MayGrant() const;  // Whether this instance may extend leases of workers.
   Epoch CurrentEpoch() const { return m_epoch; }
+  const store::VersionTimes& Writes() const { return m_writes; }  // Of this term.
 
  private:
   struct Pending {
@@ -154,6 +156,7 @@
   bool m_call_pending = false;  // A read of the row or a takeover is in flight.
   Epoch m_epoch{};
   Version m_version{};  // Of the leader's row.
+  store::VersionTimes m_writes;
   std::int64_t m_write_count = 0;
   std::deque<Pending> m_pending;  // The first one is in flight while m_writing.
   bool m_writing = false;
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -425,6 +425,12 @@
   return View().MayStart(m_settings.m_start_terms, m_parts.m_clock->Now());
 }
 
+// A feed that leaves changes out is still answered in time; the leader's own writes tell. The table was whole when the
+// term began.
+Instant SchedulerDriver::CompleteAt(const store::TableFollower& table) const {
+  return m_leadership->Writes().CompleteAt(table.At(), table.CompleteAt()).value_or(m_started);
+}
+
 void SchedulerDriver::NoteStartView() {
   const bool old = !MayStart();
   if (std::exchange(m_view_is_old, old) == old) return;
@@ -472,8 +478,9 @@
   const jobs::SchedulerCounts scheduled = m_scheduler.Counts();
   LeaderSample sample;
   sample.m_loop_late = std::max(Millis{0}, now - m_last_tick - kRoundInterval);
-  sample.m_intake_age = now - m_intake->CompleteAt();
-  sample.m_list_age = now - m_worker_rows->CompleteAt();
+  const StartView view = View();
+  sample.m_intake_age = now - view.m_intake;
+  sample.m_list_age = now - view.m_workers;
   sample.m_write_age = m_write_pending ? now - m_write_sent : Millis{0};
   sample.m_queued = static_cast<int>(m_sessions->QueuedCommands());
   sample.m_open = scheduled.m_open_jobs;
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -94,7 +94,8 @@
   void SendStarts();
   void ReportGuaranteeStarts();
   void ReportLoad();
-  StartView View() const { return {m_intake->CompleteAt(), m_worker_rows->CompleteAt()}; }
+  StartView View() const { return {CompleteAt(*m_intake), CompleteAt(*m_worker_rows)}; }
+  Instant CompleteAt(const store::TableFollower& table) const;
   void CountPhases(const std::vector<jobs::PhaseChange>& phases);
   void ArchiveSettled();
   bool MayPlace() const;
--- a/tests/service/stale_view_test.cc
+++ b/tests/service/stale_view_test.cc
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(CancelledJobIsNotStartedByALateFeed);
   CPPUNIT_TEST(CancelledTasksAreStoppedAheadOfALateFeed);
   CPPUNIT_TEST(LeavingWorkerIsNotUsedByALateFeed);
+  CPPUNIT_TEST(FeedThatHearsOfNothingIsNotRecent);
+  CPPUNIT_TEST(FeedThatHearsOfNothingIsNotRecentAfterAQuietTime);
   CPPUNIT_TEST(GangIsNotLeftInPartByALateFeed);
   CPPUNIT_TEST(ShortHistoryDoesNotHoldStartsUp);
   CPPUNIT_TEST(ShortProcessorStartsNothingOfCancelledJobs);
@@ -76,6 +78,33 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->Violations());
   }
 
+  // Guards against starts on leaving workers while the store answers feeds in time and leaves changes out.
+  void FeedThatHearsOfNothingIsNotRecent() {
+    m_cluster->Run(Millis{5'000});
+    m_cluster->Store().HoldFeeds(Millis{3'000});
+    for (const WorkerId& worker : m_cluster->Workers()) m_cluster->Drain(worker, Millis{20'000});
+    for (int i = 0; i < 100; ++i) {
+      m_cluster->Run(Millis{50});
+      m_cluster->Submit(m_other, Tasks(1, 1, Millis{300}), Millis{300}, 0);
+    }
+    m_cluster->Run(Millis{3'000});
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_cluster->Violations());
+  }
+
+  // Guards against the same while the leader has had nothing to store but its renewals.
+  void FeedThatHearsOfNothingIsNotRecentAfterAQuietTime() {
+    for (int quiet_ms = 2'100; quiet_ms < 2'900; quiet_ms += 100) {
+      Make(ClusterSettings{});
+      m_cluster->Run(Millis{5'000});
+      m_cluster->Store().HoldFeeds(Millis{3'000});
+      for (const WorkerId& worker : m_cluster->Workers()) m_cluster->Drain(worker, Millis{20'000});
+      m_cluster->Run(Millis{quiet_ms});
+      m_cluster->Submit(m_other, Tasks(1, 1, Millis{300}), Millis{300}, 0);
+      m_cluster->Run(Millis{2'000});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(quiet_ms), std::string(), m_cluster->Violations());
+    }
+  }
+
   // Guards against gangs of which some members wait for others whose starts are held back, until the gang breaks.
   void GangIsNotLeftInPartByALateFeed() {
     for (int offset = 0; offset < 12; ++offset) {
