--- a/bench/leader/leader_experiment.cc
+++ b/bench/leader/leader_experiment.cc
@@ -24,6 +24,7 @@
 
 constexpr int kUsageError = 2;
 constexpr int kRuleBroken = 3;
+constexpr int kNothingStarted = 4;
 constexpr int kWorkersPerRack = 12;
 constexpr int kInstances = 3;
 constexpr double kUsualWorkers = 1'100.0;
@@ -178,7 +179,8 @@
                 << " max " << CancelQuantile(1.0) << " ms, rules broken " << broken << changed << '\n';
     }
     if (broken > 0) std::cerr << violations.substr(0, 2'000);
-    return broken > 0 ? kRuleBroken : 0;
+    if (starts == 0) std::cerr << "hqbench leader: nothing was started, so the figures say nothing\n";
+    return broken > 0 ? kRuleBroken : starts == 0 ? kNothingStarted : 0;
   }
 
   Arguments m_arguments;
