--- a/tests/store/store_clock_test.cc
+++ b/tests/store/store_clock_test.cc
@@ -11,6 +11,8 @@
   CPPUNIT_TEST(DelayOfAllAnswersIsNotTakenForNone);
   CPPUNIT_TEST(WithoutTheStoresClockTheCallCounts);
   CPPUNIT_TEST(SteppedClockStaysWithinTheCall);
+  CPPUNIT_TEST(FastStoreClockMakesNoAnswerYoung);
+  CPPUNIT_TEST(StoreClockThatSteppedMakesNoAnswerYoung);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -44,6 +46,30 @@
     CPPUNIT_ASSERT(clock.AnsweredAt(Instant{10}, Instant{2'000}, Instant{2'500}) == Instant{2'000});
     CPPUNIT_ASSERT(clock.AnsweredAt(Instant{90'000}, Instant{3'000}, Instant{3'500}) == Instant{3'500});
   }
+
+  // Guards against ages that count from the arrival of an answer again once the store's clock has gained on ours.
+  void FastStoreClockMakesNoAnswerYoung() {
+    StoreClock clock;
+    const auto told = [](Instant at) { return Instant{50'000 + at.m_ms + at.m_ms / 10'000}; };
+    Instant now{1'000};
+    for (const Instant end{5 * 3'600'000}; now < end; now = now + Millis{400}) {
+      const Instant given = now + Millis{396};
+      clock.AnsweredAt(told(given), now, given + kWay);
+    }
+    const Instant given = now + Millis{396};
+    CPPUNIT_ASSERT(clock.AnsweredAt(told(given), now, given + Millis{1'500}) <= given + 2 * kWay);
+  }
+
+  void StoreClockThatSteppedMakesNoAnswerYoung() {
+    StoreClock clock;
+    clock.AnsweredAt(Instant{50'000}, Instant{1'000}, Instant{1'004});
+    clock.AnsweredAt(Instant{1'050'100}, Instant{1'100}, Instant{1'104});
+    const Instant given{2'000};
+    CPPUNIT_ASSERT(clock.AnsweredAt(Instant{1'051'000}, Instant{1'200}, given + Millis{1'500}) <= given + kWay);
+  }
+
+ private:
+  static constexpr Millis kWay{4};  // Of an answer.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreClockTest);
