Store: a full page of a feed is cut off, whatever of it can be read

Callers would see starts from a view that counts as recent while changes wait behind a full page with an odd entry in it. Found by review.

Cause: only the rows that could be read were counted against the page's limit.

Evidence: FullAnswerWithOddEntriesDoesNotMakeTheViewRecent failed before.

--- a/hickoryquay/store/table_follower.cc
+++ b/hickoryquay/store/table_follower.cc
@@ -181,7 +181,8 @@
   m_at = std::max(m_at, page.m_version);
   m_current_at = m_clock->Now();
   // A full page was cut off: more changes may be there.
-  const bool cut = page.m_more || static_cast<int>(page.m_rows.size()) >= m_settings.m_max_page_rows;
+  const auto rows_of_page = static_cast<int>(page.m_rows.size() + page.m_unreadable);
+  const bool cut = page.m_more || rows_of_page >= m_settings.m_max_page_rows;
   const Instant answered = m_store_clock.AnsweredAt(page.m_answered, sent, m_current_at);
   if (!cut) m_complete_at = answered;
   m_rows_read += page.m_rows.size();
