Service: waiting jobs are not counted from an old view

Callers would be told that no job waits while jobs do: a leader whose feed of accepted jobs is seconds behind sent its counts as if they were of now. Found by review: 0 instead of 20, 4 s after the jobs were stored.

The age of counts was counted from the arrival of the leader's heartbeat.

Evidence: StaleViewTest, PendingJobsAreNotCountedByALateFeed.

--- a/hickoryquay/service/leader_beats.cc
+++ b/hickoryquay/service/leader_beats.cc
@@ -71,7 +71,7 @@
   beat.__set_instance(m_parts.m_self.m_value);
   beat.__set_epoch(static_cast<std::int64_t>(Raw(status->m_epoch)));
   beat.__set_sequence(++m_sequence);
-  beat.__set_ready(status->m_ready);
+  beat.__set_ready(status->m_pending.has_value());
   std::vector<wire::PhaseChange> phases;
   for (const jobs::PhaseChange& change : std::exchange(m_unsent, {})) {
     wire::PhaseChange& phase = phases.emplace_back();
@@ -80,9 +80,10 @@
   }
   beat.__set_phases(phases);
   std::map<std::string, std::int32_t> pending;
-  for (const auto& [queue, count] : status->m_pending) pending[queue.m_value] = count;
+  for (const auto& [queue, count] : status->m_pending.value_or(std::map<jobs::QueueName, int>{}))
+    pending[queue.m_value] = count;
   beat.__set_pending(pending);
-  if (status->m_ready) m_parts.m_phases->SetPending(status->m_pending, now);
+  if (status->m_pending) m_parts.m_phases->SetPending(*status->m_pending, now);
   m_parts.m_phases->NoteHeartbeat(now);
   SendToAll(beat);
 }
--- a/hickoryquay/service/leader_beats.h
+++ b/hickoryquay/service/leader_beats.h
@@ -37,8 +37,7 @@
 // What a heartbeat says besides phases.
 struct LeaderStatus {
   Epoch m_epoch{};
-  bool m_ready = false;  // The leader has loaded its tables, so m_pending counts all jobs.
-  std::map<jobs::QueueName, int> m_pending;
+  std::optional<std::map<jobs::QueueName, int>> m_pending;  // Of all jobs; empty: not known.
 };
 
 struct BeatParts {
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -431,6 +431,11 @@
   return m_leadership->Writes().CompleteAt(table.At(), table.CompleteAt()).value_or(m_started);
 }
 
+std::optional<std::map<jobs::QueueName, int>> SchedulerDriver::Pending() const {
+  const bool known = m_ready && m_parts.m_clock->Now() - View().m_intake <= m_settings.m_pending_age;
+  return known ? std::optional(m_scheduler.Pending()) : std::nullopt;
+}
+
 void SchedulerDriver::NoteStartView() {
   const bool old = !MayStart();
   if (std::exchange(m_view_is_old, old) == old) return;
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -37,6 +37,7 @@
   // From one call of a feed to the next if the first brought rows. Accepted jobs and cancels are announced as well.
   Millis m_intake_pause{50};
   Millis m_workers_pause{150};
+  Millis m_pending_age{1'200};  // Callers are told counts up to 2 s old, and the news of them is on its way meanwhile.
   Millis m_evacuation_wait{1'000};  // Longest wait for the first SetEvacuated, since the store may be unreachable.
 };
 
@@ -72,7 +73,8 @@
   // An instance has stored the cancel of a job. Its row comes through the feed as well; ignored until Ready().
   void OnCancelAnnounced(JobId job);
   bool Ready() const { return m_ready; }  // All tables are loaded.
-  std::map<jobs::QueueName, int> Pending() const { return m_scheduler.Pending(); }
+  // Waiting jobs by queue; empty while what is known of accepted jobs is older than m_pending_age.
+  std::optional<std::map<jobs::QueueName, int>> Pending() const;
   jobs::SchedulerCounts Counts() const { return m_scheduler.Counts(); }
   std::optional<jobs::JobPhase> Phase(JobId job) const { return m_scheduler.Phase(job); }
 
--- a/standin/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <numeric>
 
 #include "hickoryquay/model/json.h"
 #include "hickoryquay/service/job_service.h"
@@ -212,6 +213,13 @@
   return std::nullopt;
 }
 
+std::optional<int> SimCluster::PendingAt(int leader) const {
+  const auto pending = m_instances[Slot(leader)]->m_driver->Pending();
+  if (!pending) return std::nullopt;
+  return std::accumulate(pending->begin(), pending->end(), 0,
+                         [](int sum, const auto& entry) { return sum + entry.second; });
+}
+
 void SimCluster::ReleaseLeader() {
   if (const auto leader = Leader()) m_instances[Slot(*leader)]->m_leadership->Release(Millis{1'000}, [] {});
 }
--- a/standin/sim_cluster.h
+++ b/standin/sim_cluster.h
@@ -62,6 +62,7 @@
     return m_instances[Slot(index)]->m_documents->Evacuations().Domains();
   }
   void ReleaseLeader();
+  std::optional<int> PendingAt(int leader) const;  // Jobs that it says are waiting; empty: it doesn't know.
 
   // Evacuations of failure domains, as the operator requests them. The domain of a rack is "d-" and its name.
   void Evacuate(const DomainId& domain);
--- a/tests/service/leader_beats_test.cc
+++ b/tests/service/leader_beats_test.cc
@@ -77,7 +77,7 @@
     };
     parts.m_status = [index]() -> std::optional<LeaderStatus> {
       if (index != 0) return std::nullopt;
-      return LeaderStatus{Epoch{7}, true, {}};
+      return LeaderStatus{Epoch{7}, std::map<jobs::QueueName, int>{}};
     };
     parts.m_on_leader = [this, index](Epoch) { m_heard[index] = m_clock.Now(); };
     parts.m_on_released = [this](Epoch) { ++m_released; };
--- a/tests/service/stale_view_test.cc
+++ b/tests/service/stale_view_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(LeavingWorkerIsNotUsedByALateFeed);
   CPPUNIT_TEST(FeedThatHearsOfNothingIsNotRecent);
   CPPUNIT_TEST(FeedThatHearsOfNothingIsNotRecentAfterAQuietTime);
+  CPPUNIT_TEST(PendingJobsAreNotCountedByALateFeed);
   CPPUNIT_TEST(GangIsNotLeftInPartByALateFeed);
   CPPUNIT_TEST(ShortHistoryDoesNotHoldStartsUp);
   CPPUNIT_TEST(ShortProcessorStartsNothingOfCancelledJobs);
@@ -105,6 +106,20 @@
     }
   }
 
+  // Guards against callers who are told that no job waits, while the leader has not heard of those that do.
+  void PendingJobsAreNotCountedByALateFeed() {
+    ClusterSettings settings;
+    settings.m_announces_jobs = false;
+    Make(settings);
+    CPPUNIT_ASSERT(m_cluster->PendingAt(m_leader) == 0);
+    m_cluster->StoreOf(m_leader).DelayFeeds(Millis{8'000});
+    m_cluster->Run(Millis{2'500});
+    for (int i = 0; i < 20; ++i) m_cluster->Submit(m_other, Tasks(1, 1, Millis{500}), Millis{500}, 0);
+    m_cluster->Run(Millis{4'000});
+    CPPUNIT_ASSERT_EQUAL(0, m_cluster->Sim().Starts());
+    CPPUNIT_ASSERT(!m_cluster->PendingAt(m_leader));
+  }
+
   // Guards against gangs of which some members wait for others whose starts are held back, until the gang breaks.
   void GangIsNotLeftInPartByALateFeed() {
     for (int offset = 0; offset < 12; ++offset) {
