Policy: room kept for calls is not taken by other plans on the worker

What callers saw: a job that had called on its guarantee waited beyond the 30 s limit, although the borrowers named for it had stopped: another job of a borrower had started in the room that they gave back.

Cause: a plan was ready as soon as its room was unallocated, whatever other plans kept on that worker. A head reservation made after a call counts the call's room as taken, and waits for other work there to end; but it was ready with the room that the call had freed. Which of the two started depended on their order, and a call loses its place in it each time StartInAvailableRoom takes its plan out and puts it back.

Change: a plan that is no call is ready only beside the room kept for calls.

--- a/hickoryquay/policy/plans.cc
+++ b/hickoryquay/policy/plans.cc
@@ -56,9 +56,13 @@
   return nullptr;
 }
 
+// The room that is kept for calls is taken by these alone: another plan on the worker may have been made later, for
+// what ends there after the call has started.
 bool Plans::Ready(const Plan& plan) const {
   for (const Part& part : plan.m_parts) {
-    if (!part.m_allocated.FitsIn(m_cluster->At(part.m_worker).Unallocated())) return false;
+    const WorkerEntry& worker = m_cluster->At(part.m_worker);
+    const Resources kept = plan.m_kind == PlanKind::kCall ? Resources{} : worker.m_reserved_for_calls;
+    if (!part.m_allocated.FitsIn(worker.Unallocated() - kept)) return false;
   }
   return true;
 }
--- a/hickoryquay/policy/plans.h
+++ b/hickoryquay/policy/plans.h
@@ -30,7 +30,7 @@
 
   const Plan* Find(JobIndex job) const;
 
-  // True if all room of the plan is free.
+  // True if all room of the plan is free, beside that of calls if the plan is none.
   bool Ready(const Plan& plan) const;
 
   int Accelerators(PlanKind kind) const;  // Of the jobs with plans of this kind.
--- a/tests/policy/found_cases_test.cc
+++ b/tests/policy/found_cases_test.cc
@@ -69,7 +69,18 @@
         {Kind::kTick, 1, 0, 0},
         {Kind::kTick, 1, 0, 0},
         {Kind::kTick, 1, 0, 0},
-        {Kind::kSubmit, 2, 0, 10}}}};
+        {Kind::kSubmit, 2, 0, 10}}},
+      // A head reservation on the same worker counted the room that a call had freed as its own, and came first.
+      {"room that a call had freed taken by a head reservation",
+       {{Kind::kSubmit, 0, 0, 23},
+        {Kind::kSubmitMany, 9, 0, 0},
+        {Kind::kSubmitMany, 2, 2, 20},
+        {Kind::kTick, 0, 0, 0},
+        {Kind::kTick, 0, 0, 0},
+        {Kind::kTick, 0, 0, 0},
+        {Kind::kSubmitMany, 5, 0, 0},
+        {Kind::kTick, 0, 0, 0},
+        {Kind::kTick, 0, 0, 0}}}};
   return cases;
 }
 
