--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -161,7 +161,7 @@
   bool Resets(std::map<WorkerId, Worker>::const_iterator found) const {
     return found != m_workers.end() && found->second.m_alive && found->second.m_faults.m_resets;
   }
-  struct Order {
+  struct Order {  // A start on its way to a worker.
     jobs::StartCall m_call;
     int m_sent_to = 0;       // The incarnation that the worker had when the call was sent.
     Instant m_counted_from;  // For limits of time, which don't hold for what a worker carries out late.
