--- a/tests/inner/busy_loop_test.cc
+++ b/tests/inner/busy_loop_test.cc
@@ -2,58 +2,20 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <atomic>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
-#include <memory>
-#include <string>
 #include <thread>
-#include <utility>
-#include <vector>
 
 #include "hickoryquay/inner/channel.h"
+#include "tests/inner/waiting_server.h"
 
 namespace hickoryquay::inner {
 namespace {
 
 constexpr std::chrono::seconds kPatience{20};  // A test that waits this long has failed.
 
-// Answers all calls when told to, from a thread of its own. Listens on all loopback addresses, so that each of them is
-// a peer with a connection of its own.
-class WaitingServer {
- public:
-  WaitingServer()
-      : m_server(&m_io, {"0.0.0.0", 0}, [this](Message message, const Answer& answer) {
-          m_calls.emplace_back([message = std::move(message), answer] { answer(message); });
-          ++m_received;
-        }) {
-    m_thread = std::thread([this] { m_io.run(); });
-  }
-  ~WaitingServer() {
-    m_io.stop();
-    m_thread.join();
-  }
-  WaitingServer(const WaitingServer&) = delete;
-  WaitingServer& operator=(const WaitingServer&) = delete;
-  net::Endpoint Peer(int number) const { return {"127.0.1." + std::to_string(number + 1), m_server.Local().m_port}; }
-  int Received() const { return m_received; }
-  void AnswerAll() {
-    boost::asio::post(m_io, [this] {
-      for (const auto& call : std::exchange(m_calls, {})) call();
-    });
-  }
-
- private:
-  boost::asio::io_context m_io;
-  std::vector<std::function<void()>> m_calls;  // Of the thread.
-  std::atomic<int> m_received{0};
-  InnerServer m_server;
-  std::thread m_thread;
-};
-
 class InnerBusyLoopTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(InnerBusyLoopTest);
   CPPUNIT_TEST(AnswersThatWaitUnreadAreNoSilence);
