Review: a crash-looping lasting job stops the whole scheduler

Cause: the numbers of all failed runs are kept in a step's row without a limit. Once the row has more bytes than the store takes, the leader sends the refused write again for ever and stores nothing else.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,8 +5,8 @@
 here=$(cd "$(dirname "$0")" && pwd)
 python3 - "$here" <<'EOF'
 import glob, sys
-if sys.version_info < (3, 9):
-    sys.exit("Python 3.9 or later is needed")
+if sys.version_info < (3, 10):
+    sys.exit("Python 3.10 or later is needed")
 for path in sorted(glob.glob(sys.argv[1] + "/lib/*.py") + glob.glob(sys.argv[1] + "/[1-5]/*.py")):
     compile(open(path).read(), path, "exec")
 EOF
--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -4,6 +4,7 @@
 All of it is sound unless a script asks for the disturbance that it is about."""
 import asyncio
 import base64
+import bisect
 import json
 import os
 import re
@@ -21,6 +22,7 @@
 BOUNDS = {"graceS": 6, "maxHoldMs": 10000, "stopTimeoutMs": 200, "cancel_ms": 3000, "drainMs": 2000, "status_s": 120,
           "reclaimMs": 2700, "restoreMs": 100, "remoteFactor": 3, "contactMs": 3000, "visible_ms": 3000}
 ZONES = ["leicester-hall", "derby-hall", "nottingham-hall"]
+ROW_BYTES = 65536
 HOST, KEY = "desk.example", "key-of-the-tenant"
 SERVICE, OTHER_SERVICE = "timetable-desk", "report-desk"
 
@@ -48,7 +50,8 @@
 
     def __init__(self, record):
         self.record, self.rows, self.history, self.version, self.changed = record, {}, [], 1, asyncio.Event()
-        self.last_leader = None                                # Who last changed the row of the leader.
+        self.versions = []  # Of the entries of the history.
+        self.last_leader, self.too_large = None, 0  # Who last changed the row of the leader; writes that were refused.
         self.on_write = None  # async (instance, body, apply) -> an answer; None: none is given.
 
     async def port_for(self, instance):
@@ -65,6 +68,7 @@
             if self.rows.pop(key, None) is not None:
                 self.history.append({"table": key[0], "part": key[1], "key": key[2], "ver": self.version,
                                      "removed": True})
+        self.versions += [self.version] * (len(self.history) - len(self.versions))
         self.changed.set()
         self.changed = asyncio.Event()
         return self.version
@@ -100,6 +104,12 @@
         if any(self.rows.get(key_of(row), {}).get("ver", 0) != row.get("ver", 0) for row in checks):
             rows = [self.rows[key_of(row)] for row in checks if key_of(row) in self.rows]
             return 412, {"rows": rows, "ver": self.version, "nowMs": now_ms()}
+        longest = max((len(row["value"]) for row in puts), default=0) * 3 // 4
+        if longest > ROW_BYTES:
+            self.too_large += 1
+            if self.too_large <= 3:
+                self.record.note(f"the store refuses a write of {instance}: a value of {longest} bytes")
+            return 400, {"error": f"a value has over {ROW_BYTES} bytes"}
         if any(row["key"] == "leader" for row in puts):
             self.last_leader = instance
         version = self.change([(key_of(row), row["value"]) for row in puts], [key_of(row) for row in removals])
@@ -108,7 +118,8 @@
     async def feed(self, table, after, wait):
         end = time.monotonic() + min(wait, 30.0)
         while True:
-            rows = [row for row in self.history if row["ver"] > after and row["table"] == table][:500]
+            begin = bisect.bisect_right(self.versions, after)
+            rows = [row for row in self.history[begin:] if row["table"] == table][:500]
             left = end - time.monotonic()
             if rows or left <= 0:
                 return 200, {"rows": rows, "ver": rows[-1]["ver"] if len(rows) == 500 else self.version,
@@ -235,17 +246,29 @@
         takes = self.platform.work_s.get(task.split(".")[0], 1.0)
         since = time.monotonic()
         self.runs[task] = {"run": number, "since": since, "takes": takes, "age": lambda: time.monotonic() - since}
+        if task.split(".")[0] in self.platform.fails_s:
+            return self.fail_later(task, number)
         self.platform.record.note(f"{self.id}: begins {task} run {number}, epoch {body['fencingToken']}")
         self.platform.starts.append((self.platform.record.at(), task, number, self.id))
         return 200, {"clockMs": self.clock()}
 
-    def end(self, task, how):
+    def fail_later(self, task, number):
+        """A task that fails soon after each start. Not recorded one by one: there are thousands."""
+        def fail():
+            if self.runs.get(task, {}).get("run") == number:
+                self.platform.failed += 1
+                self.end(task, "failed", quiet=True)
+        asyncio.get_running_loop().call_later(self.platform.fails_s[task.split(".")[0]], fail)
+        return 200, {"clockMs": self.clock()}
+
+    def end(self, task, how, quiet=False):
         run = self.runs.pop(task)
         self.closed[task] = max(self.closed.get(task, 0), run["run"])
         self.count += 1
         self.ended.append([self.count, task, run["run"], how, ""])
         self.platform.done += how == "done"
-        self.platform.record.note(f"{self.id}: {task} run {run['run']} ends {how}")
+        if not quiet:
+            self.platform.record.note(f"{self.id}: {task} run {run['run']} ends {how}")
         self.new_end.set()
 
     def move_on(self):
@@ -260,9 +283,15 @@
                 self.end(task, "done")
 
 
-def free_port():
+def own_host(index):
+    """A loopback address for an instance of this script alone: a port that is free there stays free."""
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 8) % 254}.{pid % 256}.{1 + index}"
+
+
+def free_port(host):
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
@@ -290,14 +319,17 @@
 
     def __init__(self, platform, index):
         self.platform, self.name, self.zone = platform, f"front-{index + 1}", ZONES[index % len(ZONES)]
-        self.callers, self.ready, self.inner = (("127.0.0.1", free_port()) for _ in range(3))
-        self.metrics, self.process = free_port(), None
+        self.host, self.process = own_host(index), None
+        ports = set()
+        while len(ports) < 4:
+            ports.add(free_port(self.host))
+        self.callers, self.ready, self.inner, (_, self.metrics) = ((self.host, port) for port in ports)
 
     async def start(self):
         platform = self.platform
         if not hasattr(self, "settings"):
             store = await platform.store.port_for(self.name)
-            fields = {"node": self.name, "zone": self.zone, "ip": "127.0.0.1", "portRange": [self.metrics],
+            fields = {"node": self.name, "zone": self.zone, "ip": self.host, "portRange": [self.metrics],
                       "listen": {name: "%s:%d" % at for name, at in
                                  (("front", self.callers), ("ready", self.ready), ("control", self.inner))},
                       "seeds": ["%s:%d" % other.inner for other in platform.instances[:3]],
@@ -331,7 +363,8 @@
 
     def __init__(self, record):
         self.record, self.store = record, Store(record)
-        self.workers, self.instances, self.starts, self.done = [], [], [], 0
+        self.workers, self.instances, self.starts, self.done, self.failed = [], [], [], 0, 0
+        self.fails_s = {}  # Jobs whose tasks always fail, so long after their start.
         self.work_s, self.gpus = {}, {}  # Of each job: how long its tasks take, and the accelerators of one of them.
         self.folder = tempfile.mkdtemp(prefix="review-")
 
