Review: an unanswered start runs again in its worker's next life

Cause: what a leader does about copies of starts that may still arrive looks at runs that are placed on the worker when it restarts, not at those that have ended there. The stand-ins of workers tell when they were born.

--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -138,12 +138,14 @@
         self.lives, self.down, self.unhealthy, self.leaves_at, self.seq = 0, False, False, None, 0
         self.begin_life()
 
-    def begin_life(self):
-        """After a crash, the worker has a new id, runs nothing and has seen no epoch number."""
+    def begin_life(self, same_id=False):
+        """After a crash, the worker has a new id, or the one that it had. It runs nothing and has seen no epoch
+        number, and its counts and its clock start anew."""
         self.lives += 1
-        self.id = f"{self.name}-{self.lives}"
+        self.id = self.id if same_id else f"{self.name}-{self.lives}"
+        self.born, self.back_at = int(time.time() * 1000), self.platform.record.at()
         self.runs, self.closed, self.ended, self.count, self.fence, self.until = {}, {}, [], 0, 0, 0
-        self.new_end, self.begun = asyncio.Event(), time.monotonic()
+        self.new_end, self.begun, self.looked_at = asyncio.Event(), time.monotonic(), False
 
     def clock(self):
         return int((time.monotonic() - self.begun) * 1000) + 1000
@@ -152,18 +154,20 @@
         self.address = f"127.0.0.1:{await serve(self.handle)}"
         self.beat()
 
-    async def crash(self, back_after, silence):
-        """All that runs here is gone. The worker is back at its address under a new id; the entry of its earlier life
-        goes after three heartbeats of silence."""
+    async def crash(self, back_after, silence, same_id=False):
+        """All that runs here is gone. The worker is back at its address under a new id, and the entry of its earlier
+        life goes after three heartbeats of silence; or under the id that it had."""
         old, lost = self.id, sorted(self.runs)
         self.platform.record.note(f"{old}: crashes, with {lost}")
         self.down = True
         self.runs = {}
         await asyncio.sleep(back_after)
-        self.begin_life()
+        self.begin_life(same_id)
         self.down = False
-        self.platform.record.note(f"{self.id}: is back after the crash of {old}")
+        self.platform.record.note(f"{self.id}: is back after the crash of {old}, born {self.born}")
         self.beat()
+        if same_id:
+            return
         await asyncio.sleep(max(0.0, silence - back_after))
         self.platform.store.remove("servers", old)
 
@@ -173,7 +177,7 @@
         self.seq += 1
         entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8,
                  "state": "ready", "coldLeftMs": 0, "capacity": {"cpu": 64000, "memMb": 128000, "gpu": 8},
-                 "labels": self.labels, "seq": self.seq}
+                 "labels": self.labels, "seq": self.seq, "born": self.born}
         if self.leaves_at is not None:
             entry["state"] = "draining"
             entry["remainingMs"] = max(0, int((self.leaves_at - time.monotonic()) * 1000))
@@ -196,6 +200,10 @@
             return "reset"
         if path == "/health":
             return (503 if self.unhealthy else 200), {}
+        if path == "/run-start" and self.platform.is_late(body["task"]):
+            self.platform.record.note(f"{self.id}: start of {body['task']} run {body['runId']} gets no answer")
+            asyncio.ensure_future(self.carry_out_late(path, headers, body))
+            return None
         if headers.get("x-expect-instance", self.id) != self.id:
             return 421, {}
         if body["fencingToken"] < self.fence:
@@ -216,6 +224,13 @@
             return await self.hold(body)
         return 404, {}
 
+    async def carry_out_late(self, path, headers, body):
+        await asyncio.sleep(self.platform.late_by)
+        if not self.down:
+            answer = await self.handle("POST", path, {}, headers, body)
+            self.platform.record.note(f"{self.id}: a start of {body['task']} run {body['runId']} is carried out late, "
+                                      f"answer {answer}")
+
     async def hold(self, body):
         self.extend(body.get("expiresMs", 0))
         self.ended = [end for end in self.ended if end[0] > body["lastSeen"]]
@@ -228,7 +243,10 @@
         now = time.monotonic()
         running = [[task, run["run"], "", min(99, int(100 * (now - run["since"]) / run["takes"]))]
                    for task, run in self.runs.items()]
-        return 200, {"clockMs": self.clock(), "running": running, "ended": self.ended[:500]}
+        if now - self.begun < 5.0 and self.lives > 1 and not self.looked_at:
+            self.looked_at = True
+            self.platform.record.note(f"{self.id}: the first look at it after its crash, epoch {body['fencingToken']}")
+        return 200, {"clockMs": self.clock(), "born": self.born, "running": running, "ended": self.ended[:500]}
 
     def extend(self, until):
         self.until = max(self.until, min(until, self.clock() + BOUNDS["maxHoldMs"]))
@@ -364,6 +382,7 @@
     def __init__(self, record):
         self.record, self.store = record, Store(record)
         self.workers, self.instances, self.starts, self.done, self.failed = [], [], [], 0, 0
+        self.late = None   # A job whose first start is carried out late, and by how many seconds.
         self.fails_s = {}  # Jobs whose tasks always fail, so long after their start.
         self.work_s, self.gpus = {}, {}  # Of each job: how long its tasks take, and the accelerators of one of them.
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -404,6 +423,13 @@
             for worker in self.workers:
                 worker.beat()
 
+    def is_late(self, task):
+        """Whether this order gets no answer and is carried out late: the first one of a job that a script names."""
+        if self.late is None or not task.startswith(self.late[0]):
+            return False
+        self.late_by, self.late = self.late[1], None
+        return True
+
     def leader(self):
         return next((i for i in self.instances if i.name == self.store.last_leader), None)
 
