Service: what accepted jobs of which nothing runs wait for

Cause: on call, nothing tells why an accepted job has nothing running. A new leader logs nothing about the jobs that it restores.

"Job restored" names each open job after a takeover.

--- a/hickoryquay/jobs/preemption.cc
+++ b/hickoryquay/jobs/preemption.cc
@@ -20,11 +20,7 @@
   int needed = 0;
   for (const auto& steps : job.m_steps) {
     for (const auto& step : steps) {
-      const auto& after = step->m_spec->m_after;
-      const bool blocked = std::any_of(after.begin(), after.end(), [&steps](int earlier) {
-        return steps[static_cast<std::size_t>(earlier)]->m_units_left > 0;
-      });
-      if (blocked) continue;
+      if (IsBlocked(steps, *step)) continue;
       const int tasks = step->m_spec->m_gang ? step->m_spec->m_tasks : 1;
       needed += step->m_units_left * tasks * step->m_spec->m_task.m_accelerators;
     }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -24,6 +24,7 @@
 #include <utility>
 #include <vector>
 
+#include "hickoryquay/jobs/idle_jobs.h"
 #include "hickoryquay/jobs/incarnation.h"
 #include "hickoryquay/jobs/job.h"
 #include "hickoryquay/jobs/preemption.h"
@@ -195,6 +196,10 @@
 
   std::map<QueueName, int> Pending() const;  // Jobs without a started task, by queue.
   SchedulerCounts Counts() const;
+  // Accepted jobs of which nothing runs, and jobs with a step that lasts and is interrupted; in the order of
+  // acceptance, the first `most`. Timed jobs that are not due are left out. O(open jobs + most * workers).
+  std::vector<IdleJob> IdleJobs(std::size_t most, Now now) const;
+  void LogRestoredJobs() const;                    // One line for each open job. Call after EndRestoredJobs.
   std::optional<JobPhase> Phase(JobId job) const;  // May not be stored yet; empty: unknown job.
 
  private:
@@ -241,6 +246,11 @@
   void ReturnWorkers(Now now);
   void WithdrawUnsent(WorkerSlot* slot, const char* why);
 
+  // scheduler_idle.cc
+  IdleCause CauseOfWaiting(const Unit& unit, RoomCensus* room, Now now) const;
+  std::optional<IdleJob> DescribeIdleUnit(const StepState& step, Now now) const;
+  std::optional<IdleJob> DescribeIfIdle(const JobState& job, bool runs, Now now) const;
+
   // scheduler_place.cc
   // Accelerators of schedulable workers.
   struct AcceleratorCount {
@@ -250,6 +260,8 @@
 
   AcceleratorCount CountAccelerators() const;
   double RequiredFreeShare(const Unit& unit, Now now) const;
+  bool LeavesTooFewFree(const Unit& unit, const AcceleratorCount& accelerators, Now now) const;
+  bool PrefersDataRack(const Unit& unit, Now now) const;
   std::vector<StepState*> ReadySteps(Now now);
   const Candidates& CandidatesFor(const Unit& unit);
   const PoolPace& PaceOf(const PoolName& pool, Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -44,12 +44,7 @@
       if (steps.empty()) continue;
       const SchedulingKey key{job->m_job.m_priority, job->m_job.m_accepted, ObjectiveDeadline(*job, k)};
       for (const auto& step : steps) {
-        if (step->m_units_left == 0) continue;
-        const auto& after = step->m_spec->m_after;
-        const bool blocked = std::any_of(after.begin(), after.end(), [&](int earlier) {
-          return steps[static_cast<std::size_t>(earlier)]->m_units_left > 0;
-        });
-        if (blocked) continue;
+        if (step->m_units_left == 0 || IsBlocked(steps, *step)) continue;
         candidates.push_back({key, step.get()});
       }
     }
@@ -90,6 +85,25 @@
   return is_tight ? std::min(usual, m_settings.m_min_free_share_tight) : usual;
 }
 
+bool Scheduler::LeavesTooFewFree(const Unit& unit, const AcceleratorCount& accelerators, Now now) const {
+  if (unit.m_step->m_job->m_job.m_priority == 0) return false;
+  const int takes = unit.Accelerators();
+  // Capped at half of what the unit leaves of all accelerators, or a large unit could never start.
+  const double min_free =
+      std::min(RequiredFreeShare(unit, now) * accelerators.m_total, (accelerators.m_total - takes) / 2.0);
+  return accelerators.m_free - takes < min_free;
+}
+
+// There is time to wait for the rack of the unit's data.
+bool Scheduler::PrefersDataRack(const Unit& unit, Now now) const {
+  const StepSpec& spec = *unit.m_step->m_spec;
+  if (spec.m_data_rack.empty()) return false;
+  const Instant deadline = ObjectiveDeadline(*unit.m_step->m_job, unit.m_step->m_key.m_occurrence);
+  const auto remote_ms =
+      static_cast<std::int64_t>(m_settings.m_remote_factor * static_cast<double>(spec.m_estimate.count()));
+  return now.m_wall + Millis{remote_ms} < deadline;
+}
+
 // Stops work on workers that are about to leave. Tasks with checkpoints are stopped in time to save their progress;
 // others are stopped as soon as they can't end in time, so that they restart elsewhere sooner.
 void Scheduler::EvacuateDraining(Now now) {
@@ -128,7 +142,7 @@
 void Scheduler::PlaceStep(StepState* step, AcceleratorCount* accelerators, Now now) {
   if (Ended(step->m_job->m_phase)) return;  // Another step has ended it in this round.
   if (!step->HasWaiting()) return;
-  const bool urgent = step->m_job->m_job.m_priority == 0;  // May preempt others.
+  const bool preempts = m_settings.m_preempts && step->m_job->m_job.m_priority == 0;
   const bool guaranteed = m_guarantees.Covers(*step->m_job);
   std::optional<RankedWorkers> ranked;
   for (std::size_t i = step->m_passed; i < step->m_units.size(); ++i) {
@@ -142,19 +156,14 @@
       if (PlaceAlone(unit, now)) accelerators->m_free -= unit->Accelerators();
       continue;  // The other units of the step need no worker of their own.
     }
-    const int takes = unit->Accelerators();
-    // Capped at half of what the unit leaves of all accelerators, or a large unit could never start.
-    const double min_free =
-        std::min(RequiredFreeShare(*unit, now) * accelerators->m_total, (accelerators->m_total - takes) / 2.0);
-    if (!urgent && accelerators->m_free - takes < min_free) return;
-    const bool preempts = m_settings.m_preempts && urgent;
+    if (LeavesTooFewFree(*unit, *accelerators, now)) return;
     bool placed = TryPlace(unit, now, &ranked);
     if (!placed) {
       ranked.reset();
       placed = preempts && PreemptFor(unit, now) && TryPlace(unit, now);
     }
     if (placed) {
-      accelerators->m_free -= takes;
+      accelerators->m_free -= unit->Accelerators();
       continue;
     }
     if (!guaranteed || !unit->m_has_reservation) return;
@@ -253,10 +262,7 @@
     if (rack != racks.end()) {
       const auto chosen = choose(rack->second).m_slots;
       if (!chosen.empty()) return PlaceOn(unit, chosen, now);
-      const Instant deadline = ObjectiveDeadline(*unit->m_step->m_job, unit->m_step->m_key.m_occurrence);
-      const auto remote_ms =
-          static_cast<std::int64_t>(m_settings.m_remote_factor * static_cast<double>(spec.m_estimate.count()));
-      if (now.m_wall + Millis{remote_ms} < deadline) return false;  // There is time to wait for the rack of the data.
+      if (PrefersDataRack(*unit, now)) return false;
     }
   }
   Choice chosen;
--- a/hickoryquay/jobs/units.cc
+++ b/hickoryquay/jobs/units.cc
@@ -28,6 +28,12 @@
   return m_units[m_spec->m_gang ? 0 : static_cast<std::size_t>(task)].get();
 }
 
+bool IsBlocked(const std::vector<std::unique_ptr<StepState>>& steps, const StepState& step) {
+  const auto& after = step.m_spec->m_after;
+  return std::any_of(after.begin(), after.end(),
+                     [&steps](int earlier) { return steps[static_cast<std::size_t>(earlier)]->m_units_left > 0; });
+}
+
 bool HasUsedAllAttempts(const Unit& unit, const JobState& job) {
   return !unit.m_step->m_spec->m_long_running &&
          static_cast<int>(unit.m_failed_runs.size()) >= job.m_job.m_max_attempts;
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -131,6 +131,9 @@
   std::vector<std::vector<std::unique_ptr<StepState>>> m_steps;  // By occurrence and step; empty until created.
 };
 
+// Steps that the step depends on have units left; `steps` are those of its occurrence.
+bool IsBlocked(const std::vector<std::unique_ptr<StepState>>& steps, const StepState& step);
+
 // Whether the unit has failed as often as its job allows. A step that lasts may fail any number of times.
 bool HasUsedAllAttempts(const Unit& unit, const JobState& job);
 
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -12,6 +12,7 @@
 
 constexpr log::Part kLog{"driver"};
 constexpr Millis kLoadReportInterval{1'000};
+constexpr Millis kIdleReportInterval{1'000};
 constexpr Millis kRoundInterval{100};  // For work that becomes due without an event, such as timed jobs and retries.
 // Shortest time between scheduling rounds, per thousand workers. A round takes about 0.7 ms per thousand workers, so
 // rounds use about a thirtieth of a core however many events arrive. Rounds to 0 for less than 50 workers.
@@ -56,6 +57,7 @@
       m_cancels_announced(&parts.m_metrics->GetCounter("hq_cancels_announced_total")),
       m_views_old(&parts.m_metrics->GetCounter("hq_views_old_total")),
       m_evacuation_report(parts.m_metrics),
+      m_idle_report(parts.m_metrics),
       m_report(parts.m_metrics, parts.m_clock->Now()) {
   // Started later, a task could arrive in a domain whose evacuation is in force already.
   m_settings.m_sessions.m_longest_queued = m_settings.m_evacuate;
@@ -108,6 +110,7 @@
   m_stopped = true;
   m_load_timer.Cancel();
   m_tick.Cancel();
+  m_idle_timer.Cancel();
   m_round_timer.Cancel();
   for (const auto& follower : {m_state, m_intake, m_worker_rows}) {
     if (follower) follower->Stop();
@@ -336,6 +339,7 @@
   m_archive->Start();
   OnIntakeRows(buffered, false);  // For the cancels; the jobs were restored above.
   m_scheduler.EndRestoredJobs(Time());
+  m_scheduler.LogRestoredJobs();
   m_last_tick = m_parts.m_clock->Now();
   m_tick = m_parts.m_timers->Every(kRoundInterval, [weak = weak_from_this()] {
     const auto self = weak.lock();
@@ -343,6 +347,9 @@
     self->ReportLoad();
     self->ScheduleRound();
   });
+  m_idle_timer = m_parts.m_timers->Every(kIdleReportInterval, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->ReportIdleJobs();
+  });
 }
 
 //-------------------------------------------------------------------------------------------------
@@ -500,6 +507,11 @@
   m_report.Update(sample, counts, now);
 }
 
+void SchedulerDriver::ReportIdleJobs() {
+  m_idle_report.Update(m_scheduler.IdleJobs(IdleReport::kMostJobs, Time()), MayPlace() && MayStart(),
+                       m_parts.m_clock->Now());
+}
+
 void SchedulerDriver::CountPhases(const std::vector<jobs::PhaseChange>& phases) {
   const Instant now = m_parts.m_clock->Wall();
   for (const jobs::PhaseChange& change : phases) {
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -13,6 +13,7 @@
 #include "hickoryquay/jobs/scheduler.h"
 #include "hickoryquay/service/announced_jobs.h"
 #include "hickoryquay/service/evacuation_report.h"
+#include "hickoryquay/service/idle_report.h"
 #include "hickoryquay/service/job_archive.h"
 #include "hickoryquay/service/leader_report.h"
 #include "hickoryquay/service/leadership.h"
@@ -96,6 +97,7 @@
   void SendStarts();
   void ReportGuaranteeStarts();
   void ReportLoad();
+  void ReportIdleJobs();
   StartView View() const { return {CompleteAt(*m_intake), CompleteAt(*m_worker_rows)}; }
   Instant CompleteAt(const store::TableFollower& table) const;
   void CountPhases(const std::vector<jobs::PhaseChange>& phases);
@@ -141,6 +143,7 @@
   Instant m_last_archiving;  // When settled jobs were last looked for.
   Subscription m_load_timer;
   Subscription m_tick;
+  Subscription m_idle_timer;
   Subscription m_round_timer;
   Distribution* m_store_ms;
   Distribution* m_guarantee_start_s;
@@ -149,6 +152,7 @@
   Counter* m_cancels_announced;
   Counter* m_views_old;
   EvacuationReport m_evacuation_report;
+  IdleReport m_idle_report;
   LeaderReport m_report;
 };
 
