Jobs: free shares count the workers of their own pool

Callers saw: with two services, one full and one empty, a job of the empty one had nothing running for as long as the other stayed full (review/services, once, 40 s).

Cause: the share of accelerators that a start must leave free was counted over the workers of all pools. Class: a rule on one pool that is computed from all of them.

Change: WorkerTable::CountPools, and each placement takes from its own pool.

Evidence: HeldBackTest::FreeShareCountsTheWorkersOfItsOwnPool failed before (not placed in 200 ms) and passes; jobs_day_test and jobs_idle_test pass. The other places that count accelerators were read: Guarantees go by accounts, which the configuration does not tie to pools; JudgePool goes by pool.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -252,25 +252,18 @@
   std::optional<IdleJob> DescribeIfIdle(const JobState& job, bool runs, Now now) const;
 
   // scheduler_place.cc
-  // Accelerators of schedulable workers.
-  struct AcceleratorCount {
-    int m_free = 0;
-    int m_total = 0;
-  };
-
-  AcceleratorCount CountAccelerators() const;
   double RequiredFreeShare(const Unit& unit, Now now) const;
-  bool LeavesTooFewFree(const Unit& unit, const AcceleratorCount& accelerators, Now now) const;
+  bool LeavesTooFewFree(const Unit& unit, Now now) const;
   bool PrefersDataRack(const Unit& unit, Now now) const;
   std::vector<StepState*> ReadySteps(Now now);
   const Candidates& CandidatesFor(const Unit& unit);
   const PoolPace& PaceOf(const PoolName& pool, Now now);
   ChoiceInput InputFor(const Unit& unit, Now now);
-  void PlaceStep(StepState* step, AcceleratorCount* accelerators, Now now);
+  void PlaceStep(StepState* step, Now now);
   bool TryPlace(Unit* unit, Now now, std::optional<RankedWorkers>* ranked = nullptr);
   bool PlaceOn(Unit* unit, const std::vector<WorkerSlot*>& slots, Now now);
   void EvacuateDraining(Now now);
-  bool PlaceAlone(Unit* unit, Now now);
+  void PlaceAlone(Unit* unit, Now now);
   void ReleaseHeldWorkers(Unit* unit);
   PreemptionRound MakeRound(Now now) const;
   void ReleaseReservation(Unit* unit);
@@ -295,6 +288,7 @@
   // Caches, valid until the end of the current Decide.
   std::map<std::pair<PoolName, std::string>, Candidates> m_candidates;  // By pool and label.
   std::map<PoolName, PoolPace> m_paces;
+  PoolRooms m_rooms;
   Guarantees m_guarantees;
   std::vector<GuaranteeStart> m_guarantee_starts;    // Not taken yet.
   std::deque<std::pair<Instant, JobId>> m_archived;  // With the steady time.
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -61,18 +61,8 @@
   return steps;
 }
 
-Scheduler::AcceleratorCount Scheduler::CountAccelerators() const {
-  AcceleratorCount accelerators;
-  for (const WorkerSlot* slot : m_workers.Slots()) {
-    if (!slot->IsSchedulable()) continue;
-    accelerators.m_free += slot->m_free.m_accelerators;
-    accelerators.m_total += slot->m_entry.m_capacity.m_accelerators;
-  }
-  return accelerators;
-}
-
-// Share of all accelerators that must stay free after this unit is placed, so that more urgent work can start without a
-// preemption.
+// Share of its pool's accelerators that must stay free after this unit is placed, so that more urgent work can start
+// without a preemption.
 double Scheduler::RequiredFreeShare(const Unit& unit, Now now) const {
   const JobState& job = *unit.m_step->m_job;
   if (job.m_job.m_priority == 0) return 0.0;
@@ -85,13 +75,15 @@
   return is_tight ? std::min(usual, m_settings.m_min_free_share_tight) : usual;
 }
 
-bool Scheduler::LeavesTooFewFree(const Unit& unit, const AcceleratorCount& accelerators, Now now) const {
-  if (unit.m_step->m_job->m_job.m_priority == 0) return false;
+bool Scheduler::LeavesTooFewFree(const Unit& unit, Now now) const {
+  const AcceptedJob& job = unit.m_step->m_job->m_job;
+  const auto room = m_rooms.find(job.m_pool);
+  if (job.m_priority == 0 || room == m_rooms.end()) return false;
   const int takes = unit.Accelerators();
   // Capped at half of what the unit leaves of all accelerators, or a large unit could never start.
   const double min_free =
-      std::min(RequiredFreeShare(unit, now) * accelerators.m_total, (accelerators.m_total - takes) / 2.0);
-  return accelerators.m_free - takes < min_free;
+      std::min(RequiredFreeShare(unit, now) * room->second.m_total, (room->second.m_total - takes) / 2.0);
+  return room->second.m_free - takes < min_free;
 }
 
 // There is time to wait for the rack of the unit's data.
@@ -133,13 +125,13 @@
   m_paces.clear();
   m_guarantees = m_configuration ? Guarantees(m_open_jobs, *m_configuration) : Guarantees();
   DropReservations(now);
-  AcceleratorCount accelerators = CountAccelerators();
-  for (StepState* step : ReadySteps(now)) PlaceStep(step, &accelerators, now);
+  m_rooms = m_workers.CountPools();
+  for (StepState* step : ReadySteps(now)) PlaceStep(step, now);
 }
 
 // Places the waiting units of a step until one does not fit. The others won't fit either, and must not use resources
 // that are left free for more urgent work. Within a guarantee, room is made for all of them at the same time.
-void Scheduler::PlaceStep(StepState* step, AcceleratorCount* accelerators, Now now) {
+void Scheduler::PlaceStep(StepState* step, Now now) {
   if (Ended(step->m_job->m_phase)) return;  // Another step has ended it in this round.
   if (!step->HasWaiting()) return;
   const bool preempts = m_settings.m_preempts && step->m_job->m_job.m_priority == 0;
@@ -153,19 +145,16 @@
       return EndJob(step->m_job, JobPhase::kFailed, now);
     if (NeedsIsolation(*unit, m_settings.m_choice.m_crashes)) {
       ranked.reset();
-      if (PlaceAlone(unit, now)) accelerators->m_free -= unit->Accelerators();
+      PlaceAlone(unit, now);
       continue;  // The other units of the step need no worker of their own.
     }
-    if (LeavesTooFewFree(*unit, *accelerators, now)) return;
+    if (LeavesTooFewFree(*unit, now)) return;
     bool placed = TryPlace(unit, now, &ranked);
     if (!placed) {
       ranked.reset();
       placed = preempts && PreemptFor(unit, now) && TryPlace(unit, now);
     }
-    if (placed) {
-      accelerators->m_free -= unit->Accelerators();
-      continue;
-    }
+    if (placed) continue;
     if (!guaranteed || !unit->m_has_reservation) return;
   }
 }
@@ -279,6 +268,7 @@
   unit->m_active = true;
   unit->m_placed = now.m_steady;
   m_active.insert(unit);
+  m_rooms[job->m_job.m_pool].m_free -= unit->Accelerators();
   for (std::size_t i = 0; i < unit->m_members.size(); ++i) {
     Member& member = unit->m_members[i];
     member = Member{};
@@ -334,12 +324,12 @@
 
 // Places a unit on workers without other work. Where there are none, new work is kept off some until they are empty,
 // for m_longest_wait.
-bool Scheduler::PlaceAlone(Unit* unit, Now now) {
-  if (TryPlace(unit, now)) return true;
+void Scheduler::PlaceAlone(Unit* unit, Now now) {
+  if (TryPlace(unit, now)) return;
   if (unit->m_alone_until != Instant{}) {
     unit->m_may_share = now.m_steady >= unit->m_alone_until;
     if (unit->m_may_share) ReleaseHeldWorkers(unit);
-    return false;
+    return;
   }
   const StepSpec& spec = *unit->m_step->m_spec;
   const bool needs_rack = spec.m_rack_local && unit->m_members.size() > 1;
@@ -353,7 +343,6 @@
   if (chosen.empty()) chosen = ChooseWorkersToHold(*unit, all, m_settings.m_choice.m_crashes);
   for (WorkerSlot* slot : chosen) slot->m_held_for = unit;
   unit->m_alone_until = now.m_steady + m_settings.m_choice.m_crashes.m_longest_wait;
-  return false;
 }
 
 // Drops the reservations of units that are not waiting any more, and those that won't lead to a start, so that other
--- a/hickoryquay/jobs/scheduler_settings.h
+++ b/hickoryquay/jobs/scheduler_settings.h
@@ -30,8 +30,8 @@
   Millis m_avoid_refusing_for{500};  // Time that a worker gets no start after it refused one.
   int m_max_start_resends = 3;       // Resends of a start without an answer, before the run is stopped.
   Millis m_max_early_start{50};      // Timed jobs may start this much before they are due.
-  // Shares of all accelerators that a start must leave free for more urgent work. Lower shares make urgent work wait
-  // for preemptions and lose work, higher ones delay batch work (docs/design/platform.md).
+  // Shares of a pool's accelerators that a start must leave free for more urgent work. Lower shares make urgent work
+  // wait for preemptions and lose work, higher ones delay batch work (docs/design/platform.md).
   double m_min_free_share = 0.2;         // For starts of priority 1.
   double m_min_free_share_batch = 0.3;   // For starts of lower priorities.
   double m_min_free_share_tight = 0.05;  // For work whose slack is below m_tight_slack_share of its estimate.
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -95,4 +95,15 @@
   return candidates;
 }
 
+PoolRooms WorkerTable::CountPools() const {
+  PoolRooms rooms;
+  for (const WorkerSlot* slot : m_in_order) {
+    if (!slot->IsSchedulable()) continue;
+    PoolRoom& room = rooms[slot->m_entry.m_pool];
+    room.m_free += slot->m_free.m_accelerators;
+    room.m_total += slot->m_entry.m_capacity.m_accelerators;
+  }
+  return rooms;
+}
+
 }  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -62,6 +62,13 @@
   void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
 };
 
+// Accelerators of the schedulable workers of a pool.
+struct PoolRoom {
+  int m_free = 0;
+  int m_total = 0;
+};
+using PoolRooms = std::map<PoolName, PoolRoom>;
+
 // Racks or failure domains, by name.
 using WorkerGroups = std::map<std::string, std::vector<WorkerSlot*>>;
 
@@ -86,6 +93,8 @@
 
   Candidates CandidatesOf(const PoolName& pool, const std::string& label);  // Of any label if it is empty.
 
+  PoolRooms CountPools() const;
+
   std::map<WorkerId, std::unique_ptr<WorkerSlot>>& All() { return m_slots; }
   const std::map<WorkerId, std::unique_ptr<WorkerSlot>>& All() const { return m_slots; }
   const std::vector<WorkerSlot*>& Slots() const { return m_in_order; }  // By id; faster to read through.
