Jobs: preferences hold work back for 2 s at most where there is ample room

Cause: placement prefers waiting to room that suits a job less, and nothing bounds the wait. A gang for one rack waits as long as some rack could hold it if it were empty, though work that lasts, or workers that rest, keep them all from being empty. A start waits while it would leave fewer accelerators free than more urgent work might need, though none comes. A task waits for the full rack of its data until its objective is near. Workers that refuse in a row rest for 4 s, and slow ones for as long as they are slow. Class: a preference that acts as a condition.

Change: a step remembers since when it is left though it fits twice into what is free and its pool is lightly used (less than half of the accelerators, or of all processors with an accelerator counted as 8 cores); for steps that last the use does not matter. After 2 s its preferences don't bind: any racks, resting workers where no others have room, free shares aside.

--- a/hickoryquay/jobs/idle_jobs.cc
+++ b/hickoryquay/jobs/idle_jobs.cc
@@ -31,8 +31,8 @@
   return kCauseNames[static_cast<std::size_t>(cause)];
 }
 
-RoomCensus CountRoom(const Unit& unit, const std::vector<WorkerSlot*>& slots, bool guaranteed,
-                     const CrashSettings& crashes, Instant steady) {
+RoomCensus CountRoom(const ChoiceInput& input, const std::vector<WorkerSlot*>& slots, const CrashSettings& crashes) {
+  const Unit& unit = *input.m_unit;
   const StepSpec& spec = *unit.m_step->m_spec;
   const int members = static_cast<int>(unit.m_members.size());
   const auto add = [members](int* sum, int more) { *sum = std::min(members, *sum + std::min(members, more)); };
@@ -48,11 +48,10 @@
     ++room.m_usable;
     add(&room.m_if_usable_empty, if_empty);
     add(&room.m_free, LimitPerWorker(*slot, unit, CountFitting(slot->m_free, spec.m_task)));
-    if (!MayHost(*slot, unit, crashes, steady)) {
-      ++room.m_resting;
-      continue;
-    }
-    const int times = LimitPerWorker(*slot, unit, CountFitting(RoomFor(*slot, unit, guaranteed), spec.m_task));
+    const bool rests = !MayHost(*slot, unit, crashes, input.m_now);
+    if (rests) ++room.m_resting;
+    if (rests && !(input.m_uses_resting && IsOpenTo(*slot, unit, crashes, input.m_now))) continue;
+    const int times = LimitPerWorker(*slot, unit, CountFitting(RoomFor(*slot, unit, input.m_guaranteed), spec.m_task));
     add(&room.m_takeable, times);
     add(&by_rack[slot->m_entry.m_rack], times);
   }
--- a/hickoryquay/jobs/idle_jobs.h
+++ b/hickoryquay/jobs/idle_jobs.h
@@ -7,8 +7,8 @@
 #include <optional>
 #include <string>
 
-#include "hickoryquay/jobs/crash_isolation.h"
 #include "hickoryquay/jobs/units.h"
+#include "hickoryquay/jobs/worker_choice.h"
 #include "hickoryquay/jobs/worker_table.h"
 
 namespace hickoryquay::jobs {
@@ -24,8 +24,8 @@
   int m_takeable = 0;         // Of these, where no reservation, rest or isolation is in the way.
   int m_best_rack = 0;        // Most of these in a single rack.
 };
-RoomCensus CountRoom(const Unit& unit, const std::vector<WorkerSlot*>& slots, bool guaranteed,
-                     const CrashSettings& crashes, Instant steady);
+// Of `input`, the unit, its guarantee, the time, and whether resting workers are used.
+RoomCensus CountRoom(const ChoiceInput& input, const std::vector<WorkerSlot*>& slots, const CrashSettings& crashes);
 
 // Later ones are known to less certainty to be right.
 enum class IdleCause {
--- a/hickoryquay/jobs/preemption.cc
+++ b/hickoryquay/jobs/preemption.cc
@@ -171,12 +171,15 @@
   return static_cast<int>(std::clamp<std::int64_t>(times, 0, std::numeric_limits<int>::max()));
 }
 
-bool MayHost(const WorkerSlot& slot, const Unit& unit, const CrashSettings& crashes, Instant steady) {
+bool IsOpenTo(const WorkerSlot& slot, const Unit& unit, const CrashSettings& crashes, Instant steady) {
   const auto& avoided = unit.m_step->m_avoided;
   const auto failed_here = avoided.find(slot.m_entry.m_id);
   if (failed_here != avoided.end() && steady < failed_here->second) return false;
-  return slot.IsSchedulable() && steady >= slot.m_avoid_until && slot.m_unrecorded_runs == 0 &&
-         MayShare(slot, unit, crashes);
+  return slot.IsSchedulable() && slot.m_unrecorded_runs == 0 && MayShare(slot, unit, crashes);
+}
+
+bool MayHost(const WorkerSlot& slot, const Unit& unit, const CrashSettings& crashes, Instant steady) {
+  return steady >= slot.m_avoid_until && IsOpenTo(slot, unit, crashes, steady);
 }
 
 int LimitPerWorker(const WorkerSlot& slot, const Unit& unit, int fitting) {
--- a/hickoryquay/jobs/preemption.h
+++ b/hickoryquay/jobs/preemption.h
@@ -81,6 +81,9 @@
 // Number of tasks that fit into the room.
 int CountFitting(const Resources& room, const Resources& task);
 
+// The worker takes work of the unit, if there is room and it does not rest.
+bool IsOpenTo(const WorkerSlot& slot, const Unit& unit, const CrashSettings& crashes, Instant steady);
+
 // The unit may be placed on the worker if there is room. Planning and placing use this same rule.
 bool MayHost(const WorkerSlot& slot, const Unit& unit, const CrashSettings& crashes, Instant steady);
 
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -255,11 +255,15 @@
   double RequiredFreeShare(const Unit& unit, Now now) const;
   bool LeavesTooFewFree(const Unit& unit, Now now) const;
   bool PrefersDataRack(const Unit& unit, Now now) const;
+  bool HasWaitedLongEnough(const StepState& step, Now now) const;
+  bool HasAmpleRoom(const Unit& unit);
+  void NoteHeldBack(const Unit& unit, Now now);
   std::vector<StepState*> ReadySteps(Now now);
   const Candidates& CandidatesFor(const Unit& unit);
   const PoolPace& PaceOf(const PoolName& pool, Now now);
   ChoiceInput InputFor(const Unit& unit, Now now);
   void PlaceStep(StepState* step, Now now);
+  Unit* PlaceUnits(StepState* step, Now now);
   bool TryPlace(Unit* unit, Now now, std::optional<RankedWorkers>* ranked = nullptr);
   bool PlaceOn(Unit* unit, const std::vector<WorkerSlot*>& slots, Now now);
   void EvacuateDraining(Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -96,6 +96,35 @@
   return now.m_wall + Millis{remote_ms} < deadline;
 }
 
+// Preferences don't hold the step back any more.
+bool Scheduler::HasWaitedLongEnough(const StepState& step, Now now) const {
+  return step.m_held_back_since && now.m_steady - *step.m_held_back_since >= m_settings.m_longest_preference;
+}
+
+// The unit fits twice into what is free, and the pool is lightly used: room that is taken now is not missed by others.
+// A step that lasts serves its callers at any load.
+bool Scheduler::HasAmpleRoom(const Unit& unit) {
+  const StepSpec& spec = *unit.m_step->m_spec;
+  const auto pool = m_rooms.find(unit.m_step->m_job->m_job.m_pool);
+  if (pool == m_rooms.end() || !(spec.m_long_running || pool->second.IsLightlyUsed())) return false;
+  std::size_t room = 0;
+  for (const WorkerSlot* slot : CandidatesFor(unit).m_all) {
+    room += static_cast<std::size_t>(LimitPerWorker(*slot, unit, CountFitting(slot->m_free, spec.m_task)));
+    if (room >= 2 * unit.m_members.size()) return true;
+  }
+  return false;
+}
+
+// `unit` is the first one of its step that was left in this round.
+void Scheduler::NoteHeldBack(const Unit& unit, Now now) {
+  auto& since = unit.m_step->m_held_back_since;
+  if (!HasAmpleRoom(unit)) {
+    since.reset();
+  } else if (!since) {
+    since = now.m_steady;
+  }
+}
+
 // Stops work on workers that are about to leave. Tasks with checkpoints are stopped in time to save their progress;
 // others are stopped as soon as they can't end in time, so that they restart elsewhere sooner.
 void Scheduler::EvacuateDraining(Now now) {
@@ -129,34 +158,50 @@
   for (StepState* step : ReadySteps(now)) PlaceStep(step, now);
 }
 
-// Places the waiting units of a step until one does not fit. The others won't fit either, and must not use resources
-// that are left free for more urgent work. Within a guarantee, room is made for all of them at the same time.
 void Scheduler::PlaceStep(StepState* step, Now now) {
   if (Ended(step->m_job->m_phase)) return;  // Another step has ended it in this round.
-  if (!step->HasWaiting()) return;
+  const Unit* left = step->HasWaiting() ? PlaceUnits(step, now) : nullptr;
+  if (left == nullptr) {
+    step->m_held_back_since.reset();
+  } else {
+    NoteHeldBack(*left, now);
+  }
+}
+
+// Places the waiting units of a step until one does not fit. The others won't fit either, and must not use resources
+// that are left free for more urgent work. Within a guarantee, room is made for all of them at the same time. Returns
+// the first one that is left, if the job has not ended.
+Unit* Scheduler::PlaceUnits(StepState* step, Now now) {
+  Unit* left = nullptr;
   const bool preempts = m_settings.m_preempts && step->m_job->m_job.m_priority == 0;
   const bool guaranteed = m_guarantees.Covers(*step->m_job);
+  const bool waited = HasWaitedLongEnough(*step, now);
   std::optional<RankedWorkers> ranked;
   for (std::size_t i = step->m_passed; i < step->m_units.size(); ++i) {
     Unit* unit = step->m_units[i].get();
     if (!unit->IsWaiting()) continue;
     // Its last start did not end in a crash, or an earlier leader has stored the crash and not the end of the job.
-    if (Judge(unit->m_crashes, unit->m_run, m_settings.m_choice.m_crashes) == CrashVerdict::kGiveUp)
-      return EndJob(step->m_job, JobPhase::kFailed, now);
+    if (Judge(unit->m_crashes, unit->m_run, m_settings.m_choice.m_crashes) == CrashVerdict::kGiveUp) {
+      EndJob(step->m_job, JobPhase::kFailed, now);
+      return nullptr;
+    }
     if (NeedsIsolation(*unit, m_settings.m_choice.m_crashes)) {
       ranked.reset();
       PlaceAlone(unit, now);
+      if (left == nullptr && unit->IsWaiting()) left = unit;
       continue;  // The other units of the step need no worker of their own.
     }
-    if (LeavesTooFewFree(*unit, now)) return;
+    if (!waited && LeavesTooFewFree(*unit, now)) return left != nullptr ? left : unit;
     bool placed = TryPlace(unit, now, &ranked);
     if (!placed) {
       ranked.reset();
       placed = preempts && PreemptFor(unit, now) && TryPlace(unit, now);
     }
     if (placed) continue;
-    if (!guaranteed || !unit->m_has_reservation) return;
+    if (left == nullptr) left = unit;
+    if (!guaranteed || !unit->m_has_reservation) return left;
   }
+  return left;
 }
 
 //-------------------------------------------------------------------------------------------------
@@ -191,6 +236,7 @@
   input.m_pace = PaceOf(job.m_job.m_pool, now);
   input.m_guaranteed = m_guarantees.Covers(job);
   input.m_now = now.m_steady;
+  input.m_uses_resting = HasWaitedLongEnough(*unit.m_step, now);
   return input;
 }
 
@@ -234,6 +280,7 @@
     return true;
   }
   if (ranked != nullptr) ranked->reset();
+  const bool waited = HasWaitedLongEnough(*unit->m_step, now);
   const bool gang = unit->m_members.size() > 1;
   const bool uneven = input.m_pace.m_uneven;
   const auto choose = [&](const std::vector<WorkerSlot*>& slots) {
@@ -245,13 +292,13 @@
     const bool fits_any =
         std::any_of(racks.begin(), racks.end(), [unit](const auto& rack) { return FitsWhenEmpty(rack.second, *unit); });
     const bool may_span = unit->m_may_span_racks && m_guarantees.Covers(*unit->m_step->m_job);
-    if (fits_any && !may_span) return false;
+    if (fits_any && !may_span && !waited) return false;
   } else if (!spec.m_data_rack.empty()) {
     const auto rack = racks.find(spec.m_data_rack);
     if (rack != racks.end()) {
       const auto chosen = choose(rack->second).m_slots;
       if (!chosen.empty()) return PlaceOn(unit, chosen, now);
-      if (PrefersDataRack(*unit, now)) return false;
+      if (!waited && PrefersDataRack(*unit, now)) return false;
     }
   }
   Choice chosen;
@@ -268,7 +315,7 @@
   unit->m_active = true;
   unit->m_placed = now.m_steady;
   m_active.insert(unit);
-  m_rooms[job->m_job.m_pool].m_free -= unit->Accelerators();
+  m_rooms[job->m_job.m_pool].Take(unit->m_step->m_spec->m_task, static_cast<int>(unit->m_members.size()));
   for (std::size_t i = 0; i < unit->m_members.size(); ++i) {
     Member& member = unit->m_members[i];
     member = Member{};
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -108,6 +108,8 @@
   std::size_t m_passed = 0;     // The first ones of m_units, so many, are placed or done.
   std::set<int> m_stored_rows;  // Of which a row is stored.
   StepPace m_pace;
+  // Steady time since which units wait though there is ample room; empty: they don't. See Scheduler::NoteHeldBack.
+  std::optional<Instant> m_held_back_since;
   std::map<WorkerId, Instant> m_avoided;  // Workers on which its tasks failed, each until a steady time.
 
   Unit* FindUnit(int task) const;
--- a/hickoryquay/jobs/worker_choice.cc
+++ b/hickoryquay/jobs/worker_choice.cc
@@ -31,8 +31,8 @@
 
 bool IsBetter(const WorkerOption& a, const WorkerOption& b) {
   const auto key = [](const WorkerOption& option) {
-    return std::tie(option.m_avoid_cold, option.m_failures, option.m_rank, option.m_free, option.m_speed, option.m_cold,
-                    option.m_index);
+    return std::tie(option.m_rests, option.m_avoid_cold, option.m_failures, option.m_rank, option.m_free,
+                    option.m_speed, option.m_cold, option.m_index);
   };
   return key(a) < key(b);
 }
@@ -47,8 +47,10 @@
   const Unit& unit = *input.m_unit;
   const Resources& task = unit.m_step->m_spec->m_task;
   if (!task.FitsIn(slot->m_free)) return std::nullopt;  // The cheapest rule first: most workers are full.
-  if (!MayHost(*slot, unit, settings.m_crashes, input.m_now)) return std::nullopt;
+  if (!IsOpenTo(*slot, unit, settings.m_crashes, input.m_now)) return std::nullopt;
   WorkerOption option;
+  option.m_rests = input.m_now < slot->m_avoid_until;
+  if (option.m_rests && !input.m_uses_resting) return std::nullopt;
   option.m_times = LimitPerWorker(*slot, unit, CountFitting(RoomFor(*slot, unit, input.m_guaranteed), task));
   if (option.m_times <= 0) return std::nullopt;
   option.m_slot = slot;
--- a/hickoryquay/jobs/worker_choice.h
+++ b/hickoryquay/jobs/worker_choice.h
@@ -42,8 +42,9 @@
   Millis m_estimate{0};
   Millis m_budget{0};  // Left until the unit's objective.
   PoolPace m_pace;
-  bool m_guaranteed = false;  // The unit is within its account's guarantee.
-  Instant m_now;              // Steady time.
+  bool m_guaranteed = false;    // The unit is within its account's guarantee.
+  Instant m_now;                // Steady time.
+  bool m_uses_resting = false;  // Workers that rest are taken where no others have room.
 };
 
 struct Choice {
@@ -59,6 +60,7 @@
 
 // A worker that can take members of a unit. Better ones compare by the fields in this order, lower values first.
 struct WorkerOption {
+  bool m_rests = false;       // See WorkerSlot::m_avoid_until.
   bool m_avoid_cold = false;  // Urgent work, and the worker is cold.
   int m_failures = 0;
   int m_rank = 0;
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -12,8 +12,23 @@
                           [](const WorkerSlot* slot, const WorkerId& wanted) { return slot->m_entry.m_id < wanted; });
 }
 
+// In millicores: an accelerator counts as some cores.
+std::int64_t Processing(const Resources& resources) {
+  constexpr std::int64_t kMillicoresPerAccelerator = 8'000;
+  return resources.m_millicores + kMillicoresPerAccelerator * resources.m_accelerators;
+}
+
 }  // namespace
 
+void PoolRoom::Take(const Resources& task, int times) {
+  m_free -= task.m_accelerators * times;
+  m_used += task * times;
+}
+
+bool PoolRoom::IsLightlyUsed() const {
+  return 2 * m_used.m_accelerators < m_capacity.m_accelerators || 2 * Processing(m_used) < Processing(m_capacity);
+}
+
 void WorkerSlot::OnRestarted() {
   ++m_incarnation;
   m_processed_ends = 0;
@@ -98,8 +113,11 @@
 PoolRooms WorkerTable::CountPools() const {
   PoolRooms rooms;
   for (const WorkerSlot* slot : m_in_order) {
-    if (!slot->IsSchedulable()) continue;
+    if (!slot->m_listed) continue;
     PoolRoom& room = rooms[slot->m_entry.m_pool];
+    room.m_capacity += slot->m_entry.m_capacity;
+    room.m_used += slot->m_entry.m_capacity - slot->m_free;
+    if (!slot->IsSchedulable()) continue;
     room.m_free += slot->m_free.m_accelerators;
     room.m_total += slot->m_entry.m_capacity.m_accelerators;
   }
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -62,10 +62,16 @@
   void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
 };
 
-// Accelerators of the schedulable workers of a pool.
+// What is free and in use in a pool.
 struct PoolRoom {
-  int m_free = 0;
-  int m_total = 0;
+  int m_free = 0;        // Accelerators of schedulable workers.
+  int m_total = 0;       // Accelerators of schedulable workers, whether free or not.
+  Resources m_used;      // Of all listed workers.
+  Resources m_capacity;  // Of all listed workers.
+
+  void Take(const Resources& task, int times);
+  // Less than half is in use, of the accelerators or of all processors: then nothing that is short has to be kept.
+  bool IsLightlyUsed() const;
 };
 using PoolRooms = std::map<PoolName, PoolRoom>;
 
--- a/tests/jobs/held_back_test.cc
+++ b/tests/jobs/held_back_test.cc
@@ -15,9 +15,10 @@
 
 const PoolName kPool{"pool"};
 const PoolName kOtherPool{"other"};
-constexpr int kRacks = 2;
+constexpr int kRacks = 3;
 constexpr int kRackSize = 8;
 constexpr int kWorkers = kRacks * kRackSize;
+constexpr int kMostWorkers = kWorkers * 3 / 4;
 constexpr int kAccelerators = 8;  // Of each worker.
 constexpr Millis kBound{2'500};
 constexpr Millis kRound{100};
@@ -58,7 +59,7 @@
 
   // Guards against a gang for one rack that waits for workers of it that rest again and again.
   void GangDoesNotWaitForWorkersThatRest() {
-    Rest({WorkerAt(0), WorkerAt(kRackSize)});
+    Rest({WorkerAt(0), WorkerAt(kRackSize), WorkerAt(2 * kRackSize)});
     CheckStartsInTime(Submit(Gang(kRackSize, kAccelerators, true), 1));
   }
 
@@ -76,7 +77,7 @@
     const JobId lasting = Submit(Lasting(4), 2);
     Confirm(Round());
     for (int i = 0; i < kWorkers; ++i) {
-      if (!Holds(WorkerAt(i), lasting)) Occupy(WorkerAt(i), i < 12 ? kAccelerators : 4);
+      if (!Holds(WorkerAt(i), lasting)) Occupy(WorkerAt(i), i < kMostWorkers ? kAccelerators : 4);
     }
     End(lasting, EndKind::kFailed);
     CheckStartsInTime(lasting);
@@ -87,7 +88,7 @@
     const JobId lasting = Submit(Lasting(4), 2);
     Confirm(Round());
     for (int i = 0; i < kWorkers; ++i) {
-      if (!Holds(WorkerAt(i), lasting)) Occupy(WorkerAt(i), i < 12 ? kAccelerators : 4);
+      if (!Holds(WorkerAt(i), lasting)) Occupy(WorkerAt(i), i < kMostWorkers ? kAccelerators : 4);
     }
     End(lasting, EndKind::kFailed);
     CPPUNIT_ASSERT(WaitUntilPlaced(lasting, kRound * 2));
@@ -95,15 +96,16 @@
 
   // Guards against a lasting task that is never begun because the free share is kept for work that doesn't come.
   void NewLastingTaskIsNotHeldBackByTheFreeShare() {
-    for (int i = 0; i < 12; ++i) Occupy(WorkerAt(i), kAccelerators);
+    for (int i = 0; i < kMostWorkers; ++i) Occupy(WorkerAt(i), kAccelerators);
     CheckStartsInTime(Submit(Lasting(4), 2));
   }
 
   // Guards against a large gang that has nothing running with half of the service free.
   void LargeGangIsNotHeldBackByTheFreeShare() {
-    for (int i = 0; i < 7; ++i) Occupy(WorkerAt(i), kAccelerators);
-    Occupy(WorkerAt(7), 4);
-    CheckStartsInTime(Submit(Gang(4, kAccelerators, false), 2));
+    constexpr int kUsed = 11;
+    for (int i = 0; i < kUsed; ++i) Occupy(WorkerAt(i), kAccelerators);
+    Occupy(WorkerAt(kUsed), 4);
+    CheckStartsInTime(Submit(Gang(6, kAccelerators, false), 2));
   }
 
   // Guards against work of an empty service that waits because another service is full.
@@ -116,8 +118,8 @@
 
   // Guards against a task that waits for the full rack of its data with a distant objective.
   void TaskDoesNotWaitForTheRackOfItsData() {
-    for (int i = 0; i < 7; ++i) Occupy(WorkerAt(i), kAccelerators);
-    Occupy(WorkerAt(7), 4);
+    for (int i = 0; i < kRackSize - 1; ++i) Occupy(WorkerAt(i), kAccelerators);
+    Occupy(WorkerAt(kRackSize - 1), 4);
     StepSpec task = Single(kAccelerators);
     task.m_data_rack = "r0";
     CheckStartsInTime(Submit(task, 1));
