Jobs: free shares don't bind lasting tasks that are started again

Cause: the free share treats a restart like new work, though its room was in use until it was interrupted.

Change: LeavesTooFewFree is false for a lasting unit that has run before, so it doesn't wait for the bound of preferences either.

--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -79,6 +79,8 @@
   const AcceptedJob& job = unit.m_step->m_job->m_job;
   const auto room = m_rooms.find(job.m_pool);
   if (job.m_priority == 0 || room == m_rooms.end()) return false;
+  // A lasting task that is started again used its room before.
+  if (unit.m_step->m_spec->m_long_running && Raw(unit.m_run) > 0) return false;
   const int takes = unit.Accelerators();
   // Capped at half of what the unit leaves of all accelerators, or a large unit could never start.
   const double min_free =
