Jobs: a new leader stops the rest of a gang that has lost a member

Callers would see: a gang whose members wait for each other for as long as their leases are renewed, and whose job has nothing at work.

Cause: a leader stores that a member is settled and stops the others afterwards. One that is lost between the two leaves a row with a settled member and placed ones; its successor took the others for a run under way and renewed their leases.

Change: RestoreStep stops an active unit that is not done and has a settled member.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -83,7 +83,11 @@
     m_active.insert(unit);
     const bool failed =
         std::find(unit->m_failed_runs.begin(), unit->m_failed_runs.end(), unit->m_run) != unit->m_failed_runs.end();
-    if (failed || Ended(job->m_phase)) StopRun(unit, "run was ending before the takeover");
+    // The leader before stored the end of a member and was lost before it stopped the others.
+    const bool incomplete =
+        !unit->m_done && std::any_of(unit->m_members.begin(), unit->m_members.end(),
+                                     [](const Member& member) { return member.m_state == MemberState::kSettled; });
+    if (failed || incomplete || Ended(job->m_phase)) StopRun(unit, "run was ending before the takeover");
   }
 }
 
--- a/tests/jobs/restore_test.cc
+++ b/tests/jobs/restore_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(EndOfOneTaskRewritesLittle);
   CPPUNIT_TEST(RowOfAnEarlierVersionIsSplitUp);
   CPPUNIT_TEST(ArchivedJobReservesNothing);
+  CPPUNIT_TEST(RestOfAGangIsStoppedAfterATakeover);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -237,6 +238,28 @@
         m_scheduler->TakeBatch(store::kMaxTransactionRows, store::kMaxTransactionBytes).m_starts.size());
   }
 
+  // Guards against a gang that lost a member before a takeover and whose others are taken for a run under way: nothing
+  // of it ends, and nothing is started.
+  void RestOfAGangIsStoppedAfterATakeover() {
+    AddWorkers(3);
+    AcceptedJob job;
+    job.m_id = JobId{7};
+    job.m_pool = kPool;
+    StepSpec gang;
+    gang.m_tasks = 3;
+    gang.m_gang = true;
+    gang.m_task = Resources{8, 1, 1};
+    job.m_request.m_steps = {gang};
+    m_scheduler->RestoreJob(job);
+    UnitRow placed;
+    placed.m_run = RunNumber{1};
+    placed.m_members = {{WorkerId{"i-43e5849810"}, "10.1.65.0:8144", false, {}},
+                        {WorkerId{}, "", true, {}},
+                        {WorkerId{"i-43e5849812"}, "10.1.65.2:8144", false, {}}};
+    m_scheduler->RestoreStep(StepRow{StepKey{job.m_id, 0, 0}, {placed}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_scheduler->TakeStops(kNow).size());
+  }
+
  private:
   // A job that takes the whole worker of setUp(), and a decision.
   void Submit(JobId id, int priority) {
