Service: the leader reads the table of accepted jobs again and finds rows that no feed brought

Callers would see: an accepted job that never runs, or a cancelled one that runs on, until the leader changes. By reading, no way was found in which the store's feed leaves a row out as its page describes it; the point of the audit is that nothing would have noticed.

Cause: what is accepted was never compared with what the leader knows. The feed names a change once; an announcement is dropped once the feed has passed its version.

--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -56,6 +56,7 @@
       m_jobs_announced(&parts.m_metrics->GetCounter("hq_jobs_announced_total")),
       m_cancels_announced(&parts.m_metrics->GetCounter("hq_cancels_announced_total")),
       m_views_old(&parts.m_metrics->GetCounter("hq_views_old_total")),
+      m_rows_missed(&parts.m_metrics->GetCounter("hq_intake_rows_missed_total")),
       m_evacuation_report(parts.m_metrics),
       m_idle_report(parts.m_metrics),
       m_report(parts.m_metrics, parts.m_clock->Now()) {
@@ -117,6 +118,7 @@
   }
   if (m_sessions) m_sessions->Stop();
   if (m_archive) m_archive->Stop();
+  if (m_audit) m_audit->Stop();
 }
 
 void SchedulerDriver::SetConfiguration(std::shared_ptr<const jobs::QueueConfiguration> configuration) {
@@ -164,6 +166,25 @@
   ScheduleRound();
 }
 
+// Rows that are newer than the feed are on their way.
+void SchedulerDriver::OnAuditedRows(const std::vector<store::StoredRow>& rows) {
+  std::vector<store::StoredRow> missed;
+  for (const auto& row : rows) {
+    if (row.m_version > m_intake->At()) continue;
+    const auto job = ParseIntakeKey(row, kJobPrefix);
+    const auto cancel = ParseIntakeKey(row, kCancelPrefix);
+    const bool is_missed = (job && !m_scheduler.Phase(*job)) ||
+                           (cancel && !jobs::Ended(m_scheduler.Phase(*cancel).value_or(jobs::JobPhase::kCancelled)));
+    if (!is_missed) continue;
+    missed.push_back(row);
+    if (!m_missed.insert(row.m_key.m_key).second) continue;
+    m_rows_missed->Add();
+    log::Warn(kLog, "Row of the intake table was not known",
+              {{"key", row.m_key.m_key}, {"part", row.m_key.m_part}, {"version", std::to_string(Raw(row.m_version))}});
+  }
+  if (!missed.empty()) OnIntakeRows(missed, false);
+}
+
 void SchedulerDriver::OnAnnounced(JobId id, const std::string& row, Version stored) {
   if (!m_ready || m_stopped || !m_announced.Take(id, stored, m_intake->At())) return;
   const auto job = jobs::ReadAcceptedJob(id, row);
@@ -340,6 +361,14 @@
   OnIntakeRows(buffered, false);  // For the cancels; the jobs were restored above.
   m_scheduler.EndRestoredJobs(Time());
   m_scheduler.LogRestoredJobs();
+  AuditSettings audit;
+  audit.m_table = m_settings.m_tables.m_intake;
+  audit.m_parts = m_settings.m_tables.AllIntakeParts();
+  m_audit = std::make_shared<IntakeAudit>(m_parts.m_store, m_parts.m_timers, m_parts.m_clock, audit,
+                                          [weak = weak_from_this()](const std::vector<store::StoredRow>& rows) {
+                                            if (const auto self = weak.lock()) self->OnAuditedRows(rows);
+                                          });
+  m_audit->Start();
   m_last_tick = m_parts.m_clock->Now();
   m_tick = m_parts.m_timers->Every(kRoundInterval, [weak = weak_from_this()] {
     const auto self = weak.lock();
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -14,6 +14,7 @@
 #include "hickoryquay/service/announced_jobs.h"
 #include "hickoryquay/service/evacuation_report.h"
 #include "hickoryquay/service/idle_report.h"
+#include "hickoryquay/service/intake_audit.h"
 #include "hickoryquay/service/job_archive.h"
 #include "hickoryquay/service/leader_report.h"
 #include "hickoryquay/service/leadership.h"
@@ -81,6 +82,7 @@
 
  private:
   void OnIntakeRows(const std::vector<store::StoredRow>& rows, bool whole);
+  void OnAuditedRows(const std::vector<store::StoredRow>& rows);
   void OnStateRows(const std::vector<store::StoredRow>& rows);
   void OnWorkerRows(const std::vector<store::StoredRow>& rows, bool whole);
   bool TakeWorkerRow(const store::StoredRow& row);
@@ -114,6 +116,7 @@
   std::shared_ptr<WorkerSessions> m_sessions;
   std::shared_ptr<JobArchive> m_archive;
   std::shared_ptr<store::TableFollower> m_intake;
+  std::shared_ptr<IntakeAudit> m_audit;
   std::shared_ptr<store::TableFollower> m_state;  // Only read at the start of the term.
   std::shared_ptr<store::TableFollower> m_worker_rows;
   std::map<std::string, jobs::WorkerEntry> m_workers;  // By row key.
@@ -151,6 +154,8 @@
   Counter* m_jobs_announced;
   Counter* m_cancels_announced;
   Counter* m_views_old;
+  Counter* m_rows_missed;
+  std::set<std::string> m_missed;  // Keys of the rows that the audit has found, each reported once.
   EvacuationReport m_evacuation_report;
   IdleReport m_idle_report;
   LeaderReport m_report;
