Jobs: failed runs of lasting tasks are not kept

Cause: the number of every failed run stayed in the step's row, also of tasks that last, for which it decides nothing, since they may fail any number of times. Class: a row that grows with what happens, without a bound.

Change: runs of lasting tasks are not recorded as failed, and the lists in rows of earlier versions are dropped when they are read.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -58,7 +58,7 @@
       m_changed_rows.insert({step->m_key, row.m_index});
     }
     unit->m_run = unit_row.m_run;
-    unit->m_failed_runs = unit_row.m_failed_runs;
+    if (!step->m_spec->m_long_running) unit->m_failed_runs = unit_row.m_failed_runs;  // Earlier versions kept all.
     unit->m_crashes = unit_row.m_crashes;
     unit->m_checkpoint = unit_row.m_checkpoint;
     if (unit_row.m_done && !unit->m_done) --step->m_units_left;
@@ -81,8 +81,8 @@
     }
     if (!unit->m_active) continue;
     m_active.insert(unit);
-    const bool failed =
-        std::find(unit->m_failed_runs.begin(), unit->m_failed_runs.end(), unit->m_run) != unit->m_failed_runs.end();
+    const auto& failed_runs = unit_row.m_failed_runs;
+    const bool failed = std::find(failed_runs.begin(), failed_runs.end(), unit->m_run) != failed_runs.end();
     // The leader before stored the end of a member and was lost before it stopped the others.
     const bool incomplete =
         !unit->m_done && std::any_of(unit->m_members.begin(), unit->m_members.end(),
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -388,6 +388,7 @@
 }
 
 void Scheduler::RecordFailure(Unit* unit, RunNumber run, Now now) {
+  if (unit->m_step->m_spec->m_long_running) return;  // It may fail any number of times.
   auto& failed = unit->m_failed_runs;
   if (std::find(failed.begin(), failed.end(), run) != failed.end()) return;
   failed.push_back(run);
--- a/tests/jobs/restore_test.cc
+++ b/tests/jobs/restore_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(RowOfAnEarlierVersionIsSplitUp);
   CPPUNIT_TEST(ArchivedJobReservesNothing);
   CPPUNIT_TEST(RestOfAGangIsStoppedAfterATakeover);
+  CPPUNIT_TEST(RowOfALastingTaskThatFailsStaysSmall);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -260,6 +261,34 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_scheduler->TakeStops(kNow).size());
   }
 
+  // Guards against a row that outgrows what the store takes, after which the leader could store nothing any more.
+  void RowOfALastingTaskThatFailsStaysSmall() {
+    AcceptedJob job;
+    job.m_id = JobId{7};
+    job.m_pool = kPool;
+    StepSpec step;
+    step.m_task = Resources{1, 1, 1};
+    step.m_long_running = true;
+    job.m_request.m_steps = {step};
+    m_scheduler->OnJob(job, kNow);
+    std::size_t largest = 0;
+    Now now = kNow;
+    for (int run = 1; run <= 2'000; ++run) {
+      now.m_steady = now.m_steady + Millis{5'000};
+      m_scheduler->Decide(now);
+      const Batch batch = m_scheduler->TakeBatch(store::kMaxTransactionRows, store::kMaxTransactionBytes);
+      for (const RowChange& row : batch.m_rows) largest = std::max(largest, row.m_value.value_or("").size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, batch.m_starts.size());
+      const StartCommand& start = batch.m_starts.front();
+      m_scheduler->OnStartSent(start, now);
+      m_scheduler->OnStartAnswer(start, StartOutcome::kAccepted, now);
+      PollReply failed;
+      failed.m_ended = {{run, start.m_task, start.m_run, EndKind::kFailed, ""}};
+      m_scheduler->OnPollReply(kWorker, failed, now.m_steady, now);
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(largest), largest < 500);
+  }
+
  private:
   // A job that takes the whole worker of setUp(), and a decision.
   void Submit(JobId id, int priority) {
