Jobs: the free share holds while half of the accelerators are in use

Cause: let the free share go after 2 s in a pool that is lightly used by accelerators or by processors. Work that takes accelerators and few cores used up the reserve of a pool with 70% of its accelerators in use, and work that may use the reserve found none: LoadTest::LateBatchMayUseTheReserve failed (8 of 8 tasks not done in 6 s).

Change: the bound applies to the free share only while less than half of the accelerators are in use, or for steps that last. The other preferences keep theirs.

Evidence: service_test passes (123), jobs_held_back_test (10), jobs_day_test (82), jobs_idle_test (13).

--- a/hickoryquay/jobs/scheduler_idle.cc
+++ b/hickoryquay/jobs/scheduler_idle.cc
@@ -54,8 +54,8 @@
   if (room->m_free < members) return IdleCause::kNoRoom;
   if (NeedsIsolation(unit, crashes)) return IdleCause::kAlone;
   if (room->m_takeable < members) return IdleCause::kWithheldRoom;
-  if (waited) return IdleCause::kUnexplained;
   if (LeavesTooFewFree(unit, now)) return IdleCause::kFreeShare;
+  if (waited) return IdleCause::kUnexplained;
   if (spec.m_rack_local && members > 1 && room->m_best_rack < members) return IdleCause::kRack;
   const auto& slots = m_workers.Slots();
   const bool rack_exists = std::any_of(slots.begin(), slots.end(), [&spec](const WorkerSlot* slot) {
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr log::Part kLog{"placement"};
+constexpr double kLightUse = 0.5;  // Of the accelerators of a pool.
 
 }  // namespace
 
@@ -79,8 +80,10 @@
   const AcceptedJob& job = unit.m_step->m_job->m_job;
   const auto room = m_rooms.find(job.m_pool);
   if (job.m_priority == 0 || room == m_rooms.end()) return false;
-  // A lasting task that is started again used its room before.
-  if (unit.m_step->m_spec->m_long_running && Raw(unit.m_run) > 0) return false;
+  const bool lasts = unit.m_step->m_spec->m_long_running;
+  if (lasts && Raw(unit.m_run) > 0) return false;  // It used its room before.
+  // The share is kept for work that needs accelerators, so it holds as long as these are in use.
+  if (HasWaitedLongEnough(*unit.m_step, now) && (lasts || room->second.AcceleratorUse() < kLightUse)) return false;
   const int takes = unit.Accelerators();
   // Capped at half of what the unit leaves of all accelerators, or a large unit could never start.
   const double min_free =
@@ -177,7 +180,6 @@
   Unit* left = nullptr;
   const bool preempts = m_settings.m_preempts && step->m_job->m_job.m_priority == 0;
   const bool guaranteed = m_guarantees.Covers(*step->m_job);
-  const bool waited = HasWaitedLongEnough(*step, now);
   std::optional<RankedWorkers> ranked;
   for (std::size_t i = step->m_passed; i < step->m_units.size(); ++i) {
     Unit* unit = step->m_units[i].get();
@@ -193,7 +195,7 @@
       if (left == nullptr && unit->IsWaiting()) left = unit;
       continue;  // The other units of the step need no worker of their own.
     }
-    if (!waited && LeavesTooFewFree(*unit, now)) return left != nullptr ? left : unit;
+    if (LeavesTooFewFree(*unit, now)) return left != nullptr ? left : unit;
     bool placed = TryPlace(unit, now, &ranked);
     if (!placed) {
       ranked.reset();
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -18,6 +18,10 @@
   return resources.m_millicores + kMillicoresPerAccelerator * resources.m_accelerators;
 }
 
+double ShareOf(std::int64_t part, std::int64_t whole) {
+  return whole <= 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
 }  // namespace
 
 void PoolRoom::Take(const Resources& task, int times) {
@@ -25,8 +29,17 @@
   m_used += task * times;
 }
 
+double PoolRoom::AcceleratorUse() const {
+  return ShareOf(m_used.m_accelerators, m_capacity.m_accelerators);
+}
+
+double PoolRoom::ProcessorUse() const {
+  return ShareOf(Processing(m_used), Processing(m_capacity));
+}
+
 bool PoolRoom::IsLightlyUsed() const {
-  return 2 * m_used.m_accelerators < m_capacity.m_accelerators || 2 * Processing(m_used) < Processing(m_capacity);
+  constexpr double kHalf = 0.5;
+  return AcceleratorUse() < kHalf || ProcessorUse() < kHalf;
 }
 
 void WorkerSlot::OnRestarted() {
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -70,8 +70,9 @@
   Resources m_capacity;  // Of all listed workers.
 
   void Take(const Resources& task, int times);
-  // Less than half is in use, of the accelerators or of all processors: then nothing that is short has to be kept.
-  bool IsLightlyUsed() const;
+  double AcceleratorUse() const;  // Share of the accelerators in use; 0 if there are none.
+  double ProcessorUse() const;    // As above, of cores and accelerators together.
+  bool IsLightlyUsed() const;     // Less than half of one of the two.
 };
 using PoolRooms = std::map<PoolName, PoolRoom>;
 
