Service: a write that the store rejects for good holds up only its own job

Cause: every status from 400 to 499 was taken as "not now". Class: a failure that lasts is retried like one that passes, in a queue of which only the first element is ever tried.

Leadership gives a write up that was rejected three times and goes on with the next; its renewal alone is always sent again. The tasks of that row are set aside: not started any more, named by IdleJobs, an error in the log with the key, hq_rows_rejected_total. A new leader meets the same and goes on likewise. A submission whose row is rejected is answered as malformed at once; it was held and refused with a Retry-After before.

Looked at, not changed: the archive sends only rows of fixed size, again each time; member rows are of bounded size and are written anew each time, so they stand in nobody's way.

--- a/hickoryquay/jobs/idle_jobs.cc
+++ b/hickoryquay/jobs/idle_jobs.cc
@@ -11,10 +11,10 @@
 namespace {
 
 constexpr const char* kCauseNames[] = {
-    "not due",          "row can't be read", "no such worker",        "workers unusable",
-    "no room",          "being stopped",     "run unconfirmed",       "start unanswered",
-    "start not sent",   "workers withheld",  "waits to run alone",    "prefers one rack",
-    "prefers its data", "free share",        "nothing that is known",
+    "not due",          "row can't be read", "row can't be stored", "no such worker",
+    "workers unusable", "no room",           "being stopped",       "run unconfirmed",
+    "start unanswered", "start not sent",    "workers withheld",    "waits to run alone",
+    "prefers one rack", "prefers its data",  "free share",          "nothing that is known",
 };
 static_assert(std::size(kCauseNames) == static_cast<std::size_t>(IdleCause::kUnexplained) + 1);
 
--- a/hickoryquay/jobs/idle_jobs.h
+++ b/hickoryquay/jobs/idle_jobs.h
@@ -31,6 +31,7 @@
 enum class IdleCause {
   kNotDue,           // A timed job between two occurrences.
   kUnreadRow,        // Its row can't be read.
+  kSetAside,         // Its row can't be stored.
   kNoWorker,         // All workers together are too small.
   kWorkersUnusable,  // Enough workers are listed, too few of them answer and take work.
   kNoRoom,           // The workers are full.
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -382,6 +382,10 @@
     JobState* job = Find(row.m_step.m_job);
     if (job != nullptr) {
       StepState* step = FindOrCreateStep(job, row.m_step.m_occurrence, row.m_step.m_step);
+      if (step->m_set_aside_rows.contains(row.m_index)) {
+        m_changed_rows.erase(m_changed_rows.begin());
+        continue;
+      }
       std::string value = Write(MakeStepRow(*step, row.m_index));
       full = !batch.m_rows.empty() && bytes + value.size() > max_bytes;
       if (full) break;  // It is part of the next batch.
@@ -422,6 +426,20 @@
   return batch;
 }
 
+void Scheduler::SetAside(const StepRowKey& row) {
+  JobState* job = Find(row.m_step.m_job);
+  StepState* step = job == nullptr ? nullptr : FindOrCreateStep(job, row.m_step.m_occurrence, row.m_step.m_step);
+  if (step == nullptr) return;
+  step->m_set_aside_rows.insert(row.m_index);
+  for (const auto& unit : step->m_units) {
+    if (RowOf(*unit).m_index != row.m_index) continue;
+    unit->m_set_aside = true;
+    const bool unsent = unit->m_active && std::all_of(unit->m_members.begin(), unit->m_members.end(),
+                                                      [](const auto& m) { return m.m_state == MemberState::kPlanned; });
+    if (unsent) StopRun(unit.get(), "its row can't be stored");
+  }
+}
+
 StepRow Scheduler::MakeStepRow(const StepState& step, int index) const {
   StepRow row{step.m_key, {}, index};
   const std::size_t begin = static_cast<std::size_t>(index) * kUnitsPerRow;
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -178,6 +178,10 @@
 
   std::vector<GuaranteeStart> TakeGuaranteeStarts() { return std::exchange(m_guarantee_starts, {}); }
 
+  // The store rejects the row for good. It is not written again and none of its units is started any more; runs that
+  // are not sent yet are withdrawn.
+  void SetAside(const StepRowKey& row);
+
   // Returns each job once. Call only when every batch taken so far is stored.
   std::vector<SettledJob> TakeSettledJobs();
   // These jobs are known elsewhere now: the next batches delete their rows.
--- a/hickoryquay/jobs/scheduler_idle.cc
+++ b/hickoryquay/jobs/scheduler_idle.cc
@@ -39,6 +39,7 @@
 
 IdleCause Scheduler::CauseOfWaiting(const Unit& unit, RoomCensus* room, Now now) const {
   if (unit.m_unread) return IdleCause::kUnreadRow;
+  if (unit.m_set_aside) return IdleCause::kSetAside;
   const StepSpec& spec = *unit.m_step->m_spec;
   const CrashSettings& crashes = m_settings.m_choice.m_crashes;
   const int members = static_cast<int>(unit.m_members.size());
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -71,6 +71,7 @@
   bool m_active = false;     // At least one member has resources allocated.
   bool m_done = false;
   bool m_unread = false;           // Its row can't be read: it may run or be done, so it is not started.
+  bool m_set_aside = false;        // Its row can't be stored, so it is not started any more.
   bool m_stopping = false;         // All members are being stopped.
   bool m_sound = false;            // This run has lasted too long to crash its workers.
   bool m_may_share = false;        // It has found no worker without other work, and is placed beside others.
@@ -81,7 +82,7 @@
   Instant m_reserved_until;        // Steady time at which the reservation ends at the latest.
   bool m_may_span_racks = false;   // No rack can hold the gang by the last plan for it.
 
-  bool IsWaiting() const { return !m_active && !m_done && !m_unread; }
+  bool IsWaiting() const { return !m_active && !m_done && !m_unread && !m_set_aside; }
   TaskKey Key(std::size_t member) const;
   int Accelerators() const;
 };
@@ -104,9 +105,10 @@
   JobState* m_job = nullptr;
   const StepSpec* m_spec = nullptr;
   std::vector<std::unique_ptr<Unit>> m_units;
-  int m_units_left = 0;         // Units that are not done.
-  std::size_t m_passed = 0;     // The first ones of m_units, so many, are placed or done.
-  std::set<int> m_stored_rows;  // Of which a row is stored.
+  int m_units_left = 0;            // Units that are not done.
+  std::size_t m_passed = 0;        // The first ones of m_units, so many, are placed or done.
+  std::set<int> m_stored_rows;     // Of which a row is stored.
+  std::set<int> m_set_aside_rows;  // That the store rejects.
   StepPace m_pace;
   // Steady time since which units wait though there is ample room; empty: they don't. See Scheduler::NoteHeldBack.
   std::optional<Instant> m_held_back_since;
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -302,6 +302,10 @@
     m_watch->NoteAnswer(write->m_part, sent);
     return Finish(write, write->m_on_conflict(*differ));
   }
+  if (std::holds_alternative<store::StoreRejected>(error) && !write->m_maybe_applied) {
+    m_watch->NoteAnswer(write->m_part, sent);
+    return Finish(write, IntakeError{Malformed{"the store does not take the row: " + store::ToString(error)}});
+  }
   write->m_maybe_applied = write->m_maybe_applied || std::holds_alternative<store::StoreSilent>(error);
   if (m_watch->IsSilent(write->m_part)) return Hold(write);
   const bool expired = m_clock->Now() - write->m_started >= m_settings.m_refuse_after;
--- a/hickoryquay/service/leadership.cc
+++ b/hickoryquay/service/leadership.cc
@@ -13,6 +13,7 @@
 
 constexpr log::Part kLog{"leadership"};
 constexpr Millis kStaleWriteAge{200};  // A write in flight this long may be lost; fifty times its usual duration.
+constexpr int kRejectionsToDrop = 3;   // A peer that passes calls on may have rejected one for reasons of its own.
 constexpr Millis kTickInterval{50};    // Short compared to m_watch_interval and m_renew_interval.
 
 std::string Text(Epoch epoch) {
@@ -203,6 +204,7 @@
   m_last_renewal = m_write_sent;
   m_copy_in_doubt = false;
   m_refusals = 0;
+  m_rejections = 0;
   m_pending.clear();
   m_writing = false;
   m_watching = false;
@@ -214,9 +216,10 @@
 // Writing
 //-------------------------------------------------------------------------------------------------
 
-void Leadership::Store(LeaderWrite write, std::function<void()> stored) {
+void Leadership::Store(LeaderWrite write, std::function<void()> stored,
+                       std::function<void(const std::string& why)> rejected) {
   if (!m_leading) return;
-  m_pending.push_back({std::move(write), std::move(stored), false});
+  m_pending.push_back({std::move(write), std::move(stored), std::move(rejected), false});
   if (!m_writing) SendNext();
 }
 
@@ -226,7 +229,7 @@
   const auto finish = [once] {
     if (*once) std::exchange(*once, nullptr)();
   };
-  m_pending.push_back({{}, finish, true});
+  m_pending.push_back({{}, finish, {}, true});
   m_timers->After(timeout, finish).Detach();
   if (!m_writing) SendNext();
 }
@@ -267,17 +270,31 @@
 
 void Leadership::OnWriteFailure(const store::TransactError& error) {
   m_verify.Cancel();
-  if (std::holds_alternative<store::StoreRefused>(error)) {
-    // Further copies would only wait behind what the store is refusing this one for.
-    const Millis delay =
-        std::min(m_settings.m_retry_delay * (1 << std::min(m_refusals, 8)), m_settings.m_longest_retry);
-    ++m_refusals;
-    m_retry = m_timers->After(delay, [weak = weak_from_this()] {
-      if (const auto self = weak.lock()) self->SendNext();
-    });
-    return;
+  if (const auto* rejected = std::get_if<store::StoreRejected>(&error)) {
+    const bool drops = ++m_rejections >= kRejectionsToDrop && m_pending.front().m_rejected;
+    return drops ? DropRejected(rejected->m_why) : SendAgainLater();
   }
-  VerifyWrite(Millis{0});
+  std::holds_alternative<store::StoreRefused>(error) ? SendAgainLater() : VerifyWrite(Millis{0});
+}
+
+// Further copies would only wait behind what the store is refusing this one for.
+void Leadership::SendAgainLater() {
+  const Millis delay = std::min(m_settings.m_retry_delay * (1 << std::min(m_refusals, 8)), m_settings.m_longest_retry);
+  ++m_refusals;
+  m_retry = m_timers->After(delay, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->SendNext();
+  });
+}
+
+// No copy of the write can be stored any more, so that the next one may have its number.
+void Leadership::DropRejected(const std::string& why) {
+  m_refusals = 0;
+  m_rejections = 0;
+  m_writing = false;
+  const Pending rejected = std::move(m_pending.front());
+  m_pending.pop_front();
+  rejected.m_rejected(why);
+  if (m_leading && !m_writing) SendNext();
 }
 
 // Reads the row to learn whether the write in flight was stored. Sends it again if not, which is always safe. `silence`
@@ -323,6 +340,7 @@
   ++m_call_number;  // Failures of its copies, and reads that look for it, change nothing any more.
   m_copy_in_doubt = false;
   m_refusals = 0;
+  m_rejections = 0;
   m_version = version;
   m_writes.Add(version, m_applied_after, m_clock->Now());
   ++m_write_count;
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -111,9 +111,11 @@
   // its timeout.
   void OnStoreAvailable();
 
-  // Queues rows to be stored, retrying as needed, then calls `stored`. Does nothing unless leading; `stored` is not
-  // called if the leader is deposed first.
-  void Store(LeaderWrite write, std::function<void()> stored);
+  // Queues rows to be stored, retrying as needed, then calls `stored`; or `rejected`, if the store won't take them, and
+  // goes on with the next write. Without `rejected` they are sent again all the same. Does nothing unless leading;
+  // neither is called if the leader is deposed first.
+  void Store(LeaderWrite write, std::function<void()> stored,
+             std::function<void(const std::string& why)> rejected = {});
 
   // Releases leadership after the queued writes, then calls `done`, after `timeout` at the latest.
   void Release(Millis timeout, std::function<void()> done);
@@ -130,6 +132,7 @@
   struct Pending {
     LeaderWrite m_write;
     std::function<void()> m_stored;
+    std::function<void(const std::string&)> m_rejected;  // May be empty.
     bool m_release = false;
   };
 
@@ -142,6 +145,8 @@
   void ReadRow(std::function<void(Result<std::optional<store::StoredRow>, store::ReadError>)> callback);
   void SendNext();
   void OnWriteFailure(const store::TransactError& error);
+  void SendAgainLater();
+  void DropRejected(const std::string& why);
   void VerifyWrite(Millis silence);
   void CompleteWrite(Version version);
   void Depose(const std::string& why);
@@ -161,7 +166,8 @@
   std::deque<Pending> m_pending;  // The first one is in flight while m_writing.
   bool m_writing = false;
   Instant m_applied_after;       // No copy of the write in flight was stored before this.
-  int m_refusals = 0;            // Of the write in flight, in succession.
+  int m_refusals = 0;            // Of the write in flight, in succession; rejections included.
+  int m_rejections = 0;          // Of the write in flight.
   bool m_copy_in_doubt = false;  // A copy of it got no answer and may still be stored.
   Instant m_write_started;       // When the write in flight was first sent.
   Instant m_write_sent;          // When the write in flight was last sent.
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "hickoryquay/base/log.h"
+#include "hickoryquay/service/batch_writer.h"
 
 namespace hickoryquay::service {
 
@@ -57,6 +58,7 @@
       m_cancels_announced(&parts.m_metrics->GetCounter("hq_cancels_announced_total")),
       m_views_old(&parts.m_metrics->GetCounter("hq_views_old_total")),
       m_rows_missed(&parts.m_metrics->GetCounter("hq_intake_rows_missed_total")),
+      m_rows_rejected(&parts.m_metrics->GetCounter("hq_rows_rejected_total")),
       m_evacuation_report(parts.m_metrics),
       m_idle_report(parts.m_metrics),
       m_report(parts.m_metrics, parts.m_clock->Now()) {
@@ -415,32 +417,42 @@
   if (!m_write_pending) {
     ArchiveSettled();
     jobs::Batch batch = m_scheduler.TakeBatch(store::kMaxTransactionRows - kLeaderRowOps, store::kMaxTransactionBytes);
-    if (!batch.Empty()) {
-      LeaderWrite write;
-      for (const jobs::RowChange& change : batch.m_rows) {
-        store::RowKey key{m_settings.m_tables.m_state, m_settings.m_tables.m_leader_part, change.m_key};
-        change.m_value ? write.m_puts.push_back({std::move(key), *change.m_value})
-                       : write.m_removals.push_back(std::move(key));
-      }
-      m_write_pending = true;
-      const Instant sent = m_write_sent = m_parts.m_clock->Now();
-      auto stored = [weak = weak_from_this(), batch = std::move(batch), sent] {
-        const auto self = weak.lock();
-        if (!self || self->m_stopped) return;
-        self->m_store_ms->Add(static_cast<double>((self->m_parts.m_clock->Now() - sent).count()));
-        self->m_write_pending = false;
-        self->OnStored(batch);
-      };
-      // Nothing to write if the rows of all ended tasks in the batch are stored already.
-      write.m_puts.empty() && write.m_removals.empty() ? stored()
-                                                       : m_leadership->Store(std::move(write), std::move(stored));
-    }
+    if (!batch.Empty()) StoreBatch(std::move(batch));
   }
   m_sessions->Update();
   m_round_ended = m_parts.m_clock->Now();
   m_round_took = m_round_ended - m_last_round;
 }
 
+// A batch without rows names ends of tasks whose rows are stored already.
+void SchedulerDriver::StoreBatch(jobs::Batch batch) {
+  m_write_pending = true;
+  const Instant sent = m_write_sent = m_parts.m_clock->Now();
+  std::vector<jobs::RowChange> rows = std::exchange(batch.m_rows, {});
+  BatchWriter::Events events;
+  events.m_stored = [weak = weak_from_this(), batch = std::move(batch), sent] {
+    const auto self = weak.lock();
+    if (!self || self->m_stopped) return;
+    self->m_store_ms->Add(static_cast<double>((self->m_parts.m_clock->Now() - sent).count()));
+    self->m_write_pending = false;
+    self->OnStored(batch);
+  };
+  events.m_rejected = [weak = weak_from_this()](const jobs::RowChange& row, const std::string& why) {
+    if (const auto self = weak.lock(); self && !self->m_stopped) self->OnRowRejected(row, why);
+  };
+  std::make_shared<BatchWriter>(m_leadership, m_settings.m_tables.m_state, m_settings.m_tables.m_leader_part,
+                                std::move(rows), std::move(events))
+      ->Start();
+}
+
+// The row stays as it was stored last, so that a later leader, or a later version, may go on from there.
+void SchedulerDriver::OnRowRejected(const jobs::RowChange& row, const std::string& why) {
+  m_rows_rejected->Add();
+  log::Error(kLog, "Store rejects a row, its tasks are set aside",
+             {{"key", row.m_key}, {"bytes", std::to_string(row.m_value.value_or("").size())}, {"why", why}});
+  if (const auto key = jobs::ParseStepRowKey(row.m_key)) m_scheduler.SetAside(*key);
+}
+
 // A new leader must know the evacuated domains before it places work.
 bool SchedulerDriver::MayPlace() const {
   return m_settings.m_evacuate.count() == 0 || m_evacuations_known ||
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -93,7 +93,9 @@
   void BeginIfLoaded();
   void ScheduleRound();
   void RunRound();
+  void StoreBatch(jobs::Batch batch);
   void OnStored(const jobs::Batch& batch);
+  void OnRowRejected(const jobs::RowChange& row, const std::string& why);
   bool MayStart() const;
   void NoteStartView();
   void SendStarts();
@@ -155,6 +157,7 @@
   Counter* m_cancels_announced;
   Counter* m_views_old;
   Counter* m_rows_missed;
+  Counter* m_rows_rejected;
   std::set<std::string> m_missed;  // Keys of the rows that the audit has found, each reported once.
   EvacuationReport m_evacuation_report;
   IdleReport m_idle_report;
--- a/hickoryquay/store/adaptive_store.cc
+++ b/hickoryquay/store/adaptive_store.cc
@@ -17,7 +17,7 @@
   if (Ok(result)) return "stored";
   return std::visit(
       Overloaded{[](const RowsDiffer&) { return "rows differ"; }, [](const StoreRefused&) { return "refused"; },
-                 [](const StoreSilent&) { return "no answer"; }},
+                 [](const StoreSilent&) { return "no answer"; }, [](const StoreRejected&) { return "rejected"; }},
       ErrorOf(result));
 }
 
--- a/hickoryquay/store/row_store.cc
+++ b/hickoryquay/store/row_store.cc
@@ -5,7 +5,8 @@
 std::string ToString(const TransactError& error) {
   return std::visit(Overloaded{[](const RowsDiffer&) { return std::string("rows differ"); },
                                [](const StoreRefused& refused) { return "refused: " + refused.m_why; },
-                               [](const StoreSilent& silent) { return "no answer: " + silent.m_why; }},
+                               [](const StoreSilent& silent) { return "no answer: " + silent.m_why; },
+                               [](const StoreRejected& rejected) { return "rejected: " + rejected.m_why; }},
                     error);
 }
 
--- a/hickoryquay/store/row_store.h
+++ b/hickoryquay/store/row_store.h
@@ -59,12 +59,17 @@
   std::string m_why;
 };
 
+// Provably nothing was done, and the same transaction won't be taken later either.
+struct StoreRejected {
+  std::string m_why;
+};
+
 // May have been done, or may be done seconds later if its checks still hold.
 struct StoreSilent {
   std::string m_why;
 };
 
-using TransactError = std::variant<RowsDiffer, StoreRefused, StoreSilent>;
+using TransactError = std::variant<RowsDiffer, StoreRefused, StoreSilent, StoreRejected>;
 std::string ToString(const TransactError& error);
 
 struct RowRange {
--- a/standin/sim_store.cc
+++ b/standin/sim_store.cc
@@ -41,6 +41,10 @@
 }
 
 Result<Version, store::TransactError> SimStore::Apply(const store::Transaction& transaction) {
+  const auto& puts = transaction.m_puts;
+  const bool rejected = std::any_of(puts.begin(), puts.end(),
+                                    [this](const store::RowPut& put) { return m_rejected.contains(put.m_key); });
+  if (rejected) return store::TransactError{store::StoreRejected{"status 400"}};
   store::RowsDiffer differ;
   for (const store::RowCheck& check : transaction.m_checks) {
     const auto found = m_rows.find(check.m_key);
--- a/standin/sim_store.h
+++ b/standin/sim_store.h
@@ -48,6 +48,7 @@
   void SetTransactionTime(Millis time) { m_settings.m_transaction = time; }
   void ForgetHistory() { m_history_from = m_version; }
   void HoldFeeds(Millis time) { m_feeds_held_until = m_clock->Now() + time; }  // They hear of nothing meanwhile.
+  void Reject(const store::RowKey& key) { m_rejected.insert(key); }            // Transactions that put it.
   void LeaveOutOfFeeds(const std::string& table, int rows) { m_left_out[table] = rows; }  // The next ones to be put.
   std::vector<store::StoredRow> Rows(const std::string& table) const;
   std::int64_t Writes() const { return m_writes; }
@@ -71,6 +72,7 @@
   std::vector<store::StoredRow> m_history;     // In order of versions.
   Version m_version{};
   Version m_history_from{};
+  std::set<store::RowKey> m_rejected;
   std::map<std::string, int> m_left_out;  // Rows still to be left out of the history, by table.
   Instant m_feeds_held_until;
   std::int64_t m_writes = 0;
--- a/tests/service/faults_test.cc
+++ b/tests/service/faults_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(DelayedStartIsNotTreatedAsUnsent);
   CPPUNIT_TEST(SuspendedLeaderKeepsInvariants);
   CPPUNIT_TEST(LostWritesAreResolved);
+  CPPUNIT_TEST(RejectedRowHoldsUpOnlyItsOwnJob);
   CPPUNIT_TEST(WorkersWithExpiredRowsStayInUse);
   CPPUNIT_TEST(DeadWorkerWithExpiredRowGetsNoTasks);
   CPPUNIT_TEST(WorkerIsRemovedIfRowDoesNotReturn);
@@ -63,6 +64,29 @@
     CheckInvariants();
   }
 
+  // Guards against a row that the store won't take and that is sent for ever, while nothing else is stored or started.
+  void RejectedRowHoldsUpOnlyItsOwnJob() {
+    m_cluster->Run(kStartup);
+    const JobId rejected{3};  // Jobs are numbered from 1.
+    const TableNames tables;
+    m_cluster->Store().Reject(
+        {tables.m_state, tables.m_leader_part, jobs::ToText(jobs::StepRowKey{{rejected, 0, 0}, 0})});
+    std::vector<JobId> jobs;
+    for (int i = 0; i < 6; ++i) jobs.push_back(m_cluster->Submit(i % 3, Tasks(1, 1), kTaskTime));
+    CPPUNIT_ASSERT(jobs[2] == rejected);
+    m_cluster->Run(Millis{6'000});
+    const auto leader = m_cluster->Leader();
+    CPPUNIT_ASSERT(leader.has_value());
+    m_cluster->KillInstance(*leader);  // The next one meets the same.
+    m_cluster->Run(kStartup + Millis{3'000});
+    jobs.push_back(m_cluster->Submit((*leader + 1) % 3, Tasks(1, 1), kTaskTime));
+    m_cluster->Run(Millis{6'000});
+    for (const JobId job : jobs) {
+      if (job != rejected) CheckPhase(job, JobPhase::kCompleted);
+    }
+    CheckInvariants();
+  }
+
   // In a full scan of the intake table, the cancel row precedes the row of its job.
   void CancelAppliesAfterTableRescan() {
     m_cluster->Run(kStartup);
