Service: a repeated submission does not make an ended job queued

Cause: the instance took any accepted submission as news that the job is queued, also one whose row was there already. Class: an answer on the past taken for the present.

Change: only the instance's own write says so; otherwise the phase is looked up in the store when it is asked for.

Evidence: IntakeTest::ResubmittedJobThatHasEndedIsNotShownAsQueued failed before and passes; service_test (125).

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -190,13 +190,14 @@
   write->m_transaction.m_puts.push_back({JobRow(id), jobs::Write(job)});
   write->m_started = m_clock->Now();
   write->m_until = write->m_started + std::max(Millis{0}, time - m_settings.m_answer_margin);
-  // The job is known already: an earlier attempt, of the caller or of this instance, stored the same job.
+  // The job is known already: an earlier attempt, of the caller or of this instance, stored the same job. It may have
+  // ended since, so its phase is looked up when it is asked for.
   write->m_on_conflict = [](const store::RowsDiffer&) { return Result<Done, IntakeError>(Done{}); };
   write->m_on_stored = [this, id, row = write->m_transaction.m_puts.front().m_value](Version stored) {
+    if (!m_phases.Find(id, m_clock->Now())) m_phases.Set(id, jobs::JobPhase::kQueued, m_clock->Now());
     if (m_on_accepted) m_on_accepted(id, row, stored);
   };
   write->m_callback = [this, id, callback = std::move(callback)](Result<Done, IntakeError> result) {
-    if (Ok(result) && !m_phases.Find(id, m_clock->Now())) m_phases.Set(id, jobs::JobPhase::kQueued, m_clock->Now());
     const auto* refused = Ok(result) ? nullptr : std::get_if<TryLater>(&ErrorOf(result));
     (Ok(result)           ? m_accepted
      : refused != nullptr ? &m_metrics->GetCounter("hq_jobs_refused_total", {{"why", refused->m_why}})
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(ResubmittedJobIsStoredOnce);
   CPPUNIT_TEST(ResubmittedArchivedJobIsNotStoredAgain);
   CPPUNIT_TEST(PhaseOfAnArchivedJobIsFound);
+  CPPUNIT_TEST(ResubmittedJobThatHasEndedIsNotShownAsQueued);
   CPPUNIT_TEST(SilentStoreIsProbedBeforeWrite);
   CPPUNIT_TEST(SubmissionInAnOutageIsHeldForAThirdOfItsCallersTime);
   CPPUNIT_TEST(CallerWithLittleTimeIsNotKeptByAProbe);
@@ -83,6 +84,21 @@
     CPPUNIT_ASSERT(m_store->Rows(tables.m_intake).empty());
   }
 
+  // Guards against an ended job that is shown as queued by an instance that has not heard of its end.
+  void ResubmittedJobThatHasEndedIsNotShownAsQueued() {
+    const TableNames tables;
+    m_store->Put({tables.m_ended, tables.IntakePart(JobId{1}), jobs::HexText(JobId{1})},
+                 jobs::Write(jobs::PhaseRow{jobs::JobPhase::kCompleted, m_clock.Wall()}));
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, kCallerTimeout));
+    m_intake->Phases().NoteHeartbeat(m_clock.Now());
+    std::optional<jobs::JobPhase> phase;
+    m_intake->State(JobId{1}, kCallerTimeout, [&](const Result<jobs::JobPhase, IntakeError>& result) {
+      if (Ok(result)) phase = ValueOf(result);
+    });
+    m_timers.Advance(Millis{100});
+    CPPUNIT_ASSERT(phase == jobs::JobPhase::kCompleted);
+  }
+
   void PhaseOfAnArchivedJobIsFound() {
     const TableNames tables;
     m_store->Put({tables.m_ended, tables.IntakePart(JobId{1}), jobs::HexText(JobId{1})},
