Jobs: requests and rows have the same limits

Callers saw (review/repeats): a job with repeatCount 1000001 was accepted, never ran and was shown as queued.

Cause: rows were read with smaller limits than requests, so that the row of an accepted job could not be read. Class: two descriptions of one format.

Attempts and priority of a job come from its queue's settings and keep the range of these.

--- a/hickoryquay/jobs/job.h
+++ b/hickoryquay/jobs/job.h
@@ -63,6 +63,11 @@
 // [SECTION] Job requests
 //-------------------------------------------------------------------------------------------------
 
+// Largest values of a request and of its row. What exceeds them is malformed.
+constexpr std::int64_t kMaxCount = 1'000'000;  // Of tasks, repetitions, accelerators and the like.
+constexpr std::int64_t kMaxMillicores = 100'000'000;
+constexpr std::int64_t kMaxMemoryMb = 1'000'000'000;
+
 struct StepSpec {
   int m_tasks = 1;
   Resources m_task;             // Resources of one task on its worker.
--- a/hickoryquay/jobs/rows.cc
+++ b/hickoryquay/jobs/rows.cc
@@ -4,6 +4,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <charconv>
+#include <limits>
 
 #include "hickoryquay/model/field_reader.h"
 
@@ -14,9 +15,7 @@
 namespace json = boost::json;
 using Need = FieldReader::Need;
 
-constexpr std::int64_t kMaxCount = 1'000'000;
-constexpr std::int64_t kMaxMillicores = 100'000'000;
-constexpr std::int64_t kMaxMemoryMb = 1'000'000'000;
+constexpr std::int64_t kMaxInt = std::numeric_limits<std::int32_t>::max();  // Of settings of the job's queue.
 constexpr double kMaxStretch = 1'000.0;
 
 // Omits fields with their default value, to keep rows small: most steps set few of them.
@@ -263,8 +262,8 @@
     reader->Read("account", &job->m_account.m_value);
     reader->ReadInstant("accepted_ms", &job->m_accepted);
     reader->Read("pool", &job->m_pool.m_value);
-    reader->ReadInteger("priority", &job->m_priority, 0, kMaxCount);
-    reader->ReadInteger("max_attempts", &job->m_max_attempts, 0, kMaxCount);
+    reader->ReadInteger("priority", &job->m_priority, 0, kMaxInt);
+    reader->ReadInteger("max_attempts", &job->m_max_attempts, 0, kMaxInt);
     reader->Read("stretch", &job->m_stretch, 0.0, kMaxStretch);
     reader->ReadMillis("objective_ms", &job->m_objective);
     JobRequest& request = job->m_request;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "hickoryquay/jobs/rows.h"
 #include "platform/documents.h"
 #include "platform/machine_list.h"
 #include "platform/row_store_client.h"
@@ -23,6 +24,7 @@
   CPPUNIT_TEST(JobWithAllFields);
   CPPUNIT_TEST(JobWithDefaults);
   CPPUNIT_TEST(MalformedJobsNameTheField);
+  CPPUNIT_TEST(RowOfAnyAcceptedRequestCanBeRead);
   CPPUNIT_TEST(ConfigurationIsRead);
   CPPUNIT_TEST(UnreadableConfigurationSaysWhy);
   CPPUNIT_TEST(WorkerRowIsRead);
@@ -68,6 +70,28 @@
     CPPUNIT_ASSERT_EQUAL(0, ValueOf(job).m_repeats);
   }
 
+  // Guards against a job that is accepted and never runs, since its row has values that its reader rejects.
+  void RowOfAnyAcceptedRequestCanBeRead() {
+    int accepted = 0;
+    for (const std::string number : {"1000000", "1000001", "100000001", "1000000001", "2147483647"}) {
+      for (const char* field : {"count", "cpu", "memMb", "gpu", "estimateMs", "antiAffinity", "mayMiss", "targetMs",
+                                "repeatCount", "startAtMs", "intervalMs"}) {
+        const std::string pair = '"' + std::string(field) + "\":" + number;
+        for (const std::string& body : {R"({"steps":[{)" + pair + "}]}", R"({"steps":[{}],)" + pair + "}"}) {
+          const auto request = ReadJobRequest(body);
+          if (!Ok(request)) continue;
+          ++accepted;
+          jobs::AcceptedJob job;
+          job.m_request = ValueOf(request);
+          CPPUNIT_ASSERT_MESSAGE(body, Ok(jobs::ReadAcceptedJob(JobId{1}, jobs::Write(job))));
+        }
+      }
+    }
+    CPPUNIT_ASSERT(accepted > 0);
+    CheckField("repeatCount", R"({"steps":[{}],"repeatCount":1000001})");
+    CheckField("steps[0].count", R"({"steps":[{"count":1000001}]})");
+  }
+
   void MalformedJobsNameTheField() {
     CheckField("", "{");
     CheckField("steps", R"({"spec":"x"})");
