Jobs: a job runs once a worker has confirmed a run

Cause: the phase "running" was stored when a run was placed, and a new leader took it for a job that has begun. Class: an intention stored as a fact.

Change: the phase changes when a worker confirms a run or lists it.

Evidence: RestoreTest::JobWhoseStartsWereRefusedIsPendingAfterATakeover: 0 pending after the takeover before, 1 now, as the leader before it says. jobs_day_test (84) and service_test (125) pass.

--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -341,7 +341,6 @@
   ReleaseReservation(unit);
   ReleaseHeldWorkers(unit);
   MarkChanged(*unit);
-  if (job->m_phase == JobPhase::kQueued) SetPhase(job, JobPhase::kRunning, now);
   return true;
 }
 
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -176,6 +176,7 @@
 void Scheduler::NoteRunning(const Unit& unit, Now now) {
   JobState* job = unit.m_step->m_job;
   job->m_has_run = true;
+  if (job->m_phase == JobPhase::kQueued) SetPhase(job, JobPhase::kRunning, now);
   if (job->m_begun || job->m_job.m_priority != 0 || unit.m_step->m_key.m_step != 0) return;
   const auto& units = unit.m_step->m_units;
   job->m_begun = std::all_of(units.begin(), units.end(), [](const auto& other) {
--- a/tests/jobs/restore_test.cc
+++ b/tests/jobs/restore_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(ArchivedJobReservesNothing);
   CPPUNIT_TEST(RestOfAGangIsStoppedAfterATakeover);
   CPPUNIT_TEST(RowOfALastingTaskThatFailsStaysSmall);
+  CPPUNIT_TEST(JobWhoseStartsWereRefusedIsPendingAfterATakeover);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -289,6 +290,38 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(largest), largest < 500);
   }
 
+  // Guards against a count of waiting jobs that leaves out those whose starts were refused before a takeover.
+  void JobWhoseStartsWereRefusedIsPendingAfterATakeover() {
+    AcceptedJob job;
+    job.m_id = JobId{7};
+    job.m_pool = kPool;
+    job.m_queue = QueueName{"queue"};
+    job.m_request.m_steps = {StepSpec{}};
+    m_scheduler->OnJob(job, kNow);
+    Scheduler next{SchedulerSettings{}};
+    next.RestoreJob(job);
+    m_scheduler->Decide(kNow);
+    Batch batch = m_scheduler->TakeBatch(store::kMaxTransactionRows, store::kMaxTransactionBytes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, batch.m_starts.size());
+    m_scheduler->OnStartSent(batch.m_starts.front(), kNow);
+    m_scheduler->OnStartAnswer(batch.m_starts.front(), StartOutcome::kNoRoom, kNow);
+    std::vector<RowChange> rows = std::move(batch.m_rows);
+    for (RowChange& row : m_scheduler->TakeBatch(store::kMaxTransactionRows, store::kMaxTransactionBytes).m_rows) {
+      std::erase_if(rows, [&row](const RowChange& earlier) { return earlier.m_key == row.m_key; });
+      rows.push_back(std::move(row));
+    }
+    for (const RowChange& row : rows) {
+      if (const auto key = ParseStepRowKey(row.m_key)) {
+        next.RestoreStep(ValueOf(ReadStepRow(*key, *row.m_value)));
+      } else {
+        const auto phase = ReadPhaseRow(*row.m_value);
+        next.RestorePhase(job.m_id, ValueOf(phase).m_phase, ValueOf(phase).m_since);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(1, m_scheduler->Pending()[job.m_queue]);
+    CPPUNIT_ASSERT_EQUAL(1, next.Pending()[job.m_queue]);
+  }
+
  private:
   // A job that takes the whole worker of setUp(), and a decision.
   void Submit(JobId id, int priority) {
