Jobs: the end of a task shows that its job has begun

A start whose confirmation was lost and whose end is listed first left the job queued since, until another run of it was confirmed. RestoreTest::JobWithAnEndIsNotPending guards it; found by reading again.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -221,6 +221,7 @@
 
   // scheduler_runs.cc
   void OnTaskEnd(WorkerSlot* slot, const EndedTask& end, Now now);
+  void NoteBegun(JobState* job, Now now);
   void NoteRunning(const Unit& unit, Now now);
   void OnRunning(WorkerSlot* slot, const RunningTask& running, Now now);
   void CheckPace(WorkerSlot* slot, const PollReply& reply, Now now);
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -172,11 +172,16 @@
   member.m_stop_at = stops ? now.m_steady : now.m_steady + m_settings.m_stop_retry_delay;
 }
 
+// A worker has confirmed a run of the job, or listed its end.
+void Scheduler::NoteBegun(JobState* job, Now now) {
+  job->m_has_run = true;
+  if (job->m_phase == JobPhase::kQueued) SetPhase(job, JobPhase::kRunning, now);
+}
+
 // A member of the unit runs. Reports the job when its first step has begun within a guarantee.
 void Scheduler::NoteRunning(const Unit& unit, Now now) {
   JobState* job = unit.m_step->m_job;
-  job->m_has_run = true;
-  if (job->m_phase == JobPhase::kQueued) SetPhase(job, JobPhase::kRunning, now);
+  NoteBegun(job, now);
   if (job->m_begun || job->m_job.m_priority != 0 || unit.m_step->m_key.m_step != 0) return;
   const auto& units = unit.m_step->m_units;
   job->m_begun = std::all_of(units.begin(), units.end(), [](const auto& other) {
@@ -245,6 +250,7 @@
              {"worker", slot->m_entry.m_id.m_value},
              {"number", std::to_string(end.m_number)}});
   if (unit == nullptr) return;
+  NoteBegun(unit->m_step->m_job, now);
   const bool current = unit->m_active && unit->m_run == end.m_run && unit->m_members[index].m_slot == slot;
   const bool lasts = unit->m_step->m_spec->m_long_running;
   if (current && unit->m_step->m_spec->m_checkpoints && !end.m_checkpoint.empty())
--- a/tests/jobs/restore_test.cc
+++ b/tests/jobs/restore_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(RestOfAGangIsStoppedAfterATakeover);
   CPPUNIT_TEST(RowOfALastingTaskThatFailsStaysSmall);
   CPPUNIT_TEST(JobWhoseStartsWereRefusedIsPendingAfterATakeover);
+  CPPUNIT_TEST(JobWithAnEndIsNotPending);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -322,6 +323,28 @@
     CPPUNIT_ASSERT_EQUAL(1, next.Pending()[job.m_queue]);
   }
 
+  // Guards against a job that counts as waiting though a task of it has ended: its worker listed the end before the run.
+  void JobWithAnEndIsNotPending() {
+    AcceptedJob job;
+    job.m_id = JobId{7};
+    job.m_pool = kPool;
+    job.m_queue = QueueName{"queue"};
+    StepSpec step;
+    step.m_tasks = 2;
+    step.m_task = Resources{8, 1, 1};
+    job.m_request.m_steps = {step};
+    m_scheduler->OnJob(job, kNow);
+    m_scheduler->Decide(kNow);
+    const Batch batch = m_scheduler->TakeBatch(store::kMaxTransactionRows, store::kMaxTransactionBytes);
+    const StartCommand& start = batch.m_starts.at(0);
+    m_scheduler->OnStartSent(start, kNow);
+    PollReply ends;
+    ends.m_ended = {{1, start.m_task, start.m_run, EndKind::kDone, ""}};
+    m_scheduler->OnPollReply(kWorker, ends, kNow.m_steady, kNow);
+    CPPUNIT_ASSERT_EQUAL(0, m_scheduler->Pending()[job.m_queue]);
+    CPPUNIT_ASSERT(m_scheduler->Phase(job.m_id) == JobPhase::kRunning);
+  }
+
  private:
   // A job that takes the whole worker of setUp(), and a decision.
   void Submit(JobId id, int priority) {
