Jobs: copies of starts outlive their run, and are stopped when their worker restarts

A copy of its start that had got no answer was carried out by its worker's next life under the same id.

Cause: what a leader does about such copies looked at runs that are placed on the worker when it restarts; the end of a run forgot them. The worker's next life knows of no run, and its lease is one of another clock, so only a stop makes it refuse the copy. Class: a message in flight that is remembered by something that ends sooner.

Change: a copy belongs to the worker, as LateCopy, for kMaxCallDelay after it was sent, also while the worker is not listed. Each time that the worker answers as another incarnation, a stop is sent for it, repeated until it is acknowledged; until then the worker gets no work. A new leader needs no such list: the worker refuses the copies of an earlier epoch once it has answered a poll.

Remains: a copy that arrives between the restart and the first poll of the new incarnation is carried out; it is stopped as a run that is in no row.

--- a/hickoryquay/jobs/preemption.cc
+++ b/hickoryquay/jobs/preemption.cc
@@ -175,7 +175,8 @@
   const auto& avoided = unit.m_step->m_avoided;
   const auto failed_here = avoided.find(slot.m_entry.m_id);
   if (failed_here != avoided.end() && steady < failed_here->second) return false;
-  return slot.IsSchedulable() && slot.m_unrecorded_runs == 0 && MayShare(slot, unit, crashes);
+  return slot.IsSchedulable() && slot.m_unrecorded_runs == 0 && !slot.MayRunLateCopies() &&
+         MayShare(slot, unit, crashes);
 }
 
 bool MayHost(const WorkerSlot& slot, const Unit& unit, const CrashSettings& crashes, Instant steady) {
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -479,6 +479,13 @@
       stops.push_back({member.m_slot->m_entry.m_id, unit->Key(i), unit->m_run});
     }
   }
+  for (WorkerSlot* slot : m_workers.Slots()) {
+    for (LateCopy& copy : slot->m_late_copies) {
+      if (copy.m_stop != StopState::kRequested || now.m_steady < copy.m_stop_at) continue;
+      copy.m_stop = StopState::kSent;
+      stops.push_back({slot->m_entry.m_id, copy.m_task, copy.m_run});
+    }
+  }
   for (const auto& [worker, run] : m_unrecorded_runs) stops.push_back({worker, run.first, run.second});
   m_unrecorded_runs.clear();  // A run that is still there is found again by the next poll.
   return stops;
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -239,6 +239,9 @@
   // scheduler_restart.cc
   void OnIncarnation(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now);
   bool MayStartLate(const WorkerSlot& slot, const Member& member, Now now) const;
+  void KeepLateCopy(const Unit& unit, std::size_t member);
+  void DropLateCopies(Now now);
+  bool OnLateCopyStopped(const StopCommand& command, StopOutcome outcome, Now now);
   void StopLateStart(Unit* unit, std::size_t member, const char* why, Now now);
   void ResolveAfterRestart(const UnitMember& placed, const LostWorker& lost, const PollReply& reply, Instant sent,
                            Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -154,6 +154,7 @@
   ForgetArchivedJobs(now);
   EvacuateDraining(now);
   ReturnWorkers(now);
+  DropLateCopies(now);
   if (!places) return;
   m_candidates.clear();
   m_paces.clear();
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -161,6 +161,7 @@
 }
 
 void Scheduler::OnStopAnswer(const StopCommand& command, StopOutcome outcome, Now now) {
+  if (OnLateCopyStopped(command, outcome, now)) return;
   const auto [unit, index] = FindMember(command.m_task);
   if (unit == nullptr || unit->m_run != command.m_run) return;
   Member& member = unit->m_members[index];
@@ -416,6 +417,7 @@
 
 void Scheduler::Settle(Unit* unit, std::size_t index) {
   Member& member = unit->m_members[index];
+  KeepLateCopy(*unit, index);
   m_workers.Release(member.m_slot, unit, index);
   member = Member{};
   member.m_state = MemberState::kSettled;
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -51,6 +51,10 @@
   m_refusals = 0;
   m_avoid_until = Instant{};
   m_speed = WorkerSpeed{};
+  for (LateCopy& copy : m_late_copies) {
+    copy.m_stop = StopState::kRequested;
+    copy.m_stop_at = Instant{};
+  }
 }
 
 int WorkerSlot::CountUnits() const {
@@ -61,6 +65,10 @@
   return static_cast<int>(units.size());
 }
 
+bool WorkerSlot::MayRunLateCopies() const {
+  return std::any_of(m_late_copies.begin(), m_late_copies.end(), [](const LateCopy& copy) { return copy.IsOpen(); });
+}
+
 WorkerSlot* WorkerTable::Find(const WorkerId& id) {
   const auto found = m_by_id.find(id);
   return found == m_by_id.end() ? nullptr : found->second;
@@ -91,7 +99,7 @@
 
 void WorkerTable::EraseIfUnused(const WorkerId& id) {
   const WorkerSlot* slot = Find(id);
-  if (slot == nullptr || slot->m_listed || !slot->m_members.empty()) return;
+  if (slot == nullptr || slot->m_listed || !slot->m_members.empty() || !slot->m_late_copies.empty()) return;
   m_in_order.erase(PositionOf(m_in_order, id));
   m_by_id.erase(id);
   m_slots.erase(id);  // Last: `id` may be the slot's own.
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -21,6 +21,18 @@
   bool m_guaranteed = false;  // The unit is within its account's guarantee.
 };
 
+// A copy of a start that got no answer and whose run is over. The worker refuses it, unless it restarts under its id
+// before the copy arrives: the new incarnation knows of no run.
+struct LateCopy {
+  TaskKey m_task;
+  RunNumber m_run{};
+  Instant m_sent;                       // Steady time.
+  StopState m_stop = StopState::kNone;  // Of the stop that makes the present incarnation refuse it.
+  Instant m_stop_at;                    // Steady time of the next attempt.
+
+  bool IsOpen() const { return m_stop == StopState::kRequested || m_stop == StopState::kSent; }
+};
+
 struct WorkerSlot {
   WorkerEntry m_entry;
   bool m_listed = false;                // Listed by the platform.
@@ -33,7 +45,8 @@
   Instant m_born;         // Wall time of the start of the incarnation that answers, as it reports; 0: never reported.
   int m_incarnation = 0;  // Counts the restarts under its id.
   Resources m_free;
-  UnitMemberSet m_members;            // Members that have resources allocated here.
+  UnitMemberSet m_members;  // Members that have resources allocated here.
+  std::vector<LateCopy> m_late_copies;
   int m_unrecorded_runs = 0;          // That its last reply listed and no row names; they take room until they end.
   std::int64_t m_processed_ends = 0;  // Number of the last end that was processed.
   std::int64_t m_released_ends = 0;   // Number of the last end that was handed out in Batch::m_recorded_ends.
@@ -57,7 +70,8 @@
   bool IsOverCapacity() const { return !Resources{}.FitsIn(m_free); }
   // Whether starts that were decided before may still be sent.
   bool TakesStarts() const { return !m_entry.m_draining && !m_evacuated && !IsOverCapacity(); }
-  int CountUnits() const;  // Whose starts were sent here.
+  int CountUnits() const;         // Whose starts were sent here.
+  bool MayRunLateCopies() const;  // This incarnation has not refused all of them.
 
   void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
 };
@@ -93,7 +107,8 @@
   const WorkerSlot* Find(const WorkerId& id) const;
   WorkerSlot* Add(const WorkerId& id);  // Returns the existing slot if there is one.
   void Update(const WorkerEntry& entry);
-  void EraseIfUnused(const WorkerId& id);  // Erases a slot that is not listed and has no members.
+  // Erases a slot that is not listed, has no members and no late copies.
+  void EraseIfUnused(const WorkerId& id);
 
   void Allocate(WorkerSlot* slot, Unit* unit, std::size_t member);
   void Release(WorkerSlot* slot, Unit* unit, std::size_t member);
--- a/tests/jobs/restore_test.cc
+++ b/tests/jobs/restore_test.cc
@@ -323,7 +323,8 @@
     CPPUNIT_ASSERT_EQUAL(1, next.Pending()[job.m_queue]);
   }
 
-  // Guards against a job that counts as waiting though a task of it has ended: its worker listed the end before the run.
+  // Guards against a job that counts as waiting though a task of it has ended: its worker listed the end before the
+  // run.
   void JobWithAnEndIsNotPending() {
     AcceptedJob job;
     job.m_id = JobId{7};
