Jobs: a task that crashes its workers some seconds after each start is given up

Cause: a run of 2 s was taken as sound, so the crash after it did not count and those before were forgotten. Class: a fixed time taken for proof.

Change: a crash within 15 s of the start counts. A run clears its unit only if it lasts twice as long as the longest one before a crash, at least 2 s; the row keeps these times in an optional field. Late crashes don't count where the other workers are lost about as often without the unit, so that sound tasks on workers that crash all the time complete (an existing test). Each loss of a worker is counted once: sessions declare a worker clear again and again while another life answers at its address.

Two checks were replaced, since they stated the fault: "a unit that has run for 2 s is cleared, whatever comes later" is now "a crash later than 15 s after the start does not count", checked to the millisecond; and a crash 2.1 s after the start counts as one, which alone changes nothing.

--- a/hickoryquay/jobs/crash_isolation.cc
+++ b/hickoryquay/jobs/crash_isolation.cc
@@ -44,10 +44,29 @@
 
 bool CountsAsCrash(const Unit& unit, const Member& member, const LostWorker& lost, const CrashSettings& settings) {
   if (member.m_slot->m_entry.m_draining || member.m_state == MemberState::kPlanned) return false;
-  if (unit.m_done || unit.m_sound) return false;
+  if (unit.m_done) return false;
   if (lost.m_why == WorkerLoss::kLeaseOver && lost.m_with_domain) return false;
-  if (lost.m_why != WorkerLoss::kLeaseOver || member.m_restored) return true;
-  return lost.m_silent_since - member.m_since <= settings.m_sound_after;
+  if (member.m_restored) return true;
+  const bool proved = lost.m_why != WorkerLoss::kLeaseOver;
+  return RanUntil(member, lost) <= (proved ? settings.m_longest_suspicion : settings.m_sound_after);
+}
+
+Millis RanUntil(const Member& member, const LostWorker& lost) {
+  return member.m_restored ? Millis{0} : std::max(Millis{0}, lost.m_silent_since - member.m_since);
+}
+
+Millis SoundAfter(const Unit& unit, const CrashSettings& settings) {
+  Millis longest{0};
+  for (const CrashedRun& crash : unit.m_crashes) longest = std::max(longest, crash.m_ran);
+  const auto outlasted = static_cast<std::int64_t>(settings.m_outlasts * static_cast<double>(longest.count()));
+  return std::max(settings.m_sound_after, Millis{outlasted});
+}
+
+bool AreLossesUsual(const Unit& unit, int losses, int workers, const CrashSettings& settings) {
+  const auto crashes = static_cast<int>(unit.m_crashes.size());
+  if (crashes == 0 || workers < 2) return false;
+  const int elsewhere = losses - crashes;  // The loss in question is among them, the first one is not.
+  return elsewhere >= settings.m_usual_losses * crashes * (workers - 1);
 }
 
 bool IsEvident(const Member& member, const LostWorker& lost, const CrashSettings& settings) {
--- a/hickoryquay/jobs/rows.cc
+++ b/hickoryquay/jobs/rows.cc
@@ -93,6 +93,9 @@
   for (const CrashedRun& crash : unit.m_crashes)
     crashes.push_back(json::array{Raw(crash.m_run), crash.m_member, crash.m_evident});
   if (!crashes.empty()) object["crashes"] = std::move(crashes);
+  json::array crashed_after;  // A field of its own, so that earlier versions read the others.
+  for (const CrashedRun& crash : unit.m_crashes) crashed_after.push_back(crash.m_ran.count());
+  if (!crashed_after.empty()) object["crashed_after"] = std::move(crashed_after);
   PutUnlessDefault(&object, "checkpoint", unit.m_checkpoint);
   json::array members;
   for (const PlacedMember& member : unit.m_members) {
@@ -136,6 +139,14 @@
     crash.m_member = static_cast<int>(NumberIn(reader, "crashes", (*list)[1], kMaxCount));
     crash.m_evident = (*list)[2].as_bool();
   }
+  std::size_t crash = 0;
+  for (const json::value& element : reader->Array("crashed_after", Need::kOptional)) {
+    if (crash == unit.m_crashes.size()) {
+      reader->Fail("crashed_after", "expected one for each crash");
+      break;
+    }
+    unit.m_crashes[crash++].m_ran = Millis{NumberIn(reader, "crashed_after", element, kMaxInt)};
+  }
   reader->Read("checkpoint", &unit.m_checkpoint, Need::kOptional);
   for (const json::value& element : reader->Array("on", Need::kOptional)) {
     const json::array* pair = element.if_array();
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -1,6 +1,7 @@
 #include "hickoryquay/jobs/scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "hickoryquay/base/log.h"
 
@@ -321,6 +322,7 @@
   WorkerSlot* slot = m_workers.Find(worker);
   if (slot == nullptr) return;
   slot->m_unrecorded_runs = 0;
+  if (loss != WorkerLoss::kLeaseOver && !std::exchange(slot->m_lost, true)) ++m_lost_workers;
   const auto members = slot->m_members;
   const LostWorker lost = Describe(*slot, loss, now);
   for (const auto& [unit, member] : members) {
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -306,6 +306,7 @@
   std::deque<std::pair<Instant, JobId>> m_archived;  // With the steady time.
   int m_starts = 0;
   int m_preemptions = 0;
+  int m_lost_workers = 0;  // Since construction; restarts included, ends of leases not.
 };
 
 }  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/scheduler_restart.cc
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -23,7 +23,10 @@
 void Scheduler::OnIncarnation(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now) {
   if (!reply.m_born || *reply.m_born == slot->m_born) return;
   const bool restarted = slot->m_born.m_ms != 0;
-  if (restarted) slot->OnRestarted();
+  if (restarted) {
+    ++m_lost_workers;
+    slot->OnRestarted();
+  }
   slot->m_born = *reply.m_born;
   const auto members = slot->m_members;
   const LostWorker lost = Describe(*slot, WorkerLoss::kRestarted, now);
@@ -125,14 +128,20 @@
   };
   if (std::any_of(unit->m_crashes.begin(), unit->m_crashes.end(), same)) return;
   if (Ended(job->m_phase) || !CountsAsCrash(*unit, unit->m_members[index], lost, settings)) return;
-  const CrashedRun crash{unit->m_run, static_cast<int>(index), IsEvident(unit->m_members[index], lost, settings)};
+  const Millis ran = RanUntil(unit->m_members[index], lost);
+  const int losses = m_lost_workers - unit->m_losses_at_first_crash;
+  const int workers = static_cast<int>(m_workers.Slots().size());
+  if (ran > settings.m_sound_after && AreLossesUsual(*unit, losses, workers, settings)) return;
+  if (unit->m_crashes.empty()) unit->m_losses_at_first_crash = m_lost_workers;
+  const CrashedRun crash{unit->m_run, static_cast<int>(index), IsEvident(unit->m_members[index], lost, settings), ran};
   unit->m_crashes.push_back(crash);
   MarkChanged(*unit);
   const CrashVerdict verdict = Judge(unit->m_crashes, unit->m_run, settings);
-  log::Warn(kLog, "Worker crashed soon after it started a task",
+  log::Warn(kLog, "Worker crashed under a task",
             {{"task", ToText(unit->Key(index))},
              {"run", std::to_string(Raw(unit->m_run))},
              {"worker", unit->m_members[index].m_slot->m_entry.m_id.m_value},
+             {"ran_ms", std::to_string(ran.count())},
              {"evident", crash.m_evident ? "yes" : "no"},
              {"crashes", std::to_string(unit->m_crashes.size())},
              {"next", verdict == CrashVerdict::kGiveUp    ? "given up"
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -216,6 +216,7 @@
   SettleAbsent(slot, reply, sent);
   slot->m_silent_since = Instant{};
   slot->m_silent_with_domain = false;
+  slot->m_lost = false;
 }
 
 void Scheduler::OnRunning(WorkerSlot* slot, const RunningTask& running, Now now) {
@@ -365,7 +366,7 @@
 
 // A run that lasts clears its unit of the crashes before.
 void Scheduler::ClearIfSound(Unit* unit) {
-  if (unit->m_sound || !HasRunOn(*unit, m_settings.m_choice.m_crashes.m_sound_after)) return;
+  if (unit->m_sound || !HasRunOn(*unit, SoundAfter(*unit, m_settings.m_choice.m_crashes))) return;
   unit->m_sound = true;
   if (unit->m_crashes.empty()) return;
   unit->m_crashes.clear();
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -56,6 +56,7 @@
   RunNumber m_run{};
   int m_member = 0;
   bool m_evident = false;  // The unit was alone on the worker and had just begun.
+  Millis m_ran{0};         // From the start to the first sign of the crash; 0: not known.
 
   bool operator==(const CrashedRun&) const = default;
 };
@@ -67,13 +68,14 @@
   RunNumber m_run{};  // Number of the last start; 0: never started.
   std::vector<RunNumber> m_failed_runs;
   std::vector<CrashedRun> m_crashes;
-  std::string m_checkpoint;  // The next start resumes here; empty: starts from the beginning.
-  bool m_active = false;     // At least one member has resources allocated.
+  int m_losses_at_first_crash = 0;  // Workers that the scheduler had lost by then.
+  std::string m_checkpoint;         // The next start resumes here; empty: starts from the beginning.
+  bool m_active = false;            // At least one member has resources allocated.
   bool m_done = false;
   bool m_unread = false;           // Its row can't be read: it may run or be done, so it is not started.
   bool m_set_aside = false;        // Its row can't be stored, so it is not started any more.
   bool m_stopping = false;         // All members are being stopped.
-  bool m_sound = false;            // This run has lasted too long to crash its workers.
+  bool m_sound = false;            // This run has outlasted the crashes before it.
   bool m_may_share = false;        // It has found no worker without other work, and is placed beside others.
   Instant m_alone_until;           // Steady time until which it waits for such workers; 0: it does not.
   Instant m_placed;                // Steady time of the last placement.
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -52,6 +52,7 @@
   std::int64_t m_released_ends = 0;   // Number of the last end that was handed out in Batch::m_recorded_ends.
   std::map<Unit*, Reservation, UnitLess> m_reservations;
   Instant m_silent_since;              // Steady time since which it does not answer; 0: it does.
+  bool m_lost = false;                 // Its loss is counted, and it has not answered since.
   Unit* m_held_for = nullptr;          // Gets nothing but this unit, which must run alone.
   std::optional<Instant> m_leaves_at;  // Earliest steady time at which a draining worker is removed.
   int m_failures = 0;                  // Consecutive failed tasks; a successful one resets it.
--- a/tests/jobs/crash_isolation_test.cc
+++ b/tests/jobs/crash_isolation_test.cc
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(CutsOfTheDomainAreNoCrashes);
   CPPUNIT_TEST(CrashDuringACutCounts);
   CPPUNIT_TEST(UnitThatRunsOnIsCleared);
+  CPPUNIT_TEST(UnitIsClearedByARunThatOutlastsItsCrashes);
+  CPPUNIT_TEST(LateCrashesAmongUsualLossesDoNotCount);
   CPPUNIT_TEST(SuspectsDoNotShareAWorker);
   CPPUNIT_TEST(WorkerIsHeldUntilItIsEmpty);
   CPPUNIT_TEST(UnitThatFindsNoEmptyWorkerIsPlacedBesideOthers);
@@ -89,9 +91,14 @@
     member.m_state = MemberState::kPlanned;
     CPPUNIT_ASSERT(!Counts(unit, member, WorkerLoss::kUnlisted));
     member.m_state = MemberState::kRunning;
-    unit.m_sound = true;
+    CPPUNIT_ASSERT(Counts(unit, member, WorkerLoss::kUnlisted));
+    unit.m_done = true;
+    CPPUNIT_ASSERT(!Counts(unit, member, WorkerLoss::kUnlisted));
+    unit.m_done = false;
+    member.m_since = Instant{10'000} - kSettings.m_longest_suspicion;
+    CPPUNIT_ASSERT(Counts(unit, member, WorkerLoss::kUnlisted));
+    member.m_since = member.m_since - Millis{1};
     CPPUNIT_ASSERT(!Counts(unit, member, WorkerLoss::kUnlisted));
-    unit.m_sound = false;
     slot.m_entry.m_draining = true;
     CPPUNIT_ASSERT(!Counts(unit, member, WorkerLoss::kUnlisted));
   }
@@ -140,9 +147,38 @@
     List(start, At(2'000));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, StoredCrashes());
     m_scheduler->OnWorkerCleared(start.m_worker, WorkerLoss::kUnlisted, At(2'100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, StoredCrashes());  // One crash alone changes nothing.
+  }
+
+  // Guards against a task that crashes its workers some seconds after each start, and is cleared before each time.
+  void UnitIsClearedByARunThatOutlastsItsCrashes() {
+    MakeScheduler(3);
+    Submit(kJob, 1);
+    StartCommand start = StartOnly(At(0));
+    List(start, At(3'900));
+    m_scheduler->OnWorkerCleared(start.m_worker, WorkerLoss::kUnlisted, At(4'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, StoredCrashes());
+    start = StartOnly(At(10'000));
+    List(start, At(17'900));
+    m_stored_crashes = 1;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, StoredCrashes());
+    List(start, At(18'000));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, StoredCrashes());
   }
 
+  // Guards against sound tasks being given up where workers are lost all the time, with and without them.
+  void LateCrashesAmongUsualLossesDoNotCount() {
+    Unit unit;
+    CPPUNIT_ASSERT(!AreLossesUsual(unit, 100, 10, kSettings));  // The first one always counts.
+    unit.m_crashes = Crashes({false});
+    CPPUNIT_ASSERT(!AreLossesUsual(unit, 1, 9, kSettings));
+    CPPUNIT_ASSERT(!AreLossesUsual(unit, 6, 9, kSettings));
+    CPPUNIT_ASSERT(AreLossesUsual(unit, 7, 9, kSettings));
+    unit.m_crashes = Crashes({false, false});
+    CPPUNIT_ASSERT(!AreLossesUsual(unit, 13, 9, kSettings));
+    CPPUNIT_ASSERT(AreLossesUsual(unit, 14, 9, kSettings));
+  }
+
   // Two units that waited together were lost together, so that neither could be told from the other.
   void SuspectsDoNotShareAWorker() {
     MakeScheduler(2);
@@ -195,6 +231,7 @@
     StepRow row{StepKey{kJob, 0, 0}, {UnitRow{}}};
     row.m_units.front().m_run = RunNumber{3};
     row.m_units.front().m_crashes = Crashes({false, true});
+    row.m_units.front().m_crashes.back().m_ran = Millis{4'000};
     row.m_units.front().m_members = {{Worker(0), "10.0.0.1:80", false, {}}};
     const auto read = ReadStepRow(StepRowKey{row.m_key, 0}, Write(row));
     CPPUNIT_ASSERT(Ok(read));
--- a/tests/service/crash_test.cc
+++ b/tests/service/crash_test.cc
@@ -24,6 +24,7 @@
 class CrashTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashTest);
   CPPUNIT_TEST(TaskThatCrashesWorkersIsGivenUp);
+  CPPUNIT_TEST(TaskThatCrashesWorkersLateIsGivenUp);
   CPPUNIT_TEST(CrashesAreCountedAcrossTakeovers);
   CPPUNIT_TEST(CrashesOfWorkersThatRestartUnderTheirIdAreCounted);
   CPPUNIT_TEST(GangWithATaskThatCrashesWorkersIsGivenUp);
@@ -40,6 +41,16 @@
     ExpectGivenUp(job);
   }
 
+  // Guards against a task that crashes its workers some seconds after each start and is started without end.
+  void TaskThatCrashesWorkersLateIsGivenUp() {
+    for (const bool same_id : {false, true}) {
+      MakeCluster(same_id);
+      const JobId job = m_cluster->SubmitCrashing(0, Tasks(1, 4, kLongWork), Millis{4'000});
+      m_cluster->Run(2 * kEnough);
+      ExpectGivenUp(job);
+    }
+  }
+
   // A count that the leader keeps to itself begins anew with each of its successors.
   void CrashesAreCountedAcrossTakeovers() {
     MakeCluster(false);
