Service: the audit of accepted jobs reports what can't be read once, and archives where the row lies

(2) A job that an instance of an earlier version accepts into the whole part while this version leads was archived in another part: its row stayed, and the job ran again once it was forgotten: starts 1 after 30 s, 2 after 40 s, 3 after 70 s. It ran again after a takeover too, without the audit.

Cause: the audit told known from unknown rows only by what the scheduler holds; the part of a job was noted only at a takeover. Class: a second path into a state that only the first path prepares.

Change: rows that can't be read are none of the audit's, each row is taken in once, the part is noted wherever a row arrives. A part that does not answer no longer keeps the audit from the others.

--- a/hickoryquay/service/intake_audit.cc
+++ b/hickoryquay/service/intake_audit.cc
@@ -27,10 +27,16 @@
                   const auto self = weak.lock();
                   if (!self || self->m_stopped) return;
                   self->m_reading = false;
-                  if (Ok(page)) self->OnPage(sent, page);
+                  Ok(page) ? self->OnPage(sent, page) : self->NextPart();
                 });
 }
 
+// Also after a page that did not arrive: its part may be silent for long.
+void IntakeAudit::NextPart() {
+  m_from.clear();
+  m_part = (m_part + 1) % m_settings.m_parts.size();
+}
+
 void IntakeAudit::OnPage(Instant sent, const Result<store::RowPage, store::ReadError>& result) {
   // After a pause of this process the page may name jobs that have ended and are forgotten.
   if (m_clock->Now() - sent > m_settings.m_timeout) return;
@@ -38,8 +44,7 @@
   if (page.m_more && !page.m_rows.empty()) {
     m_from = page.m_rows.back().m_key.m_key + '\0';
   } else {
-    m_from.clear();
-    m_part = (m_part + 1) % m_settings.m_parts.size();
+    NextPart();
   }
   if (!page.m_rows.empty()) m_on_rows(page.m_rows);
 }
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -155,6 +155,7 @@
   for (const auto& row : rows) {
     const auto id = ParseIntakeKey(row, kJobPrefix);
     if (!id) continue;
+    if (row.m_key.m_part == m_settings.m_tables.m_whole_part) m_whole_part_jobs.insert(*id);
     const auto job = jobs::ReadAcceptedJob(*id, row.m_value);
     if (Ok(job)) {
       m_scheduler.OnJob(ValueOf(job), Time());
@@ -168,16 +169,21 @@
   ScheduleRound();
 }
 
+// A row that can't be read was reported when the feed brought it.
+bool SchedulerDriver::IsMissed(const store::StoredRow& row) const {
+  if (const auto job = ParseIntakeKey(row, kJobPrefix))
+    return !m_scheduler.Phase(*job) && Ok(jobs::ReadAcceptedJob(*job, row.m_value));
+  const auto cancel = ParseIntakeKey(row, kCancelPrefix);
+  const auto phase = cancel ? m_scheduler.Phase(*cancel) : std::nullopt;
+  return phase && !jobs::Ended(*phase);
+}
+
 // Rows that are newer than the feed are on their way.
 void SchedulerDriver::OnAuditedRows(const std::vector<store::StoredRow>& rows) {
   std::vector<store::StoredRow> missed;
   for (const auto& row : rows) {
     if (row.m_version > m_intake->At()) continue;
-    const auto job = ParseIntakeKey(row, kJobPrefix);
-    const auto cancel = ParseIntakeKey(row, kCancelPrefix);
-    const bool is_missed = (job && !m_scheduler.Phase(*job)) ||
-                           (cancel && !jobs::Ended(m_scheduler.Phase(*cancel).value_or(jobs::JobPhase::kCancelled)));
-    if (!is_missed) continue;
+    if (!IsMissed(row) || !m_missed.insert(row.m_key.m_key).second) continue;
     missed.push_back(row);
     if (!m_missed.insert(row.m_key.m_key).second) continue;
     m_rows_missed->Add();
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -83,6 +83,7 @@
  private:
   void OnIntakeRows(const std::vector<store::StoredRow>& rows, bool whole);
   void OnAuditedRows(const std::vector<store::StoredRow>& rows);
+  bool IsMissed(const store::StoredRow& row) const;
   void OnStateRows(const std::vector<store::StoredRow>& rows);
   void OnWorkerRows(const std::vector<store::StoredRow>& rows, bool whole);
   bool TakeWorkerRow(const store::StoredRow& row);
--- a/tests/service/side_by_side_test.cc
+++ b/tests/service/side_by_side_test.cc
@@ -38,6 +38,9 @@
   CPPUNIT_TEST(JobsAndCancelsWithUnknownFieldsAreTakenFromTheFeed);
   CPPUNIT_TEST(UnreadableRowsCostOnlyThemselves);
   CPPUNIT_TEST(UnreadableJobInTheFeedCostsOnlyItself);
+  CPPUNIT_TEST(UnreadableJobIsReportedOnce);
+  CPPUNIT_TEST(JobOfAnEarlierVersionRunsOnce);
+  CPPUNIT_TEST(JobOfAnEarlierVersionRunsOnceOverATakeover);
   CPPUNIT_TEST(UnreadableStepOfARunningJobRunsNothingTwice);
   CPPUNIT_TEST(UnreadableStepThatIsDoneIsNotRepeated);
   CPPUNIT_TEST(JobWithAnUnreadableStepCanBeCancelled);
@@ -123,6 +126,34 @@
     CPPUNIT_ASSERT_EQUAL(1, Unreadable(m_cluster->MetricsText(), "job"));
   }
 
+  // Guards against an unreadable row that the audit reports again with each pass, as one that no feed brought.
+  void UnreadableJobIsReportedOnce() {
+    const JobId unreadable{0x999};
+    m_cluster->Store().Put(Row(JobRowKey(unreadable), unreadable), "garbled");
+    m_cluster->Run(Millis{60'000});
+    const std::string metrics = m_cluster->MetricsText();
+    CPPUNIT_ASSERT_EQUAL(1, Unreadable(metrics, "job"));
+    CPPUNIT_ASSERT(metrics.find("hq_intake_rows_missed_total 0") != std::string::npos);
+  }
+
+  // Guards against a job that runs again once it is forgotten. An instance of an earlier version accepted it while one
+  // of this version led, so that its row was taken to lie in another part, and stayed.
+  void JobOfAnEarlierVersionRunsOnce() {
+    const JobId early{0x999};
+    m_cluster->Store().Put({m_tables.m_intake, m_tables.m_whole_part, JobRowKey(early)}, PlainJob(early));
+    m_cluster->Run(Millis{80'000});
+    CPPUNIT_ASSERT_EQUAL(1, m_cluster->Sim().Starts());
+  }
+
+  void JobOfAnEarlierVersionRunsOnceOverATakeover() {
+    const JobId early{0x999};
+    m_cluster->Store().Put({m_tables.m_intake, m_tables.m_whole_part, JobRowKey(early)}, PlainJob(early));
+    m_cluster->Run(Millis{10'000});
+    m_cluster->KillInstance(*m_cluster->Leader());
+    m_cluster->Run(Millis{10'000});
+    CPPUNIT_ASSERT_EQUAL(1, m_cluster->Sim().Starts());
+  }
+
   // Guards against a second start of tasks that run, where only the row that tells of them can't be read. The workers
   // tell their ends.
   void UnreadableStepOfARunningJobRunsNothingTwice() {
