Service: ends whose row is rejected stay with their worker, and no late copy counts as the next write

(1) TWICE: after a row had been rejected, the worker was told that all ends of the batch are recorded; the next leader read the old row and started the task again: 4 starts instead of 3. (2) A write was dropped as rejected while a copy of it without an answer might still be stored; the next write has the same number and was taken as stored when that copy arrived.

Change: ends of a batch with a rejected row, and ends of tasks that are set aside, are not handed out as recorded; their worker keeps them for the next leader. A rejected write is given up only once no copy of it is in doubt, 20 s after the last one without an answer at the latest. A submission is answered as malformed after two rejections, not one.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -409,7 +409,7 @@
       batch.m_phases.push_back({id, phase, job->m_job.m_priority, job->m_job.m_accepted});
     }
     for (WorkerSlot* slot : m_workers.Slots()) {
-      if (slot->m_processed_ends <= slot->m_released_ends) continue;
+      if (slot->m_withholds_ends || slot->m_processed_ends <= slot->m_released_ends) continue;
       slot->m_released_ends = slot->m_processed_ends;
       batch.m_recorded_ends.push_back({slot->m_entry.m_id, slot->m_processed_ends, slot->m_born});
     }
@@ -442,6 +442,10 @@
   }
 }
 
+void Scheduler::WithholdEnds(const WorkerId& worker) {
+  if (WorkerSlot* slot = m_workers.Find(worker)) slot->m_withholds_ends = true;
+}
+
 StepRow Scheduler::MakeStepRow(const StepState& step, int index) const {
   StepRow row{step.m_key, {}, index};
   const std::size_t begin = static_cast<std::size_t>(index) * kUnitsPerRow;
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -181,6 +181,8 @@
   // The store rejects the row for good. It is not written again and none of its units is started any more; runs that
   // are not sent yet are withdrawn.
   void SetAside(const StepRowKey& row);
+  // Ends of tasks that the worker has listed may be in no row: it is not told any more that they are.
+  void WithholdEnds(const WorkerId& worker);
 
   // Returns each job once. Call only when every batch taken so far is stored.
   std::vector<SettledJob> TakeSettledJobs();
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -253,6 +253,7 @@
              {"number", std::to_string(end.m_number)}});
   if (unit == nullptr) return;
   NoteBegun(unit->m_step->m_job, now);
+  if (unit->m_set_aside) slot->m_withholds_ends = true;
   const bool current = unit->m_active && unit->m_run == end.m_run && unit->m_members[index].m_slot == slot;
   const bool lasts = unit->m_step->m_spec->m_long_running;
   if (current && unit->m_step->m_spec->m_checkpoints && !end.m_checkpoint.empty())
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -46,6 +46,7 @@
   ++m_incarnation;
   m_processed_ends = 0;
   m_released_ends = 0;
+  m_withholds_ends = false;
   m_failures = 0;
   m_soundness = Soundness{};
   m_refusals = 0;
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -50,6 +50,7 @@
   int m_unrecorded_runs = 0;          // That its last reply listed and no row names; they take room until they end.
   std::int64_t m_processed_ends = 0;  // Number of the last end that was processed.
   std::int64_t m_released_ends = 0;   // Number of the last end that was handed out in Batch::m_recorded_ends.
+  bool m_withholds_ends = false;      // No further ends are handed out: some are in no row.
   std::map<Unit*, Reservation, UnitLess> m_reservations;
   Instant m_silent_since;              // Steady time since which it does not answer; 0: it does.
   bool m_lost = false;                 // Its loss is counted, and it has not answered since.
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -13,6 +13,7 @@
 constexpr log::Part kLog{"intake"};
 constexpr Millis kPendingValid{1'500};  // The API allows counts up to 2 s old. Heartbeats come every 200 ms.
 
+constexpr int kRejectionsToAnswer = 2;    // A peer that passes calls on may have rejected one for reasons of its own.
 constexpr Millis kHeartbeatValid{1'000};  // Five heartbeat intervals.
 
 // Returns why a request is invalid; empty if it is valid.
@@ -114,8 +115,9 @@
   store::Transaction m_transaction;
   StorePart m_part;
   Instant m_started;
-  Instant m_until;               // Deadline of the answer to the caller.
-  Millis m_limit{0};             // Of the attempt under way.
+  Instant m_until;    // Deadline of the answer to the caller.
+  Millis m_limit{0};  // Of the attempt under way.
+  int m_rejections = 0;
   bool m_maybe_applied = false;  // An attempt without an answer may still take effect.
   std::function<Result<Done, IntakeError>(const store::RowsDiffer&)> m_on_conflict;
   std::function<void(Version)> m_on_stored;  // May be empty.
@@ -303,7 +305,8 @@
     m_watch->NoteAnswer(write->m_part, sent);
     return Finish(write, write->m_on_conflict(*differ));
   }
-  if (std::holds_alternative<store::StoreRejected>(error) && !write->m_maybe_applied) {
+  const bool rejected = std::holds_alternative<store::StoreRejected>(error);
+  if (rejected && ++write->m_rejections >= kRejectionsToAnswer && !write->m_maybe_applied) {
     m_watch->NoteAnswer(write->m_part, sent);
     return Finish(write, IntakeError{Malformed{"the store does not take the row: " + store::ToString(error)}});
   }
--- a/hickoryquay/service/leadership.cc
+++ b/hickoryquay/service/leadership.cc
@@ -12,9 +12,10 @@
 namespace {
 
 constexpr log::Part kLog{"leadership"};
-constexpr Millis kStaleWriteAge{200};  // A write in flight this long may be lost; fifty times its usual duration.
-constexpr int kRejectionsToDrop = 3;   // A peer that passes calls on may have rejected one for reasons of its own.
-constexpr Millis kTickInterval{50};    // Short compared to m_watch_interval and m_renew_interval.
+constexpr Millis kStaleWriteAge{200};    // A write in flight this long may be lost; fifty times its usual duration.
+constexpr Millis kLongestDoubt{20'000};  // A call without an answer may still be done this much later.
+constexpr int kRejectionsToDrop = 3;     // A peer that passes calls on may have rejected one for reasons of its own.
+constexpr Millis kTickInterval{50};      // Short compared to m_watch_interval and m_renew_interval.
 
 std::string Text(Epoch epoch) {
   return std::to_string(Raw(epoch));
@@ -271,7 +272,8 @@
 void Leadership::OnWriteFailure(const store::TransactError& error) {
   m_verify.Cancel();
   if (const auto* rejected = std::get_if<store::StoreRejected>(&error)) {
-    const bool drops = ++m_rejections >= kRejectionsToDrop && m_pending.front().m_rejected;
+    const bool in_doubt = m_copy_in_doubt && m_clock->Now() - m_doubt_since < kLongestDoubt;
+    const bool drops = ++m_rejections >= kRejectionsToDrop && m_pending.front().m_rejected && !in_doubt;
     return drops ? DropRejected(rejected->m_why) : SendAgainLater();
   }
   std::holds_alternative<store::StoreRefused>(error) ? SendAgainLater() : VerifyWrite(Millis{0});
@@ -286,10 +288,11 @@
   });
 }
 
-// No copy of the write can be stored any more, so that the next one may have its number.
+// The next write takes the number of this one, of which no copy may be stored any more.
 void Leadership::DropRejected(const std::string& why) {
   m_refusals = 0;
   m_rejections = 0;
+  m_copy_in_doubt = false;
   m_writing = false;
   const Pending rejected = std::move(m_pending.front());
   m_pending.pop_front();
@@ -302,6 +305,7 @@
 // or silent, not if it has stored the write and the answer is lost.
 void Leadership::VerifyWrite(Millis silence) {
   m_copy_in_doubt = true;
+  m_doubt_since = m_write_sent;
   ReadRow([this, epoch = m_epoch, call = ++m_call_number, silence,
            sent = m_clock->Now()](Result<std::optional<store::StoredRow>, store::ReadError> read) {
     if (!m_leading || m_epoch != epoch || m_call_number != call) return;
--- a/hickoryquay/service/leadership.h
+++ b/hickoryquay/service/leadership.h
@@ -169,6 +169,7 @@
   int m_refusals = 0;            // Of the write in flight, in succession; rejections included.
   int m_rejections = 0;          // Of the write in flight.
   bool m_copy_in_doubt = false;  // A copy of it got no answer and may still be stored.
+  Instant m_doubt_since;         // When the last such copy was sent.
   Instant m_write_started;       // When the write in flight was first sent.
   Instant m_write_sent;          // When the write in flight was last sent.
   int m_call_number = 0;         // Of the last store call for that write; failures of earlier calls are ignored.
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -452,6 +452,7 @@
 }
 
 // The row stays as it was stored last, so that a later leader, or a later version, may go on from there.
+  m_row_rejected = true;
 void SchedulerDriver::OnRowRejected(const jobs::RowChange& row, const std::string& why) {
   m_rows_rejected->Add();
   log::Error(kLog, "Store rejects a row, its tasks are set aside",
@@ -509,7 +510,11 @@
 void SchedulerDriver::OnStored(const jobs::Batch& batch) {
   m_held_starts.insert(m_held_starts.end(), batch.m_starts.begin(), batch.m_starts.end());
   SendStarts();
-  for (const jobs::RecordedEnds& known : batch.m_recorded_ends) m_sessions->SetRecordedEnds(known);
+  // The worker keeps ends that may not be in a row, so that the next leader reads them.
+  const bool rejected = std::exchange(m_row_rejected, false);
+  for (const jobs::RecordedEnds& known : batch.m_recorded_ends) {
+    rejected ? m_scheduler.WithholdEnds(known.m_worker) : m_sessions->SetRecordedEnds(known);
+  }
   if (!batch.m_phases.empty()) {
     CountPhases(batch.m_phases);
     m_events.m_phases(batch.m_phases);
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -137,6 +137,7 @@
   bool m_evacuations_known = false;
   bool m_stopped = false;
   bool m_write_pending = false;
+  bool m_row_rejected = false;  // Of the batch that is being stored.
   bool m_view_is_old = false;
   Instant m_started;   // Time of the election.
   Instant m_ready_at;  // When m_ready was set.
--- a/standin/sim_store.h
+++ b/standin/sim_store.h
@@ -49,6 +49,7 @@
   void ForgetHistory() { m_history_from = m_version; }
   void HoldFeeds(Millis time) { m_feeds_held_until = m_clock->Now() + time; }  // They hear of nothing meanwhile.
   void Reject(const store::RowKey& key) { m_rejected.insert(key); }            // Transactions that put it.
+  void Accept() { m_rejected.clear(); }
   void LeaveOutOfFeeds(const std::string& table, int rows) { m_left_out[table] = rows; }  // The next ones to be put.
   std::vector<store::StoredRow> Rows(const std::string& table) const;
   std::int64_t Writes() const { return m_writes; }
--- a/tests/service/faults_test.cc
+++ b/tests/service/faults_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(SuspendedLeaderKeepsInvariants);
   CPPUNIT_TEST(LostWritesAreResolved);
   CPPUNIT_TEST(RejectedRowHoldsUpOnlyItsOwnJob);
+  CPPUNIT_TEST(EndWhoseRowIsRejectedIsNotRunAgain);
   CPPUNIT_TEST(WorkersWithExpiredRowsStayInUse);
   CPPUNIT_TEST(DeadWorkerWithExpiredRowGetsNoTasks);
   CPPUNIT_TEST(WorkerIsRemovedIfRowDoesNotReturn);
@@ -87,6 +88,22 @@
     CheckInvariants();
   }
 
+  // Guards against a task that runs twice, since its worker was told that its end is recorded and it is in no row.
+  void EndWhoseRowIsRejectedIsNotRunAgain() {
+    m_cluster->Run(kStartup);
+    const TableNames tables;
+    const JobId job = m_cluster->SubmitSteps(0, {Tasks(1, 1), AfterFirst(Tasks(2, 1))}, Millis{4'000}, 1);
+    m_cluster->Run(Millis{1'500});
+    m_cluster->Store().Reject({tables.m_state, tables.m_leader_part, jobs::ToText(jobs::StepRowKey{{job, 0, 0}, 0})});
+    m_cluster->Run(Millis{5'000});  // The first step has ended, the second one runs.
+    m_cluster->KillInstance(*m_cluster->Leader());
+    m_cluster->Store().Accept();
+    m_cluster->Run(Millis{15'000});
+    CheckPhase(job, JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(3, m_cluster->Sim().Starts());
+    CheckInvariants();
+  }
+
   // In a full scan of the intake table, the cancel row precedes the row of its job.
   void CancelAppliesAfterTableRescan() {
     m_cluster->Run(kStartup);
--- a/tests/service/leadership_test.cc
+++ b/tests/service/leadership_test.cc
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include "standin/sim_store.h"
 
 namespace hickoryquay::service {
@@ -20,6 +22,7 @@
   CPPUNIT_TEST(RenewalCountsFromTheLastProofThatItWasNotStored);
   CPPUNIT_TEST(SlowStoreGetsFewCopiesOfAWrite);
   CPPUNIT_TEST(LostAnswersDoNotDelayTheWritesThatFollow);
+  CPPUNIT_TEST(CopyInDoubtOfARejectedWriteIsNotTakenForTheNextOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -123,6 +126,28 @@
     CPPUNIT_ASSERT(m_leadership->Leading());
   }
 
+  // Guards against a write that counts as stored because a late copy of the rejected one before it has its number.
+  void CopyInDoubtOfARejectedWriteIsNotTakenForTheNextOne() {
+    m_client->SetMood(StoreMood::kLateWrites);
+    m_leadership->Store(
+        {{{{"state", "leader", "row"}, "first"}}, {}}, [] {}, [](const std::string&) {});
+    m_timers.Advance(Millis{20});
+    m_client->SetMood(StoreMood::kServes);
+    m_store->Reject({"state", "leader", "row"});
+    m_timers.Advance(Millis{900});
+    m_store->Accept();  // What rejected the copies was not the store.
+    m_client->SetMood(StoreMood::kRefuses);
+    bool stored = false;
+    m_leadership->Store({{{{"state", "leader", "other"}, "second"}}, {}}, [&stored] { stored = true; });
+    m_timers.Advance(Millis{10'000});  // The late copy is applied.
+    m_client->SetMood(StoreMood::kServes);
+    m_leadership->OnStoreAvailable();
+    m_timers.Advance(Millis{5'000});
+    const auto rows = m_store->Rows("state");
+    CPPUNIT_ASSERT(stored);
+    CPPUNIT_ASSERT(std::any_of(rows.begin(), rows.end(), [](const auto& row) { return row.m_value == "second"; }));
+  }
+
  private:
   void Write(const std::string& value) {
     m_leadership->Store({{{{"state", "leader", "row"}, value}}, {}}, [this] { ++m_stored; });
