--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -267,6 +267,7 @@
   bool PrefersDataRack(const Unit& unit, Now now) const;
   bool HasWaitedLongEnough(const StepState& step, Now now) const;
   bool HasAmpleRoom(const Unit& unit);
+  static bool HasWaitedFor(const StepState& step, Millis time, Now now);
   void NoteHeldBack(const Unit& unit, Now now);
   std::vector<StepState*> ReadySteps(Now now);
   const Candidates& CandidatesFor(const Unit& unit);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr log::Part kLog{"placement"};
-constexpr double kLightUse = 0.5;  // Of the accelerators of a pool.
 
 }  // namespace
 
@@ -82,9 +81,12 @@
   if (job.m_priority == 0 || room == m_rooms.end()) return false;
   const bool lasts = unit.m_step->m_spec->m_long_running;
   if (lasts && Raw(unit.m_run) > 0) return false;  // It used its room before.
-  // The share is kept for work that needs accelerators, so it holds as long as these are in use.
-  if (HasWaitedLongEnough(*unit.m_step, now) && (lasts || room->second.AcceleratorUse() < kLightUse)) return false;
+  // The share is kept for work that needs accelerators, so it holds for longer while these are in use.
+  const bool light = lasts || room->second.AcceleratorUse() < kLightUse;
+  const Millis bound = light ? m_settings.m_longest_preference : m_settings.m_longest_reserve;
+  if (HasWaitedFor(*unit.m_step, bound, now)) return false;
   const int takes = unit.Accelerators();
+  if (takes == 0) return false;
   // Capped at half of what the unit leaves of all accelerators, or a large unit could never start.
   const double min_free =
       std::min(RequiredFreeShare(unit, now) * room->second.m_total, (room->second.m_total - takes) / 2.0);
@@ -103,7 +105,11 @@
 
 // Preferences don't hold the step back any more.
 bool Scheduler::HasWaitedLongEnough(const StepState& step, Now now) const {
-  return step.m_held_back_since && now.m_steady - *step.m_held_back_since >= m_settings.m_longest_preference;
+  return HasWaitedFor(step, m_settings.m_longest_preference, now);
+}
+
+bool Scheduler::HasWaitedFor(const StepState& step, Millis time, Now now) {
+  return step.m_held_back_since && now.m_steady - *step.m_held_back_since >= time;
 }
 
 // The unit fits twice into what is free, and the pool is lightly used: room that is taken now is not missed by others.
@@ -167,11 +173,7 @@
 void Scheduler::PlaceStep(StepState* step, Now now) {
   if (Ended(step->m_job->m_phase)) return;  // Another step has ended it in this round.
   const Unit* left = step->HasWaiting() ? PlaceUnits(step, now) : nullptr;
-  if (left == nullptr) {
-    step->m_held_back_since.reset();
-  } else {
-    NoteHeldBack(*left, now);
-  }
+  if (left != nullptr) NoteHeldBack(*left, now);
 }
 
 // Places the waiting units of a step until one does not fit. The others won't fit either, and must not use resources
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -112,7 +112,8 @@
   std::set<int> m_stored_rows;     // Of which a row is stored.
   std::set<int> m_set_aside_rows;  // That the store rejects.
   StepPace m_pace;
-  // Steady time since which units wait though there is ample room; empty: they don't. See Scheduler::NoteHeldBack.
+  // Steady time since which units have waited though there was ample room, and none has run since; empty: they don't
+  // wait. See Scheduler::NoteHeldBack.
   std::optional<Instant> m_held_back_since;
   std::map<WorkerId, Instant> m_avoided;  // Workers on which its tasks failed, each until a steady time.
 
--- a/hickoryquay/jobs/worker_choice.cc
+++ b/hickoryquay/jobs/worker_choice.cc
@@ -115,7 +115,7 @@
   std::vector<WorkerOption> options = OptionsAmong(input, candidates, settings);
   if (members == 1 && !options.empty()) {
     const WorkerOption& best = *std::min_element(options.begin(), options.end(), &IsBetter);
-    return {{best.m_slot}, best.m_rank, best.m_avoid_cold};
+    return {{best.m_slot}, best.m_rank, best.m_avoid_cold, best.m_rests};
   }
   const auto room = std::accumulate(
       options.begin(), options.end(), std::size_t{0},
@@ -128,6 +128,7 @@
       choice.m_slots.push_back(option.m_slot);
       choice.m_rank = choice.m_slots.size() == 1 ? option.m_rank : std::max(choice.m_rank, option.m_rank);
       choice.m_cold = choice.m_cold || option.m_avoid_cold;
+      choice.m_rests = choice.m_rests || option.m_rests;
     }
   }
   return choice;
@@ -142,7 +143,7 @@
 Choice RankedWorkers::Best() const {
   if (m_options.empty()) return {};
   const WorkerOption& best = m_options.front();
-  return {{best.m_slot}, best.m_rank, best.m_avoid_cold};
+  return {{best.m_slot}, best.m_rank, best.m_avoid_cold, best.m_rests};
 }
 
 void RankedWorkers::OnPlaced() {
@@ -167,10 +168,10 @@
   for (const auto& [free, slots] : by_room) {
     Choice chosen = choose(*slots);
     if (chosen.m_slots.empty()) continue;
-    const bool better =
-        best.m_slots.empty() || std::tie(chosen.m_cold, chosen.m_rank) < std::tie(best.m_cold, best.m_rank);
+    const bool better = best.m_slots.empty() || std::tie(chosen.m_rests, chosen.m_cold, chosen.m_rank) <
+                                                    std::tie(best.m_rests, best.m_cold, best.m_rank);
     if (better) best = std::move(chosen);
-    if (!uneven && !best.m_cold) break;  // All others are of the same rank.
+    if (!uneven && !best.m_cold && !best.m_rests) break;  // All others are of the same rank.
   }
   return best;
 }
--- a/hickoryquay/jobs/worker_choice.h
+++ b/hickoryquay/jobs/worker_choice.h
@@ -51,6 +51,7 @@
   std::vector<WorkerSlot*> m_slots;  // One for each member; empty if there are not enough.
   int m_rank = 0;                    // Of the slowest member's worker; lower ones are better. 0 in even pools.
   bool m_cold = false;               // Urgent work would get a worker that is still slow after its start.
+  bool m_rests = false;              // A member would get a worker that rests.
 };
 
 // Within a rank, workers with the fewest free accelerators come first, then warm ones. Urgent work takes a cold worker
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -30,6 +30,7 @@
 }
 
 double PoolRoom::AcceleratorUse() const {
+  if (m_capacity.m_accelerators == 0) return ProcessorUse();
   return ShareOf(m_used.m_accelerators, m_capacity.m_accelerators);
 }
 
@@ -38,8 +39,7 @@
 }
 
 bool PoolRoom::IsLightlyUsed() const {
-  constexpr double kHalf = 0.5;
-  return AcceleratorUse() < kHalf || ProcessorUse() < kHalf;
+  return AcceleratorUse() < kLightUse || ProcessorUse() < kLightUse;
 }
 
 void WorkerSlot::OnRestarted() {
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -78,6 +78,8 @@
   void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
 };
 
+constexpr double kLightUse = 0.5;  // Share of a pool in use, below which room is not short.
+
 // What is free and in use in a pool.
 struct PoolRoom {
   int m_free = 0;        // Accelerators of schedulable workers.
@@ -86,9 +88,9 @@
   Resources m_capacity;  // Of all listed workers.
 
   void Take(const Resources& task, int times);
-  double AcceleratorUse() const;  // Share of the accelerators in use; 0 if there are none.
-  double ProcessorUse() const;    // As above, of cores and accelerators together.
-  bool IsLightlyUsed() const;     // Less than half of one of the two.
+  double AcceleratorUse() const;  // Share of the accelerators in use; of the cores if there are none.
+  double ProcessorUse() const;    // Share of cores and accelerators together.
+  bool IsLightlyUsed() const;     // Less than kLightUse of one of the two.
 };
 using PoolRooms = std::map<PoolName, PoolRoom>;
 
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -185,7 +185,6 @@
     if (row.m_version > m_intake->At()) continue;
     if (!IsMissed(row) || !m_missed.insert(row.m_key.m_key).second) continue;
     missed.push_back(row);
-    if (!m_missed.insert(row.m_key.m_key).second) continue;
     m_rows_missed->Add();
     log::Warn(kLog, "Row of the intake table was not known",
               {{"key", row.m_key.m_key}, {"part", row.m_key.m_part}, {"version", std::to_string(Raw(row.m_version))}});
--- a/tests/jobs/held_back_test.cc
+++ b/tests/jobs/held_back_test.cc
@@ -43,6 +43,11 @@
   CPPUNIT_TEST(FreeShareCountsTheWorkersOfItsOwnPool);
   CPPUNIT_TEST(TaskDoesNotWaitForTheRackOfItsData);
   CPPUNIT_TEST(TaskDoesNotWaitForWorkersThatRest);
+  CPPUNIT_TEST(TaskWithoutAcceleratorsIsNotHeldBackByTheFreeShare);
+  CPPUNIT_TEST(GangIsNotHeldBackForEverWhileMostCoresAreFree);
+  CPPUNIT_TEST(GangWaitsForItsRackInAFullServiceWithoutAccelerators);
+  CPPUNIT_TEST(RefusedStartDoesNotBeginTheWaitAnew);
+  CPPUNIT_TEST(GangAvoidsRestingWorkersWhereAnotherRackHasRoom);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -133,7 +138,71 @@
     CheckStartsInTime(Submit(Single(1), 1));
   }
 
+  // Guards against a task that can't use up the reserve and waits for it all the same, new or started again.
+  void TaskWithoutAcceleratorsIsNotHeldBackByTheFreeShare() {
+    StepSpec task = Single(0);
+    task.m_task.m_millicores = 1'000;
+    const JobId again = Submit(task, 1);
+    Confirm(Round());
+    for (int i = 0; i < 20; ++i) Occupy(WorkerAt(i), kAccelerators);
+    End(again, EndKind::kFailed);
+    CPPUNIT_ASSERT(WaitUntilPlaced(again, kBound));
+    CPPUNIT_ASSERT(WaitUntilPlaced(Submit(task, 1), kRound * 2));
+  }
+
+  // Guards against a reserve without a bound: 15 of 24 workers are in use, 63% of the accelerators and 23% of all.
+  void GangIsNotHeldBackForEverWhileMostCoresAreFree() {
+    for (int i = 0; i < 15; ++i) Occupy(WorkerAt(i), kAccelerators);
+    CPPUNIT_ASSERT(WaitUntilPlaced(Submit(Gang(4, kAccelerators, false), 2), Millis{10'500}));
+  }
+
+  // As GangWaitsForItsRackInAFullService, on workers without accelerators: 7/8 of the cores are in use.
+  void GangWaitsForItsRackInAFullServiceWithoutAccelerators() {
+    const PoolName cores{"cores"};
+    constexpr int kCores = 8'000;
+    const auto worker_at = [](int index) { return WorkerId{"c" + std::to_string(100 + index)}; };
+    for (int i = 0; i < kWorkers; ++i) {
+      List(worker_at(i), cores, "r" + std::to_string(i / kRackSize), Resources{0, kCores, 64'000});
+      StepSpec step;
+      step.m_task = Resources{0, i % kRackSize < 6 ? kCores : kCores / 2, 1'000};
+      step.m_long_running = true;
+      Submit(step, 0, cores);
+      Confirm(Round());
+      m_scheduler->SetWorkerUsable(worker_at(i), false);
+    }
+    for (int i = 0; i < kWorkers; ++i) m_scheduler->SetWorkerUsable(worker_at(i), true);
+    StepSpec gang = Gang(10, 0, true);
+    gang.m_task.m_millicores = 1'000;
+    CPPUNIT_ASSERT(!WaitUntilPlaced(Submit(gang, 1, cores), kBound * 4));
+  }
+
+  // Guards against a bound that counts from the last try: a refused start doubled the time with nothing running.
+  void RefusedStartDoesNotBeginTheWaitAnew() {
+    for (int i = 0; i < kRackSize - 1; ++i) Occupy(WorkerAt(i), kAccelerators);
+    Occupy(WorkerAt(kRackSize - 1), 4);
+    StepSpec task = Single(kAccelerators);
+    task.m_data_rack = "r0";
+    const JobId job = Submit(task, 1);
+    CheckStartsInTime(job);
+    for (const auto& [key, run] : m_runs) {
+      if (key.m_step.m_job == job) m_scheduler->OnStartAnswer(run, StartOutcome::kNoRoom, At(m_time));
+    }
+    CPPUNIT_ASSERT(WaitUntilPlaced(job, kRound * 5));
+  }
+
+  // Guards against members on workers that rest though sound ones have room. Six of r1 are free, two of which rest.
+  void GangAvoidsRestingWorkersWhereAnotherRackHasRoom() {
+    for (int i = 0; i < 10; ++i) Occupy(WorkerAt(i), kAccelerators);
+    Occupy(WorkerAt(2 * kRackSize), kAccelerators);
+    Rest({WorkerAt(10), WorkerAt(11)});
+    const JobId gang = Submit(Gang(6, kAccelerators, true), 2);
+    CheckStartsInTime(gang);
+    CPPUNIT_ASSERT(!Holds(WorkerAt(10), gang) && !Holds(WorkerAt(11), gang));
+  }
+
  private:
+  static constexpr Resources kWhole{kAccelerators, 16'000 * kAccelerators, 64'000};
+
   static StepSpec Single(int accelerators) {
     StepSpec step;
     step.m_task = Resources{accelerators, 1'000 * accelerators, 1'000};
@@ -155,13 +224,13 @@
     return step;
   }
 
-  void List(const WorkerId& id, const PoolName& pool, const std::string& rack) {
+  void List(const WorkerId& id, const PoolName& pool, const std::string& rack, const Resources& capacity = kWhole) {
     WorkerEntry worker;
     worker.m_id = id;
     worker.m_pool = pool;
     worker.m_address = "10.100.200.1:8524";
     worker.m_rack = rack;
-    worker.m_capacity = Resources{kAccelerators, 16'000 * kAccelerators, 64'000};
+    worker.m_capacity = capacity;
     m_scheduler->OnWorkerListed(worker, At(m_time));
     m_scheduler->SetWorkerUsable(id, true);
   }
