Jobs: a confirmed run that vanishes without an end counts as a crash

Its worker answers the long poll once more as it goes down, without its runs, so that the run was settled as vanished and nothing was counted; the next run was sent to the same dead worker.

Rows of crashes without a known time are written as before.

--- a/hickoryquay/jobs/rows.cc
+++ b/hickoryquay/jobs/rows.cc
@@ -1,5 +1,6 @@
 #include "hickoryquay/jobs/rows.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -95,7 +96,9 @@
   if (!crashes.empty()) object["crashes"] = std::move(crashes);
   json::array crashed_after;  // A field of its own, so that earlier versions read the others.
   for (const CrashedRun& crash : unit.m_crashes) crashed_after.push_back(crash.m_ran.count());
-  if (!crashed_after.empty()) object["crashed_after"] = std::move(crashed_after);
+  const bool known = std::any_of(unit.m_crashes.begin(), unit.m_crashes.end(),
+                                 [](const CrashedRun& crash) { return crash.m_ran > Millis{0}; });
+  if (known) object["crashed_after"] = std::move(crashed_after);
   PutUnlessDefault(&object, "checkpoint", unit.m_checkpoint);
   json::array members;
   for (const PlacedMember& member : unit.m_members) {
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -235,7 +235,8 @@
   void RecordFailure(Unit* unit, RunNumber run, Now now);
   void RecordDone(Unit* unit, Now now);
   void Settle(Unit* unit, std::size_t member);
-  void SettleAbsent(WorkerSlot* slot, const PollReply& reply, Instant sent);
+  void SettleAbsent(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now);
+  void OnVanished(WorkerSlot* slot, Unit* unit, std::size_t member, Now now);
   void StopRun(Unit* unit, const char* why);
 
   // scheduler_restart.cc
@@ -266,8 +267,8 @@
   bool LeavesTooFewFree(const Unit& unit, Now now) const;
   bool PrefersDataRack(const Unit& unit, Now now) const;
   bool HasWaitedLongEnough(const StepState& step, Now now) const;
-  bool HasAmpleRoom(const Unit& unit);
   static bool HasWaitedFor(const StepState& step, Millis time, Now now);
+  bool HasAmpleRoom(const Unit& unit);
   void NoteHeldBack(const Unit& unit, Now now);
   std::vector<StepState*> ReadySteps(Now now);
   const Candidates& CandidatesFor(const Unit& unit);
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -214,7 +214,7 @@
   for (const RunningTask& running : reply.m_running) OnRunning(slot, running, now);
   CheckPace(slot, reply, now);
   RecordProgress(slot, reply, now);
-  SettleAbsent(slot, reply, sent);
+  SettleAbsent(slot, reply, sent, now);
   slot->m_silent_since = Instant{};
   slot->m_silent_with_domain = false;
   slot->m_lost = false;
@@ -253,8 +253,8 @@
              {"worker", slot->m_entry.m_id.m_value},
              {"number", std::to_string(end.m_number)}});
   if (unit == nullptr) return;
-  NoteBegun(unit->m_step->m_job, now);
   if (unit->m_set_aside) slot->m_withholds_ends = true;
+  NoteBegun(unit->m_step->m_job, now);
   const bool current = unit->m_active && unit->m_run == end.m_run && unit->m_members[index].m_slot == slot;
   const bool lasts = unit->m_step->m_spec->m_long_running;
   if (current && unit->m_step->m_spec->m_checkpoints && !end.m_checkpoint.empty())
@@ -278,7 +278,7 @@
 
 // Settles runs that the worker does not list. Such a run can't start any more if its stop was acknowledged before the
 // poll was sent, if the worker had confirmed the run before, or if it was started under an earlier epoch.
-void Scheduler::SettleAbsent(WorkerSlot* slot, const PollReply& reply, Instant sent) {
+void Scheduler::SettleAbsent(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now) {
   if (reply.m_more_ended) return;
   const auto members = slot->m_members;
   for (const auto& held : members) {
@@ -302,6 +302,7 @@
                  {"proof", stopped    ? "stopped"
                            : vanished ? "vanished"
                                       : "earlier epoch"}});
+      if (vanished && !stopped) OnVanished(slot, unit, index, now);
       if (unit->m_members.size() > 1 && !unit->m_done) StopRun(unit, "member is not on its worker");
       if (member.m_slot == slot) Settle(unit, index);
     } else if (unanswered) {
@@ -310,6 +311,12 @@
   }
 }
 
+// A confirmed run is gone without an end: the worker's process has crashed, and may be gone itself.
+void Scheduler::OnVanished(WorkerSlot* slot, Unit* unit, std::size_t member, Now now) {
+  RecordCrash(unit, member, {WorkerLoss::kRestarted, slot->CountUnits(), now.m_steady}, now);
+  slot->m_avoid_until = std::max(slot->m_avoid_until, now.m_steady + m_settings.m_avoid_refusing_for);
+}
+
 //-------------------------------------------------------------------------------------------------
 // Outcomes
 //-------------------------------------------------------------------------------------------------
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -451,8 +451,8 @@
 }
 
 // The row stays as it was stored last, so that a later leader, or a later version, may go on from there.
-  m_row_rejected = true;
 void SchedulerDriver::OnRowRejected(const jobs::RowChange& row, const std::string& why) {
+  m_row_rejected = true;
   m_rows_rejected->Add();
   log::Error(kLog, "Store rejects a row, its tasks are set aside",
              {{"key", row.m_key}, {"bytes", std::to_string(row.m_value.value_or("").size())}, {"why", why}});
--- a/tests/jobs/crash_isolation_test.cc
+++ b/tests/jobs/crash_isolation_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(CrashDuringACutCounts);
   CPPUNIT_TEST(UnitThatRunsOnIsCleared);
   CPPUNIT_TEST(UnitIsClearedByARunThatOutlastsItsCrashes);
+  CPPUNIT_TEST(RunThatVanishesWithoutAnEndCounts);
   CPPUNIT_TEST(LateCrashesAmongUsualLossesDoNotCount);
   CPPUNIT_TEST(SuspectsDoNotShareAWorker);
   CPPUNIT_TEST(WorkerIsHeldUntilItIsEmpty);
@@ -166,6 +167,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, StoredCrashes());
   }
 
+  // Guards against a crash that counts for nothing, since the worker answered once more, without its runs.
+  void RunThatVanishesWithoutAnEndCounts() {
+    MakeScheduler(2);
+    Submit(kJob, 1);
+    const StartCommand start = StartOnly(At(0));
+    List(start, At(3'900));
+    m_scheduler->OnPollReply(start.m_worker, PollReply{}, At(4'000).m_steady, At(4'000));
+    m_stored_crashes = 0;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, StoredCrashes());
+    m_scheduler->Decide(At(4'000));
+    const auto starts = Take().m_starts;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    CPPUNIT_ASSERT(starts.front().m_worker != start.m_worker);
+  }
+
   // Guards against sound tasks being given up where workers are lost all the time, with and without them.
   void LateCrashesAmongUsualLossesDoNotCount() {
     Unit unit;
