--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -181,6 +181,8 @@
   // The store rejects the row for good. It is not written again and none of its units is started any more; runs that
   // are not sent yet are withdrawn.
   void SetAside(const StepRowKey& row);
+  // Ends of tasks that the worker has listed may be in no row: it is not told any more that they are.
+  void WithholdEnds(const WorkerId& worker);
 
   // Returns each job once. Call only when every batch taken so far is stored.
   std::vector<SettledJob> TakeSettledJobs();
@@ -233,7 +235,8 @@
   void RecordFailure(Unit* unit, RunNumber run, Now now);
   void RecordDone(Unit* unit, Now now);
   void Settle(Unit* unit, std::size_t member);
-  void SettleAbsent(WorkerSlot* slot, const PollReply& reply, Instant sent);
+  void SettleAbsent(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now);
+  void OnVanished(WorkerSlot* slot, Unit* unit, std::size_t member, Now now);
   void StopRun(Unit* unit, const char* why);
 
   // scheduler_restart.cc
@@ -264,6 +267,7 @@
   bool LeavesTooFewFree(const Unit& unit, Now now) const;
   bool PrefersDataRack(const Unit& unit, Now now) const;
   bool HasWaitedLongEnough(const StepState& step, Now now) const;
+  static bool HasWaitedFor(const StepState& step, Millis time, Now now);
   bool HasAmpleRoom(const Unit& unit);
   void NoteHeldBack(const Unit& unit, Now now);
   std::vector<StepState*> ReadySteps(Now now);
@@ -306,6 +310,7 @@
   std::deque<std::pair<Instant, JobId>> m_archived;  // With the steady time.
   int m_starts = 0;
   int m_preemptions = 0;
+  int m_lost_workers = 0;  // Since construction; restarts included, ends of leases not.
 };
 
 }  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -182,6 +182,7 @@
 // A member of the unit runs. Reports the job when its first step has begun within a guarantee.
 void Scheduler::NoteRunning(const Unit& unit, Now now) {
   JobState* job = unit.m_step->m_job;
+  unit.m_step->m_held_back_since.reset();
   NoteBegun(job, now);
   if (job->m_begun || job->m_job.m_priority != 0 || unit.m_step->m_key.m_step != 0) return;
   const auto& units = unit.m_step->m_units;
@@ -213,9 +214,10 @@
   for (const RunningTask& running : reply.m_running) OnRunning(slot, running, now);
   CheckPace(slot, reply, now);
   RecordProgress(slot, reply, now);
-  SettleAbsent(slot, reply, sent);
+  SettleAbsent(slot, reply, sent, now);
   slot->m_silent_since = Instant{};
   slot->m_silent_with_domain = false;
+  slot->m_lost = false;
 }
 
 void Scheduler::OnRunning(WorkerSlot* slot, const RunningTask& running, Now now) {
@@ -251,6 +253,7 @@
              {"worker", slot->m_entry.m_id.m_value},
              {"number", std::to_string(end.m_number)}});
   if (unit == nullptr) return;
+  if (unit->m_set_aside) slot->m_withholds_ends = true;
   NoteBegun(unit->m_step->m_job, now);
   const bool current = unit->m_active && unit->m_run == end.m_run && unit->m_members[index].m_slot == slot;
   const bool lasts = unit->m_step->m_spec->m_long_running;
@@ -275,7 +278,7 @@
 
 // Settles runs that the worker does not list. Such a run can't start any more if its stop was acknowledged before the
 // poll was sent, if the worker had confirmed the run before, or if it was started under an earlier epoch.
-void Scheduler::SettleAbsent(WorkerSlot* slot, const PollReply& reply, Instant sent) {
+void Scheduler::SettleAbsent(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now) {
   if (reply.m_more_ended) return;
   const auto members = slot->m_members;
   for (const auto& held : members) {
@@ -299,6 +302,7 @@
                  {"proof", stopped    ? "stopped"
                            : vanished ? "vanished"
                                       : "earlier epoch"}});
+      if (vanished && !stopped) OnVanished(slot, unit, index, now);
       if (unit->m_members.size() > 1 && !unit->m_done) StopRun(unit, "member is not on its worker");
       if (member.m_slot == slot) Settle(unit, index);
     } else if (unanswered) {
@@ -307,6 +311,12 @@
   }
 }
 
+// A confirmed run is gone without an end: the worker's process has crashed, and may be gone itself.
+void Scheduler::OnVanished(WorkerSlot* slot, Unit* unit, std::size_t member, Now now) {
+  RecordCrash(unit, member, {WorkerLoss::kRestarted, slot->CountUnits(), now.m_steady}, now);
+  slot->m_avoid_until = std::max(slot->m_avoid_until, now.m_steady + m_settings.m_avoid_refusing_for);
+}
+
 //-------------------------------------------------------------------------------------------------
 // Outcomes
 //-------------------------------------------------------------------------------------------------
@@ -365,7 +375,7 @@
 
 // A run that lasts clears its unit of the crashes before.
 void Scheduler::ClearIfSound(Unit* unit) {
-  if (unit->m_sound || !HasRunOn(*unit, m_settings.m_choice.m_crashes.m_sound_after)) return;
+  if (unit->m_sound || !HasRunOn(*unit, SoundAfter(*unit, m_settings.m_choice.m_crashes))) return;
   unit->m_sound = true;
   if (unit->m_crashes.empty()) return;
   unit->m_crashes.clear();
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -50,8 +50,10 @@
   int m_unrecorded_runs = 0;          // That its last reply listed and no row names; they take room until they end.
   std::int64_t m_processed_ends = 0;  // Number of the last end that was processed.
   std::int64_t m_released_ends = 0;   // Number of the last end that was handed out in Batch::m_recorded_ends.
+  bool m_withholds_ends = false;      // No further ends are handed out: some are in no row.
   std::map<Unit*, Reservation, UnitLess> m_reservations;
   Instant m_silent_since;              // Steady time since which it does not answer; 0: it does.
+  bool m_lost = false;                 // Its loss is counted, and it has not answered since.
   Unit* m_held_for = nullptr;          // Gets nothing but this unit, which must run alone.
   std::optional<Instant> m_leaves_at;  // Earliest steady time at which a draining worker is removed.
   int m_failures = 0;                  // Consecutive failed tasks; a successful one resets it.
@@ -76,6 +78,8 @@
   void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
 };
 
+constexpr double kLightUse = 0.5;  // Share of a pool in use, below which room is not short.
+
 // What is free and in use in a pool.
 struct PoolRoom {
   int m_free = 0;        // Accelerators of schedulable workers.
@@ -84,9 +88,9 @@
   Resources m_capacity;  // Of all listed workers.
 
   void Take(const Resources& task, int times);
-  double AcceleratorUse() const;  // Share of the accelerators in use; 0 if there are none.
-  double ProcessorUse() const;    // As above, of cores and accelerators together.
-  bool IsLightlyUsed() const;     // Less than half of one of the two.
+  double AcceleratorUse() const;  // Share of the accelerators in use; of the cores if there are none.
+  double ProcessorUse() const;    // Share of cores and accelerators together.
+  bool IsLightlyUsed() const;     // Less than kLightUse of one of the two.
 };
 using PoolRooms = std::map<PoolName, PoolRoom>;
 
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -155,6 +155,7 @@
   for (const auto& row : rows) {
     const auto id = ParseIntakeKey(row, kJobPrefix);
     if (!id) continue;
+    if (row.m_key.m_part == m_settings.m_tables.m_whole_part) m_whole_part_jobs.insert(*id);
     const auto job = jobs::ReadAcceptedJob(*id, row.m_value);
     if (Ok(job)) {
       m_scheduler.OnJob(ValueOf(job), Time());
@@ -168,18 +169,22 @@
   ScheduleRound();
 }
 
+// A row that can't be read was reported when the feed brought it.
+bool SchedulerDriver::IsMissed(const store::StoredRow& row) const {
+  if (const auto job = ParseIntakeKey(row, kJobPrefix))
+    return !m_scheduler.Phase(*job) && Ok(jobs::ReadAcceptedJob(*job, row.m_value));
+  const auto cancel = ParseIntakeKey(row, kCancelPrefix);
+  const auto phase = cancel ? m_scheduler.Phase(*cancel) : std::nullopt;
+  return phase && !jobs::Ended(*phase);
+}
+
 // Rows that are newer than the feed are on their way.
 void SchedulerDriver::OnAuditedRows(const std::vector<store::StoredRow>& rows) {
   std::vector<store::StoredRow> missed;
   for (const auto& row : rows) {
     if (row.m_version > m_intake->At()) continue;
-    const auto job = ParseIntakeKey(row, kJobPrefix);
-    const auto cancel = ParseIntakeKey(row, kCancelPrefix);
-    const bool is_missed = (job && !m_scheduler.Phase(*job)) ||
-                           (cancel && !jobs::Ended(m_scheduler.Phase(*cancel).value_or(jobs::JobPhase::kCancelled)));
-    if (!is_missed) continue;
+    if (!IsMissed(row) || !m_missed.insert(row.m_key.m_key).second) continue;
     missed.push_back(row);
-    if (!m_missed.insert(row.m_key.m_key).second) continue;
     m_rows_missed->Add();
     log::Warn(kLog, "Row of the intake table was not known",
               {{"key", row.m_key.m_key}, {"part", row.m_key.m_part}, {"version", std::to_string(Raw(row.m_version))}});
@@ -447,6 +452,7 @@
 
 // The row stays as it was stored last, so that a later leader, or a later version, may go on from there.
 void SchedulerDriver::OnRowRejected(const jobs::RowChange& row, const std::string& why) {
+  m_row_rejected = true;
   m_rows_rejected->Add();
   log::Error(kLog, "Store rejects a row, its tasks are set aside",
              {{"key", row.m_key}, {"bytes", std::to_string(row.m_value.value_or("").size())}, {"why", why}});
@@ -503,7 +509,11 @@
 void SchedulerDriver::OnStored(const jobs::Batch& batch) {
   m_held_starts.insert(m_held_starts.end(), batch.m_starts.begin(), batch.m_starts.end());
   SendStarts();
-  for (const jobs::RecordedEnds& known : batch.m_recorded_ends) m_sessions->SetRecordedEnds(known);
+  // The worker keeps ends that may not be in a row, so that the next leader reads them.
+  const bool rejected = std::exchange(m_row_rejected, false);
+  for (const jobs::RecordedEnds& known : batch.m_recorded_ends) {
+    rejected ? m_scheduler.WithholdEnds(known.m_worker) : m_sessions->SetRecordedEnds(known);
+  }
   if (!batch.m_phases.empty()) {
     CountPhases(batch.m_phases);
     m_events.m_phases(batch.m_phases);
