Soak: workers report the progress of their own tasks

What was seen: in the soak every worker looked slowed down, so the instances avoided all of them; the soak tested a scheduler that avoids its workers.

Cause: each hold reported 50% for each task, for ever.

Why it works: the scheduler compares progress over time with the estimate; a figure that never moves means no progress.

--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -194,7 +194,8 @@
         running = []
         while time.monotonic() - self.begun < self.options.seconds:
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
-            running.append(asyncio.ensure_future(self.fault()))
+            if not self.options.calm:
+                running.append(asyncio.ensure_future(self.fault()))
         self.over = True
         await asyncio.gather(*clients, *running)
         for instance in self.instances:
@@ -256,8 +257,11 @@
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--workers", type=int, default=8)
     parser.add_argument("--clients", type=int, default=6)
+    parser.add_argument("--calm", action="store_true", help="no faults")
+    parser.add_argument("--keep", metavar="DIRECTORY", help="keep all logs there, however the run ends")
     options = parser.parse_args()
-    directory = tempfile.mkdtemp(prefix="hickoryquay-soak-")
+    directory = options.keep or tempfile.mkdtemp(prefix="hickoryquay-soak-")
+    os.makedirs(directory, exist_ok=True)
     soak = Soak(options, directory)
     asyncio.run(soak.run())
     accepted = sum(200 in job["answers"] for job in soak.farm.jobs.values())
@@ -268,7 +272,8 @@
     if soak.farm.wrong:
         print(f"  logs in {directory}; faults: {soak.faults}")
         return 1
-    shutil.rmtree(directory)
+    if not options.keep:
+        shutil.rmtree(directory)
     return 0
 
 
--- a/scripts/soak/stand_ins.py
+++ b/scripts/soak/stand_ins.py
@@ -13,6 +13,11 @@
     return int(time.monotonic() * 1000)
 
 
+def percent_of(run):
+    """The share of a run's own work that is done, as whole percent."""
+    return int(100 * (1 - max(0.0, run["left"]) / run["work"]))
+
+
 class Store:
     """Nothing waits between a check and its write, so no lock is needed. A feed that waits must hold none: one that is
     cancelled as its time ends would leave it locked for good."""
@@ -137,7 +142,7 @@
                     pass
             if life != self.life:
                 return None
-            running = [[task, run["run"], "", 50] for task, run in self.runs.items()]
+            running = [[task, run["run"], "", percent_of(run)] for task, run in self.runs.items()]
             return 200, {"clockMs": now_ms(), "running": running, "ended": self.ended}
         return 404, {}
 
@@ -154,7 +159,8 @@
             return 409, {"clockMs": now_ms(), "reason": "late"}
         self.extend(body["expiresMs"])
         self.farm.check_start(self, task, number)
-        self.runs[task] = {"run": number, "left": self.farm.work_of(task), "since": time.monotonic()}
+        work = self.farm.work_of(task)
+        self.runs[task] = {"run": number, "work": work, "left": work, "since": time.monotonic()}
         return 200, {"clockMs": now_ms()}
 
     def end(self, task, how):
