Soak: kinds of jobs as a table, racks, failure domains, how full the service is

What was missing: the soak had single steps of independent short tasks on eight workers of one failure domain, so gangs, steps and tasks that last were never played on real processes.

Change: jobs.py has one entry for each kind of job: gangs, gangs for one rack (also such that need nearly a whole one), steps one after another, tasks that last, wrong estimates. Workers stand in three racks of three failure domains, the instances too. The stand-ins let members of a gang work only together and end them together, take three times as long for a gang for one rack that runs on several, and let tasks that last fail at times. New checks: a step starts after the one before it, a cancelled lasting job is gone after 3 s.

--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 
+import jobs
 from http_json import Client, port_of, serve
 from proxy import Proxy
 from stand_ins import Farm, Store, Worker
@@ -20,6 +21,7 @@
 SMALL_LINK = 1_250_000        # Bytes a second between the store and an instance with a small link.
 ROUTES_ADDED, MAX_ROUTES = 1400, 5600
 IN_FORCE_S = 10.0             # For the last configuration to be in force everywhere, once all faults are over.
+CANCEL_S = 3.0                # For the runs of a cancelled job to be gone.
 KEY = {"Host": "soak.example", "Authorization": "Token key", "X-Deadline-Ms": "3000"}
 
 
@@ -44,9 +46,10 @@
         self.proxy = Proxy(self.soak.store_port, SMALL_LINK if self.soak.all_small or self.index % 2 else 0)
         store = await self.proxy.start()
         self.settings = os.path.join(self.soak.directory, f"node-{self.index}.ini")
+        domain = f"z{self.index % jobs.DOMAINS}"
         seeds = ", ".join(f"{i.host}:{INNER}" for i in self.soak.instances[:3])
         with open(self.settings, "w") as file:
-            file.write(f"[node]\nname = node-{self.index}\ndomain = z1\ncallers = {self.host}:{CALLERS}\n"
+            file.write(f"[node]\nname = node-{self.index}\ndomain = {domain}\ncallers = {self.host}:{CALLERS}\n"
                        f"ready = {self.host}:{READY}\ninner = {self.host}:{INNER}\nmetrics = {self.host}:0\n"
                        f"seeds = {seeds}\n[store]\naddress = 127.0.0.1:{store}\n"
                        f"[machines]\naddress = 127.0.0.1:{self.soak.machines_port}\n"
@@ -77,17 +80,19 @@
         self.options, self.directory = options, directory
         self.binary = os.path.abspath(options.binary)
         self.random = random.Random(options.seed)
-        self.farm, self.store, self.instances, self.proxies, self.jobs = Farm(), Store(), [], [], {}
+        self.farm, self.store, self.instances, self.proxies = Farm(random.Random(options.seed)), Store(), [], []
         self.faults, self.version, self.routes = [], 0, 0
         self.operator_random = random.Random(options.seed)
         self.all_small = self.operator_random.random() < 0.5  # Otherwise every other instance.
+        self.profile = options.profile or self.operator_random.choice(list(jobs.PROFILES))
+        self.between_s = jobs.seconds_between(self.profile, options.workers, options.clients)
 
     async def build(self):
         self.store_port = await self.store.start()
         self.machines_port = port_of(await serve(self.farm.machines))
         await self.configure()
         for i in range(self.options.workers):
-            worker = Worker(self.farm, f"w{i}", f"r{i // 4}")
+            worker = Worker(self.farm, i)
             proxy = Proxy(await worker.start())
             worker.address = f"127.0.0.1:{await proxy.start()}"
             self.farm.workers.append(worker)
@@ -122,33 +127,39 @@
         """Hands jobs in one after another over a connection that it keeps, and follows some of them."""
         link = Client(self.random.choice(self.instances).callers)
         while not self.over:
-            await asyncio.sleep(self.random.uniform(0.1, 0.6))
-            job = f"{self.random.getrandbits(64):016x}"
-            step = {"count": self.random.randint(1, 4), "cpu": 1000, "memMb": 1000, "gpu": 2 ** self.random.randint(0, 2),
-                    "estimateMs": 1000}
-            self.farm.jobs[job] = {"work": self.random.uniform(0.3, 2.0), "gpu": step["gpu"], "answers": [],
-                                   "path": f"/q{self.random.randint(0, 2)}/{job}", "tasks": step["count"]}
-            await self.submit(link, job, {"spec": "x", "steps": [step]})
-            if self.random.random() < 0.1 and 200 in self.farm.jobs[job]["answers"]:
+            await asyncio.sleep(self.random.uniform(0.5, 1.5) * self.between_s)
+            job = jobs.draw(f"{self.random.getrandbits(64):016x}", self.random, len(self.lasting()))
+            self.farm.jobs[job.id] = job
+            await self.submit(link, job)
+            if self.random.random() < 0.1 and job.accepted_at:
                 await asyncio.sleep(self.random.uniform(0.0, 1.5))
-                status, _, _ = await link.call("DELETE", self.farm.jobs[job]["path"], headers=KEY)
-                if status == 200:
-                    self.farm.cancelled.setdefault(job, time.monotonic())
-                else:
-                    self.farm.jobs[job]["maybe_cancelled"] = True
+                await self.cancel(link, job)
             if link.streams is None:
                 link = Client(self.random.choice(self.instances).callers)
 
-    async def submit(self, link, job, body):
+    def lasting(self):
+        """Jobs that last and that nobody has cancelled."""
+        return [job for job in self.farm.jobs.values()
+                if job.kind.lasting and job.id not in self.farm.cancelled and not job.maybe_cancelled]
+
+    async def submit(self, link, job):
         for _ in range(4):
-            status, _, _ = await link.call("POST", self.farm.jobs[job]["path"], body, KEY)
-            self.farm.jobs[job]["answers"].append(status)
+            status, _, _ = await link.call("POST", job.path, job.body(), KEY)
+            job.answered(status)
             if status == 200:
                 return
             await asyncio.sleep(0.5)
             link.close()
             link.address = self.random.choice(self.instances).callers
 
+    async def cancel(self, link, job):
+        status, _, _ = await link.call("DELETE", job.path, headers=KEY)
+        if status == 200:
+            self.farm.cancelled.setdefault(job.id, time.monotonic())
+        else:
+            job.maybe_cancelled = True
+        return status
+
     async def fault(self):
         """One fault; it may overlap with others."""
         pick, instance = self.random.randint(0, 10), self.random.choice(self.instances)
@@ -202,6 +213,7 @@
             instance.signal(signal.SIGCONT)
         await self.check_configuration()
         await self.check()
+        await self.cancel_lasting()
         for task in self.background:
             task.cancel()
         for instance in self.instances:
@@ -226,27 +238,50 @@
     async def check(self):
         """Every accepted job ends, and is shown as it ended; every refused one never ran."""
         wrong, deadline = self.farm.wrong, time.monotonic() + HEAL_S
-        for job, truth in self.farm.jobs.items():
-            accepted = 200 in truth["answers"]
-            if not accepted:
-                if truth.get("started") and all(a in (429, 503) for a in truth["answers"]):
-                    wrong.append(f"{job} was refused each time and ran")
+        for job in list(self.farm.jobs.values()):
+            if job.accepted_at is None:
+                if job.started and all(a in (429, 503) for a in job.answers):
+                    wrong.append(f"{job.id} was refused each time and ran")
                 continue
+            cancelled = job.id in self.farm.cancelled or job.maybe_cancelled
+            ends = ("cancelled",) if cancelled and job.kind.lasting else ("completed", "cancelled")
             state = None
             while time.monotonic() < deadline + 1:
-                link = Client(self.random.choice(self.instances).callers)
-                status, _, body = await link.call("GET", truth["path"], headers=KEY)
-                link.close()
-                state = body.get("state") if status == 200 and body else status
-                if state in ("completed", "cancelled") or time.monotonic() > deadline:
+                state = await self.state_of(job)
+                if state in (("running",) if job.kind.lasting and not cancelled else ends) or time.monotonic() > deadline:
                     break
                 await asyncio.sleep(0.2)
-            done = all(f"{job}.0.0.{i}" in self.farm.done for i in range(truth["tasks"]))
-            cancelled = job in self.farm.cancelled or truth.get("maybe_cancelled")
+            done = not job.kind.lasting and all(self.farm.step_is_done(job, step) for step in range(job.kind.steps))
             if state == "completed" and not done:
-                wrong.append(f"{job} is shown as completed and is not")
+                wrong.append(f"{job.id} ({job.kind.name}) is shown as completed and is not")
+            elif job.kind.lasting and (state == "running" and not cancelled or job.maybe_cancelled):
+                pass
             elif state != "completed" and not (cancelled and state == "cancelled"):
-                wrong.append(f"{job} was accepted and is {state} at the end")
+                wrong.append(f"{job.id} ({job.kind.name}) was accepted and is {state} at the end")
+
+    async def state_of(self, job):
+        """As some instance shows it; a status where it shows none."""
+        link = Client(self.random.choice(self.instances).callers)
+        status, _, body = await link.call("GET", job.path, headers=KEY)
+        link.close()
+        return body.get("state") if status == 200 and body else status
+
+    async def cancel_lasting(self):
+        """Jobs that last end only so; nothing of them runs a while later."""
+        for job in [job for job in self.lasting() if job.accepted_at]:
+            for _ in range(5):
+                link = Client(self.random.choice(self.instances).callers)
+                status = await self.cancel(link, job)
+                link.close()
+                if status == 200:
+                    break
+            else:
+                self.farm.wrong.append(f"{job.id} can't be cancelled: {status}")
+        await asyncio.sleep(CANCEL_S)
+        for worker in self.farm.workers:
+            for task in worker.runs:
+                if self.farm.job_of(task) and task.split(".")[0] in self.farm.cancelled:
+                    self.farm.wrong.append(f"{task} runs on {worker.id}, its job is cancelled")
 
 
 def main():
@@ -255,8 +290,9 @@
     parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(2 ** 31))
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--instances", type=int, default=4)
-    parser.add_argument("--workers", type=int, default=8)
+    parser.add_argument("--workers", type=int, default=12)
     parser.add_argument("--clients", type=int, default=6)
+    parser.add_argument("--profile", choices=list(jobs.PROFILES), help="how full the service is; drawn otherwise")
     parser.add_argument("--calm", action="store_true", help="no faults")
     parser.add_argument("--keep", metavar="DIRECTORY", help="keep all logs there, however the run ends")
     options = parser.parse_args()
@@ -266,8 +302,9 @@
     begun = time.monotonic()
     asyncio.run(soak.run())
     share = time.process_time() / (time.monotonic() - begun)
-    accepted = sum(200 in job["answers"] for job in soak.farm.jobs.values())
-    print(f"soak: seed {options.seed}: {len(soak.farm.jobs)} jobs, {accepted} accepted, {len(soak.farm.done)} tasks done, "
+    accepted = sum(job.accepted_at is not None for job in soak.farm.jobs.values())
+    print(f"soak: seed {options.seed}, {soak.profile}: {len(soak.farm.jobs)} jobs, {accepted} accepted, "
+          f"{len(soak.farm.done)} tasks and gangs done, "
           f"{len(soak.faults)} faults, {len(soak.farm.wrong)} promises broken; {share:.0%} of a core for the stand-ins")
     for what in soak.farm.wrong[:20]:
         print("  " + what)
--- a/scripts/soak/stand_ins.py
+++ b/scripts/soak/stand_ins.py
@@ -7,8 +7,10 @@
 import time
 
 from http_json import port_of, serve
+from jobs import DOMAINS, FAR_FACTOR, GPU_OF_WORKER, WORKERS_OF_RACK
 
 STOP_S, GANG_S, LEASE_MAX_MS = 0.2, 3.0, 6000
+FAILS_EVERY_S = 20.0  # A task that lasts, on average.
 
 
 def now_ms():
@@ -99,8 +101,11 @@
 class Worker:
     """One machine with its current life. `farm` knows all of them and what jobs really are."""
 
-    def __init__(self, farm, name, rack):
-        self.farm, self.name, self.rack, self.life, self.address = farm, name, rack, 0, None
+    def __init__(self, farm, number):
+        self.farm, self.name, self.life, self.address = farm, f"w{number}", 0, None
+        rack = number // WORKERS_OF_RACK
+        self.rack, self.domain = f"r{rack}", f"z{rack % DOMAINS}"
+        self.runs = {}
 
     async def start(self):
         self.begin_life()
@@ -108,14 +113,17 @@
         return port_of(self.server)
 
     def begin_life(self):
+        for task, run in self.runs.items():
+            self.farm.run_gone(task, run)
         self.life += 1
         self.id = f"{self.name}-{self.life}"
         self.runs, self.closed, self.ended, self.count, self.fence, self.until = {}, {}, [], 0, 0, 0
         self.ends = asyncio.Event()
 
     def row(self, state="ready"):
-        return {"service": "pool", "address": self.address, "zone": "z1", "version": "v1", "slots": 8, "state": state,
-                "coldLeftMs": 0, "capacity": {"cpu": 64000, "memMb": 128000, "gpu": 8}, "labels": ["a", self.rack], "seq": 1}
+        return {"service": "pool", "address": self.address, "zone": self.domain, "version": "v1", "slots": 8, "state": state,
+                "coldLeftMs": 0, "capacity": {"cpu": 64000, "memMb": 128000, "gpu": GPU_OF_WORKER},
+                "labels": ["a", self.rack], "seq": 1}
 
     async def handle(self, method, path, query, headers, body):
         await asyncio.sleep(0.001)
@@ -137,7 +145,7 @@
             self.extend(body.get("expiresMs", 0))
             for end in self.ended:
                 if end[0] <= body["lastSeen"] and end[3] == "done":
-                    self.farm.noted.add(end[1])
+                    self.farm.noted.add(self.farm.unit_of(end[1]))
             self.ended = [end for end in self.ended if end[0] > body["lastSeen"]]
             if not self.ended and body.get("waitMs"):
                 self.ends.clear()
@@ -166,6 +174,7 @@
         self.farm.check_start(self, task, number)
         work = self.farm.work_of(task)
         self.runs[task] = {"run": number, "work": work, "left": work, "since": time.monotonic()}
+        self.farm.last_run[task] = None
         return 200, {"clockMs": now_ms()}
 
     def end(self, task, how):
@@ -175,33 +184,58 @@
         self.ended.append([self.count, task, run["run"], how, ""])
         self.ends.set()
         if how == "done":
-            self.farm.done.add(task)
+            self.farm.done.add(self.farm.unit_of(task))
+        self.farm.run_gone(task, run, how)
 
 
 class Farm:
-    """All workers, the truth about jobs, and what went wrong."""
+    """All workers, the truth about jobs, and what went wrong. A unit is what ends `done` as one: a task, or a whole gang."""
 
-    def __init__(self):
-        self.workers, self.jobs, self.noted, self.done, self.cancelled, self.wrong = [], {}, set(), set(), {}, []
+    def __init__(self, random):
+        self.random, self.workers, self.jobs, self.cancelled, self.wrong = random, [], {}, {}, []
+        self.noted, self.done = set(), set()  # Units.
+        self.last_run = {}                    # Of each task that ever ran: when its last run ended; None while it runs.
+        self.broken = set()                   # Runs of gangs of which a member has ended.
+
+    def job_of(self, task):
+        return self.jobs.get(task.split(".")[0])
+
+    def unit_of(self, task):
+        job = self.job_of(task)
+        return task.rpartition(".")[0] if job and job.kind.gang else task
+
+    def step_is_done(self, job, step):
+        return all(self.unit_of(task) in self.done for task in job.names(step))
 
     def work_of(self, task):
-        return self.jobs.get(task.split(".")[0], {}).get("work", 1.0)
+        job = self.job_of(task)
+        return job.work if job else 1.0
 
     def check_start(self, worker, task, number):
-        job = self.jobs.get(task.split(".")[0])
+        job = self.job_of(task)
         what = f"{task} run {number} on {worker.id}"
         if job is None:
             return self.wrong.append(f"nobody asked for {what}")
-        job["started"] = True
+        job.started = True
         if any(task in other.runs for other in self.workers if other is not worker):
             self.wrong.append(f"runs twice: {what}")
-        if task in self.noted:
+        if self.unit_of(task) in self.noted:
             self.wrong.append(f"done already: {what}")
-        if sum(self.jobs[t.split(".")[0]]["gpu"] for t in worker.runs) + job["gpu"] > 8:
+        if sum(self.jobs[t.split(".")[0]].gpu for t in worker.runs) + job.gpu > GPU_OF_WORKER:
             self.wrong.append(f"over capacity: {what}")
-        if time.monotonic() > self.cancelled.get(task.split(".")[0], 1e18) + 4.0:
+        step = int(task.split(".")[2])
+        if step and not self.step_is_done(job, step - 1):
+            self.wrong.append(f"before the step that it waits for: {what}")
+        if time.monotonic() > self.cancelled.get(job.id, 1e18) + 4.0:
             self.wrong.append(f"cancelled long ago: {what}")
 
+    def run_gone(self, task, run, how=None):
+        """`how` is None where its worker is gone."""
+        self.last_run[task] = time.monotonic()
+        job = self.job_of(task)
+        if job and job.kind.gang and how != "done":
+            self.broken.add((self.unit_of(task), run["run"]))
+
     async def tick(self):
         """Moves all work on, for ever."""
         last = time.monotonic()
@@ -209,19 +243,42 @@
             await asyncio.sleep(0.02)
             now = time.monotonic()
             passed, last = now - last, now
+            gangs = collections.defaultdict(list)
             for worker in self.workers:
                 lapsed = bool(worker.runs) and worker.until <= now_ms()
                 for task, run in list(worker.runs.items()):
-                    if task not in worker.runs:
-                        continue
+                    job = self.job_of(task)
                     if lapsed:
                         worker.end(task, "lapsed")
                     elif run.get("stop_at", 1e18) <= now:
                         worker.end(task, "stopped")
+                    elif job and job.kind.gang:
+                        gangs[(self.unit_of(task), run["run"])].append((worker, task, run))
                     else:
                         run["left"] -= passed
-                        if run["left"] <= 0:
+                        if run["left"] <= 0 and not (job and job.kind.lasting):
                             worker.end(task, "done")
+                        elif run["left"] <= 0 and self.random.random() < passed / FAILS_EVERY_S:
+                            worker.end(task, "failed")
+            for gang, members in gangs.items():
+                self.tick_gang(gang, members, passed, now)
+
+    def tick_gang(self, gang, members, passed, now):
+        """Its members work only together, and end together."""
+        job = self.job_of(members[0][1])
+        if gang not in self.broken and len(members) == job.tasks:
+            far = job.kind.one_rack and len({worker.rack for worker, _, _ in members}) > 1
+            for worker, task, run in members:
+                run["left"] -= passed / (FAR_FACTOR if far else 1.0)
+            if min(run["left"] for _, _, run in members) <= 0:
+                for worker, task, _ in members:
+                    worker.end(task, "done")
+            return
+        for worker, task, run in members:
+            if gang in self.broken:
+                worker.end(task, "broken")
+            elif now - run["since"] > GANG_S:
+                worker.end(task, "alone")
 
     async def machines(self, method, path, query, headers, body):
         return 200, {"machines": [{"machine": w.name, "pool": "pool", "state": "up", "id": w.id} for w in self.workers],
