Soak: checks that accepted jobs that can run do run (LOST)

What was missing: the soak gave jobs 45 s to end. The promise that broke on the users' own processes (LOST in their rules) is finer: for 3 s a job has nothing running while a task's turn has come, there is room for it twice over, and under half of the capacity is in use.

Change: lost.py looks ten times a second at what the workers run, never at what the instances say. Jobs are judged from 14 s after the end of the traffic; each task that lasts at any time, from 6 s after its last run or its acceptance; both while no fault plays or has played in the 4 s before the 3 s. Room is counted over all workers that are up and take starts; a gang needs all its members twice. Seconds in which the soak itself got no processor are not judged. An end that its worker never listed before its next life is no end.

--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -14,6 +14,7 @@
 
 import jobs
 from http_json import Client, port_of, serve
+from lost import Watch
 from proxy import Proxy
 from stand_ins import Farm, Store, Worker
 
@@ -99,7 +100,8 @@
             self.proxies.append(proxy)
             await self.store.put("servers", worker.id, worker.row())
         self.instances = [Instance(self, i) for i in range(self.options.instances)]
-        self.background = [asyncio.ensure_future(self.farm.tick())]
+        self.watch = Watch(self.farm)
+        self.background = [asyncio.ensure_future(self.farm.tick()), asyncio.ensure_future(self.watch.run())]
         for instance in self.instances:
             await instance.start()
             self.background.append(asyncio.ensure_future(instance.keep_alive()))
@@ -162,6 +164,13 @@
 
     async def fault(self):
         """One fault; it may overlap with others."""
+        self.watch.fault_begins()
+        try:
+            await self.play_fault()
+        finally:
+            self.watch.fault_ends()
+
+    async def play_fault(self):
         pick, instance = self.random.randint(0, 10), self.random.choice(self.instances)
         proxy, worker_index = instance.proxy, self.random.randrange(len(self.proxies))
         length = self.random.uniform(0.3, 5.0)
@@ -208,16 +217,21 @@
             if not self.options.calm:
                 running.append(asyncio.ensure_future(self.fault()))
         self.over = True
-        await asyncio.gather(*clients, *running)
+        await asyncio.gather(*clients)
+        self.watch.traffic_ended = time.monotonic()
+        await asyncio.gather(*running)
         for instance in self.instances:
             instance.signal(signal.SIGCONT)
         await self.check_configuration()
         await self.check()
+        while self.lasting() and self.watch.looks_on(time.monotonic()):
+            await asyncio.sleep(0.2)
         await self.cancel_lasting()
         for task in self.background:
             task.cancel()
         for instance in self.instances:
             instance.signal(signal.SIGKILL)
+            await instance.process.wait()
 
     async def check_configuration(self):
         """The last version is in force at every instance."""
@@ -304,8 +318,9 @@
     share = time.process_time() / (time.monotonic() - begun)
     accepted = sum(job.accepted_at is not None for job in soak.farm.jobs.values())
     print(f"soak: seed {options.seed}, {soak.profile}: {len(soak.farm.jobs)} jobs, {accepted} accepted, "
-          f"{len(soak.farm.done)} tasks and gangs done, "
-          f"{len(soak.faults)} faults, {len(soak.farm.wrong)} promises broken; {share:.0%} of a core for the stand-ins")
+          f"{sum(ends > 0 for ends in soak.farm.done.values())} tasks and gangs done, "
+          f"{len(soak.faults)} faults, {len(soak.farm.wrong)} promises broken; {soak.watch.calm_s:.0f} s calm, "
+          f"longest idle {max(soak.watch.worst.values(), default=0.0):.1f} s; {share:.0%} of a core for the stand-ins")
     for what in soak.farm.wrong[:20]:
         print("  " + what)
     if soak.farm.wrong:
--- a/scripts/soak/stand_ins.py
+++ b/scripts/soak/stand_ins.py
@@ -7,7 +7,7 @@
 import time
 
 from http_json import port_of, serve
-from jobs import DOMAINS, FAR_FACTOR, GPU_OF_WORKER, WORKERS_OF_RACK
+from jobs import CPU, DOMAINS, FAR_FACTOR, GPU_OF_WORKER, MEM_MB, WORKERS_OF_RACK
 
 STOP_S, GANG_S, LEASE_MAX_MS = 0.2, 3.0, 6000
 FAILS_EVERY_S = 20.0  # A task that lasts, on average.
@@ -105,7 +105,7 @@
         self.farm, self.name, self.life, self.address = farm, f"w{number}", 0, None
         rack = number // WORKERS_OF_RACK
         self.rack, self.domain = f"r{rack}", f"z{rack % DOMAINS}"
-        self.runs = {}
+        self.runs, self.ended, self.told = {}, [], 0  # Ends up to `told` were listed in some answer.
 
     async def start(self):
         self.begin_life()
@@ -115,14 +115,30 @@
     def begin_life(self):
         for task, run in self.runs.items():
             self.farm.run_gone(task, run)
+        for number, task, _, how, _ in self.ended:
+            if how == "done" and number > self.told:
+                self.farm.done[self.farm.unit_of(task)] -= 1  # Nobody ever learns of it.
         self.life += 1
         self.id = f"{self.name}-{self.life}"
-        self.runs, self.closed, self.ended, self.count, self.fence, self.until = {}, {}, [], 0, 0, 0
+        self.runs, self.closed, self.ended, self.count, self.told, self.fence, self.until = {}, {}, [], 0, 0, 0, 0
         self.ends = asyncio.Event()
 
+    def room(self):
+        return 64000, 128000, GPU_OF_WORKER
+
+    def free(self):
+        """Of cpu, memMb, gpu; what is being stopped still counts."""
+        cpu, mem, gpu = self.room()
+        jobs = [self.farm.job_of(task) for task in self.runs]
+        return cpu - CPU * len(jobs), mem - MEM_MB * len(jobs), gpu - sum(job.gpu for job in jobs if job)
+
+    def takes_starts(self):
+        return True
+
     def row(self, state="ready"):
+        cpu, mem, gpu = self.room()
         return {"service": "pool", "address": self.address, "zone": self.domain, "version": "v1", "slots": 8, "state": state,
-                "coldLeftMs": 0, "capacity": {"cpu": 64000, "memMb": 128000, "gpu": GPU_OF_WORKER},
+                "coldLeftMs": 0, "capacity": {"cpu": cpu, "memMb": mem, "gpu": gpu},
                 "labels": ["a", self.rack], "seq": 1}
 
     async def handle(self, method, path, query, headers, body):
@@ -155,6 +171,7 @@
                     pass
             if life != self.life:
                 return None
+            self.told = self.count
             running = [[task, run["run"], "", percent_of(run)] for task, run in self.runs.items()]
             return 200, {"clockMs": now_ms(), "running": running, "ended": self.ended}
         return 404, {}
@@ -184,7 +201,7 @@
         self.ended.append([self.count, task, run["run"], how, ""])
         self.ends.set()
         if how == "done":
-            self.farm.done.add(self.farm.unit_of(task))
+            self.farm.done[self.farm.unit_of(task)] += 1
         self.farm.run_gone(task, run, how)
 
 
@@ -193,7 +210,7 @@
 
     def __init__(self, random):
         self.random, self.workers, self.jobs, self.cancelled, self.wrong = random, [], {}, {}, []
-        self.noted, self.done = set(), set()  # Units.
+        self.noted, self.done = set(), collections.Counter()  # Units; ends `done` of each that aren't lost with a worker.
         self.last_run = {}                    # Of each task that ever ran: when its last run ended; None while it runs.
         self.broken = set()                   # Runs of gangs of which a member has ended.
 
@@ -205,7 +222,7 @@
         return task.rpartition(".")[0] if job and job.kind.gang else task
 
     def step_is_done(self, job, step):
-        return all(self.unit_of(task) in self.done for task in job.names(step))
+        return all(self.done[self.unit_of(task)] > 0 for task in job.names(step))
 
     def work_of(self, task):
         job = self.job_of(task)
@@ -221,7 +238,8 @@
             self.wrong.append(f"runs twice: {what}")
         if self.unit_of(task) in self.noted:
             self.wrong.append(f"done already: {what}")
-        if sum(self.jobs[t.split(".")[0]].gpu for t in worker.runs) + job.gpu > GPU_OF_WORKER:
+        cpu, mem, gpu = worker.free()
+        if cpu < CPU or mem < MEM_MB or gpu < job.gpu:
             self.wrong.append(f"over capacity: {what}")
         step = int(task.split(".")[2])
         if step and not self.step_is_done(job, step - 1):
