Soak: more faults, in series and one over the other

What was missing: the store silent to all instances, the store refusing one, a cut history, workers that drain, restart under their id, are slow or refuse starts; a fault that ended healed the others on its link; faults came evenly, so nothing was ever calm before the end.

Each link counts what hurts it. Each instance has its own port of the store. Workers say when they were born, answer nothing while they are down, and each life has a clock of its own.

--- a/scripts/soak/proxy.py
+++ b/scripts/soak/proxy.py
@@ -1,22 +1,21 @@
 """A loopback proxy that delays, resets, cuts one way or silences the connections through it, and limits their rate."""
 import asyncio
+import collections
 import time
 
-CHUNK = 16384
+CHUNK, DELAY_S = 16384, 0.2
 
 
 class Proxy:
     def __init__(self, target, rate=0):
-        self.target, self.delay, self.silent, self.one_way, self.pairs = target, 0.0, False, False, []
+        self.target, self.pairs = target, []
+        self.hurts = collections.Counter()  # `delay`, `silent`, `one_way`: how many faults do so now.
         self.rate, self.free = rate, {True: 0.0, False: 0.0}  # Bytes a second each way, 0: any; when the link is free.
 
     async def start(self):
         self.server = await asyncio.start_server(self.session, "127.0.0.1", 0)
         return self.server.sockets[0].getsockname()[1]
 
-    def heal(self):
-        self.delay, self.silent, self.one_way = 0.0, False, False
-
     def reset(self):
         for writers in self.pairs:
             for writer in writers:
@@ -42,9 +41,9 @@
                 if self.rate:
                     self.free[answers] = max(self.free[answers], time.monotonic()) + len(data) / self.rate
                     await asyncio.sleep(self.free[answers] - time.monotonic())
-                if self.delay:
-                    await asyncio.sleep(self.delay)
-                if self.silent or (self.one_way and answers):
+                if self.hurts["delay"]:
+                    await asyncio.sleep(DELAY_S)
+                if self.hurts["silent"] or (self.hurts["one_way"] and answers):
                     continue  # Lost for good: the connection stays open and silent.
                 writer.write(data)
                 await writer.drain()
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 
+import faults
 import jobs
 from http_json import Client, port_of, serve
 from lost import Watch
@@ -44,7 +45,7 @@
         self.log = open(os.path.join(soak.directory, f"node-{index}.log"), "ab")
 
     async def start(self):
-        self.proxy = Proxy(self.soak.store_port, SMALL_LINK if self.soak.all_small or self.index % 2 else 0)
+        self.proxy = Proxy(await self.soak.store.start(self.index), SMALL_LINK if self.soak.all_small or self.index % 2 else 0)
         store = await self.proxy.start()
         self.settings = os.path.join(self.soak.directory, f"node-{self.index}.ini")
         domain = f"z{self.index % jobs.DOMAINS}"
@@ -81,7 +82,7 @@
         self.options, self.directory = options, directory
         self.binary = os.path.abspath(options.binary)
         self.random = random.Random(options.seed)
-        self.farm, self.store, self.instances, self.proxies = Farm(random.Random(options.seed)), Store(), [], []
+        self.farm, self.store, self.instances = Farm(random.Random(options.seed)), Store(), []
         self.faults, self.version, self.routes = [], 0, 0
         self.operator_random = random.Random(options.seed)
         self.all_small = self.operator_random.random() < 0.5  # Otherwise every other instance.
@@ -89,15 +90,13 @@
         self.between_s = jobs.seconds_between(self.profile, options.workers, options.clients)
 
     async def build(self):
-        self.store_port = await self.store.start()
         self.machines_port = port_of(await serve(self.farm.machines))
         await self.configure()
         for i in range(self.options.workers):
             worker = Worker(self.farm, i)
-            proxy = Proxy(await worker.start())
-            worker.address = f"127.0.0.1:{await proxy.start()}"
+            worker.proxy = Proxy(await worker.start())
+            worker.address = f"127.0.0.1:{await worker.proxy.start()}"
             self.farm.workers.append(worker)
-            self.proxies.append(proxy)
             await self.store.put("servers", worker.id, worker.row())
         self.instances = [Instance(self, i) for i in range(self.options.instances)]
         self.watch = Watch(self.farm)
@@ -162,60 +161,27 @@
             job.maybe_cancelled = True
         return status
 
-    async def fault(self):
+    async def play(self, fault):
         """One fault; it may overlap with others."""
+        self.faults.append(f"{time.monotonic() - self.begun:.1f}: {fault}")
         self.watch.fault_begins()
         try:
-            await self.play_fault()
+            await fault.play()
         finally:
             self.watch.fault_ends()
 
-    async def play_fault(self):
-        pick, instance = self.random.randint(0, 10), self.random.choice(self.instances)
-        proxy, worker_index = instance.proxy, self.random.randrange(len(self.proxies))
-        length = self.random.uniform(0.3, 5.0)
-        self.faults.append((round(time.monotonic() - self.begun, 2), pick, instance.index, worker_index, round(length, 1)))
-        if pick == 0:
-            instance.signal(signal.SIGKILL)
-        elif pick == 1:
-            instance.signal(signal.SIGTERM)
-        elif pick == 2:
-            instance.signal(signal.SIGHUP)
-        elif pick == 3:
-            instance.signal(signal.SIGSTOP)
-            await asyncio.sleep(length)
-            instance.signal(signal.SIGCONT)
-        elif pick == 4:
-            proxy.reset()
-        elif pick in (5, 6, 7, 8):
-            target = proxy if pick < 7 else self.proxies[worker_index]
-            setattr(target, "silent" if pick % 2 else "one_way", True)
-            await asyncio.sleep(length)
-            target.heal()
-            target.reset()
-        elif pick == 9:
-            proxy.delay = 0.2
-            await asyncio.sleep(length)
-            proxy.heal()
-        else:
-            worker = self.farm.workers[worker_index]
-            old = worker.id
-            worker.begin_life()
-            await self.store.put("servers", worker.id, worker.row())
-            await asyncio.sleep(min(length, 4.5))
-            await self.store.remove("servers", old)
-
     async def run(self):
         self.over, self.begun = False, time.monotonic()
         await self.build()
         await asyncio.sleep(SETTLE_S)
         clients = [asyncio.ensure_future(self.client(i)) for i in range(self.options.clients)]
         clients.append(asyncio.ensure_future(self.operator()))
+        left = self.options.seconds - (time.monotonic() - self.begun)
         running = []
-        while time.monotonic() - self.begun < self.options.seconds:
-            await asyncio.sleep(self.random.uniform(0.1, 1.5))
-            if not self.options.calm:
-                running.append(asyncio.ensure_future(self.fault()))
+        if self.options.calm:
+            await asyncio.sleep(left)
+        else:
+            running = await faults.play_series(self, left)
         self.over = True
         await asyncio.gather(*clients)
         self.watch.traffic_ended = time.monotonic()
--- a/scripts/soak/stand_ins.py
+++ b/scripts/soak/stand_ins.py
@@ -10,6 +10,7 @@
 from jobs import CPU, DOMAINS, FAR_FACTOR, GPU_OF_WORKER, MEM_MB, WORKERS_OF_RACK
 
 STOP_S, GANG_S, LEASE_MAX_MS = 0.2, 3.0, 6000
+SLOW_SPEED = 0.1
 FAILS_EVERY_S = 20.0  # A task that lasts, on average.
 
 
@@ -28,11 +29,23 @@
 
     def __init__(self):
         self.rows, self.version, self.changed = {}, 1, asyncio.Event()
-        self.history = collections.defaultdict(list)  # Of each table, by version.
+        self.history, self.cut = collections.defaultdict(list), 0  # Of each table, by version; the last one that is gone.
+        self.refused, self.servers = collections.Counter(), []     # Instances that it turns away.
 
-    async def start(self):
-        self.server = await serve(self.handle)
-        return port_of(self.server)
+    async def start(self, instance):
+        """A port of that instance's own."""
+
+        async def handle(method, path, query, headers, body):
+            if self.refused[instance]:
+                return 503, {}
+            return await self.handle(method, path, query, headers, body)
+
+        self.servers.append(await serve(handle))
+        return port_of(self.servers[-1])
+
+    def cut_history(self):
+        self.history.clear()
+        self.cut = self.version
 
     async def put(self, table, key, value):
         self.version += 1
@@ -87,6 +100,8 @@
     async def feed(self, table, after, wait):
         end = time.monotonic() + wait
         while True:
+            if after < self.cut:
+                return 410, {}
             history = self.history[table]
             rows = history[bisect.bisect_right(history, after, key=lambda row: row["ver"]):]
             left = end - time.monotonic()
@@ -106,20 +121,23 @@
         rack = number // WORKERS_OF_RACK
         self.rack, self.domain = f"r{rack}", f"z{rack % DOMAINS}"
         self.runs, self.ended, self.told = {}, [], 0  # Ends up to `told` were listed in some answer.
+        self.up, self.draining, self.slowed, self.refusing = True, False, 0, 0
 
     async def start(self):
         self.begin_life()
         self.server = await serve(self.handle)
         return port_of(self.server)
 
-    def begin_life(self):
+    def begin_life(self, same_id=None):
+        """It runs and knows nothing of before, and its clock starts anew."""
         for task, run in self.runs.items():
             self.farm.run_gone(task, run)
         for number, task, _, how, _ in self.ended:
             if how == "done" and number > self.told:
                 self.farm.done[self.farm.unit_of(task)] -= 1  # Nobody ever learns of it.
         self.life += 1
-        self.id = f"{self.name}-{self.life}"
+        self.id, self.draining = same_id or f"{self.name}-{self.life}", False
+        self.born, self.clock_from = int(time.time() * 1000), now_ms()
         self.runs, self.closed, self.ended, self.count, self.told, self.fence, self.until = {}, {}, [], 0, 0, 0, 0
         self.ends = asyncio.Event()
 
@@ -133,22 +151,33 @@
         return cpu - CPU * len(jobs), mem - MEM_MB * len(jobs), gpu - sum(job.gpu for job in jobs if job)
 
     def takes_starts(self):
-        return True
+        return self.up and not self.draining and not self.refusing
 
-    def row(self, state="ready"):
+    def clock_ms(self):
+        return now_ms() - self.clock_from
+
+    def row(self):
         cpu, mem, gpu = self.room()
-        return {"service": "pool", "address": self.address, "zone": self.domain, "version": "v1", "slots": 8, "state": state,
-                "coldLeftMs": 0, "capacity": {"cpu": cpu, "memMb": mem, "gpu": gpu},
+        return {"service": "pool", "address": self.address, "zone": self.domain, "version": "v1", "slots": 8,
+                "state": "draining" if self.draining else "ready", "coldLeftMs": 0, "born": self.born, "capacity": {"cpu": cpu, "memMb": mem, "gpu": gpu},
                 "labels": ["a", self.rack], "seq": 1}
 
     async def handle(self, method, path, query, headers, body):
         await asyncio.sleep(0.001)
+        life = self.life
+        answer = await self.answer(path, headers, body) if self.up else None
+        if answer is None or life != self.life:
+            return None
+        return answer[0], dict(answer[1], clockMs=self.clock_ms(), born=self.born)
+
+    async def answer(self, path, headers, body):
         if headers.get("x-expect-instance") != self.id:
             return 421, {}
-        life = self.life
         if body["fencingToken"] < self.fence:
-            return 409, {"clockMs": now_ms(), "reason": "fence"}
+            return 409, {"reason": "fence"}
         self.fence = body["fencingToken"]
+        if path == "/run-start" and self.refusing:
+            return 503, {}
         if path == "/run-start":
             return self.run_start(body)
         if path == "/run-stop":
@@ -156,13 +185,13 @@
             run = self.runs.get(body["task"])
             if run and run["run"] <= body["runId"]:
                 run["stop_at"] = min(run.get("stop_at", 1e18), time.monotonic() + STOP_S)
-            return 200, {"clockMs": now_ms()}
+            return 200, {}
         if path == "/hold":
             self.extend(body.get("expiresMs", 0))
             for end in self.ended:
                 if end[0] <= body["lastSeen"] and end[3] == "done":
                     self.farm.noted.add(self.farm.unit_of(end[1]))
-            self.ended = [end for end in self.ended if end[0] > body["lastSeen"]]
+            life, self.ended = self.life, [end for end in self.ended if end[0] > body["lastSeen"]]
             if not self.ended and body.get("waitMs"):
                 self.ends.clear()
                 try:
@@ -173,26 +202,29 @@
                 return None
             self.told = self.count
             running = [[task, run["run"], "", percent_of(run)] for task, run in self.runs.items()]
-            return 200, {"clockMs": now_ms(), "running": running, "ended": self.ended}
+            return 200, {"running": running, "ended": self.ended}
         return 404, {}
 
     def extend(self, until):
-        self.until = max(self.until, min(until, now_ms() + LEASE_MAX_MS))
+        self.until = max(self.until, min(until, self.clock_ms() + LEASE_MAX_MS))
 
     def run_start(self, body):
         task, number = body["task"], body["runId"]
         if task in self.runs and self.runs[task]["run"] == number:
-            return 200, {"clockMs": now_ms()}
+            return 200, {}
         if self.closed.get(task, 0) >= number or task in self.runs:
-            return 409, {"clockMs": now_ms(), "reason": "old"}
-        if body["expiresMs"] <= now_ms():
-            return 409, {"clockMs": now_ms(), "reason": "late"}
+            return 409, {"reason": "old"}
+        if body["expiresMs"] <= self.clock_ms():
+            return 409, {"reason": "late"}
         self.extend(body["expiresMs"])
         self.farm.check_start(self, task, number)
         work = self.farm.work_of(task)
         self.runs[task] = {"run": number, "work": work, "left": work, "since": time.monotonic()}
         self.farm.last_run[task] = None
-        return 200, {"clockMs": now_ms()}
+        return 200, {}
+
+    def work_done(self, passed):
+        return passed * (SLOW_SPEED if self.slowed else 1.0)
 
     def end(self, task, how):
         run = self.runs.pop(task)
@@ -263,7 +295,7 @@
             passed, last = now - last, now
             gangs = collections.defaultdict(list)
             for worker in self.workers:
-                lapsed = bool(worker.runs) and worker.until <= now_ms()
+                lapsed = bool(worker.runs) and worker.until <= worker.clock_ms()
                 for task, run in list(worker.runs.items()):
                     job = self.job_of(task)
                     if lapsed:
@@ -273,7 +305,7 @@
                     elif job and job.kind.gang:
                         gangs[(self.unit_of(task), run["run"])].append((worker, task, run))
                     else:
-                        run["left"] -= passed
+                        run["left"] -= worker.work_done(passed)
                         if run["left"] <= 0 and not (job and job.kind.lasting):
                             worker.end(task, "done")
                         elif run["left"] <= 0 and self.random.random() < passed / FAILS_EVERY_S:
@@ -286,8 +318,9 @@
         job = self.job_of(members[0][1])
         if gang not in self.broken and len(members) == job.tasks:
             far = job.kind.one_rack and len({worker.rack for worker, _, _ in members}) > 1
-            for worker, task, run in members:
-                run["left"] -= passed / (FAR_FACTOR if far else 1.0)
+            passed = min(worker.work_done(passed) for worker, _, _ in members) / (FAR_FACTOR if far else 1.0)
+            for _, _, run in members:
+                run["left"] -= passed
             if min(run["left"] for _, _, run in members) <= 0:
                 for worker, task, _ in members:
                     worker.end(task, "done")
@@ -299,5 +332,6 @@
                 worker.end(task, "alone")
 
     async def machines(self, method, path, query, headers, body):
-        return 200, {"machines": [{"machine": w.name, "pool": "pool", "state": "up", "id": w.id} for w in self.workers],
+        return 200, {"machines": [{"machine": w.name, "pool": "pool", "state": "up" if w.up else "down",
+                                   "id": w.id if w.up else ""} for w in self.workers],
                      "nextToken": None}
