--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -86,7 +86,7 @@
         self.faults, self.version, self.routes = [], 0, 0
         self.operator_random = random.Random(options.seed)
         self.all_small = self.operator_random.random() < 0.5  # Otherwise every other instance.
-        self.profile = options.profile or self.operator_random.choice(list(jobs.PROFILES))
+        self.profile = options.profile or list(jobs.PROFILES)[options.seed % len(jobs.PROFILES)]
         self.between_s = jobs.seconds_between(self.profile, options.workers, options.clients)
 
     async def build(self):
@@ -272,7 +272,7 @@
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--workers", type=int, default=12)
     parser.add_argument("--clients", type=int, default=6)
-    parser.add_argument("--profile", choices=list(jobs.PROFILES), help="how full the service is; drawn otherwise")
+    parser.add_argument("--profile", choices=list(jobs.PROFILES), help="how full the service is; given by the seed otherwise")
     parser.add_argument("--calm", action="store_true", help="no faults")
     parser.add_argument("--keep", metavar="DIRECTORY", help="keep all logs there, however the run ends")
     options = parser.parse_args()
