Jobs: no room is kept for work that waits for the rack of its data

Found by jobs_progress_fuzz: two submissions, no fault.

Cause: placement of an urgent task or gang with data waits for the data's rack (TryPlace), while the plan that makes room for it looks at all racks (FindPlan). Where room is free elsewhere the plan stops nobody and reserves that room; the unit does not take it, and plans anew when the reservation ends. In a full pool the plan has others stopped for room that the unit does not take. Work within its guarantee waits in the same way. Class: a preference that acts as a condition; here two parts of placement that apply different preferences.

Change: a unit that waits for the rack of its data plans there only. Within its guarantee it leaves the rack when there is no such plan, as gangs for one rack do.

Why it works: plan and placement apply the same rule to the same workers, so room is kept and stopped for only where the unit takes it.

--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -285,7 +285,7 @@
     return true;
   }
   if (ranked != nullptr) ranked->reset();
-  const bool waited = HasWaitedLongEnough(*unit->m_step, now);
+  const bool leaves_rack = HasWaitedLongEnough(*unit->m_step, now) || (unit->m_may_leave_rack && input.m_guaranteed);
   const bool gang = unit->m_members.size() > 1;
   const bool uneven = input.m_pace.m_uneven;
   const auto choose = [&](const std::vector<WorkerSlot*>& slots) {
@@ -296,14 +296,13 @@
     if (!best.m_slots.empty()) return PlaceOn(unit, best.m_slots, now);
     const bool fits_any =
         std::any_of(racks.begin(), racks.end(), [unit](const auto& rack) { return FitsWhenEmpty(rack.second, *unit); });
-    const bool may_span = unit->m_may_span_racks && m_guarantees.Covers(*unit->m_step->m_job);
-    if (fits_any && !may_span && !waited) return false;
+    if (fits_any && !leaves_rack) return false;
   } else if (!spec.m_data_rack.empty()) {
     const auto rack = racks.find(spec.m_data_rack);
     if (rack != racks.end()) {
       const auto chosen = choose(rack->second).m_slots;
       if (!chosen.empty()) return PlaceOn(unit, chosen, now);
-      if (!waited && PrefersDataRack(*unit, now)) return false;
+      if (!leaves_rack && PrefersDataRack(*unit, now)) return false;
     }
   }
   Choice chosen;
@@ -416,22 +415,24 @@
   }
 }
 
-// The cheapest plan. A rack-local gang gets one in a single rack; within its guarantee it may span racks if there is
-// no such rack.
+// The cheapest plan among the workers that the unit would take: in a single rack for a rack-local gang, in the rack of
+// its data while it waits for that. Within its guarantee it may leave the rack if there is no such plan.
 std::optional<PreemptionPlan> Scheduler::FindPlan(Unit* unit, Now now) {
   const StepSpec& spec = *unit->m_step->m_spec;
   const PreemptionRound round = MakeRound(now);
   const auto& [racks, domains, all] = CandidatesFor(*unit);
   std::optional<PreemptionPlan> best;
-  const bool needs_rack = spec.m_rack_local && unit->m_members.size() > 1;
-  if (needs_rack) {
-    for (const auto& [name, slots] : racks) {
-      auto plan = PlanPreemption(*unit, slots, round);
-      if (plan && (!best || plan->m_cost < best->m_cost)) best = std::move(plan);
-    }
+  const bool any_rack = spec.m_rack_local && unit->m_members.size() > 1;
+  const bool data_rack = !any_rack && racks.contains(spec.m_data_rack) && PrefersDataRack(*unit, now) &&
+                         !HasWaitedLongEnough(*unit->m_step, now);
+  for (const auto& [name, slots] : racks) {
+    if (!any_rack && !(data_rack && name == spec.m_data_rack)) continue;
+    auto plan = PlanPreemption(*unit, slots, round);
+    if (plan && (!best || plan->m_cost < best->m_cost)) best = std::move(plan);
   }
-  unit->m_may_span_racks = !best && needs_rack && m_guarantees.Covers(*unit->m_step->m_job);
-  if (!best && (!needs_rack || unit->m_may_span_racks)) best = PlanPreemption(*unit, all, round);
+  const bool needs_rack = any_rack || data_rack;
+  unit->m_may_leave_rack = !best && needs_rack && m_guarantees.Covers(*unit->m_step->m_job);
+  if (!best && (!needs_rack || unit->m_may_leave_rack)) best = PlanPreemption(*unit, all, round);
   return best;
 }
 
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -80,7 +80,7 @@
   int m_preemptions = 0;           // Times that it was stopped for urgent work.
   bool m_has_reservation = false;  // Room is reserved for it on workers (WorkerSlot::m_reservations).
   Instant m_reserved_until;        // Steady time at which the reservation ends at the latest.
-  bool m_may_span_racks = false;   // No rack can hold the gang by the last plan for it.
+  bool m_may_leave_rack = false;   // No rack that it prefers can hold it by the last plan for it.
 
   bool IsWaiting() const { return !m_active && !m_done && !m_unread && !m_set_aside; }
   TaskKey Key(std::size_t member) const;
--- a/tests/jobs/held_back_test.cc
+++ b/tests/jobs/held_back_test.cc
@@ -43,6 +43,8 @@
   CPPUNIT_TEST(FreeShareCountsTheWorkersOfItsOwnPool);
   CPPUNIT_TEST(TaskDoesNotWaitForTheRackOfItsData);
   CPPUNIT_TEST(TaskDoesNotWaitForWorkersThatRest);
+  CPPUNIT_TEST(RoomIsNotKeptForWorkThatWaitsForItsData);
+  CPPUNIT_TEST(GuaranteeDoesNotWaitForTheRackOfItsData);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -133,6 +135,27 @@
     CheckStartsInTime(Submit(Single(1), 1));
   }
 
+  // Guards against work that waits for room that is kept for an urgent gang, which waits for the rack of its data.
+  void RoomIsNotKeptForWorkThatWaitsForItsData() {
+    for (int i = 0; i < kRackSize; ++i) Occupy(WorkerAt(i), kAccelerators);
+    StepSpec urgent = Gang(kRackSize / 2 * 3, kAccelerators, false);
+    urgent.m_data_rack = "r0";
+    Submit(urgent, 0);
+    CheckStartsInTime(Submit(Gang(5, kAccelerators, false), 1));
+  }
+
+  // Guards against work within a guarantee that has others stopped and does not take the room, which is not by its
+  // data.
+  void GuaranteeDoesNotWaitForTheRackOfItsData() {
+    auto configuration = std::make_shared<QueueConfiguration>();
+    configuration->m_accounts = {{AccountId{}, {}, kWorkers * kAccelerators}};
+    m_scheduler->SetConfiguration(configuration);
+    for (int i = 0; i < kRackSize; ++i) Occupy(WorkerAt(i), kAccelerators);
+    StepSpec urgent = Gang(kRackSize / 2 * 3, kAccelerators, false);
+    urgent.m_data_rack = "r0";
+    CheckStartsInTime(Submit(urgent, 0));
+  }
+
  private:
   static StepSpec Single(int accelerators) {
     StepSpec step;
