Service: stops that get no answer leave half of the window to starts

Callers could see: accepted jobs of which the start was decided and stored and never sent ("start not sent"), though their workers answer and the pool has room, while runs on silent workers were to be stopped: the rest of a broken gang, cancelled work, copies of starts.

Cause: stops go before starts in the queue of commands. A stop to a worker that does not answer holds its place in the window for its timeout (350 ms), and is asked for again 300 ms later until the worker's lease has ended. Timeouts shrink the window to 8, so 15 such runs fill it for good, and no start gets out. Found by reading; that it is what the users saw is not shown.

Change: while starts wait, stops take at most half of the window. They still go first.

Why it works: the places that stops don't take turn over with the answers of live workers, a few ms each.

--- a/hickoryquay/service/command_queue.cc
+++ b/hickoryquay/service/command_queue.cc
@@ -7,12 +7,13 @@
 
 std::optional<CommandQueue::Command> CommandQueue::Next(bool starts) {
   if (m_in_flight >= Window()) return std::nullopt;
-  if (!m_stops.empty()) {
+  const bool starts_wait = starts && !m_starts.empty();
+  if (!m_stops.empty() && (!starts_wait || 2 * m_stops_in_flight < Window())) {
     Command next = std::move(m_stops.front());
     m_stops.pop_front();
     return next;
   }
-  if (!starts || m_starts.empty()) return std::nullopt;
+  if (!starts_wait) return std::nullopt;
   auto& first = m_starts.begin()->second;
   Command next = std::move(first.front().m_start);
   first.pop_front();
@@ -47,6 +48,16 @@
   return queued;
 }
 
+void CommandQueue::OnStopSent() {
+  ++m_stops_in_flight;
+  OnSent();
+}
+
+void CommandQueue::OnStopAnswer(Millis took, Instant now) {
+  --m_stops_in_flight;
+  OnAnswer(took, now);
+}
+
 void CommandQueue::OnAnswer(Millis took, Instant now) {
   const bool full = m_in_flight >= Window();
   --m_in_flight;
--- a/hickoryquay/service/command_queue.h
+++ b/hickoryquay/service/command_queue.h
@@ -41,11 +41,14 @@
 
   std::vector<jobs::StartCommand> TakeStarts();  // Removes and returns all.
 
-  // Removes and returns the next command; empty if there is none or the window is full. Starts wait if `starts` is
-  // false.
+  // Removes and returns the next command; empty if there is none or the window is full. Stops go first, and leave half
+  // of the window to starts that wait: those to workers that don't answer hold their place until they time out. Starts
+  // wait if `starts` is false.
   std::optional<Command> Next(bool starts = true);
   void OnSent() { ++m_in_flight; }
-  void OnAnswer(Millis took, Instant now);  // Also when a command gets no answer.
+  void OnStopSent();
+  void OnAnswer(Millis took, Instant now);  // Also when a start gets no answer.
+  void OnStopAnswer(Millis took, Instant now);
 
   int Window() const { return static_cast<int>(m_window); }
   int InFlight() const { return m_in_flight; }
@@ -60,6 +63,7 @@
   CommandWindow m_settings;
   double m_window;
   int m_in_flight = 0;
+  int m_stops_in_flight = 0;  // Of these.
   Instant m_last_cut;
   std::deque<jobs::StopCommand> m_stops;
   std::map<int, std::deque<QueuedStart>> m_starts;  // By priority.
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -149,10 +149,10 @@
   for (const jobs::StartCommand& start : m_commands.TakeStarts()) m_scheduler->OnStartWithheld(start, Time());
 }
 
-void WorkerSessions::OnCommandAnswer(Instant sent) {
+void WorkerSessions::OnCommandAnswer(Instant sent, CommandAnswer answer) {
   const Instant now = m_clock->Now();
   // What the answer waited for in this process says nothing about the link.
-  m_commands.OnAnswer(std::max(Millis{0}, now - sent - m_lateness.At(now)), now);
+  (m_commands.*answer)(std::max(Millis{0}, now - sent - m_lateness.At(now)), now);
   SendCommands();
 }
 
@@ -174,7 +174,7 @@
                  const auto self = weak.lock();
                  if (!self || self->m_stopped) return;
                  self->m_start_ms->Add(static_cast<double>((self->m_clock->Now() - sent).count()));
-                 self->OnCommandAnswer(sent);
+                 self->OnCommandAnswer(sent, &CommandQueue::OnAnswer);
                  const bool silent =
                      reply.m_outcome == jobs::StartOutcome::kUnknown || reply.m_outcome == jobs::StartOutcome::kNotSent;
                  self->NoteContact(*session, !silent, {command.m_worker, sent, self->m_settings.m_command_timeout});
@@ -191,13 +191,13 @@
   const auto found = m_sessions.find(command.m_worker);
   if (found == m_sessions.end()) return m_scheduler->OnStopAnswer(command, jobs::StopOutcome::kNoAnswer, Time());
   const auto session = found->second;
-  m_commands.OnSent();
+  m_commands.OnStopSent();
   m_api->Stop(session->m_target, {command.m_task, command.m_run, m_epoch}, m_settings.m_command_timeout,
               [weak = weak_from_this(), command, session, sent = m_clock->Now(),
                incarnation = session->m_incarnation](jobs::StopOutcome outcome) {
                 const auto self = weak.lock();
                 if (!self || self->m_stopped) return;
-                self->OnCommandAnswer(sent);
+                self->OnCommandAnswer(sent, &CommandQueue::OnStopAnswer);
                 self->NoteContact(*session, outcome != jobs::StopOutcome::kNoAnswer,
                                   {command.m_worker, sent, self->m_settings.m_command_timeout});
                 if (outcome == jobs::StopOutcome::kFenced) return self->m_events.m_fenced();
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -116,7 +116,8 @@
   void WithdrawHeldStarts(Instant now);
   void SendNow(const jobs::StartCommand& command);
   void SendNow(const jobs::StopCommand& command);
-  void OnCommandAnswer(Instant sent);
+  using CommandAnswer = void (CommandQueue::*)(Millis, Instant);
+  void OnCommandAnswer(Instant sent, CommandAnswer answer);
   void NoteContact(const Session& session, bool answered, const UnansweredCall& call);
   void OnContactChanged(const DomainId& domain);
   void ProbeLostDomains();
--- a/tests/service/command_queue_test.cc
+++ b/tests/service/command_queue_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(FastLinkIsUsed);
   CPPUNIT_TEST(StopsGoFirstThenUrgentStarts);
   CPPUNIT_TEST(DeadWorkersDoNotStallTheOthers);
+  CPPUNIT_TEST(StopsWithoutAnAnswerDoNotHoldStartsBack);
   CPPUNIT_TEST(StartsThatWaitTooLongAreTakenOut);
   CPPUNIT_TEST_SUITE_END();
 
@@ -112,6 +113,41 @@
                            now - Instant{1'000'000} < Millis{12'000});
   }
 
+  // Guards against starts that are never sent while runs on workers that don't answer are to be stopped: each stop is
+  // sent again after its timeout, until the lease of its worker has ended.
+  void StopsWithoutAnAnswerDoNotHoldStartsBack() {
+    constexpr int kSilent = 60;
+    constexpr int kStarts = 100;
+    constexpr Millis kRetry{300};
+    CommandQueue queue{CommandWindow{}};
+    std::multimap<Instant, bool> answers;  // True: of a stop.
+    std::multimap<Instant, int> retries;
+    const Instant begin{1'000'000};
+    for (int i = 0; i < kSilent; ++i) retries.emplace(begin, i);
+    int started = 0;
+    Instant now = begin;
+    for (; now - begin < Millis{3'000} && started < kStarts; now = now + Millis{1}) {
+      if (now - begin == Millis{1'000}) {  // The silent workers have shrunk the window.
+        for (int i = 0; i < kStarts; ++i) queue.Add(jobs::StartCommand{}, now);
+      }
+      for (; !retries.empty() && retries.begin()->first <= now; retries.erase(retries.begin())) {
+        queue.Add(jobs::StopCommand{});
+      }
+      for (; !answers.empty() && answers.begin()->first <= now; answers.erase(answers.begin())) {
+        const bool stop = answers.begin()->second;
+        stop ? queue.OnStopAnswer(kTimeout, now) : queue.OnAnswer(kRoundTrip, now);
+        if (stop) retries.emplace(now + kRetry, 0);
+      }
+      while (const auto command = queue.Next()) {
+        const bool stop = std::holds_alternative<jobs::StopCommand>(*command);
+        stop ? queue.OnStopSent() : queue.OnSent();
+        answers.emplace(now + (stop ? kTimeout : kRoundTrip), stop);
+        if (!stop) ++started;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string((now - begin).count()), kStarts, started);
+  }
+
   // The link carries nothing for longer than the bound of an evacuation: what is decided before must not go out after.
   void StartsThatWaitTooLongAreTakenOut() {
     constexpr Millis kBound{5'000};
