Jobs: the bound of preferences holds for work with a limit per worker

Callers could see: a gang with a limit of tasks per worker has nothing running for longer than 2 s, while it waits for the rack of its data in a lightly used pool.

Cause: the bound asks for room for twice the unit, and counted each worker up to the unit's limit. A gang that may have one task on each worker found room twice over only on twice as many workers, though two such gangs may lie on the same ones.

--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -107,6 +107,7 @@
 }
 
 // The unit fits twice into what is free, and the pool is lightly used: room that is taken now is not missed by others.
+// A limit per worker holds for each of the two.
 // A step that lasts serves its callers at any load.
 bool Scheduler::HasAmpleRoom(const Unit& unit) {
   const StepSpec& spec = *unit.m_step->m_spec;
@@ -114,7 +115,9 @@
   if (pool == m_rooms.end() || !(spec.m_long_running || pool->second.IsLightlyUsed())) return false;
   std::size_t room = 0;
   for (const WorkerSlot* slot : CandidatesFor(unit).m_all) {
-    room += static_cast<std::size_t>(LimitPerWorker(*slot, unit, CountFitting(slot->m_free, spec.m_task)));
+    const int fitting = CountFitting(slot->m_free, spec.m_task);
+    const int limit = 2 * spec.m_max_per_worker;
+    room += static_cast<std::size_t>(limit == 0 ? fitting : std::min(fitting, limit));
     if (room >= 2 * unit.m_members.size()) return true;
   }
   return false;
--- a/tests/jobs/held_back_test.cc
+++ b/tests/jobs/held_back_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(FreeShareCountsTheWorkersOfItsOwnPool);
   CPPUNIT_TEST(TaskDoesNotWaitForTheRackOfItsData);
   CPPUNIT_TEST(TaskDoesNotWaitForWorkersThatRest);
+  CPPUNIT_TEST(SpreadGangDoesNotWaitForTheRackOfItsData);
   CPPUNIT_TEST(RoomIsNotKeptForWorkThatWaitsForItsData);
   CPPUNIT_TEST(GuaranteeDoesNotWaitForTheRackOfItsData);
   CPPUNIT_TEST_SUITE_END();
@@ -135,6 +136,15 @@
     CheckStartsInTime(Submit(Single(1), 1));
   }
 
+  // Guards against a gang with a limit per worker that waits for its data, since its members can't lie beside others.
+  void SpreadGangDoesNotWaitForTheRackOfItsData() {
+    for (int i = 0; i < kRackSize; ++i) Occupy(WorkerAt(i), kAccelerators);
+    StepSpec gang = Gang(kRackSize + 2, 2, false);
+    gang.m_max_per_worker = 1;
+    gang.m_data_rack = "r0";
+    CheckStartsInTime(Submit(gang, 1));
+  }
+
   // Guards against work that waits for room that is kept for an urgent gang, which waits for the rack of its data.
   void RoomIsNotKeptForWorkThatWaitsForItsData() {
     for (int i = 0; i < kRackSize; ++i) Occupy(WorkerAt(i), kAccelerators);
