--- a/tests/jobs/held_back_test.cc
+++ b/tests/jobs/held_back_test.cc
@@ -48,6 +48,9 @@
   CPPUNIT_TEST(GangWaitsForItsRackInAFullServiceWithoutAccelerators);
   CPPUNIT_TEST(RefusedStartDoesNotBeginTheWaitAnew);
   CPPUNIT_TEST(GangAvoidsRestingWorkersWhereAnotherRackHasRoom);
+  CPPUNIT_TEST(SpreadGangDoesNotWaitForTheRackOfItsData);
+  CPPUNIT_TEST(RoomIsNotKeptForWorkThatWaitsForItsData);
+  CPPUNIT_TEST(GuaranteeDoesNotWaitForTheRackOfItsData);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -200,6 +203,36 @@
     CPPUNIT_ASSERT(!Holds(WorkerAt(10), gang) && !Holds(WorkerAt(11), gang));
   }
 
+  // Guards against a gang with a limit per worker that waits for its data, since its members can't lie beside others.
+  void SpreadGangDoesNotWaitForTheRackOfItsData() {
+    for (int i = 0; i < kRackSize; ++i) Occupy(WorkerAt(i), kAccelerators);
+    StepSpec gang = Gang(kRackSize + 2, 2, false);
+    gang.m_max_per_worker = 1;
+    gang.m_data_rack = "r0";
+    CheckStartsInTime(Submit(gang, 1));
+  }
+
+  // Guards against work that waits for room that is kept for an urgent gang, which waits for the rack of its data.
+  void RoomIsNotKeptForWorkThatWaitsForItsData() {
+    for (int i = 0; i < kRackSize; ++i) Occupy(WorkerAt(i), kAccelerators);
+    StepSpec urgent = Gang(kRackSize / 2 * 3, kAccelerators, false);
+    urgent.m_data_rack = "r0";
+    Submit(urgent, 0);
+    CheckStartsInTime(Submit(Gang(5, kAccelerators, false), 1));
+  }
+
+  // Guards against work within a guarantee that has others stopped and does not take the room, which is not by its
+  // data.
+  void GuaranteeDoesNotWaitForTheRackOfItsData() {
+    auto configuration = std::make_shared<QueueConfiguration>();
+    configuration->m_accounts = {{AccountId{}, {}, kWorkers * kAccelerators}};
+    m_scheduler->SetConfiguration(configuration);
+    for (int i = 0; i < kRackSize; ++i) Occupy(WorkerAt(i), kAccelerators);
+    StepSpec urgent = Gang(kRackSize / 2 * 3, kAccelerators, false);
+    urgent.m_data_rack = "r0";
+    CheckStartsInTime(Submit(urgent, 0));
+  }
+
  private:
   static constexpr Resources kWhole{kAccelerators, 16'000 * kAccelerators, 64'000};
 
