--- a/scripts/soak/stand_ins.py
+++ b/scripts/soak/stand_ins.py
@@ -1,28 +1,51 @@
 """Stand-ins for the platform: store, list of machines, workers. They speak the platform's protocol and check it."""
 import asyncio
 import base64
+import bisect
+import collections
 import json
 import time
 
 from http_json import port_of, serve
+from jobs import CPU, DOMAINS, FAR_FACTOR, GPU_OF_WORKER, MEM_MB, WORKERS_OF_RACK
 
 STOP_S, GANG_S, LEASE_MAX_MS = 0.2, 3.0, 6000
+SLOW_SPEED = 0.1
+FAILS_EVERY_S = 20.0  # A task that lasts, on average.
 
 
 def now_ms():
     return int(time.monotonic() * 1000)
 
 
+def percent_of(run):
+    """The share of a run's own work that is done, as whole percent."""
+    return int(100 * (1 - max(0.0, run["left"]) / run["work"]))
+
+
 class Store:
     """Nothing waits between a check and its write, so no lock is needed. A feed that waits must hold none: one that is
     cancelled as its time ends would leave it locked for good."""
 
     def __init__(self):
-        self.rows, self.history, self.version, self.changed = {}, [], 1, asyncio.Event()
+        self.rows, self.version, self.changed = {}, 1, asyncio.Event()
+        self.history, self.cut = collections.defaultdict(list), 0  # Of each table, by version; the last one that is gone.
+        self.refused, self.servers = collections.Counter(), []     # Instances that it turns away.
 
-    async def start(self):
-        self.server = await serve(self.handle)
-        return port_of(self.server)
+    async def start(self, instance):
+        """A port of that instance's own."""
+
+        async def handle(method, path, query, headers, body):
+            if self.refused[instance]:
+                return 503, {}
+            return await self.handle(method, path, query, headers, body)
+
+        self.servers.append(await serve(handle))
+        return port_of(self.servers[-1])
+
+    def cut_history(self):
+        self.history.clear()
+        self.cut = self.version
 
     async def put(self, table, key, value):
         self.version += 1
@@ -40,11 +63,12 @@
 
     def _set(self, key, value):
         self.rows[key] = {"table": key[0], "part": key[1], "key": key[2], "value": value, "ver": self.version}
-        self.history.append(self.rows[key])
+        self.history[key[0]].append(self.rows[key])
 
     def _drop(self, key):
         if self.rows.pop(key, None) is not None:
-            self.history.append({"table": key[0], "part": key[1], "key": key[2], "ver": self.version, "removed": True})
+            self.history[key[0]].append({"table": key[0], "part": key[1], "key": key[2], "ver": self.version,
+                                         "removed": True})
 
     async def handle(self, method, path, query, headers, body):
         await asyncio.sleep(0.003)
@@ -76,7 +100,10 @@
     async def feed(self, table, after, wait):
         end = time.monotonic() + wait
         while True:
-            rows = [row for row in self.history if row["ver"] > after and row["table"] == table]
+            if after < self.cut:
+                return 410, {}
+            history = self.history[table]
+            rows = history[bisect.bisect_right(history, after, key=lambda row: row["ver"]):]
             left = end - time.monotonic()
             if rows or left <= 0:
                 return 200, {"rows": rows, "ver": self.version, "nowMs": now_ms()}
@@ -89,32 +116,69 @@
 class Worker:
     """One machine with its current life. `farm` knows all of them and what jobs really are."""
 
-    def __init__(self, farm, name, rack):
-        self.farm, self.name, self.rack, self.life, self.address = farm, name, rack, 0, None
+    def __init__(self, farm, number):
+        self.farm, self.name, self.life, self.address = farm, f"w{number}", 0, None
+        rack = number // WORKERS_OF_RACK
+        self.rack, self.domain = f"r{rack}", f"z{rack % DOMAINS}"
+        self.runs, self.ended, self.told = {}, [], 0  # Ends up to `told` were listed in some answer.
+        self.up, self.draining, self.slowed, self.refusing = True, False, 0, 0
 
     async def start(self):
         self.begin_life()
         self.server = await serve(self.handle)
         return port_of(self.server)
 
-    def begin_life(self):
+    def begin_life(self, same_id=None):
+        """It runs and knows nothing of before, and its clock starts anew."""
+        for task, run in self.runs.items():
+            self.farm.run_gone(task, run)
+        for number, task, _, how, _ in self.ended:
+            if how == "done" and number > self.told:
+                self.farm.done[self.farm.unit_of(task)] -= 1  # Nobody ever learns of it.
         self.life += 1
-        self.id = f"{self.name}-{self.life}"
-        self.runs, self.closed, self.ended, self.count, self.fence, self.until = {}, {}, [], 0, 0, 0
+        self.id, self.draining = same_id or f"{self.name}-{self.life}", False
+        self.born, self.clock_from = int(time.time() * 1000), now_ms()
+        self.runs, self.closed, self.ended, self.count, self.told, self.fence, self.until = {}, {}, [], 0, 0, 0, 0
         self.ends = asyncio.Event()
 
-    def row(self, state="ready"):
-        return {"service": "pool", "address": self.address, "zone": "z1", "version": "v1", "slots": 8, "state": state,
-                "coldLeftMs": 0, "capacity": {"cpu": 64000, "memMb": 128000, "gpu": 8}, "labels": ["a", self.rack], "seq": 1}
+    def room(self):
+        return 64000, 128000, GPU_OF_WORKER
+
+    def free(self):
+        """Of cpu, memMb, gpu; what is being stopped still counts."""
+        cpu, mem, gpu = self.room()
+        jobs = [self.farm.job_of(task) for task in self.runs]
+        return cpu - CPU * len(jobs), mem - MEM_MB * len(jobs), gpu - sum(job.gpu for job in jobs if job)
+
+    def takes_starts(self):
+        return self.up and not self.draining and not self.refusing
+
+    def clock_ms(self):
+        return now_ms() - self.clock_from
+
+    def row(self):
+        cpu, mem, gpu = self.room()
+        return {"service": "pool", "address": self.address, "zone": self.domain, "version": "v1", "slots": 8,
+                "state": "draining" if self.draining else "ready", "coldLeftMs": 0, "born": self.born,
+                "capacity": {"cpu": cpu, "memMb": mem, "gpu": gpu},
+                "labels": ["a", self.rack], "seq": 1}
 
     async def handle(self, method, path, query, headers, body):
         await asyncio.sleep(0.001)
+        life = self.life
+        answer = await self.answer(path, headers, body) if self.up else None
+        if answer is None or life != self.life:
+            return None
+        return answer[0], dict(answer[1], clockMs=self.clock_ms(), born=self.born)
+
+    async def answer(self, path, headers, body):
         if headers.get("x-expect-instance") != self.id:
             return 421, {}
-        life = self.life
         if body["fencingToken"] < self.fence:
-            return 409, {"clockMs": now_ms(), "reason": "fence"}
+            return 409, {"reason": "fence"}
         self.fence = body["fencingToken"]
+        if path == "/run-start" and self.refusing:
+            return 503, {}
         if path == "/run-start":
             return self.run_start(body)
         if path == "/run-stop":
@@ -122,13 +186,13 @@
             run = self.runs.get(body["task"])
             if run and run["run"] <= body["runId"]:
                 run["stop_at"] = min(run.get("stop_at", 1e18), time.monotonic() + STOP_S)
-            return 200, {"clockMs": now_ms()}
+            return 200, {}
         if path == "/hold":
             self.extend(body.get("expiresMs", 0))
             for end in self.ended:
                 if end[0] <= body["lastSeen"] and end[3] == "done":
-                    self.farm.noted.add(end[1])
-            self.ended = [end for end in self.ended if end[0] > body["lastSeen"]]
+                    self.farm.noted.add(self.farm.unit_of(end[1]))
+            life, self.ended = self.life, [end for end in self.ended if end[0] > body["lastSeen"]]
             if not self.ended and body.get("waitMs"):
                 self.ends.clear()
                 try:
@@ -137,25 +201,31 @@
                     pass
             if life != self.life:
                 return None
-            running = [[task, run["run"], "", 50] for task, run in self.runs.items()]
-            return 200, {"clockMs": now_ms(), "running": running, "ended": self.ended}
+            self.told = self.count
+            running = [[task, run["run"], "", percent_of(run)] for task, run in self.runs.items()]
+            return 200, {"running": running, "ended": self.ended}
         return 404, {}
 
     def extend(self, until):
-        self.until = max(self.until, min(until, now_ms() + LEASE_MAX_MS))
+        self.until = max(self.until, min(until, self.clock_ms() + LEASE_MAX_MS))
 
     def run_start(self, body):
         task, number = body["task"], body["runId"]
         if task in self.runs and self.runs[task]["run"] == number:
-            return 200, {"clockMs": now_ms()}
+            return 200, {}
         if self.closed.get(task, 0) >= number or task in self.runs:
-            return 409, {"clockMs": now_ms(), "reason": "old"}
-        if body["expiresMs"] <= now_ms():
-            return 409, {"clockMs": now_ms(), "reason": "late"}
+            return 409, {"reason": "old"}
+        if body["expiresMs"] <= self.clock_ms():
+            return 409, {"reason": "late"}
         self.extend(body["expiresMs"])
         self.farm.check_start(self, task, number)
-        self.runs[task] = {"run": number, "left": self.farm.work_of(task), "since": time.monotonic()}
-        return 200, {"clockMs": now_ms()}
+        work = self.farm.work_of(task)
+        self.runs[task] = {"run": number, "work": work, "left": work, "since": time.monotonic()}
+        self.farm.last_run[task] = None
+        return 200, {}
+
+    def work_done(self, passed):
+        return passed * (SLOW_SPEED if self.slowed else 1.0)
 
     def end(self, task, how):
         run = self.runs.pop(task)
@@ -164,33 +234,59 @@
         self.ended.append([self.count, task, run["run"], how, ""])
         self.ends.set()
         if how == "done":
-            self.farm.done.add(task)
+            self.farm.done[self.farm.unit_of(task)] += 1
+        self.farm.run_gone(task, run, how)
 
 
 class Farm:
-    """All workers, the truth about jobs, and what went wrong."""
+    """All workers, the truth about jobs, and what went wrong. A unit is what ends `done` as one: a task, or a whole gang."""
 
-    def __init__(self):
-        self.workers, self.jobs, self.noted, self.done, self.cancelled, self.wrong = [], {}, set(), set(), {}, []
+    def __init__(self, random):
+        self.random, self.workers, self.jobs, self.cancelled, self.wrong = random, [], {}, {}, []
+        self.noted, self.done = set(), collections.Counter()  # Units; ends `done` of each that aren't lost with a worker.
+        self.last_run = {}                    # Of each task that ever ran: when its last run ended; None while it runs.
+        self.broken = set()                   # Runs of gangs of which a member has ended.
+
+    def job_of(self, task):
+        return self.jobs.get(task.split(".")[0])
+
+    def unit_of(self, task):
+        job = self.job_of(task)
+        return task.rpartition(".")[0] if job and job.kind.gang else task
+
+    def step_is_done(self, job, step):
+        return all(self.done[self.unit_of(task)] > 0 for task in job.names(step))
 
     def work_of(self, task):
-        return self.jobs.get(task.split(".")[0], {}).get("work", 1.0)
+        job = self.job_of(task)
+        return job.work if job else 1.0
 
     def check_start(self, worker, task, number):
-        job = self.jobs.get(task.split(".")[0])
+        job = self.job_of(task)
         what = f"{task} run {number} on {worker.id}"
         if job is None:
             return self.wrong.append(f"nobody asked for {what}")
-        job["started"] = True
+        job.started = True
         if any(task in other.runs for other in self.workers if other is not worker):
             self.wrong.append(f"runs twice: {what}")
-        if task in self.noted:
+        if self.unit_of(task) in self.noted:
             self.wrong.append(f"done already: {what}")
-        if sum(self.jobs[t.split(".")[0]]["gpu"] for t in worker.runs) + job["gpu"] > 8:
+        cpu, mem, gpu = worker.free()
+        if cpu < CPU or mem < MEM_MB or gpu < job.gpu:
             self.wrong.append(f"over capacity: {what}")
-        if time.monotonic() > self.cancelled.get(task.split(".")[0], 1e18) + 4.0:
+        step = int(task.split(".")[2])
+        if step and not self.step_is_done(job, step - 1):
+            self.wrong.append(f"before the step that it waits for: {what}")
+        if time.monotonic() > self.cancelled.get(job.id, 1e18) + 4.0:
             self.wrong.append(f"cancelled long ago: {what}")
 
+    def run_gone(self, task, run, how=None):
+        """`how` is None where its worker is gone."""
+        self.last_run[task] = time.monotonic()
+        job = self.job_of(task)
+        if job and job.kind.gang and how != "done":
+            self.broken.add((self.unit_of(task), run["run"]))
+
     async def tick(self):
         """Moves all work on, for ever."""
         last = time.monotonic()
@@ -198,20 +294,45 @@
             await asyncio.sleep(0.02)
             now = time.monotonic()
             passed, last = now - last, now
+            gangs = collections.defaultdict(list)
             for worker in self.workers:
-                lapsed = bool(worker.runs) and worker.until <= now_ms()
+                lapsed = bool(worker.runs) and worker.until <= worker.clock_ms()
                 for task, run in list(worker.runs.items()):
-                    if task not in worker.runs:
-                        continue
+                    job = self.job_of(task)
                     if lapsed:
                         worker.end(task, "lapsed")
                     elif run.get("stop_at", 1e18) <= now:
                         worker.end(task, "stopped")
+                    elif job and job.kind.gang:
+                        gangs[(self.unit_of(task), run["run"])].append((worker, task, run))
                     else:
-                        run["left"] -= passed
-                        if run["left"] <= 0:
+                        run["left"] -= worker.work_done(passed)
+                        if run["left"] <= 0 and not (job and job.kind.lasting):
                             worker.end(task, "done")
+                        elif run["left"] <= 0 and self.random.random() < passed / FAILS_EVERY_S:
+                            worker.end(task, "failed")
+            for gang, members in gangs.items():
+                self.tick_gang(gang, members, passed, now)
+
+    def tick_gang(self, gang, members, passed, now):
+        """Its members work only together, and end together."""
+        job = self.job_of(members[0][1])
+        if gang not in self.broken and len(members) == job.tasks:
+            far = job.kind.one_rack and len({worker.rack for worker, _, _ in members}) > 1
+            passed = min(worker.work_done(passed) for worker, _, _ in members) / (FAR_FACTOR if far else 1.0)
+            for _, _, run in members:
+                run["left"] -= passed
+            if min(run["left"] for _, _, run in members) <= 0:
+                for worker, task, _ in members:
+                    worker.end(task, "done")
+            return
+        for worker, task, run in members:
+            if gang in self.broken:
+                worker.end(task, "broken")
+            elif now - run["since"] > GANG_S:
+                worker.end(task, "alone")
 
     async def machines(self, method, path, query, headers, body):
-        return 200, {"machines": [{"machine": w.name, "pool": "pool", "state": "up", "id": w.id} for w in self.workers],
+        return 200, {"machines": [{"machine": w.name, "pool": "pool", "state": "up" if w.up else "down",
+                                   "id": w.id if w.up else ""} for w in self.workers],
                      "nextToken": None}
