--- a/hickoryquay/jobs/idle_jobs.h
+++ b/hickoryquay/jobs/idle_jobs.h
@@ -27,7 +27,7 @@
 // Of `input`, the unit, its guarantee, the time, and whether resting workers are used.
 RoomCensus CountRoom(const ChoiceInput& input, const std::vector<WorkerSlot*>& slots, const CrashSettings& crashes);
 
-// Later ones are known to less certainty to be right.
+// Ascending by how little they explain: of several steps of a job, the one with the last cause is reported.
 enum class IdleCause {
   kNotDue,           // A timed job between two occurrences.
   kUnreadRow,        // Its row can't be read.
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -113,8 +113,7 @@
 }
 
 // The unit fits twice into what is free, and the pool is lightly used: room that is taken now is not missed by others.
-// A limit per worker holds for each of the two.
-// A step that lasts serves its callers at any load.
+// A limit per worker holds for each of the two. A step that lasts serves its callers at any load.
 bool Scheduler::HasAmpleRoom(const Unit& unit) {
   const StepSpec& spec = *unit.m_step->m_spec;
   const auto pool = m_rooms.find(unit.m_step->m_job->m_job.m_pool);
--- a/standin/sim_store.cc
+++ b/standin/sim_store.cc
@@ -61,7 +61,11 @@
     const store::StoredRow row{put.m_key, put.m_value, version, false};
     m_rows[put.m_key] = row;
     int& left_out = m_left_out[put.m_key.m_table];
-    left_out > 0 ? void(--left_out) : m_history.push_back(row);
+    if (left_out > 0) {
+      --left_out;
+      continue;
+    }
+    m_history.push_back(row);
   }
   for (const store::RowKey& key : transaction.m_removals) {
     if (m_rows.erase(key) > 0) m_history.push_back({key, "", version, true});
