Service: a write under way does not keep its leadership alive

Cause: BatchWriter held the Leadership, whose queue of writes holds the callbacks that own the writer: an instance that stopped with a write under way was never freed.

Change: the writer refers to the leadership weakly; without it there is nothing to write.

--- a/hickoryquay/service/batch_writer.cc
+++ b/hickoryquay/service/batch_writer.cc
@@ -2,9 +2,9 @@
 
 namespace hickoryquay::service {
 
-BatchWriter::BatchWriter(std::shared_ptr<Leadership> leadership, std::string table, std::string part,
+BatchWriter::BatchWriter(const std::shared_ptr<Leadership>& leadership, std::string table, std::string part,
                          std::vector<jobs::RowChange> rows, Events events)
-    : m_leadership(std::move(leadership)),
+    : m_leadership(leadership),
       m_table(std::move(table)),
       m_part(std::move(part)),
       m_rows(std::move(rows)),
@@ -14,6 +14,8 @@
 
 void BatchWriter::StoreNext() {
   if (m_left.empty()) return m_events.m_stored();
+  const auto leadership = m_leadership.lock();
+  if (!leadership) return;
   const Range range = m_left.back();
   m_left.pop_back();
   LeaderWrite write;
@@ -23,7 +25,7 @@
     change.m_value ? write.m_puts.push_back({std::move(key), *change.m_value})
                    : write.m_removals.push_back(std::move(key));
   }
-  m_leadership->Store(
+  leadership->Store(
       std::move(write), [self = shared_from_this()] { self->StoreNext(); },
       [self = shared_from_this(), range](const std::string& why) { self->OnRejected(range, why); });
 }
--- a/hickoryquay/service/batch_writer.h
+++ b/hickoryquay/service/batch_writer.h
@@ -21,7 +21,7 @@
     std::function<void(const jobs::RowChange& row, const std::string& why)> m_rejected;
   };
 
-  BatchWriter(std::shared_ptr<Leadership> leadership, std::string table, std::string part,
+  BatchWriter(const std::shared_ptr<Leadership>& leadership, std::string table, std::string part,
               std::vector<jobs::RowChange> rows, Events events);
 
   void Start() { StoreNext(); }
@@ -32,7 +32,7 @@
   void StoreNext();
   void OnRejected(const Range& range, const std::string& why);
 
-  std::shared_ptr<Leadership> m_leadership;
+  std::weak_ptr<Leadership> m_leadership;  // Which owns this writer, by the callbacks of the write under way.
   std::string m_table;
   std::string m_part;
   std::vector<jobs::RowChange> m_rows;
