Jobs: the runs of others of its step don't begin a task's wait anew

Callers would see: a lasting task that stays down while another one of its step runs, with room twice over: LOST holds for each task that lasts.

Cause: ended the wait of a step whenever a run of it was confirmed, so that a refused start did not; but a worker confirms its runs with each answer, several times a second, so the bound of a step of which something runs was never reached. Class: an event that was taken for a change.

Change: the wait ends once all units of the step are done or confirmed.

--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -20,6 +20,16 @@
   return member.m_slot != nullptr;
 }
 
+// All units of the step are done, or are confirmed by their workers.
+bool AllRun(const StepState& step) {
+  const auto runs = [](const Member& member) {
+    return member.m_state == MemberState::kRunning || member.m_state == MemberState::kSettled;
+  };
+  return std::all_of(step.m_units.begin(), step.m_units.end(), [&runs](const auto& unit) {
+    return unit->m_done || (unit->m_active && std::all_of(unit->m_members.begin(), unit->m_members.end(), runs));
+  });
+}
+
 void SetState(Member* member, MemberState state, Instant since) {
   member->m_state = state;
   member->m_since = since;
@@ -182,16 +192,10 @@
 // A member of the unit runs. Reports the job when its first step has begun within a guarantee.
 void Scheduler::NoteRunning(const Unit& unit, Now now) {
   JobState* job = unit.m_step->m_job;
-  unit.m_step->m_held_back_since.reset();
+  if (unit.m_step->m_held_back_since && AllRun(*unit.m_step)) unit.m_step->m_held_back_since.reset();
   NoteBegun(job, now);
   if (job->m_begun || job->m_job.m_priority != 0 || unit.m_step->m_key.m_step != 0) return;
-  const auto& units = unit.m_step->m_units;
-  job->m_begun = std::all_of(units.begin(), units.end(), [](const auto& other) {
-    return other->m_done ||
-           (other->m_active && std::all_of(other->m_members.begin(), other->m_members.end(), [](const Member& member) {
-              return member.m_state == MemberState::kRunning || member.m_state == MemberState::kSettled;
-            }));
-  });
+  job->m_begun = AllRun(*unit.m_step);
   if (!job->m_begun || !m_guarantees.Covers(*job)) return;
   m_guarantee_starts.push_back(
       {job->m_job.m_id, job->m_job.m_account, now.m_wall - job->m_job.m_accepted, now.m_steady - job->m_taken_in});
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -112,7 +112,7 @@
   std::set<int> m_stored_rows;     // Of which a row is stored.
   std::set<int> m_set_aside_rows;  // That the store rejects.
   StepPace m_pace;
-  // Steady time since which units have waited though there was ample room, and none has run since; empty: they don't
+  // Steady time since which units have waited though there was ample room, until all of them run; empty: they don't
   // wait. See Scheduler::NoteHeldBack.
   std::optional<Instant> m_held_back_since;
   std::map<WorkerId, Instant> m_avoided;  // Workers on which its tasks failed, each until a steady time.
--- a/tests/jobs/held_back_test.cc
+++ b/tests/jobs/held_back_test.cc
@@ -3,9 +3,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "hickoryquay/jobs/scheduler.h"
 #include "hickoryquay/store/row_store.h"
@@ -48,6 +50,7 @@
   CPPUNIT_TEST(GangWaitsForItsRackInAFullServiceWithoutAccelerators);
   CPPUNIT_TEST(RefusedStartDoesNotBeginTheWaitAnew);
   CPPUNIT_TEST(GangAvoidsRestingWorkersWhereAnotherRackHasRoom);
+  CPPUNIT_TEST(LastingTaskDoesNotWaitWhileAnotherOfItsStepRuns);
   CPPUNIT_TEST(SpreadGangDoesNotWaitForTheRackOfItsData);
   CPPUNIT_TEST(RoomIsNotKeptForWorkThatWaitsForItsData);
   CPPUNIT_TEST(GuaranteeDoesNotWaitForTheRackOfItsData);
@@ -193,6 +196,33 @@
     CPPUNIT_ASSERT(WaitUntilPlaced(job, kRound * 5));
   }
 
+  // Guards against a lasting task that stays down because each look at another one of its step began the wait anew.
+  void LastingTaskDoesNotWaitWhileAnotherOfItsStepRuns() {
+    StepSpec step = Lasting(kAccelerators);
+    step.m_tasks = 2;
+    step.m_data_rack = "r0";
+    const JobId job = Submit(step, 1);
+    Confirm(Round());
+    for (int i = 0; i < kRackSize; ++i) {
+      if (!Holds(WorkerAt(i), job)) Occupy(WorkerAt(i), kAccelerators);
+    }
+    const auto [ended, left] = std::pair{m_runs.begin()->second, std::next(m_runs.begin())->second};
+    CPPUNIT_ASSERT(ended.m_task.m_step.m_job == job && left.m_task.m_step.m_job == job);
+    PollReply reply;
+    reply.m_ended = {{++m_ends, ended.m_task, ended.m_run, EndKind::kFailed, ""}};
+    m_scheduler->OnPollReply(ended.m_worker, reply, At(m_time).m_steady, At(m_time));
+    Occupy(ended.m_worker, kAccelerators);
+    for (const Millis until = m_time + kBound; m_time <= until; m_time += kRound) {
+      PollReply look;
+      look.m_running = {{left.m_task, left.m_run, "", 100}};
+      m_scheduler->OnPollReply(left.m_worker, look, At(m_time).m_steady, At(m_time));
+      for (const StartCommand& start : Round()) {
+        if (start.m_task == ended.m_task) return;
+      }
+    }
+    CPPUNIT_FAIL("not started again");
+  }
+
   // Guards against members on workers that rest though sound ones have room. Six of r1 are free, two of which rest.
   void GangAvoidsRestingWorkersWhereAnotherRackHasRoom() {
     for (int i = 0; i < 10; ++i) Occupy(WorkerAt(i), kAccelerators);
