Jobs: late copies of starts are kept by the table of workers

No change of what the program does.

Measured: jobs_held_back_test, jobs_day_test, jobs_progress_fuzz, service_test and service_restart_test pass.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -178,12 +178,9 @@
 
   std::vector<GuaranteeStart> TakeGuaranteeStarts() { return std::exchange(m_guarantee_starts, {}); }
 
-  // The store rejects the row for good. It is not written again and none of its units is started any more; runs that
-  // are not sent yet are withdrawn.
+  // The store rejects the row for good: it is not written again, and none of its units is started any more.
   void SetAside(const StepRowKey& row);
-  // Ends of tasks that the worker has listed may be in no row: it is not told any more that they are.
-  void WithholdEnds(const WorkerId& worker);
-
+  void WithholdEnds(const WorkerId& worker);  // Some are in no row: none is handed out as recorded any more.
   // Returns each job once. Call only when every batch taken so far is stored.
   std::vector<SettledJob> TakeSettledJobs();
   // These jobs are known elsewhere now: the next batches delete their rows.
@@ -236,15 +233,11 @@
   void RecordDone(Unit* unit, Now now);
   void Settle(Unit* unit, std::size_t member);
   void SettleAbsent(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now);
-  void OnVanished(WorkerSlot* slot, Unit* unit, std::size_t member, Now now);
   void StopRun(Unit* unit, const char* why);
 
   // scheduler_restart.cc
   void OnIncarnation(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now);
   bool MayStartLate(const WorkerSlot& slot, const Member& member, Now now) const;
-  void KeepLateCopy(const Unit& unit, std::size_t member);
-  void DropLateCopies(Now now);
-  bool OnLateCopyStopped(const StopCommand& command, StopOutcome outcome, Now now);
   void StopLateStart(Unit* unit, std::size_t member, const char* why, Now now);
   void ResolveAfterRestart(const UnitMember& placed, const LostWorker& lost, const PollReply& reply, Instant sent,
                            Now now);
@@ -267,7 +260,6 @@
   bool LeavesTooFewFree(const Unit& unit, Now now) const;
   bool PrefersDataRack(const Unit& unit, Now now) const;
   bool HasWaitedLongEnough(const StepState& step, Now now) const;
-  static bool HasWaitedFor(const StepState& step, Millis time, Now now);
   bool HasAmpleRoom(const Unit& unit);
   void NoteHeldBack(const Unit& unit, Now now);
   std::vector<StepState*> ReadySteps(Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -84,7 +84,7 @@
   // The share is kept for work that needs accelerators, so it holds for longer while these are in use.
   const bool light = lasts || room->second.AcceleratorUse() < kLightUse;
   const Millis bound = light ? m_settings.m_longest_preference : m_settings.m_longest_reserve;
-  if (HasWaitedFor(*unit.m_step, bound, now)) return false;
+  if (unit.m_step->HasWaitedFor(bound, now.m_steady)) return false;
   const int takes = unit.Accelerators();
   if (takes == 0) return false;
   // Capped at half of what the unit leaves of all accelerators, or a large unit could never start.
@@ -105,11 +105,7 @@
 
 // Preferences don't hold the step back any more.
 bool Scheduler::HasWaitedLongEnough(const StepState& step, Now now) const {
-  return HasWaitedFor(step, m_settings.m_longest_preference, now);
-}
-
-bool Scheduler::HasWaitedFor(const StepState& step, Millis time, Now now) {
-  return step.m_held_back_since && now.m_steady - *step.m_held_back_since >= time;
+  return step.HasWaitedFor(m_settings.m_longest_preference, now.m_steady);
 }
 
 // The unit fits twice into what is free, and the pool is lightly used: room that is taken now is not missed by others.
@@ -162,7 +158,7 @@
   ForgetArchivedJobs(now);
   EvacuateDraining(now);
   ReturnWorkers(now);
-  DropLateCopies(now);
+  m_workers.DropLateCopies(now.m_steady);
   if (!places) return;
   m_candidates.clear();
   m_paces.clear();
--- a/hickoryquay/jobs/scheduler_restart.cc
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -68,40 +68,6 @@
   return (unanswered || member.m_resends > 0) && now.m_steady - member.m_last_sent < kMaxCallDelay;
 }
 
-// The member's run is over. Workers that report no start time have one incarnation, which refuses the copy.
-void Scheduler::KeepLateCopy(const Unit& unit, std::size_t index) {
-  const Member& member = unit.m_members[index];
-  if (member.m_slot->m_born == Instant{} || member.m_last_sent == Instant{}) return;
-  const bool unanswered = member.m_state == MemberState::kSent || member.m_state == MemberState::kUnknown;
-  if (!unanswered && member.m_resends == 0) return;
-  member.m_slot->m_late_copies.push_back({unit.Key(index), unit.m_run, member.m_last_sent, StopState::kNone, {}});
-}
-
-void Scheduler::DropLateCopies(Now now) {
-  std::vector<WorkerId> emptied;
-  for (WorkerSlot* slot : m_workers.Slots()) {
-    if (slot->m_late_copies.empty()) continue;
-    std::erase_if(slot->m_late_copies,
-                  [now](const LateCopy& copy) { return now.m_steady - copy.m_sent >= kMaxCallDelay; });
-    if (slot->m_late_copies.empty()) emptied.push_back(slot->m_entry.m_id);
-  }
-  for (const WorkerId& worker : emptied) m_workers.EraseIfUnused(worker);
-}
-
-// Returns whether the stop was that of a late copy.
-bool Scheduler::OnLateCopyStopped(const StopCommand& command, StopOutcome outcome, Now now) {
-  WorkerSlot* slot = m_workers.Find(command.m_worker);
-  if (slot == nullptr) return false;
-  for (LateCopy& copy : slot->m_late_copies) {
-    if (copy.m_task != command.m_task || copy.m_run != command.m_run || copy.m_stop != StopState::kSent) continue;
-    const bool stopped = outcome == StopOutcome::kStopping;
-    copy.m_stop = stopped ? StopState::kAcknowledged : StopState::kRequested;
-    copy.m_stop_at = now.m_steady + m_settings.m_stop_retry_delay;
-    return true;
-  }
-  return false;
-}
-
 // Stops a run that a copy of its start may still begin.
 void Scheduler::StopLateStart(Unit* unit, std::size_t index, const char* why, Now now) {
   Member& member = unit->m_members[index];
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -171,7 +171,13 @@
 }
 
 void Scheduler::OnStopAnswer(const StopCommand& command, StopOutcome outcome, Now now) {
-  if (OnLateCopyStopped(command, outcome, now)) return;
+  WorkerSlot* slot = m_workers.Find(command.m_worker);
+  LateCopy* late = slot == nullptr ? nullptr : slot->FindStopping(command.m_task, command.m_run);
+  if (late != nullptr) {
+    late->m_stop = outcome == StopOutcome::kStopping ? StopState::kAcknowledged : StopState::kRequested;
+    late->m_stop_at = now.m_steady + m_settings.m_stop_retry_delay;
+    return;
+  }
   const auto [unit, index] = FindMember(command.m_task);
   if (unit == nullptr || unit->m_run != command.m_run) return;
   Member& member = unit->m_members[index];
@@ -306,7 +312,10 @@
                  {"proof", stopped    ? "stopped"
                            : vanished ? "vanished"
                                       : "earlier epoch"}});
-      if (vanished && !stopped) OnVanished(slot, unit, index, now);
+      if (vanished && !stopped) {  // The worker's process has crashed, and may be gone itself.
+        RecordCrash(unit, index, {WorkerLoss::kRestarted, slot->CountUnits(), now.m_steady}, now);
+        slot->m_avoid_until = std::max(slot->m_avoid_until, now.m_steady + m_settings.m_avoid_refusing_for);
+      }
       if (unit->m_members.size() > 1 && !unit->m_done) StopRun(unit, "member is not on its worker");
       if (member.m_slot == slot) Settle(unit, index);
     } else if (unanswered) {
@@ -315,12 +324,6 @@
   }
 }
 
-// A confirmed run is gone without an end: the worker's process has crashed, and may be gone itself.
-void Scheduler::OnVanished(WorkerSlot* slot, Unit* unit, std::size_t member, Now now) {
-  RecordCrash(unit, member, {WorkerLoss::kRestarted, slot->CountUnits(), now.m_steady}, now);
-  slot->m_avoid_until = std::max(slot->m_avoid_until, now.m_steady + m_settings.m_avoid_refusing_for);
-}
-
 //-------------------------------------------------------------------------------------------------
 // Outcomes
 //-------------------------------------------------------------------------------------------------
@@ -431,7 +434,7 @@
 
 void Scheduler::Settle(Unit* unit, std::size_t index) {
   Member& member = unit->m_members[index];
-  KeepLateCopy(*unit, index);
+  member.m_slot->KeepLateCopy(member, unit->Key(index), unit->m_run);
   m_workers.Release(member.m_slot, unit, index);
   member = Member{};
   member.m_state = MemberState::kSettled;
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -118,8 +118,9 @@
   std::map<WorkerId, Instant> m_avoided;  // Workers on which its tasks failed, each until a steady time.
 
   Unit* FindUnit(int task) const;
-  bool HasWaiting();                 // Of the units.
-  void OnWaiting(const Unit& unit);  // It was placed before.
+  bool HasWaitedFor(Millis time, Instant now) const;  // Though there was ample room, see m_held_back_since.
+  bool HasWaiting();                                  // Of the units.
+  void OnWaiting(const Unit& unit);                   // It was placed before.
 };
 
 struct JobState {
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -70,6 +70,20 @@
   return std::any_of(m_late_copies.begin(), m_late_copies.end(), [](const LateCopy& copy) { return copy.IsOpen(); });
 }
 
+void WorkerSlot::KeepLateCopy(const Member& member, const TaskKey& task, RunNumber run) {
+  if (m_born == Instant{} || member.m_last_sent == Instant{}) return;
+  const bool unanswered = member.m_state == MemberState::kSent || member.m_state == MemberState::kUnknown;
+  if (!unanswered && member.m_resends == 0) return;
+  m_late_copies.push_back({task, run, member.m_last_sent, StopState::kNone, {}});
+}
+
+LateCopy* WorkerSlot::FindStopping(const TaskKey& task, RunNumber run) {
+  const auto found = std::find_if(m_late_copies.begin(), m_late_copies.end(), [&](const LateCopy& copy) {
+    return copy.m_task == task && copy.m_run == run && copy.m_stop == StopState::kSent;
+  });
+  return found == m_late_copies.end() ? nullptr : &*found;
+}
+
 WorkerSlot* WorkerTable::Find(const WorkerId& id) {
   const auto found = m_by_id.find(id);
   return found == m_by_id.end() ? nullptr : found->second;
@@ -106,6 +120,16 @@
   m_slots.erase(id);  // Last: `id` may be the slot's own.
 }
 
+void WorkerTable::DropLateCopies(Instant now) {
+  std::vector<WorkerId> emptied;
+  for (WorkerSlot* slot : m_in_order) {
+    if (slot->m_late_copies.empty()) continue;
+    std::erase_if(slot->m_late_copies, [now](const LateCopy& copy) { return now - copy.m_sent >= kMaxCallDelay; });
+    if (slot->m_late_copies.empty()) emptied.push_back(slot->m_entry.m_id);
+  }
+  for (const WorkerId& worker : emptied) EraseIfUnused(worker);
+}
+
 void WorkerTable::Allocate(WorkerSlot* slot, Unit* unit, std::size_t member) {
   slot->m_members.insert({unit, member});
   unit->m_members[member].m_born = slot->m_born;
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -74,6 +74,10 @@
   bool TakesStarts() const { return !m_entry.m_draining && !m_evacuated && !IsOverCapacity(); }
   int CountUnits() const;         // Whose starts were sent here.
   bool MayRunLateCopies() const;  // This incarnation has not refused all of them.
+  // Call when a run that was placed here is over. Workers that report no start time have one incarnation, which refuses
+  // its copies.
+  void KeepLateCopy(const Member& member, const TaskKey& task, RunNumber run);
+  LateCopy* FindStopping(const TaskKey& task, RunNumber run);  // Whose stop was sent; nullptr: none.
 
   void OnRestarted();  // Forgets what is known of the earlier incarnation; its members stay.
 };
@@ -113,6 +117,7 @@
   void Update(const WorkerEntry& entry);
   // Erases a slot that is not listed, has no members and no late copies.
   void EraseIfUnused(const WorkerId& id);
+  void DropLateCopies(Instant now);  // Those that can't arrive any more.
 
   void Allocate(WorkerSlot* slot, Unit* unit, std::size_t member);
   void Release(WorkerSlot* slot, Unit* unit, std::size_t member);
