--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -20,6 +20,16 @@
   return member.m_slot != nullptr;
 }
 
+// All units of the step are done, or are confirmed by their workers.
+bool AllRun(const StepState& step) {
+  const auto runs = [](const Member& member) {
+    return member.m_state == MemberState::kRunning || member.m_state == MemberState::kSettled;
+  };
+  return std::all_of(step.m_units.begin(), step.m_units.end(), [&runs](const auto& unit) {
+    return unit->m_done || (unit->m_active && std::all_of(unit->m_members.begin(), unit->m_members.end(), runs));
+  });
+}
+
 void SetState(Member* member, MemberState state, Instant since) {
   member->m_state = state;
   member->m_since = since;
@@ -161,7 +171,13 @@
 }
 
 void Scheduler::OnStopAnswer(const StopCommand& command, StopOutcome outcome, Now now) {
-  if (OnLateCopyStopped(command, outcome, now)) return;
+  WorkerSlot* slot = m_workers.Find(command.m_worker);
+  LateCopy* late = slot == nullptr ? nullptr : slot->FindStopping(command.m_task, command.m_run);
+  if (late != nullptr) {
+    late->m_stop = outcome == StopOutcome::kStopping ? StopState::kAcknowledged : StopState::kRequested;
+    late->m_stop_at = now.m_steady + m_settings.m_stop_retry_delay;
+    return;
+  }
   const auto [unit, index] = FindMember(command.m_task);
   if (unit == nullptr || unit->m_run != command.m_run) return;
   Member& member = unit->m_members[index];
@@ -182,16 +198,10 @@
 // A member of the unit runs. Reports the job when its first step has begun within a guarantee.
 void Scheduler::NoteRunning(const Unit& unit, Now now) {
   JobState* job = unit.m_step->m_job;
-  unit.m_step->m_held_back_since.reset();
+  if (unit.m_step->m_held_back_since && AllRun(*unit.m_step)) unit.m_step->m_held_back_since.reset();
   NoteBegun(job, now);
   if (job->m_begun || job->m_job.m_priority != 0 || unit.m_step->m_key.m_step != 0) return;
-  const auto& units = unit.m_step->m_units;
-  job->m_begun = std::all_of(units.begin(), units.end(), [](const auto& other) {
-    return other->m_done ||
-           (other->m_active && std::all_of(other->m_members.begin(), other->m_members.end(), [](const Member& member) {
-              return member.m_state == MemberState::kRunning || member.m_state == MemberState::kSettled;
-            }));
-  });
+  job->m_begun = AllRun(*unit.m_step);
   if (!job->m_begun || !m_guarantees.Covers(*job)) return;
   m_guarantee_starts.push_back(
       {job->m_job.m_id, job->m_job.m_account, now.m_wall - job->m_job.m_accepted, now.m_steady - job->m_taken_in});
@@ -302,7 +312,10 @@
                  {"proof", stopped    ? "stopped"
                            : vanished ? "vanished"
                                       : "earlier epoch"}});
-      if (vanished && !stopped) OnVanished(slot, unit, index, now);
+      if (vanished && !stopped) {  // The worker's process has crashed, and may be gone itself.
+        RecordCrash(unit, index, {WorkerLoss::kRestarted, slot->CountUnits(), now.m_steady}, now);
+        slot->m_avoid_until = std::max(slot->m_avoid_until, now.m_steady + m_settings.m_avoid_refusing_for);
+      }
       if (unit->m_members.size() > 1 && !unit->m_done) StopRun(unit, "member is not on its worker");
       if (member.m_slot == slot) Settle(unit, index);
     } else if (unanswered) {
@@ -311,12 +324,6 @@
   }
 }
 
-// A confirmed run is gone without an end: the worker's process has crashed, and may be gone itself.
-void Scheduler::OnVanished(WorkerSlot* slot, Unit* unit, std::size_t member, Now now) {
-  RecordCrash(unit, member, {WorkerLoss::kRestarted, slot->CountUnits(), now.m_steady}, now);
-  slot->m_avoid_until = std::max(slot->m_avoid_until, now.m_steady + m_settings.m_avoid_refusing_for);
-}
-
 //-------------------------------------------------------------------------------------------------
 // Outcomes
 //-------------------------------------------------------------------------------------------------
@@ -427,7 +434,7 @@
 
 void Scheduler::Settle(Unit* unit, std::size_t index) {
   Member& member = unit->m_members[index];
-  KeepLateCopy(*unit, index);
+  member.m_slot->KeepLateCopy(member, unit->Key(index), unit->m_run);
   m_workers.Release(member.m_slot, unit, index);
   member = Member{};
   member.m_state = MemberState::kSettled;
