Jobs: a moment without ample room does not begin the wait of held-back work anew

Callers saw nothing of this yet. It was suspected since the incident of accepted jobs that had nothing running: a gang for one rack, or any work that a preference holds back, stays queued without end beside other work that comes and goes, in a service that is less than half in use most of the time.

Cause: the bound of preferences counted from the last round without ample room. One round above half of the pool, or with less than twice the need, cleared it, so use or room that swings with a period below 2 s postponed it for ever. Class: a bound that an unrelated event begins anew.

Change: HeldBackTime sums the spans with ample room. A step that has waited before looks at the room at the beginning of its turn, so that one round with ample room is enough. While room is short the preference binds as before.

Why it works: no event but the start of all units takes back what the step has waited, so its wait with ample room is 2 s at most in all.

--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -84,7 +84,7 @@
   // The share is kept for work that needs accelerators, so it holds for longer while these are in use.
   const bool light = lasts || room->second.AcceleratorUse() < kLightUse;
   const Millis bound = light ? m_settings.m_longest_preference : m_settings.m_longest_reserve;
-  if (unit.m_step->HasWaitedFor(bound, now.m_steady)) return false;
+  if (unit.m_step->m_held_back.HasLasted(bound, now.m_steady)) return false;
   const int takes = unit.Accelerators();
   if (takes == 0) return false;
   // Capped at half of what the unit leaves of all accelerators, or a large unit could never start.
@@ -105,7 +105,7 @@
 
 // Preferences don't hold the step back any more.
 bool Scheduler::HasWaitedLongEnough(const StepState& step, Now now) const {
-  return step.HasWaitedFor(m_settings.m_longest_preference, now.m_steady);
+  return step.m_held_back.HasLasted(m_settings.m_longest_preference, now.m_steady);
 }
 
 // The unit fits twice into what is free, and the pool is lightly used: room that is taken now is not missed by others.
@@ -124,14 +124,8 @@
   return false;
 }
 
-// `unit` is the first one of its step that was left in this round.
 void Scheduler::NoteHeldBack(const Unit& unit, Now now) {
-  auto& since = unit.m_step->m_held_back_since;
-  if (!HasAmpleRoom(unit)) {
-    since.reset();
-  } else if (!since) {
-    since = now.m_steady;
-  }
+  unit.m_step->m_held_back.Note(HasAmpleRoom(unit), now.m_steady);
 }
 
 // Stops work on workers that are about to leave. Tasks with checkpoints are stopped in time to save their progress;
@@ -170,8 +164,11 @@
 
 void Scheduler::PlaceStep(StepState* step, Now now) {
   if (Ended(step->m_job->m_phase)) return;  // Another step has ended it in this round.
-  const Unit* left = step->HasWaiting() ? PlaceUnits(step, now) : nullptr;
-  if (left != nullptr) NoteHeldBack(*left, now);
+  if (!step->HasWaiting()) return;
+  // Whether there is ample room now counts, not in the round before.
+  if (!step->m_held_back.IsEmpty()) NoteHeldBack(*step->m_units[step->m_passed], now);
+  const Unit* left = PlaceUnits(step, now);
+  if (left != nullptr && step->m_held_back.IsEmpty()) NoteHeldBack(*left, now);
 }
 
 // Places the waiting units of a step until one does not fit. The others won't fit either, and must not use resources
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -198,7 +198,7 @@
 // A member of the unit runs. Reports the job when its first step has begun within a guarantee.
 void Scheduler::NoteRunning(const Unit& unit, Now now) {
   JobState* job = unit.m_step->m_job;
-  if (unit.m_step->m_held_back_since && AllRun(*unit.m_step)) unit.m_step->m_held_back_since.reset();
+  if (!unit.m_step->m_held_back.IsEmpty() && AllRun(*unit.m_step)) unit.m_step->m_held_back.Clear();
   NoteBegun(job, now);
   if (job->m_begun || job->m_job.m_priority != 0 || unit.m_step->m_key.m_step != 0) return;
   job->m_begun = AllRun(*unit.m_step);
--- a/hickoryquay/jobs/units.cc
+++ b/hickoryquay/jobs/units.cc
@@ -39,10 +39,6 @@
          static_cast<int>(unit.m_failed_runs.size()) >= job.m_job.m_max_attempts;
 }
 
-bool StepState::HasWaitedFor(Millis time, Instant now) const {
-  return m_held_back_since && now - *m_held_back_since >= time;
-}
-
 bool StepState::HasWaiting() {
   while (m_passed < m_units.size() && !m_units[m_passed]->IsWaiting()) ++m_passed;
   return m_passed < m_units.size();
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "hickoryquay/jobs/held_back_time.h"
 #include "hickoryquay/jobs/job.h"
 #include "hickoryquay/jobs/worker_api.h"
 #include "hickoryquay/jobs/worker_speed.h"
@@ -112,15 +113,12 @@
   std::set<int> m_stored_rows;     // Of which a row is stored.
   std::set<int> m_set_aside_rows;  // That the store rejects.
   StepPace m_pace;
-  // Steady time since which units have waited though there was ample room, until all of them run; empty: they don't
-  // wait. See Scheduler::NoteHeldBack.
-  std::optional<Instant> m_held_back_since;
+  HeldBackTime m_held_back;               // Until all of its units run. See Scheduler::NoteHeldBack.
   std::map<WorkerId, Instant> m_avoided;  // Workers on which its tasks failed, each until a steady time.
 
   Unit* FindUnit(int task) const;
-  bool HasWaitedFor(Millis time, Instant now) const;  // Though there was ample room, see m_held_back_since.
-  bool HasWaiting();                                  // Of the units.
-  void OnWaiting(const Unit& unit);                   // It was placed before.
+  bool HasWaiting();                 // Of the units.
+  void OnWaiting(const Unit& unit);  // It was placed before.
 };
 
 struct JobState {
--- /dev/null
+++ b/tests/jobs/held_back_bound_test.cc
@@ -0,0 +1,91 @@
+// The bound of preferences under use and room that swing, stops, evacuations and changes of the leader.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "tests/jobs/held_back_pool.h"
+
+namespace hickoryquay::jobs::held_back {
+namespace {
+
+// All cores of the accelerators, so that the use of both is the same.
+StepSpec Urgent(int tasks, int accelerators) {
+  StepSpec step;
+  step.m_tasks = tasks;
+  step.m_gang = true;
+  step.m_task = Resources{accelerators, 16'000 * accelerators, 1'000};
+  step.m_estimate = Millis{10'000};
+  return step;
+}
+
+class HeldBackBoundTest : public HeldBackPool {
+  CPPUNIT_TEST_SUITE(HeldBackBoundTest);
+  CPPUNIT_TEST(GangDoesNotWaitWhileUseSwingsAroundHalf);
+  CPPUNIT_TEST(GangDoesNotWaitWhileRoomSwingsAroundTwiceItsNeed);
+  CPPUNIT_TEST(OneRoundOfRoomIsEnoughOnceTheGangHasWaited);
+  CPPUNIT_TEST(GangThatHasWaitedKeepsItsRackWhileRoomIsShort);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a bound that begins anew each time that half of the pool is in use for a moment.
+  void GangDoesNotWaitWhileUseSwingsAroundHalf() {
+    for (int i = 0; i < kWorkers; ++i) {
+      if (i % kRackSize < 5) Occupy(WorkerAt(i), 1);
+    }
+    const JobId gang = Submit(Gang(4, kAccelerators, true), 1);
+    CPPUNIT_ASSERT(WaitBeside(Urgent(15, 7), 3, 12, gang, Millis{4'000}));
+  }
+
+  // Guards against a bound that begins anew each time that others take the room that the gang would need twice.
+  void GangDoesNotWaitWhileRoomSwingsAroundTwiceItsNeed() {
+    OccupyOnePerRack();
+    const JobId gang = Submit(Gang(kRackSize, kAccelerators, true), 1);
+    CPPUNIT_ASSERT(WaitBeside(Urgent(6, kAccelerators), 3, 12, gang, Millis{4'000}));
+  }
+
+  // Guards against a gang that never meets two rounds with ample room in a row.
+  void OneRoundOfRoomIsEnoughOnceTheGangHasWaited() {
+    OccupyOnePerRack();
+    const JobId gang = Submit(Gang(kRackSize, kAccelerators, true), 1);
+    CPPUNIT_ASSERT(WaitBeside(Urgent(6, kAccelerators), 1, 1, gang, Millis{5'000}));
+  }
+
+  // Guards against gangs that are spread over racks in a full service because there was room some time before.
+  void GangThatHasWaitedKeepsItsRackWhileRoomIsShort() {
+    OccupyOnePerRack();
+    const JobId gang = Submit(Gang(kRackSize, kAccelerators, true), 1);
+    CPPUNIT_ASSERT(!WaitUntilPlaced(gang, Millis{1'800}));
+    const JobId others = Submit(Urgent(12, kAccelerators), 0);
+    Confirm(Round());
+    CPPUNIT_ASSERT(!WaitUntilPlaced(gang, kBound * 2));
+    End(others, EndKind::kDone);
+    CPPUNIT_ASSERT(WaitUntilPlaced(gang, kRound * 4));
+  }
+
+ private:
+  // Plays on while others run for `busy` rounds and then rest for `idle`, again and again.
+  std::optional<Millis> WaitBeside(const StepSpec& others, int busy, int idle, JobId gang, Millis most) {
+    const Millis since = m_time;
+    while (m_time - since <= most) {
+      const JobId job = Submit(others, 0);
+      for (int i = 0; i < busy + idle; ++i) {
+        if (i == busy) End(job, EndKind::kDone);
+        const auto starts = Round();
+        Confirm(starts);
+        for (const StartCommand& start : starts) {
+          if (start.m_task.m_step.m_job == gang) return m_time - since;
+        }
+        m_time += kRound;
+      }
+    }
+    return std::nullopt;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HeldBackBoundTest);
+
+}  // namespace
+}  // namespace hickoryquay::jobs::held_back
