Jobs: commands for the driver have a header of their own

scheduler.h had grown to 308 lines, a fifth of which are plain types that its driver and the tests read without the class. They move to commands.h unchanged; no code changes. jobs_held_back_test, jobs_idle_test and jobs_hold_ends_test pass.

--- /dev/null
+++ b/hickoryquay/jobs/commands.h
@@ -0,0 +1,67 @@
+// What the scheduler hands to its driver: commands for workers, rows to store, and news of jobs.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "hickoryquay/jobs/job.h"
+#include "hickoryquay/jobs/rows.h"
+
+namespace hickoryquay::jobs {
+
+struct StartCommand {
+  WorkerId m_worker;
+  TaskKey m_task;
+  RunNumber m_run{};
+  std::shared_ptr<const std::string> m_payload;
+  std::string m_checkpoint;
+  int m_priority = 0;  // Of its queue: lower ones are sent first.
+};
+
+struct StopCommand {
+  WorkerId m_worker;
+  TaskKey m_task;
+  RunNumber m_run{};
+};
+
+// Ends of this incarnation of a worker up to m_number are recorded in rows.
+struct RecordedEnds {
+  WorkerId m_worker;
+  std::int64_t m_number = 0;
+  Instant m_born;  // Wall time of the start of the incarnation; 0: not known.
+};
+
+struct PhaseChange {
+  JobId m_job{};
+  JobPhase m_phase = JobPhase::kQueued;
+  int m_priority = 0;
+  Instant m_accepted;  // Wall time.
+};
+
+// Rows to store in one transaction, and the actions to take after they are stored.
+struct Batch {
+  std::vector<RowChange> m_rows;
+  std::vector<StartCommand> m_starts;
+  std::vector<RecordedEnds> m_recorded_ends;
+  std::vector<PhaseChange> m_phases;
+
+  bool Empty() const { return m_rows.empty() && m_recorded_ends.empty(); }
+};
+
+// A job that has ended and of which nothing runs.
+struct SettledJob {
+  JobId m_id{};
+  PhaseRow m_end;
+};
+
+// A job of priority 0 within its account's guarantee has begun all tasks of its first step.
+struct GuaranteeStart {
+  JobId m_job{};
+  AccountId m_account;
+  Millis m_since_accepted{0};  // By the wall clocks of the instance that accepted the job and of this one.
+  Millis m_since_taken_in{0};
+};
+
+}  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -10,9 +10,7 @@
 //
 // Resources of a run are released only after its worker lists its end, or after it is certain that it can't run there.
 //
-// Index of this file:
-//   [SECTION] Commands for the driver
-//   [SECTION] Scheduler
+// What it hands to the driver is in commands.h.
 #pragma once
 
 #include <deque>
@@ -24,6 +22,7 @@
 #include <utility>
 #include <vector>
 
+#include "hickoryquay/jobs/commands.h"
 #include "hickoryquay/jobs/idle_jobs.h"
 #include "hickoryquay/jobs/incarnation.h"
 #include "hickoryquay/jobs/job.h"
@@ -42,67 +41,6 @@
   Instant m_wall;    // For objectives and timed jobs.
 };
 
-//-------------------------------------------------------------------------------------------------
-// [SECTION] Commands for the driver
-//-------------------------------------------------------------------------------------------------
-
-struct StartCommand {
-  WorkerId m_worker;
-  TaskKey m_task;
-  RunNumber m_run{};
-  std::shared_ptr<const std::string> m_payload;
-  std::string m_checkpoint;
-  int m_priority = 0;  // Of its queue: lower ones are sent first.
-};
-
-struct StopCommand {
-  WorkerId m_worker;
-  TaskKey m_task;
-  RunNumber m_run{};
-};
-
-// Ends of this incarnation of a worker up to m_number are recorded in rows.
-struct RecordedEnds {
-  WorkerId m_worker;
-  std::int64_t m_number = 0;
-  Instant m_born;  // Wall time of the start of the incarnation; 0: not known.
-};
-
-struct PhaseChange {
-  JobId m_job{};
-  JobPhase m_phase = JobPhase::kQueued;
-  int m_priority = 0;
-  Instant m_accepted;  // Wall time.
-};
-
-// Rows to store in one transaction, and the actions to take after they are stored.
-struct Batch {
-  std::vector<RowChange> m_rows;
-  std::vector<StartCommand> m_starts;
-  std::vector<RecordedEnds> m_recorded_ends;
-  std::vector<PhaseChange> m_phases;
-
-  bool Empty() const { return m_rows.empty() && m_recorded_ends.empty(); }
-};
-
-// A job that has ended and of which nothing runs.
-struct SettledJob {
-  JobId m_id{};
-  PhaseRow m_end;
-};
-
-// A job of priority 0 within its account's guarantee has begun all tasks of its first step.
-struct GuaranteeStart {
-  JobId m_job{};
-  AccountId m_account;
-  Millis m_since_accepted{0};  // By the wall clocks of the instance that accepted the job and of this one.
-  Millis m_since_taken_in{0};
-};
-
-//-------------------------------------------------------------------------------------------------
-// [SECTION] Scheduler
-//-------------------------------------------------------------------------------------------------
-
 struct SchedulerCounts {
   int m_open_jobs = 0;  // Not ended.
   int m_active_units = 0;
