Jobs: a gang that is being stopped waits for its next room already

Callers saw a gang that lost a member stand for the time of its stop and then for up to 2 s more, with ample room elsewhere. Seen in a test, not on processes.

Cause: the wait that the bound of preferences counts began only when the last member of the stopped run was gone. Stops take 0.2 s at best, and as long as a lease where a worker doesn't answer. Class: a bound that counts from the last event and not from the first.

Change: a unit that is being stopped and has to run again is noted as held back, as one that waits. The wait is cleared when all units of the step run and none is being stopped.

Why it works: the gang still takes a whole rack where there is one; where there is none it has waited with ample room for as long as the bound allows.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -200,6 +200,7 @@
   bool HasWaitedLongEnough(const StepState& step, Now now) const;
   bool HasAmpleRoom(const Unit& unit);
   void NoteHeldBack(const Unit& unit, Now now);
+  void NoteStopping(Now now);
   std::vector<StepState*> ReadySteps(Now now);
   const Candidates& CandidatesFor(const Unit& unit);
   const PoolPace& PaceOf(const PoolName& pool, Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -128,6 +128,14 @@
   unit.m_step->m_held_back.Note(HasAmpleRoom(unit), now.m_steady);
 }
 
+// A unit that is being stopped waits for its next run already.
+void Scheduler::NoteStopping(Now now) {
+  for (const Unit* unit : m_active) {
+    const bool waits = unit->m_stopping && !unit->m_done && !Ended(unit->m_step->m_job->m_phase);
+    if (waits && !unit->m_step->HasWaiting()) NoteHeldBack(*unit, now);
+  }
+}
+
 // Stops work on workers that are about to leave. Tasks with checkpoints are stopped in time to save their progress;
 // others are stopped as soon as they can't end in time, so that they restart elsewhere sooner.
 void Scheduler::EvacuateDraining(Now now) {
@@ -159,6 +167,7 @@
   m_guarantees = m_configuration ? Guarantees(m_open_jobs, *m_configuration) : Guarantees();
   DropReservations(now);
   m_rooms = m_workers.CountPools();
+  NoteStopping(now);
   for (StepState* step : ReadySteps(now)) PlaceStep(step, now);
 }
 
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -30,6 +30,12 @@
   });
 }
 
+// As AllRun, and none is being stopped.
+bool AllRunOn(const StepState& step) {
+  return AllRun(step) && std::none_of(step.m_units.begin(), step.m_units.end(),
+                                      [](const auto& unit) { return !unit->m_done && unit->m_stopping; });
+}
+
 void SetState(Member* member, MemberState state, Instant since) {
   member->m_state = state;
   member->m_since = since;
@@ -198,7 +204,7 @@
 // A member of the unit runs. Reports the job when its first step has begun within a guarantee.
 void Scheduler::NoteRunning(const Unit& unit, Now now) {
   JobState* job = unit.m_step->m_job;
-  if (!unit.m_step->m_held_back.IsEmpty() && AllRun(*unit.m_step)) unit.m_step->m_held_back.Clear();
+  if (!unit.m_step->m_held_back.IsEmpty() && AllRunOn(*unit.m_step)) unit.m_step->m_held_back.Clear();
   NoteBegun(job, now);
   if (job->m_begun || job->m_job.m_priority != 0 || unit.m_step->m_key.m_step != 0) return;
   job->m_begun = AllRun(*unit.m_step);
--- a/tests/jobs/held_back_bound_test.cc
+++ b/tests/jobs/held_back_bound_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(GangDoesNotWaitWhileRoomSwingsAroundTwiceItsNeed);
   CPPUNIT_TEST(OneRoundOfRoomIsEnoughOnceTheGangHasWaited);
   CPPUNIT_TEST(GangThatHasWaitedKeepsItsRackWhileRoomIsShort);
+  CPPUNIT_TEST(WaitGoesOnWhileTheGangIsStopped);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -65,6 +66,26 @@
     CPPUNIT_ASSERT(WaitUntilPlaced(gang, kRound * 4));
   }
 
+  // Guards against a gang that lost a member and waits for a rack after it has waited for the stop of the others.
+  void WaitGoesOnWhileTheGangIsStopped() {
+    constexpr int kMembers = 4;
+    const JobId gang = Submit(Gang(kMembers, kAccelerators, true), 1);
+    const auto starts = Round();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kMembers}, starts.size());
+    CPPUNIT_ASSERT(Holds(WorkerAt(0), gang));
+    Confirm(starts);
+    for (int i = kRackSize; i < kWorkers; ++i) {
+      if (i % kRackSize < 5) Occupy(WorkerAt(i), 1);
+    }
+    EndRun(starts.front(), EndKind::kFailed);
+    CPPUNIT_ASSERT(!WaitUntilPlaced(gang, Millis{2'000}));
+    for (const StartCommand& start : starts) {
+      if (start.m_task != starts.front().m_task) EndRun(start, EndKind::kStopped);
+    }
+    for (int i = 0; i < 5; ++i) Occupy(WorkerAt(i), 1);
+    CPPUNIT_ASSERT(WaitUntilPlaced(gang, kRound * 3));
+  }
+
  private:
   // Plays on while others run for `busy` rounds and then rest for `idle`, again and again.
   std::optional<Millis> WaitBeside(const StepSpec& others, int busy, int idle, JobId gang, Millis most) {
