Jobs: workers that return after an evacuation count as room for held-back work

Cause: ample room was counted over workers that take work now. Workers come back in four steps, so the wait began with the last step that was needed. Class: two bounds in a row, of which the second could have begun with the first.

Change: workers that only wait for their step of the return count for HasAmpleRoom; they still take nothing before it.

Why it works: the last step is 1.5 s after the lift, the bound is 2 s, so all workers are back when the preference ends.

--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -109,19 +109,23 @@
 }
 
 // The unit fits twice into what is free, and the pool is lightly used: room that is taken now is not missed by others.
-// A limit per worker holds for each of the two. A step that lasts serves its callers at any load.
+// A limit per worker holds for each of the two. Workers that return soon count: the step would wait for them, and then
+// for as long again. A step that lasts serves its callers at any load.
 bool Scheduler::HasAmpleRoom(const Unit& unit) {
   const StepSpec& spec = *unit.m_step->m_spec;
   const auto pool = m_rooms.find(unit.m_step->m_job->m_job.m_pool);
   if (pool == m_rooms.end() || !(spec.m_long_running || pool->second.IsLightlyUsed())) return false;
+  const std::size_t needed = 2 * unit.m_members.size();
   std::size_t room = 0;
-  for (const WorkerSlot* slot : CandidatesFor(unit).m_all) {
+  const auto add = [&](const WorkerSlot* slot) {
     const int fitting = CountFitting(slot->m_free, spec.m_task);
     const int limit = 2 * spec.m_max_per_worker;
     room += static_cast<std::size_t>(limit == 0 ? fitting : std::min(fitting, limit));
-    if (room >= 2 * unit.m_members.size()) return true;
-  }
-  return false;
+    return room >= needed;
+  };
+  const Candidates& candidates = CandidatesFor(unit);
+  return std::any_of(candidates.m_all.begin(), candidates.m_all.end(), add) ||
+         std::any_of(candidates.m_returning.begin(), candidates.m_returning.end(), add);
 }
 
 void Scheduler::NoteHeldBack(const Unit& unit, Now now) {
@@ -275,7 +279,7 @@
 // `ranked`: of the units of the step that were placed just before, kept for the next one.
 bool Scheduler::TryPlace(Unit* unit, Now now, std::optional<RankedWorkers>* ranked) {
   const StepSpec& spec = *unit->m_step->m_spec;
-  const auto& [racks, domains, all] = CandidatesFor(*unit);
+  const auto& [racks, domains, all, returning] = CandidatesFor(*unit);
   const ChoiceInput input = InputFor(*unit, now);
   if (ranked != nullptr && IsPlainTask(*unit)) {
     if (!*ranked) ranked->emplace(input, all, m_settings.m_choice);
@@ -389,7 +393,7 @@
   }
   const StepSpec& spec = *unit->m_step->m_spec;
   const bool needs_rack = spec.m_rack_local && unit->m_members.size() > 1;
-  const auto& [racks, domains, all] = CandidatesFor(*unit);
+  const auto& [racks, domains, all, returning] = CandidatesFor(*unit);
   std::vector<WorkerSlot*> chosen;
   for (const auto& [name, slots] : racks) {
     if (!needs_rack && name != spec.m_data_rack) continue;
@@ -426,7 +430,7 @@
 std::optional<PreemptionPlan> Scheduler::FindPlan(Unit* unit, Now now) {
   const StepSpec& spec = *unit->m_step->m_spec;
   const PreemptionRound round = MakeRound(now);
-  const auto& [racks, domains, all] = CandidatesFor(*unit);
+  const auto& [racks, domains, all, returning] = CandidatesFor(*unit);
   std::optional<PreemptionPlan> best;
   const bool any_rack = spec.m_rack_local && unit->m_members.size() > 1;
   const bool data_rack = !any_rack && racks.contains(spec.m_data_rack) && PrefersDataRack(*unit, now) &&
--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -144,10 +144,10 @@
   Candidates candidates;
   for (WorkerSlot* slot : m_in_order) {
     const WorkerEntry& entry = slot->m_entry;
-    if (!slot->IsSchedulable() || entry.m_pool != pool) continue;
+    if (!slot->IsInService() || entry.m_pool != pool) continue;
     if (!label.empty() && std::find(entry.m_labels.begin(), entry.m_labels.end(), label) == entry.m_labels.end())
       continue;
-    candidates.m_racks[entry.m_rack].push_back(slot);
+    (slot->IsSchedulable() ? candidates.m_racks[entry.m_rack] : candidates.m_returning).push_back(slot);
   }
   for (const auto& [name, slots] : candidates.m_racks) {
     candidates.m_all.insert(candidates.m_all.end(), slots.begin(), slots.end());
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -64,10 +64,10 @@
 
   // The entry describes the incarnation that answers, which may be of another kind than the one before.
   bool IsDescribed() const { return CompareRow(m_born, m_entry.m_born) == RowIncarnation::kCurrent; }
-  bool IsSchedulable() const {
-    return m_listed && m_usable && !m_entry.m_draining && IsDescribed() && !m_evacuated && !m_domain_lost &&
-           !m_returns_at;
+  bool IsInService() const {
+    return m_listed && m_usable && !m_entry.m_draining && IsDescribed() && !m_evacuated && !m_domain_lost;
   }
+  bool IsSchedulable() const { return IsInService() && !m_returns_at; }
 
   bool IsOverCapacity() const { return !Resources{}.FitsIn(m_free); }
   // Whether starts that were decided before may still be sent.
@@ -105,7 +105,8 @@
 struct Candidates {
   WorkerGroups m_racks;
   WorkerGroups m_domains;
-  std::vector<WorkerSlot*> m_all;  // Rack by rack; the domains have the same order.
+  std::vector<WorkerSlot*> m_all;        // Rack by rack; the domains have the same order.
+  std::vector<WorkerSlot*> m_returning;  // Not schedulable yet, see WorkerSlot::m_returns_at.
 };
 
 // The address of a slot is stable until the slot is erased.
--- a/tests/jobs/held_back_bound_test.cc
+++ b/tests/jobs/held_back_bound_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(OneRoundOfRoomIsEnoughOnceTheGangHasWaited);
   CPPUNIT_TEST(GangThatHasWaitedKeepsItsRackWhileRoomIsShort);
   CPPUNIT_TEST(WaitGoesOnWhileTheGangIsStopped);
+  CPPUNIT_TEST(GangDoesNotWaitAnewForWorkersThatReturn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -86,6 +87,20 @@
     CPPUNIT_ASSERT(WaitUntilPlaced(gang, kRound * 3));
   }
 
+  // Guards against a gang behind an evacuation that waits for its workers' return, and then for as long again.
+  void GangDoesNotWaitAnewForWorkersThatReturn() {
+    const DomainId domain{"domain"};
+    for (int i = kRackSize; i < kWorkers; ++i) {
+      List(WorkerAt(i), kPool, "r" + std::to_string(i / kRackSize), kWhole, domain);
+    }
+    OccupyOnePerRack();
+    m_scheduler->SetEvacuated({domain}, At(m_time));
+    const JobId gang = Submit(Gang(kRackSize, kAccelerators, true), 1);
+    CPPUNIT_ASSERT(!WaitUntilPlaced(gang, kBound * 2));
+    m_scheduler->SetEvacuated({}, At(m_time));
+    CheckStartsInTime(gang);
+  }
+
  private:
   // Plays on while others run for `busy` rounds and then rest for `idle`, again and again.
   std::optional<Millis> WaitBeside(const StepSpec& others, int busy, int idle, JobId gang, Millis most) {
