Jobs: the free share ends after 2 s where no more urgent work arrives

A job whose turn comes late after the traffic then has nothing running for more than 3 s, with room for it twice over and under half of the service in use.

Cause: the longer bound of the free share looked at the use of accelerators alone. Class: a reserve that outlives what it is kept for.

Change: it holds only if a job of a more urgent priority has arrived in the pool within m_longest_reserve; otherwise the bound of all preferences holds.

Why it works: while urgent work arrives nothing changes; 10 s after the last arrival the reserve is a preference like the others. A new leader knows of no arrivals before it, so it keeps the share for 2 s until the next urgent job.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -136,6 +136,7 @@
   RestoreJob(job);
   JobState* state = Find(job.m_id);
   state->m_taken_in = now.m_steady;
+  m_last_jobs[{job.m_pool, job.m_priority}] = now.m_steady;
   CreateDueSteps(state, now);
   const StepSpec& first = job.m_request.m_steps.front();
   log::Info(kLog, "Job taken in",
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -195,6 +195,7 @@
 
   // scheduler_place.cc
   double RequiredFreeShare(const Unit& unit, Now now) const;
+  bool MoreUrgentWorkComes(const AcceptedJob& job, Now now) const;
   bool LeavesTooFewFree(const Unit& unit, Now now) const;
   bool PrefersDataRack(const Unit& unit, Now now) const;
   bool HasWaitedLongEnough(const StepState& step, Now now) const;
@@ -222,6 +223,7 @@
   std::shared_ptr<const QueueConfiguration> m_configuration;
   std::map<JobId, std::unique_ptr<JobState>> m_jobs;
   std::map<JobId, JobState*> m_open_jobs;  // Those of m_jobs that have not ended: few of many at most times.
+  std::map<std::pair<PoolName, int>, Instant> m_last_jobs;  // By pool and priority: the last arrival, steady time.
   WorkerTable m_workers;
   std::set<DomainId> m_evacuated;
   std::set<DomainId> m_lost;                   // Failure domains that don't answer.
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -75,15 +75,23 @@
   return is_tight ? std::min(usual, m_settings.m_min_free_share_tight) : usual;
 }
 
+// Jobs for which the free share is kept have arrived of late.
+bool Scheduler::MoreUrgentWorkComes(const AcceptedJob& job, Now now) const {
+  const auto end = m_last_jobs.lower_bound({job.m_pool, job.m_priority});
+  return std::any_of(m_last_jobs.lower_bound({job.m_pool, std::numeric_limits<int>::min()}), end,
+                     [&](const auto& last) { return now.m_steady - last.second < m_settings.m_longest_reserve; });
+}
+
 bool Scheduler::LeavesTooFewFree(const Unit& unit, Now now) const {
   const AcceptedJob& job = unit.m_step->m_job->m_job;
   const auto room = m_rooms.find(job.m_pool);
   if (job.m_priority == 0 || room == m_rooms.end()) return false;
   const bool lasts = unit.m_step->m_spec->m_long_running;
   if (lasts && Raw(unit.m_run) > 0) return false;  // It used its room before.
-  // The share is kept for work that needs accelerators, so it holds for longer while these are in use.
+  // The share is kept for work that needs accelerators, so it holds for longer while these are in use and it comes.
   const bool light = lasts || room->second.AcceleratorUse() < kLightUse;
-  const Millis bound = light ? m_settings.m_longest_preference : m_settings.m_longest_reserve;
+  const bool reserves = !light && MoreUrgentWorkComes(job, now);
+  const Millis bound = reserves ? m_settings.m_longest_reserve : m_settings.m_longest_preference;
   if (unit.m_step->m_held_back.HasLasted(bound, now.m_steady)) return false;
   const int takes = unit.Accelerators();
   if (takes == 0) return false;
--- a/hickoryquay/jobs/scheduler_settings.h
+++ b/hickoryquay/jobs/scheduler_settings.h
@@ -38,7 +38,7 @@
   double m_tight_slack_share = 0.5;
   // Bound of all preferences in a pool with ample room: a step waits no longer for room that would suit it better.
   Millis m_longest_preference{2'000};
-  // As above, of the free share while half of the accelerators are in use.
+  // As above, of the free share while half of the accelerators are in use and a more urgent job has arrived within it.
   Millis m_longest_reserve{10'000};
   Millis m_leave_margin{300};     // Tasks with checkpoints are stopped this much before they have to leave a worker.
   double m_evacuate_share = 0.8;  // A task that can't reach this share of its estimate before its worker leaves moves.
--- a/tests/jobs/held_back_bound_test.cc
+++ b/tests/jobs/held_back_bound_test.cc
@@ -29,6 +29,8 @@
   CPPUNIT_TEST(GangThatHasWaitedKeepsItsRackWhileRoomIsShort);
   CPPUNIT_TEST(WaitGoesOnWhileTheGangIsStopped);
   CPPUNIT_TEST(GangDoesNotWaitAnewForWorkersThatReturn);
+  CPPUNIT_TEST(FreeShareEndsSoonerWhereNoUrgentWorkComes);
+  CPPUNIT_TEST(FreeShareIsKeptWhileUrgentWorkComes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -101,6 +103,20 @@
     CheckStartsInTime(gang);
   }
 
+  // Guards against a reserve that holds work back for 10 s in calm. 63% of the accelerators and 23% of all are in use.
+  void FreeShareEndsSoonerWhereNoUrgentWorkComes() {
+    for (int i = 0; i < 15; ++i) Occupy(WorkerAt(i), kAccelerators);
+    m_time += Millis{10'000};
+    CheckStartsInTime(Submit(Gang(4, kAccelerators, false), 2));
+  }
+
+  // Guards against a reserve that is given up while the work comes that it is kept for.
+  void FreeShareIsKeptWhileUrgentWorkComes() {
+    for (int i = 0; i < 15; ++i) Occupy(WorkerAt(i), kAccelerators);
+    const JobId gang = Submit(Gang(4, kAccelerators, false), 2);
+    CPPUNIT_ASSERT(!WaitUntilPlaced(gang, Millis{9'000}));
+  }
+
  private:
   // Plays on while others run for `busy` rounds and then rest for `idle`, again and again.
   std::optional<Millis> WaitBeside(const StepSpec& others, int busy, int idle, JobId gang, Millis most) {
