Jobs: a new leader does not hold old work back for as long as the one before

Callers saw (in a test): a job that waits for a better place has nothing running for the rest of the old leader's wait, the takeover, and 2 s of the new leader.

Cause: what a step has waited is known to its scheduler alone, and begins at 0 with each takeover. Class: a bound that the loss of a process begins anew.

Change: a step that is left in the first 0.5 s of a scheduler, of a job that was accepted at least m_longest_preference before and was restored, is credited all but 0.5 s of the bound. In that time the workers join. Timed jobs are not credited: they may have been due only now. No row changes.

Why it works: the wait after a takeover with ample room is 0.5 s instead of 2 s. A step whose turn came just before the takeover may leave its preference 1.5 s early; it still takes a better place where there is one.

--- a/hickoryquay/jobs/held_back_time.h
+++ b/hickoryquay/jobs/held_back_time.h
@@ -21,6 +21,8 @@
     }
   }
 
+  // The step has waited for so long already, as far as is known.
+  void Credit(Millis before) { m_before += before; }
   void Clear() { *this = HeldBackTime{}; }
 
   bool IsEmpty() const { return !m_since && m_before == Millis{0}; }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -202,6 +202,7 @@
   bool HasAmpleRoom(const Unit& unit);
   void NoteHeldBack(const Unit& unit, Now now);
   void NoteStopping(Now now);
+  bool WaitedBeforeTakeover(const StepState& step, Now now) const;
   std::vector<StepState*> ReadySteps(Now now);
   const Candidates& CandidatesFor(const Unit& unit);
   const PoolPace& PaceOf(const PoolName& pool, Now now);
@@ -241,6 +242,7 @@
   Guarantees m_guarantees;
   std::vector<GuaranteeStart> m_guarantee_starts;    // Not taken yet.
   std::deque<std::pair<Instant, JobId>> m_archived;  // With the steady time.
+  Instant m_first_placement;                         // Steady time of the first Decide that places; 0: none yet.
   int m_starts = 0;
   int m_preemptions = 0;
   int m_lost_workers = 0;  // Since construction; restarts included, ends of leases not.
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -174,6 +174,7 @@
   ReturnWorkers(now);
   m_workers.DropLateCopies(now.m_steady);
   if (!places) return;
+  if (m_first_placement == Instant{}) m_first_placement = now.m_steady;
   m_candidates.clear();
   m_paces.clear();
   m_guarantees = m_configuration ? Guarantees(m_open_jobs, *m_configuration) : Guarantees();
@@ -183,13 +184,25 @@
   for (StepState* step : ReadySteps(now)) PlaceStep(step, now);
 }
 
+// The step may have been held back by an earlier scheduler for as long as a preference may last.
+bool Scheduler::WaitedBeforeTakeover(const StepState& step, Now now) const {
+  const AcceptedJob& job = step.m_job->m_job;
+  const bool restored = step.m_job->m_taken_in == Instant{} && job.m_request.m_repeats == 0;
+  return restored && now.m_steady - m_first_placement < m_settings.m_join_time &&
+         now.m_wall - job.m_accepted >= m_settings.m_longest_preference;
+}
+
 void Scheduler::PlaceStep(StepState* step, Now now) {
   if (Ended(step->m_job->m_phase)) return;  // Another step has ended it in this round.
   if (!step->HasWaiting()) return;
   // Whether there is ample room now counts, not in the round before.
   if (!step->m_held_back.IsEmpty()) NoteHeldBack(*step->m_units[step->m_passed], now);
   const Unit* left = PlaceUnits(step, now);
-  if (left != nullptr && step->m_held_back.IsEmpty()) NoteHeldBack(*left, now);
+  if (left == nullptr || !step->m_held_back.IsEmpty()) return;
+  if (WaitedBeforeTakeover(*step, now)) {
+    step->m_held_back.Credit(m_settings.m_longest_preference - m_settings.m_join_time);
+  }
+  NoteHeldBack(*left, now);
 }
 
 // Places the waiting units of a step until one does not fit. The others won't fit either, and must not use resources
--- a/hickoryquay/jobs/scheduler_settings.h
+++ b/hickoryquay/jobs/scheduler_settings.h
@@ -40,6 +40,8 @@
   Millis m_longest_preference{2'000};
   // As above, of the free share while half of the accelerators are in use and a more urgent job has arrived within it.
   Millis m_longest_reserve{10'000};
+  // Workers join a new scheduler within this time. Work that was accepted m_longest_preference before waits no longer.
+  Millis m_join_time{500};
   Millis m_leave_margin{300};     // Tasks with checkpoints are stopped this much before they have to leave a worker.
   double m_evacuate_share = 0.8;  // A task that can't reach this share of its estimate before its worker leaves moves.
   Millis m_min_pace_span{500};    // Shorter intervals are too short to compute a task's pace.
--- a/tests/jobs/held_back_bound_test.cc
+++ b/tests/jobs/held_back_bound_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(GangDoesNotWaitAnewForWorkersThatReturn);
   CPPUNIT_TEST(FreeShareEndsSoonerWhereNoUrgentWorkComes);
   CPPUNIT_TEST(FreeShareIsKeptWhileUrgentWorkComes);
+  CPPUNIT_TEST(OldGangDoesNotWaitAnewAfterATakeover);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -117,6 +118,18 @@
     CPPUNIT_ASSERT(!WaitUntilPlaced(gang, Millis{9'000}));
   }
 
+  // Guards against a gang that each new leader holds back for as long as the one before.
+  void OldGangDoesNotWaitAnewAfterATakeover() {
+    OccupyOnePerRack();
+    const JobId gang = Submit(Gang(kRackSize, kAccelerators, true), 1);
+    const AcceptedJob accepted = m_last_job;
+    CPPUNIT_ASSERT(!WaitUntilPlaced(gang, Millis{1'800}));
+    m_time += Millis{1'000};
+    TakeOver(accepted);
+    OccupyOnePerRack();
+    CPPUNIT_ASSERT(WaitUntilPlaced(gang, Millis{700}));
+  }
+
  private:
   // Plays on while others run for `busy` rounds and then rest for `idle`, again and again.
   std::optional<Millis> WaitBeside(const StepSpec& others, int busy, int idle, JobId gang, Millis most) {
@@ -135,6 +148,15 @@
     }
     return std::nullopt;
   }
+
+  // A new scheduler, among workers of which nothing runs.
+  void TakeOver(const AcceptedJob& job) {
+    m_scheduler = std::make_unique<Scheduler>(SchedulerSettings{});
+    m_runs.clear();
+    m_scheduler->RestoreJob(job);
+    m_scheduler->EndRestoredJobs(At(m_time));
+    ListAll();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HeldBackBoundTest);
