Jobs: workers of a gang that waits for a member don't rest as slow

Work that fits there is held back.

Cause: a task's pace was judged from its own confirmation on. A gang makes no progress before all members run, so its tasks stand at 0% and their workers count as slow. Class: a symptom of one worker taken for that of others.

Change: pace is judged from the moment on at which all members run, and not while one does not.

Why it works: RecordProgress learned speeds from that moment on already; both use the same function now.

--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -56,17 +56,24 @@
   return !spec.m_rack_local || first == nullptr || all_on(first->m_entry.m_rack);
 }
 
-// Steady time at which all members had started; empty if some have not. Instant{} if the run may have resumed from a
-// checkpoint or was started by an earlier scheduler, so that its progress did not begin at 0 then.
-std::optional<Instant> WorkBegan(const Unit& unit) {
-  Instant begin;
-  bool fresh = Raw(unit.m_run) == 1;
+// Steady time since which all members run; empty if some don't. A gang makes no progress before.
+std::optional<Instant> AllMembersRunSince(const Unit& unit) {
+  Instant since;
   for (const Member& member : unit.m_members) {
     if (member.m_state != MemberState::kRunning) return std::nullopt;
-    begin = std::max(begin, member.m_since);
-    fresh = fresh && !member.m_restored;
+    since = std::max(since, member.m_since);
   }
-  return fresh ? begin : Instant{};
+  return since;
+}
+
+// As above. Instant{} if the run may have resumed from a checkpoint or was started by an earlier scheduler, so that its
+// progress did not begin at 0 then.
+std::optional<Instant> WorkBegan(const Unit& unit) {
+  const auto restored = [](const Member& member) { return member.m_restored; };
+  const bool fresh = Raw(unit.m_run) == 1 && std::none_of(unit.m_members.begin(), unit.m_members.end(), restored);
+  const auto since = AllMembersRunSince(unit);
+  if (!since || fresh) return since;
+  return Instant{};
 }
 
 }  // namespace
@@ -344,10 +351,12 @@
     const auto [unit, index] = FindMember(running.m_task);
     if (unit == nullptr || unit->m_run != running.m_run || unit->m_members[index].m_slot != slot) continue;
     Member& member = unit->m_members[index];
-    const Instant last = member.m_percent_at.m_ms == 0 ? member.m_since : member.m_percent_at;
+    const auto since = AllMembersRunSince(*unit);
+    if (!since || unit->m_stopping) continue;
+    const Instant last = std::max(*since, member.m_percent_at);
     const Millis span = now.m_steady - last;
-    if (member.m_state != MemberState::kRunning || unit->m_stopping || span < m_settings.m_min_pace_span) continue;
-    const Millis before = last - member.m_since;
+    if (span < m_settings.m_min_pace_span) continue;
+    const Millis before = last - *since;
     const bool known = before >= m_settings.m_min_pace_span && member.m_percent > 0;
     // Without an earlier report, the usual pace is half of what the caller's estimate implies.
     const auto estimate = static_cast<double>(std::max<std::int64_t>(1, unit->m_step->m_spec->m_estimate.count()));
--- a/tests/jobs/pace_test.cc
+++ b/tests/jobs/pace_test.cc
@@ -10,6 +10,7 @@
 
 const PoolName kPool{"pool"};
 const WorkerId kWorker{"worker"};
+const WorkerId kOther{"other"};
 constexpr std::int64_t kPollEvery = 600;
 
 Now At(std::int64_t ms) {
@@ -20,18 +21,13 @@
   CPPUNIT_TEST_SUITE(PaceTest);
   CPPUNIT_TEST(LongTasksAreNotTakenForSlow);
   CPPUNIT_TEST(TaskThatStandsStillIsNoticed);
+  CPPUNIT_TEST(GangThatWaitsForAMemberIsNotTakenForSlow);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
     m_scheduler = std::make_unique<Scheduler>(SchedulerSettings{});
-    WorkerEntry worker;
-    worker.m_id = kWorker;
-    worker.m_pool = kPool;
-    worker.m_address = "10.100.200.1:8524";
-    worker.m_capacity = Resources{1'000, 1'000, 1'000};
-    m_scheduler->OnWorkerListed(worker, At(0));
-    m_scheduler->SetWorkerUsable(kWorker, true);
+    List(kWorker);
   }
 
   // Guards against workers of long tasks getting nothing because a percent takes longer than the time between polls.
@@ -61,8 +57,48 @@
     CPPUNIT_ASSERT(noticed > 3'000 && noticed <= 3'000 + 2 * kPollEvery);
   }
 
+  // Guards against sound workers that rest because the gang of their task waits for another member.
+  void GangThatWaitsForAMemberIsNotTakenForSlow() {
+    constexpr std::int64_t kEstimate = 10'000;
+    constexpr std::int64_t kJoins = 5'000;
+    List(kOther);
+    Submit(0, kEstimate, 2);
+    m_scheduler->Decide(At(0));
+    const auto starts = m_scheduler->TakeBatch(store::kMaxTransactionRows, store::kMaxTransactionBytes).m_starts;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, starts.size());
+    for (const StartCommand& start : starts) m_scheduler->OnStartSent(start, At(0));
+    const bool first = starts.front().m_worker == kWorker;
+    m_start = first ? starts.front() : starts.back();
+    const StartCommand& missing = first ? starts.back() : starts.front();
+    m_scheduler->OnStartAnswer(m_start, StartOutcome::kAccepted, At(0));
+    m_scheduler->SetWorkerUsable(kOther, false);
+    for (std::int64_t ms = kPollEvery; ms < kJoins; ms += kPollEvery) {
+      Poll(ms, 0);
+      CPPUNIT_ASSERT(TakesWork(ms));
+    }
+    m_scheduler->OnStartAnswer(missing, StartOutcome::kAccepted, At(kJoins));
+    for (std::int64_t ms = kJoins + kPollEvery; ms < kJoins + 3'000; ms += kPollEvery) {
+      Poll(ms, static_cast<int>(100 * (ms - kJoins) / kEstimate));
+      CPPUNIT_ASSERT(TakesWork(ms));
+    }
+    const std::int64_t stands = kJoins + 3'000 + 2 * kPollEvery;
+    Poll(stands, 30);
+    Poll(stands + 2 * kPollEvery, 30);
+    CPPUNIT_ASSERT(!TakesWork(stands + 2 * kPollEvery));
+  }
+
  private:
-  void Submit(std::int64_t ms, std::int64_t estimate) {
+  void List(const WorkerId& id) {
+    WorkerEntry worker;
+    worker.m_id = id;
+    worker.m_pool = kPool;
+    worker.m_address = "10.100.200.1:8524";
+    worker.m_capacity = Resources{1'000, 1'000, 1'000};
+    m_scheduler->OnWorkerListed(worker, At(0));
+    m_scheduler->SetWorkerUsable(id, true);
+  }
+
+  void Submit(std::int64_t ms, std::int64_t estimate, int members = 1) {
     AcceptedJob job;
     job.m_id = JobId{m_next_job++};
     job.m_pool = kPool;
@@ -70,6 +106,9 @@
     StepSpec step;
     step.m_task = Resources{1, 1, 1};
     step.m_estimate = Millis{estimate};
+    step.m_tasks = members;
+    step.m_gang = members > 1;
+    step.m_max_per_worker = 1;
     job.m_request.m_steps = {step};
     m_scheduler->OnJob(job, At(ms));
   }
