Jobs: workers of restored and resumed runs don't rest as slow

Cause: the first report of a run that has made progress before (50%, say) was taken for progress of the moment between its confirmation and that report, so its usual pace came out ten times too high and the task looked as if it had slowed down. Class: a symptom of one worker taken for that of others; what was done before counted as done now.

Change: a run that may have begun elsewhere or earlier is judged from its first report on, as RecordProgress does for speeds.

Why it works: the pace of the first span is not known then, so the caller's estimate is the measure, as for a new run.

--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -351,16 +351,21 @@
     const auto [unit, index] = FindMember(running.m_task);
     if (unit == nullptr || unit->m_run != running.m_run || unit->m_members[index].m_slot != slot) continue;
     Member& member = unit->m_members[index];
-    const auto since = AllMembersRunSince(*unit);
-    if (!since || unit->m_stopping) continue;
-    const Instant last = std::max(*since, member.m_percent_at);
-    const Millis span = now.m_steady - last;
+    const auto begin = WorkBegan(*unit);
+    if (!begin || unit->m_stopping) continue;
+    if (member.m_percent_at == Instant{}) {  // What was done before this run, or before this scheduler, tells no pace.
+      const bool fresh = *begin != Instant{};
+      member.m_percent = member.m_first_percent = fresh ? 0 : running.m_percent;
+      member.m_percent_at = member.m_first_percent_at = fresh ? *begin : now.m_steady;
+    }
+    const Millis span = now.m_steady - member.m_percent_at;
     if (span < m_settings.m_min_pace_span) continue;
-    const Millis before = last - *since;
-    const bool known = before >= m_settings.m_min_pace_span && member.m_percent > 0;
+    const Millis before = member.m_percent_at - member.m_first_percent_at;
+    const int made = member.m_percent - member.m_first_percent;
+    const bool known = before >= m_settings.m_min_pace_span && made > 0;
     // Without an earlier report, the usual pace is half of what the caller's estimate implies.
     const auto estimate = static_cast<double>(std::max<std::int64_t>(1, unit->m_step->m_spec->m_estimate.count()));
-    const double usual = known ? member.m_percent / static_cast<double>(before.count()) : kWhole / 2.0 / estimate;
+    const double usual = known ? made / static_cast<double>(before.count()) : kWhole / 2.0 / estimate;
     // Progress is a whole percentage: where little is due, rounding makes a task look slow.
     if (usual * static_cast<double>(span.count()) < m_settings.m_min_expected_percent) continue;
     const double pace = (running.m_percent - member.m_percent) / static_cast<double>(span.count());
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -46,6 +46,8 @@
   Instant m_listed;              // Steady time of the last reply that listed it as running.
   int m_percent = 0;             // Progress reported at m_percent_at, 0 to 100.
   Instant m_percent_at;          // Steady time; 0: not reported yet.
+  int m_first_percent = 0;       // Progress that was made before m_first_percent_at.
+  Instant m_first_percent_at;    // Steady time from which its pace is judged.
   RunPace m_pace;
   Instant m_stop_at;           // Steady time: of the answer in kAcknowledged, of the next attempt in kRequested.
   Instant m_stop_sent;         // Steady time of the first stop; 0: not sent yet.
--- a/tests/jobs/pace_test.cc
+++ b/tests/jobs/pace_test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(LongTasksAreNotTakenForSlow);
   CPPUNIT_TEST(TaskThatStandsStillIsNoticed);
   CPPUNIT_TEST(GangThatWaitsForAMemberIsNotTakenForSlow);
+  CPPUNIT_TEST(RestoredRunIsNotTakenForSlow);
+  CPPUNIT_TEST(ResumedRunIsNotTakenForSlow);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -87,7 +89,45 @@
     CPPUNIT_ASSERT(!TakesWork(stands + 2 * kPollEvery));
   }
 
+  // Guards against all workers that work resting after a takeover, since their tasks had made progress before it.
+  void RestoredRunIsNotTakenForSlow() {
+    constexpr std::int64_t kEstimate = 10'000;
+    Submit(0, kEstimate);
+    m_start = Place(0).front();
+    m_scheduler = std::make_unique<Scheduler>(SchedulerSettings{});
+    m_scheduler->RestoreJob(m_submitted);
+    UnitRow row;
+    row.m_run = m_start.m_run;
+    row.m_members = {{kWorker, "10.100.200.1:8524", false, {}}};
+    m_scheduler->RestoreStep(StepRow{m_start.m_task.m_step, {row}});
+    List(kWorker);
+    CheckSteadyProgress(50, kEstimate);
+  }
+
+  // As above, of a task that resumes at 50% from a checkpoint.
+  void ResumedRunIsNotTakenForSlow() {
+    constexpr std::int64_t kEstimate = 10'000;
+    Submit(0, kEstimate);
+    for (const StartCommand& start : Place(0)) {
+      PollReply reply;
+      reply.m_ended = {{++m_ends, start.m_task, start.m_run, EndKind::kFailed, ""}};
+      m_scheduler->OnPollReply(kWorker, reply, At(0).m_steady, At(0));
+    }
+    constexpr std::int64_t kAgain = 3'000;  // The step avoids the worker until then.
+    const auto starts = Place(kAgain);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    m_start = starts.front();
+    CheckSteadyProgress(50, kEstimate, kAgain);
+  }
+
  private:
+  void CheckSteadyProgress(int from, std::int64_t estimate, std::int64_t since = 0) {
+    for (std::int64_t ms = kPollEvery; ms < estimate / 2; ms += kPollEvery) {
+      Poll(since + ms, from + static_cast<int>(100 * ms / estimate));
+      CPPUNIT_ASSERT(TakesWork(since + ms));
+    }
+  }
+
   void List(const WorkerId& id) {
     WorkerEntry worker;
     worker.m_id = id;
@@ -110,7 +150,9 @@
     step.m_gang = members > 1;
     step.m_max_per_worker = 1;
     job.m_request.m_steps = {step};
+    job.m_max_attempts = 2;
     m_scheduler->OnJob(job, At(ms));
+    m_submitted = job;
   }
 
   std::vector<StartCommand> Place(std::int64_t ms) {
@@ -141,6 +183,7 @@
   }
 
   std::unique_ptr<Scheduler> m_scheduler;
+  AcceptedJob m_submitted;  // The last one.
   StartCommand m_start;
   std::vector<StartCommand> m_others;
   std::int64_t m_ends = 0;
