Jobs: a new leader credits young work with what it has waited

A job that is younger than the bound at the takeover still waited for the whole bound with the change before.

Change: a restored step that is left in the first 0.5 s is credited the time since its job was accepted, at most all but 0.5 s of the bound. Clocks that run apart change it by their difference, within these limits.

Why it works: the wait for a better place is 2 s from the acceptance on in all, or 0.5 s of the new leader, whichever ends later.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -202,7 +202,7 @@
   bool HasAmpleRoom(const Unit& unit);
   void NoteHeldBack(const Unit& unit, Now now);
   void NoteStopping(Now now);
-  bool WaitedBeforeTakeover(const StepState& step, Now now) const;
+  Millis WaitBeforeTakeover(const StepState& step, Now now) const;
   std::vector<StepState*> ReadySteps(Now now);
   const Candidates& CandidatesFor(const Unit& unit);
   const PoolPace& PaceOf(const PoolName& pool, Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -184,12 +184,12 @@
   for (StepState* step : ReadySteps(now)) PlaceStep(step, now);
 }
 
-// The step may have been held back by an earlier scheduler for as long as a preference may last.
-bool Scheduler::WaitedBeforeTakeover(const StepState& step, Now now) const {
+// For how long an earlier scheduler may have held the step back. The workers that join get their time in any case.
+Millis Scheduler::WaitBeforeTakeover(const StepState& step, Now now) const {
   const AcceptedJob& job = step.m_job->m_job;
   const bool restored = step.m_job->m_taken_in == Instant{} && job.m_request.m_repeats == 0;
-  return restored && now.m_steady - m_first_placement < m_settings.m_join_time &&
-         now.m_wall - job.m_accepted >= m_settings.m_longest_preference;
+  if (!restored || now.m_steady - m_first_placement >= m_settings.m_join_time) return Millis{0};
+  return std::clamp(now.m_wall - job.m_accepted, Millis{0}, m_settings.m_longest_preference - m_settings.m_join_time);
 }
 
 void Scheduler::PlaceStep(StepState* step, Now now) {
@@ -199,9 +199,7 @@
   if (!step->m_held_back.IsEmpty()) NoteHeldBack(*step->m_units[step->m_passed], now);
   const Unit* left = PlaceUnits(step, now);
   if (left == nullptr || !step->m_held_back.IsEmpty()) return;
-  if (WaitedBeforeTakeover(*step, now)) {
-    step->m_held_back.Credit(m_settings.m_longest_preference - m_settings.m_join_time);
-  }
+  step->m_held_back.Credit(WaitBeforeTakeover(*step, now));
   NoteHeldBack(*left, now);
 }
 
--- a/hickoryquay/jobs/scheduler_settings.h
+++ b/hickoryquay/jobs/scheduler_settings.h
@@ -40,7 +40,7 @@
   Millis m_longest_preference{2'000};
   // As above, of the free share while half of the accelerators are in use and a more urgent job has arrived within it.
   Millis m_longest_reserve{10'000};
-  // Workers join a new scheduler within this time. Work that was accepted m_longest_preference before waits no longer.
+  // Workers join a new scheduler within this time, for which it holds work back however long that has waited before.
   Millis m_join_time{500};
   Millis m_leave_margin{300};     // Tasks with checkpoints are stopped this much before they have to leave a worker.
   double m_evacuate_share = 0.8;  // A task that can't reach this share of its estimate before its worker leaves moves.
--- a/tests/jobs/held_back_bound_test.cc
+++ b/tests/jobs/held_back_bound_test.cc
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(FreeShareEndsSoonerWhereNoUrgentWorkComes);
   CPPUNIT_TEST(FreeShareIsKeptWhileUrgentWorkComes);
   CPPUNIT_TEST(OldGangDoesNotWaitAnewAfterATakeover);
+  CPPUNIT_TEST(YoungGangDoesNotWaitAnewAfterATakeover);
+  CPPUNIT_TEST(GangWaitsForItsRackWhileWorkersJoin);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -130,6 +132,28 @@
     CPPUNIT_ASSERT(WaitUntilPlaced(gang, Millis{700}));
   }
 
+  // As above, of a gang that is younger than the bound.
+  void YoungGangDoesNotWaitAnewAfterATakeover() {
+    OccupyOnePerRack();
+    const JobId gang = Submit(Gang(kRackSize, kAccelerators, true), 1);
+    const AcceptedJob accepted = m_last_job;
+    m_time += Millis{1'000};
+    TakeOver(accepted);
+    OccupyOnePerRack();
+    CPPUNIT_ASSERT(WaitUntilPlaced(gang, Millis{1'200}));
+  }
+
+  // Guards against an old gang that a new leader spreads over racks before the workers of its rack have joined.
+  void GangWaitsForItsRackWhileWorkersJoin() {
+    OccupyOnePerRack();
+    const JobId gang = Submit(Gang(kRackSize, kAccelerators, true), 1);
+    const AcceptedJob accepted = m_last_job;
+    m_time += Millis{10'000};
+    TakeOver(accepted);
+    OccupyOnePerRack();
+    CPPUNIT_ASSERT(!WaitUntilPlaced(gang, Millis{300}));
+  }
+
  private:
   // Plays on while others run for `busy` rounds and then rest for `idle`, again and again.
   std::optional<Millis> WaitBeside(const StepSpec& others, int busy, int idle, JobId gang, Millis most) {
