Jobs: what silent workers hold is no use of their pool

Callers saw (in tests): where many workers with work on them fall silent, jobs that prefer a rack or their data wait until those leases are over, up to 10 s, though more than half of what answers is free and holds them twice.

Cause: the use that decides whether room is short was counted over all listed workers, with the runs of silent ones, which keep nobody from the others. Class: what is not known to be gone counted as a competitor.

Change: use is counted over listed workers and over those in service, and the lesser one decides. Evacuated workers stay part of the service in the first. The same for the bound of the free share.

Why it works: the bound is for work that finds room twice over on workers that answer; the share of these that is in use tells whether others need that room.

--- a/hickoryquay/jobs/worker_table.cc
+++ b/hickoryquay/jobs/worker_table.cc
@@ -26,20 +26,25 @@
 
 void PoolRoom::Take(const Resources& task, int times) {
   m_free -= task.m_accelerators * times;
-  m_used += task * times;
+  m_listed.m_used += task * times;
+  m_in_service.m_used += task * times;
 }
 
-double PoolRoom::AcceleratorUse() const {
-  if (m_capacity.m_accelerators == 0) return ProcessorUse();
+double PoolUse::OfAccelerators() const {
+  if (m_capacity.m_accelerators == 0) return OfProcessors();
   return ShareOf(m_used.m_accelerators, m_capacity.m_accelerators);
 }
 
-double PoolRoom::ProcessorUse() const {
+double PoolUse::OfProcessors() const {
   return ShareOf(Processing(m_used), Processing(m_capacity));
 }
 
+double PoolRoom::AcceleratorUse() const {
+  return std::min(m_listed.OfAccelerators(), m_in_service.OfAccelerators());
+}
+
 bool PoolRoom::IsLightlyUsed() const {
-  return AcceleratorUse() < kLightUse || ProcessorUse() < kLightUse;
+  return AcceleratorUse() < kLightUse || std::min(m_listed.OfProcessors(), m_in_service.OfProcessors()) < kLightUse;
 }
 
 void WorkerSlot::OnRestarted() {
@@ -161,8 +166,12 @@
   for (const WorkerSlot* slot : m_in_order) {
     if (!slot->m_listed) continue;
     PoolRoom& room = rooms[slot->m_entry.m_pool];
-    room.m_capacity += slot->m_entry.m_capacity;
-    room.m_used += slot->m_entry.m_capacity - slot->m_free;
+    const auto count = [slot](PoolUse* use) {
+      use->m_capacity += slot->m_entry.m_capacity;
+      use->m_used += slot->m_entry.m_capacity - slot->m_free;
+    };
+    count(&room.m_listed);
+    if (slot->IsInService()) count(&room.m_in_service);
     if (!slot->IsSchedulable()) continue;
     room.m_free += slot->m_free.m_accelerators;
     room.m_total += slot->m_entry.m_capacity.m_accelerators;
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -84,17 +84,25 @@
 
 constexpr double kLightUse = 0.5;  // Share of a pool in use, below which room is not short.
 
+// What is in use of some workers.
+struct PoolUse {
+  Resources m_used;
+  Resources m_capacity;
+
+  double OfAccelerators() const;  // Share of the accelerators in use; of the cores if there are none.
+  double OfProcessors() const;    // Share of cores and accelerators together.
+};
+
 // What is free and in use in a pool.
 struct PoolRoom {
   int m_free = 0;        // Accelerators of schedulable workers.
   int m_total = 0;       // Accelerators of schedulable workers, whether free or not.
-  Resources m_used;      // Of all listed workers.
-  Resources m_capacity;  // Of all listed workers.
+  PoolUse m_listed;      // Of all listed workers.
+  PoolUse m_in_service;  // Of those in service: what others hold is missed by nobody here.
 
   void Take(const Resources& task, int times);
-  double AcceleratorUse() const;  // Share of the accelerators in use; of the cores if there are none.
-  double ProcessorUse() const;    // Share of cores and accelerators together.
-  bool IsLightlyUsed() const;     // Less than kLightUse of one of the two.
+  double AcceleratorUse() const;  // The lesser of the two.
+  bool IsLightlyUsed() const;     // Less than kLightUse, of either, of accelerators or of processors.
 };
 using PoolRooms = std::map<PoolName, PoolRoom>;
 
--- a/tests/jobs/held_back_pool.h
+++ b/tests/jobs/held_back_pool.h
@@ -71,9 +71,10 @@
   }
 
   void List(const WorkerId& id, const PoolName& pool, const std::string& rack, const Resources& capacity = kWhole,
-            const DomainId& domain = {}) {
+            const DomainId& domain = {}, const std::vector<std::string>& labels = {}) {
     WorkerEntry worker;
     worker.m_domain = domain;
+    worker.m_labels = labels;
     worker.m_id = id;
     worker.m_pool = pool;
     worker.m_address = "10.100.200.1:8524";
@@ -112,9 +113,11 @@
   }
 
   // Runs an urgent lasting task on that worker, which is the only one that may take it.
-  void Occupy(const WorkerId& worker, int accelerators) {
+  void Occupy(const WorkerId& worker, int accelerators, std::optional<int> millicores = std::nullopt) {
     SetOthersUsable(worker, false);
-    Submit(Lasting(accelerators), 0);
+    StepSpec step = Lasting(accelerators);
+    step.m_task.m_millicores = millicores.value_or(step.m_task.m_millicores);
+    Submit(step, 0);
     const auto starts = Round();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
     Confirm(starts);
