Jobs: in calm, the free share ends after 2 s for jobs of which nothing runs only

Cause: bounded the reserve for all work, though only jobs that stand still need it.

Change: the longer bound holds for a job of which something is placed, as well as while more urgent work arrives.

Why it works: one unit of a job that stands gets in after 2 s; the job runs then, and its other units wait as before.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -195,7 +195,7 @@
 
   // scheduler_place.cc
   double RequiredFreeShare(const Unit& unit, Now now) const;
-  bool MoreUrgentWorkComes(const AcceptedJob& job, Now now) const;
+  bool KeepsReserveFrom(const JobState& state, Now now) const;
   bool LeavesTooFewFree(const Unit& unit, Now now) const;
   bool PrefersDataRack(const Unit& unit, Now now) const;
   bool HasWaitedLongEnough(const StepState& step, Now now) const;
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -75,8 +75,15 @@
   return is_tight ? std::min(usual, m_settings.m_min_free_share_tight) : usual;
 }
 
-// Jobs for which the free share is kept have arrived of late.
-bool Scheduler::MoreUrgentWorkComes(const AcceptedJob& job, Now now) const {
+// More urgent jobs, for which the free share is kept, have arrived of late, or the job has something running.
+bool Scheduler::KeepsReserveFrom(const JobState& state, Now now) const {
+  const auto active = [](const auto& unit) { return unit->m_active; };
+  for (const auto& steps : state.m_steps) {
+    for (const auto& step : steps) {
+      if (std::any_of(step->m_units.begin(), step->m_units.end(), active)) return true;
+    }
+  }
+  const AcceptedJob& job = state.m_job;
   const auto end = m_last_jobs.lower_bound({job.m_pool, job.m_priority});
   return std::any_of(m_last_jobs.lower_bound({job.m_pool, std::numeric_limits<int>::min()}), end,
                      [&](const auto& last) { return now.m_steady - last.second < m_settings.m_longest_reserve; });
@@ -90,9 +97,11 @@
   if (lasts && Raw(unit.m_run) > 0) return false;  // It used its room before.
   // The share is kept for work that needs accelerators, so it holds for longer while these are in use and it comes.
   const bool light = lasts || room->second.AcceleratorUse() < kLightUse;
-  const bool reserves = !light && MoreUrgentWorkComes(job, now);
-  const Millis bound = reserves ? m_settings.m_longest_reserve : m_settings.m_longest_preference;
-  if (unit.m_step->m_held_back.HasLasted(bound, now.m_steady)) return false;
+  const HeldBackTime& waited = unit.m_step->m_held_back;
+  if (waited.HasLasted(m_settings.m_longest_reserve, now.m_steady)) return false;
+  if (waited.HasLasted(m_settings.m_longest_preference, now.m_steady) &&
+      (light || !KeepsReserveFrom(*unit.m_step->m_job, now)))
+    return false;
   const int takes = unit.Accelerators();
   if (takes == 0) return false;
   // Capped at half of what the unit leaves of all accelerators, or a large unit could never start.
