--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -75,16 +75,33 @@
   return is_tight ? std::min(usual, m_settings.m_min_free_share_tight) : usual;
 }
 
+// More urgent jobs, for which the free share is kept, have arrived of late, or the job has something running.
+bool Scheduler::KeepsReserveFrom(const JobState& state, Now now) const {
+  const auto active = [](const auto& unit) { return unit->m_active; };
+  for (const auto& steps : state.m_steps) {
+    for (const auto& step : steps) {
+      if (std::any_of(step->m_units.begin(), step->m_units.end(), active)) return true;
+    }
+  }
+  const AcceptedJob& job = state.m_job;
+  const auto end = m_last_jobs.lower_bound({job.m_pool, job.m_priority});
+  return std::any_of(m_last_jobs.lower_bound({job.m_pool, std::numeric_limits<int>::min()}), end,
+                     [&](const auto& last) { return now.m_steady - last.second < m_settings.m_longest_reserve; });
+}
+
 bool Scheduler::LeavesTooFewFree(const Unit& unit, Now now) const {
   const AcceptedJob& job = unit.m_step->m_job->m_job;
   const auto room = m_rooms.find(job.m_pool);
   if (job.m_priority == 0 || room == m_rooms.end()) return false;
   const bool lasts = unit.m_step->m_spec->m_long_running;
   if (lasts && Raw(unit.m_run) > 0) return false;  // It used its room before.
-  // The share is kept for work that needs accelerators, so it holds for longer while these are in use.
+  // The share is kept for work that needs accelerators, so it holds for longer while these are in use and it comes.
   const bool light = lasts || room->second.AcceleratorUse() < kLightUse;
-  const Millis bound = light ? m_settings.m_longest_preference : m_settings.m_longest_reserve;
-  if (unit.m_step->HasWaitedFor(bound, now.m_steady)) return false;
+  const HeldBackTime& waited = unit.m_step->m_held_back;
+  if (waited.HasLasted(m_settings.m_longest_reserve, now.m_steady)) return false;
+  if (waited.HasLasted(m_settings.m_longest_preference, now.m_steady) &&
+      (light || !KeepsReserveFrom(*unit.m_step->m_job, now)))
+    return false;
   const int takes = unit.Accelerators();
   if (takes == 0) return false;
   // Capped at half of what the unit leaves of all accelerators, or a large unit could never start.
@@ -105,32 +122,38 @@
 
 // Preferences don't hold the step back any more.
 bool Scheduler::HasWaitedLongEnough(const StepState& step, Now now) const {
-  return step.HasWaitedFor(m_settings.m_longest_preference, now.m_steady);
+  return step.m_held_back.HasLasted(m_settings.m_longest_preference, now.m_steady);
 }
 
 // The unit fits twice into what is free, and the pool is lightly used: room that is taken now is not missed by others.
-// A limit per worker holds for each of the two. A step that lasts serves its callers at any load.
+// A limit per worker holds for each of the two. Workers that return soon count: the step would wait for them, and then
+// for as long again. A step that lasts serves its callers at any load.
 bool Scheduler::HasAmpleRoom(const Unit& unit) {
   const StepSpec& spec = *unit.m_step->m_spec;
   const auto pool = m_rooms.find(unit.m_step->m_job->m_job.m_pool);
   if (pool == m_rooms.end() || !(spec.m_long_running || pool->second.IsLightlyUsed())) return false;
+  const std::size_t needed = 2 * unit.m_members.size();
   std::size_t room = 0;
-  for (const WorkerSlot* slot : CandidatesFor(unit).m_all) {
+  const auto add = [&](const WorkerSlot* slot) {
     const int fitting = CountFitting(slot->m_free, spec.m_task);
     const int limit = 2 * spec.m_max_per_worker;
     room += static_cast<std::size_t>(limit == 0 ? fitting : std::min(fitting, limit));
-    if (room >= 2 * unit.m_members.size()) return true;
-  }
-  return false;
+    return room >= needed;
+  };
+  const Candidates& candidates = CandidatesFor(unit);
+  return std::any_of(candidates.m_all.begin(), candidates.m_all.end(), add) ||
+         std::any_of(candidates.m_returning.begin(), candidates.m_returning.end(), add);
 }
 
-// `unit` is the first one of its step that was left in this round.
 void Scheduler::NoteHeldBack(const Unit& unit, Now now) {
-  auto& since = unit.m_step->m_held_back_since;
-  if (!HasAmpleRoom(unit)) {
-    since.reset();
-  } else if (!since) {
-    since = now.m_steady;
+  unit.m_step->m_held_back.Note(HasAmpleRoom(unit), now.m_steady);
+}
+
+// A unit that is being stopped waits for its next run already.
+void Scheduler::NoteStopping(Now now) {
+  for (const Unit* unit : m_active) {
+    const bool waits = unit->m_stopping && !unit->m_done && !Ended(unit->m_step->m_job->m_phase);
+    if (waits && !unit->m_step->HasWaiting()) NoteHeldBack(*unit, now);
   }
 }
 
@@ -160,18 +183,33 @@
   ReturnWorkers(now);
   m_workers.DropLateCopies(now.m_steady);
   if (!places) return;
+  if (m_first_placement == Instant{}) m_first_placement = now.m_steady;
   m_candidates.clear();
   m_paces.clear();
   m_guarantees = m_configuration ? Guarantees(m_open_jobs, *m_configuration) : Guarantees();
   DropReservations(now);
   m_rooms = m_workers.CountPools();
+  NoteStopping(now);
   for (StepState* step : ReadySteps(now)) PlaceStep(step, now);
 }
 
+// For how long an earlier scheduler may have held the step back. The workers that join get their time in any case.
+Millis Scheduler::WaitBeforeTakeover(const StepState& step, Now now) const {
+  const AcceptedJob& job = step.m_job->m_job;
+  const bool restored = step.m_job->m_taken_in == Instant{} && job.m_request.m_repeats == 0;
+  if (!restored || now.m_steady - m_first_placement >= m_settings.m_join_time) return Millis{0};
+  return std::clamp(now.m_wall - job.m_accepted, Millis{0}, m_settings.m_longest_preference - m_settings.m_join_time);
+}
+
 void Scheduler::PlaceStep(StepState* step, Now now) {
   if (Ended(step->m_job->m_phase)) return;  // Another step has ended it in this round.
-  const Unit* left = step->HasWaiting() ? PlaceUnits(step, now) : nullptr;
-  if (left != nullptr) NoteHeldBack(*left, now);
+  if (!step->HasWaiting()) return;
+  // Whether there is ample room now counts, not in the round before.
+  if (!step->m_held_back.IsEmpty()) NoteHeldBack(*step->m_units[step->m_passed], now);
+  const Unit* left = PlaceUnits(step, now);
+  if (left == nullptr || !step->m_held_back.IsEmpty()) return;
+  step->m_held_back.Credit(WaitBeforeTakeover(*step, now));
+  NoteHeldBack(*left, now);
 }
 
 // Places the waiting units of a step until one does not fit. The others won't fit either, and must not use resources
@@ -269,7 +307,7 @@
 // `ranked`: of the units of the step that were placed just before, kept for the next one.
 bool Scheduler::TryPlace(Unit* unit, Now now, std::optional<RankedWorkers>* ranked) {
   const StepSpec& spec = *unit->m_step->m_spec;
-  const auto& [racks, domains, all] = CandidatesFor(*unit);
+  const auto& [racks, domains, all, returning] = CandidatesFor(*unit);
   const ChoiceInput input = InputFor(*unit, now);
   if (ranked != nullptr && IsPlainTask(*unit)) {
     if (!*ranked) ranked->emplace(input, all, m_settings.m_choice);
@@ -383,7 +421,7 @@
   }
   const StepSpec& spec = *unit->m_step->m_spec;
   const bool needs_rack = spec.m_rack_local && unit->m_members.size() > 1;
-  const auto& [racks, domains, all] = CandidatesFor(*unit);
+  const auto& [racks, domains, all, returning] = CandidatesFor(*unit);
   std::vector<WorkerSlot*> chosen;
   for (const auto& [name, slots] : racks) {
     if (!needs_rack && name != spec.m_data_rack) continue;
@@ -420,7 +458,7 @@
 std::optional<PreemptionPlan> Scheduler::FindPlan(Unit* unit, Now now) {
   const StepSpec& spec = *unit->m_step->m_spec;
   const PreemptionRound round = MakeRound(now);
-  const auto& [racks, domains, all] = CandidatesFor(*unit);
+  const auto& [racks, domains, all, returning] = CandidatesFor(*unit);
   std::optional<PreemptionPlan> best;
   const bool any_rack = spec.m_rack_local && unit->m_members.size() > 1;
   const bool data_rack = !any_rack && racks.contains(spec.m_data_rack) && PrefersDataRack(*unit, now) &&
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -30,6 +30,12 @@
   });
 }
 
+// As AllRun, and none is being stopped.
+bool AllRunOn(const StepState& step) {
+  return AllRun(step) && std::none_of(step.m_units.begin(), step.m_units.end(),
+                                      [](const auto& unit) { return !unit->m_done && unit->m_stopping; });
+}
+
 void SetState(Member* member, MemberState state, Instant since) {
   member->m_state = state;
   member->m_since = since;
@@ -50,17 +56,24 @@
   return !spec.m_rack_local || first == nullptr || all_on(first->m_entry.m_rack);
 }
 
-// Steady time at which all members had started; empty if some have not. Instant{} if the run may have resumed from a
-// checkpoint or was started by an earlier scheduler, so that its progress did not begin at 0 then.
-std::optional<Instant> WorkBegan(const Unit& unit) {
-  Instant begin;
-  bool fresh = Raw(unit.m_run) == 1;
+// Steady time since which all members run; empty if some don't. A gang makes no progress before.
+std::optional<Instant> AllMembersRunSince(const Unit& unit) {
+  Instant since;
   for (const Member& member : unit.m_members) {
     if (member.m_state != MemberState::kRunning) return std::nullopt;
-    begin = std::max(begin, member.m_since);
-    fresh = fresh && !member.m_restored;
+    since = std::max(since, member.m_since);
   }
-  return fresh ? begin : Instant{};
+  return since;
+}
+
+// As above. Instant{} if the run may have resumed from a checkpoint or was started by an earlier scheduler, so that its
+// progress did not begin at 0 then.
+std::optional<Instant> WorkBegan(const Unit& unit) {
+  const auto restored = [](const Member& member) { return member.m_restored; };
+  const bool fresh = Raw(unit.m_run) == 1 && std::none_of(unit.m_members.begin(), unit.m_members.end(), restored);
+  const auto since = AllMembersRunSince(unit);
+  if (!since || fresh) return since;
+  return Instant{};
 }
 
 }  // namespace
@@ -198,7 +211,7 @@
 // A member of the unit runs. Reports the job when its first step has begun within a guarantee.
 void Scheduler::NoteRunning(const Unit& unit, Now now) {
   JobState* job = unit.m_step->m_job;
-  if (unit.m_step->m_held_back_since && AllRun(*unit.m_step)) unit.m_step->m_held_back_since.reset();
+  if (!unit.m_step->m_held_back.IsEmpty() && AllRunOn(*unit.m_step)) unit.m_step->m_held_back.Clear();
   NoteBegun(job, now);
   if (job->m_begun || job->m_job.m_priority != 0 || unit.m_step->m_key.m_step != 0) return;
   job->m_begun = AllRun(*unit.m_step);
@@ -338,14 +351,21 @@
     const auto [unit, index] = FindMember(running.m_task);
     if (unit == nullptr || unit->m_run != running.m_run || unit->m_members[index].m_slot != slot) continue;
     Member& member = unit->m_members[index];
-    const Instant last = member.m_percent_at.m_ms == 0 ? member.m_since : member.m_percent_at;
-    const Millis span = now.m_steady - last;
-    if (member.m_state != MemberState::kRunning || unit->m_stopping || span < m_settings.m_min_pace_span) continue;
-    const Millis before = last - member.m_since;
-    const bool known = before >= m_settings.m_min_pace_span && member.m_percent > 0;
+    const auto begin = WorkBegan(*unit);
+    if (!begin || unit->m_stopping) continue;
+    if (member.m_percent_at == Instant{}) {  // What was done before this run, or before this scheduler, tells no pace.
+      const bool fresh = *begin != Instant{};
+      member.m_percent = member.m_first_percent = fresh ? 0 : running.m_percent;
+      member.m_percent_at = member.m_first_percent_at = fresh ? *begin : now.m_steady;
+    }
+    const Millis span = now.m_steady - member.m_percent_at;
+    if (span < m_settings.m_min_pace_span) continue;
+    const Millis before = member.m_percent_at - member.m_first_percent_at;
+    const int made = member.m_percent - member.m_first_percent;
+    const bool known = before >= m_settings.m_min_pace_span && made > 0;
     // Without an earlier report, the usual pace is half of what the caller's estimate implies.
     const auto estimate = static_cast<double>(std::max<std::int64_t>(1, unit->m_step->m_spec->m_estimate.count()));
-    const double usual = known ? member.m_percent / static_cast<double>(before.count()) : kWhole / 2.0 / estimate;
+    const double usual = known ? made / static_cast<double>(before.count()) : kWhole / 2.0 / estimate;
     // Progress is a whole percentage: where little is due, rounding makes a task look slow.
     if (usual * static_cast<double>(span.count()) < m_settings.m_min_expected_percent) continue;
     const double pace = (running.m_percent - member.m_percent) / static_cast<double>(span.count());
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "hickoryquay/jobs/held_back_time.h"
 #include "hickoryquay/jobs/job.h"
 #include "hickoryquay/jobs/worker_api.h"
 #include "hickoryquay/jobs/worker_speed.h"
@@ -45,6 +46,8 @@
   Instant m_listed;              // Steady time of the last reply that listed it as running.
   int m_percent = 0;             // Progress reported at m_percent_at, 0 to 100.
   Instant m_percent_at;          // Steady time; 0: not reported yet.
+  int m_first_percent = 0;       // Progress that was made before m_first_percent_at.
+  Instant m_first_percent_at;    // Steady time from which its pace is judged.
   RunPace m_pace;
   Instant m_stop_at;           // Steady time: of the answer in kAcknowledged, of the next attempt in kRequested.
   Instant m_stop_sent;         // Steady time of the first stop; 0: not sent yet.
@@ -112,15 +115,12 @@
   std::set<int> m_stored_rows;     // Of which a row is stored.
   std::set<int> m_set_aside_rows;  // That the store rejects.
   StepPace m_pace;
-  // Steady time since which units have waited though there was ample room, until all of them run; empty: they don't
-  // wait. See Scheduler::NoteHeldBack.
-  std::optional<Instant> m_held_back_since;
+  HeldBackTime m_held_back;               // Until all of its units run. See Scheduler::NoteHeldBack.
   std::map<WorkerId, Instant> m_avoided;  // Workers on which its tasks failed, each until a steady time.
 
   Unit* FindUnit(int task) const;
-  bool HasWaitedFor(Millis time, Instant now) const;  // Though there was ample room, see m_held_back_since.
-  bool HasWaiting();                                  // Of the units.
-  void OnWaiting(const Unit& unit);                   // It was placed before.
+  bool HasWaiting();                 // Of the units.
+  void OnWaiting(const Unit& unit);  // It was placed before.
 };
 
 struct JobState {
--- a/hickoryquay/jobs/worker_table.h
+++ b/hickoryquay/jobs/worker_table.h
@@ -64,10 +64,10 @@
 
   // The entry describes the incarnation that answers, which may be of another kind than the one before.
   bool IsDescribed() const { return CompareRow(m_born, m_entry.m_born) == RowIncarnation::kCurrent; }
-  bool IsSchedulable() const {
-    return m_listed && m_usable && !m_entry.m_draining && IsDescribed() && !m_evacuated && !m_domain_lost &&
-           !m_returns_at;
+  bool IsInService() const {
+    return m_listed && m_usable && !m_entry.m_draining && IsDescribed() && !m_evacuated && !m_domain_lost;
   }
+  bool IsSchedulable() const { return IsInService() && !m_returns_at; }
 
   bool IsOverCapacity() const { return !Resources{}.FitsIn(m_free); }
   // Whether starts that were decided before may still be sent.
@@ -84,17 +84,25 @@
 
 constexpr double kLightUse = 0.5;  // Share of a pool in use, below which room is not short.
 
+// What is in use of some workers.
+struct PoolUse {
+  Resources m_used;
+  Resources m_capacity;
+
+  double OfAccelerators() const;  // Share of the accelerators in use; of the cores if there are none.
+  double OfProcessors() const;    // Share of cores and accelerators together.
+};
+
 // What is free and in use in a pool.
 struct PoolRoom {
   int m_free = 0;        // Accelerators of schedulable workers.
   int m_total = 0;       // Accelerators of schedulable workers, whether free or not.
-  Resources m_used;      // Of all listed workers.
-  Resources m_capacity;  // Of all listed workers.
+  PoolUse m_listed;      // Of all listed workers.
+  PoolUse m_in_service;  // Of those in service: what others hold is missed by nobody here.
 
   void Take(const Resources& task, int times);
-  double AcceleratorUse() const;  // Share of the accelerators in use; of the cores if there are none.
-  double ProcessorUse() const;    // Share of cores and accelerators together.
-  bool IsLightlyUsed() const;     // Less than kLightUse of one of the two.
+  double AcceleratorUse() const;  // The lesser of the two.
+  bool IsLightlyUsed() const;     // Less than kLightUse, of either, of accelerators or of processors.
 };
 using PoolRooms = std::map<PoolName, PoolRoom>;
 
@@ -105,7 +113,8 @@
 struct Candidates {
   WorkerGroups m_racks;
   WorkerGroups m_domains;
-  std::vector<WorkerSlot*> m_all;  // Rack by rack; the domains have the same order.
+  std::vector<WorkerSlot*> m_all;        // Rack by rack; the domains have the same order.
+  std::vector<WorkerSlot*> m_returning;  // Not schedulable yet, see WorkerSlot::m_returns_at.
 };
 
 // The address of a slot is stable until the slot is erased.
--- a/tests/jobs/pace_test.cc
+++ b/tests/jobs/pace_test.cc
@@ -10,6 +10,7 @@
 
 const PoolName kPool{"pool"};
 const WorkerId kWorker{"worker"};
+const WorkerId kOther{"other"};
 constexpr std::int64_t kPollEvery = 600;
 
 Now At(std::int64_t ms) {
@@ -20,18 +21,15 @@
   CPPUNIT_TEST_SUITE(PaceTest);
   CPPUNIT_TEST(LongTasksAreNotTakenForSlow);
   CPPUNIT_TEST(TaskThatStandsStillIsNoticed);
+  CPPUNIT_TEST(GangThatWaitsForAMemberIsNotTakenForSlow);
+  CPPUNIT_TEST(RestoredRunIsNotTakenForSlow);
+  CPPUNIT_TEST(ResumedRunIsNotTakenForSlow);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
     m_scheduler = std::make_unique<Scheduler>(SchedulerSettings{});
-    WorkerEntry worker;
-    worker.m_id = kWorker;
-    worker.m_pool = kPool;
-    worker.m_address = "10.100.200.1:8524";
-    worker.m_capacity = Resources{1'000, 1'000, 1'000};
-    m_scheduler->OnWorkerListed(worker, At(0));
-    m_scheduler->SetWorkerUsable(kWorker, true);
+    List(kWorker);
   }
 
   // Guards against workers of long tasks getting nothing because a percent takes longer than the time between polls.
@@ -61,8 +59,86 @@
     CPPUNIT_ASSERT(noticed > 3'000 && noticed <= 3'000 + 2 * kPollEvery);
   }
 
+  // Guards against sound workers that rest because the gang of their task waits for another member.
+  void GangThatWaitsForAMemberIsNotTakenForSlow() {
+    constexpr std::int64_t kEstimate = 10'000;
+    constexpr std::int64_t kJoins = 5'000;
+    List(kOther);
+    Submit(0, kEstimate, 2);
+    m_scheduler->Decide(At(0));
+    const auto starts = m_scheduler->TakeBatch(store::kMaxTransactionRows, store::kMaxTransactionBytes).m_starts;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, starts.size());
+    for (const StartCommand& start : starts) m_scheduler->OnStartSent(start, At(0));
+    const bool first = starts.front().m_worker == kWorker;
+    m_start = first ? starts.front() : starts.back();
+    const StartCommand& missing = first ? starts.back() : starts.front();
+    m_scheduler->OnStartAnswer(m_start, StartOutcome::kAccepted, At(0));
+    m_scheduler->SetWorkerUsable(kOther, false);
+    for (std::int64_t ms = kPollEvery; ms < kJoins; ms += kPollEvery) {
+      Poll(ms, 0);
+      CPPUNIT_ASSERT(TakesWork(ms));
+    }
+    m_scheduler->OnStartAnswer(missing, StartOutcome::kAccepted, At(kJoins));
+    for (std::int64_t ms = kJoins + kPollEvery; ms < kJoins + 3'000; ms += kPollEvery) {
+      Poll(ms, static_cast<int>(100 * (ms - kJoins) / kEstimate));
+      CPPUNIT_ASSERT(TakesWork(ms));
+    }
+    const std::int64_t stands = kJoins + 3'000 + 2 * kPollEvery;
+    Poll(stands, 30);
+    Poll(stands + 2 * kPollEvery, 30);
+    CPPUNIT_ASSERT(!TakesWork(stands + 2 * kPollEvery));
+  }
+
+  // Guards against all workers that work resting after a takeover, since their tasks had made progress before it.
+  void RestoredRunIsNotTakenForSlow() {
+    constexpr std::int64_t kEstimate = 10'000;
+    Submit(0, kEstimate);
+    m_start = Place(0).front();
+    m_scheduler = std::make_unique<Scheduler>(SchedulerSettings{});
+    m_scheduler->RestoreJob(m_submitted);
+    UnitRow row;
+    row.m_run = m_start.m_run;
+    row.m_members = {{kWorker, "10.100.200.1:8524", false, {}}};
+    m_scheduler->RestoreStep(StepRow{m_start.m_task.m_step, {row}});
+    List(kWorker);
+    CheckSteadyProgress(50, kEstimate);
+  }
+
+  // As above, of a task that resumes at 50% from a checkpoint.
+  void ResumedRunIsNotTakenForSlow() {
+    constexpr std::int64_t kEstimate = 10'000;
+    Submit(0, kEstimate);
+    for (const StartCommand& start : Place(0)) {
+      PollReply reply;
+      reply.m_ended = {{++m_ends, start.m_task, start.m_run, EndKind::kFailed, ""}};
+      m_scheduler->OnPollReply(kWorker, reply, At(0).m_steady, At(0));
+    }
+    constexpr std::int64_t kAgain = 3'000;  // The step avoids the worker until then.
+    const auto starts = Place(kAgain);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    m_start = starts.front();
+    CheckSteadyProgress(50, kEstimate, kAgain);
+  }
+
  private:
-  void Submit(std::int64_t ms, std::int64_t estimate) {
+  void CheckSteadyProgress(int from, std::int64_t estimate, std::int64_t since = 0) {
+    for (std::int64_t ms = kPollEvery; ms < estimate / 2; ms += kPollEvery) {
+      Poll(since + ms, from + static_cast<int>(100 * ms / estimate));
+      CPPUNIT_ASSERT(TakesWork(since + ms));
+    }
+  }
+
+  void List(const WorkerId& id) {
+    WorkerEntry worker;
+    worker.m_id = id;
+    worker.m_pool = kPool;
+    worker.m_address = "10.100.200.1:8524";
+    worker.m_capacity = Resources{1'000, 1'000, 1'000};
+    m_scheduler->OnWorkerListed(worker, At(0));
+    m_scheduler->SetWorkerUsable(id, true);
+  }
+
+  void Submit(std::int64_t ms, std::int64_t estimate, int members = 1) {
     AcceptedJob job;
     job.m_id = JobId{m_next_job++};
     job.m_pool = kPool;
@@ -70,8 +146,13 @@
     StepSpec step;
     step.m_task = Resources{1, 1, 1};
     step.m_estimate = Millis{estimate};
+    step.m_tasks = members;
+    step.m_gang = members > 1;
+    step.m_max_per_worker = 1;
     job.m_request.m_steps = {step};
+    job.m_max_attempts = 2;
     m_scheduler->OnJob(job, At(ms));
+    m_submitted = job;
   }
 
   std::vector<StartCommand> Place(std::int64_t ms) {
@@ -102,6 +183,7 @@
   }
 
   std::unique_ptr<Scheduler> m_scheduler;
+  AcceptedJob m_submitted;  // The last one.
   StartCommand m_start;
   std::vector<StartCommand> m_others;
   std::int64_t m_ends = 0;
