Soak: jobs that fail without end, a service that is nearly full; signals don't reap processes

Seeds that 5 divides hand in two lasting jobs whose tasks fail as soon as they are at work, each time; seeds that 7 divides keep the service between half and nine tenths full (profile busy). Other seeds play as before: the new jobs are drawn apart.

While they were tried, seed 4010 said 'node-2 ended by itself with 255', with asyncio's 'Unknown child process'. Cause: Popen.send_signal polls, so a signal that is sent as a process ends reaps it before asyncio's watcher, which then reports 255. A fault of the soak itself; signals go by the process's id now.

--- a/scripts/soak/jobs.py
+++ b/scripts/soak/jobs.py
@@ -20,6 +20,7 @@
     one_rack: bool = False
     lasting: bool = False
     estimate: float = 1.0   # Estimate / duration.
+    fails: bool = False     # Of a lasting one: as soon as it is at work, each time.
 
     def mean_gpu_s(self):
         """Of a whole job; a lasting one counts apart."""
@@ -41,8 +42,10 @@
     Kind("lasting", 0.7, tasks=(1, 3), gpu=(1, 2), work_s=(0.2, 0.5), lasting=True),
 )
 MOST_LASTING = 4  # Jobs at a time.
+FAILING = Kind("failing", 0.0, tasks=(1, 3), gpu=(1,), work_s=(0.2, 0.5), lasting=True, fails=True)
 
-PROFILES = {"low": 0.2, "half": 0.45, "full": 1.1}  # Work handed in / room.
+PROFILES = {"low": 0.2, "half": 0.45, "full": 1.1, "busy": 0.75}  # Work handed in / room.
+USUAL_PROFILES = ("low", "half", "full")
 
 
 def seconds_between(profile, workers, clients):
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -4,6 +4,7 @@
 the directory with all logs are printed."""
 import argparse
 import asyncio
+import contextlib
 import os
 import random
 import shutil
@@ -28,6 +29,7 @@
 
 
 CALLERS, READY, INNER = 7001, 7002, 7003
+BUSY_EACH, FAILING_EACH, FAILING_JOBS = 7, 5, 2  # Seeds; seeds and jobs that fail without end in these.
 
 
 def host_of(index):
@@ -64,8 +66,10 @@
         self.stopped = False
 
     def signal(self, number):
+        """Not by send_signal, which may reap a process that has just ended: its watcher then reports 255."""
         if self.process and self.process.returncode is None:
-            self.process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def keep_alive(self):
         """As the platform does: a process that ended is started again."""
@@ -86,7 +90,8 @@
         self.faults, self.version, self.routes = [], 0, 0
         self.operator_random = random.Random(options.seed)
         self.all_small = self.operator_random.random() < 0.5  # Otherwise every other instance.
-        self.profile = options.profile or list(jobs.PROFILES)[options.seed % len(jobs.PROFILES)]
+        usual = jobs.USUAL_PROFILES[options.seed % len(jobs.USUAL_PROFILES)]
+        self.profile = options.profile or ("busy" if options.seed % BUSY_EACH == 0 else usual)
         self.between_s = jobs.seconds_between(self.profile, options.workers, options.clients)
 
     async def build(self):
@@ -138,6 +143,16 @@
             if link.streams is None:
                 link = Client(self.random.choice(self.instances).callers)
 
+    async def hand_in_failing(self):
+        """Jobs whose tasks fail soon after each start, without end. Drawn apart, so that other jobs stay as they are."""
+        drawn = random.Random(self.options.seed)
+        for _ in range(FAILING_JOBS):
+            job = jobs.Job(f"{drawn.getrandbits(64):016x}", jobs.FAILING, drawn)
+            self.farm.jobs[job.id] = job
+            link = Client(self.instances[0].callers)
+            await self.submit(link, job)
+            link.close()
+
     def lasting(self):
         """Jobs that last and that nobody has cancelled."""
         return [job for job in self.farm.jobs.values()
@@ -176,6 +191,8 @@
         await asyncio.sleep(SETTLE_S)
         clients = [asyncio.ensure_future(self.client(i)) for i in range(self.options.clients)]
         clients.append(asyncio.ensure_future(self.operator()))
+        if self.options.seed % FAILING_EACH == 0:
+            clients.append(asyncio.ensure_future(self.hand_in_failing()))
         left = self.options.seconds - (time.monotonic() - self.begun)
         running = []
         if self.options.calm:
--- a/scripts/soak/stand_ins.py
+++ b/scripts/soak/stand_ins.py
@@ -309,7 +309,7 @@
                         run["left"] -= worker.work_done(passed)
                         if run["left"] <= 0 and not (job and job.kind.lasting):
                             worker.end(task, "done")
-                        elif run["left"] <= 0 and self.random.random() < passed / FAILS_EVERY_S:
+                        elif run["left"] <= 0 and (job.kind.fails or self.random.random() < passed / FAILS_EVERY_S):
                             worker.end(task, "failed")
             for gang, members in gangs.items():
                 self.tick_gang(gang, members, passed, now)
