--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -95,7 +95,7 @@
   if (job.m_priority == 0 || room == m_rooms.end()) return false;
   const bool lasts = unit.m_step->m_spec->m_long_running;
   if (lasts && Raw(unit.m_run) > 0) return false;  // It used its room before.
-  // The share is kept for work that needs accelerators, so it holds for longer while these are in use and it comes.
+  // The share is kept for urgent work that needs accelerators: it holds for longer while these are in use.
   const bool light = lasts || room->second.AcceleratorUse() < kLightUse;
   const HeldBackTime& waited = unit.m_step->m_held_back;
   if (waited.HasLasted(m_settings.m_longest_reserve, now.m_steady)) return false;
@@ -204,7 +204,7 @@
 void Scheduler::PlaceStep(StepState* step, Now now) {
   if (Ended(step->m_job->m_phase)) return;  // Another step has ended it in this round.
   if (!step->HasWaiting()) return;
-  // Whether there is ample room now counts, not in the round before.
+  // Room may have become short, or ample, since the last round.
   if (!step->m_held_back.IsEmpty()) NoteHeldBack(*step->m_units[step->m_passed], now);
   const Unit* left = PlaceUnits(step, now);
   if (left == nullptr || !step->m_held_back.IsEmpty()) return;
--- a/hickoryquay/jobs/scheduler_settings.h
+++ b/hickoryquay/jobs/scheduler_settings.h
@@ -38,8 +38,8 @@
   double m_tight_slack_share = 0.5;
   // Bound of all preferences in a pool with ample room: a step waits no longer for room that would suit it better.
   Millis m_longest_preference{2'000};
-  // As above, of the free share while half of the accelerators are in use, if a more urgent job
-  // has arrived within it or the job has something running.
+  // As above, of the free share while half of the accelerators are in use. Only for jobs of which something runs, and
+  // for others while more urgent jobs arrive: one has within this time.
   Millis m_longest_reserve{10'000};
   // Workers join a new scheduler within this time, for which it holds work back however long that has waited before.
   Millis m_join_time{500};
