--- a/tests/jobs/row_size_test.cc
+++ b/tests/jobs/row_size_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
 #include <limits>
 #include <string>
 #include <utility>
@@ -57,7 +58,7 @@
   void CrashesAreBoundedByTheVerdict() {
     const CrashSettings settings;
     std::vector<CrashedRun> crashes;
-    int run = 0;
+    std::uint32_t run = 0;
     while (Judge(crashes, RunNumber{run}, settings) != CrashVerdict::kGiveUp) {
       crashes.push_back({RunNumber{++run}, 0, false, Millis{4'000}});
       CPPUNIT_ASSERT(static_cast<int>(crashes.size()) <= kMostCrashes);
