Review: case 6 also runs without the repository's history

Cause: the earlier build can be made only where the history is there. Change: the row that it writes is put into the store instead.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,6 +13,9 @@
 if [ ! -x "$there/target/bin/hickoryquay-node" ]; then
   rm -rf "$there"
   mkdir -p "$there"
-  git archive "$earlier" | tar -x -C "$there"
-  (cd "$there" && sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)")
+  if git archive "$earlier" 2>/dev/null | tar -x -C "$there" 2>/dev/null; then
+    (cd "$there" && sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)")
+  else
+    echo "commit $earlier is not in this history: review/6 puts the row that it writes into the store instead"
+  fi
 fi
