Intake: every answer to a cancel is logged, and how old a job is when the leader takes it in

Three explanations could not be told apart from logs: the cancel was stored and not acted on; an instance sent the submission again after the cancel; the store did the first write late.

New: `Cancel answered` with `no such job`; `accepted_ms_ago` in `Job taken in`.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -143,6 +143,7 @@
             {{"job", HexText(job.m_id)},
              {"queue", job.m_queue.m_value},
              {"account", job.m_account.m_value},
+             {"accepted_ms_ago", std::to_string((now.m_wall - job.m_accepted).count())},
              {"priority", std::to_string(job.m_priority)},
              {"steps", std::to_string(job.m_request.m_steps.size())},
              {"tasks", std::to_string(first.m_tasks)},
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -261,7 +261,10 @@
                         [this, callback] { callback(IntakeError{Refusal("the store does not answer")}); });
                   }
                   m_watch->NoteAnswer(PartOf(id), sent);
-                  if (ValueOf(page).m_rows.empty()) return callback(IntakeError{NoSuchJob{}});
+                  if (ValueOf(page).m_rows.empty()) {
+                    log::Info(kLog, "Cancel answered", {{"job", jobs::HexText(id)}, {"outcome", "no such job"}});
+                    return callback(IntakeError{NoSuchJob{}});
+                  }
                   auto write = std::make_shared<Write>();
                   write->m_log_text = "Cancel answered";
                   write->m_id = id;
