Cancels: a cancel that finds no job makes later writes of it fail

Cause: a cancel that read no row of the job answered "no such job" and left nothing in the store. The store may do a write that got no answer seconds later; the submission's write expects that the job's row and its row among the ended jobs are absent, and both still were. A read proves nothing about a write that is under way.

Change: a cancel that finds no job stores a tombstone, a row among the ended jobs, if the job is in neither table, and only then answers. Where the rows differ it goes by the row that it met, or reads again; without an answer it says 504, and 503 where nothing was done. A submission that meets a tombstone is accepted as a job that was cancelled: the tombstone becomes its row. The archive reads its table again and again, since other instances write there, and deletes a row only in the version that it knows. An instance leaves 2,000 tombstones at most at a time; further cancels of unknown jobs are answered 503 with the time until there is room.

The soak and the fuzz knew no caller who leaves and cancels, took 410 for no answer, and did late writes of the leader only. Now both have such callers, and the soak's store does writes of any instance to some of its parts late.

--- a/hickoryquay/jobs/rows.cc
+++ b/hickoryquay/jobs/rows.cc
@@ -355,7 +355,9 @@
 }
 
 std::string Write(const PhaseRow& row) {
-  return json::serialize(json::object{{"phase", ToString(row.m_phase)}, {"since_ms", row.m_since.m_ms}});
+  json::object object{{"phase", ToString(row.m_phase)}, {"since_ms", row.m_since.m_ms}};
+  if (row.m_tombstone) object["tombstone"] = true;
+  return json::serialize(object);
 }
 
 Parsed<PhaseRow> ReadPhaseRow(std::string_view text) {
@@ -363,6 +365,7 @@
     std::string phase;
     reader->Read("phase", &phase);
     reader->ReadInstant("since_ms", &row->m_since);
+    reader->Read("tombstone", &row->m_tombstone, Need::kOptional);
     if (reader->Failed()) return;
     const auto parsed = ParseJobPhase(phase);
     parsed ? void(row->m_phase = *parsed) : reader->Fail("phase", "expected a phase of a job");
--- a/hickoryquay/jobs/rows.h
+++ b/hickoryquay/jobs/rows.h
@@ -63,7 +63,8 @@
 
 struct PhaseRow {
   JobPhase m_phase = JobPhase::kQueued;
-  Instant m_since;  // Wall time.
+  Instant m_since;           // Wall time.
+  bool m_tombstone = false;  // Left by the cancel of a job that is not accepted. Earlier versions read kCancelled.
 };
 
 std::string Write(const AcceptedJob& job);
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -30,15 +30,32 @@
   return "";
 }
 
-std::optional<jobs::JobPhase> StoredPhase(std::string_view value) {
+std::optional<jobs::PhaseRow> StoredPhase(std::string_view value) {
   const auto row = jobs::ReadPhaseRow(value);
-  return Ok(row) ? std::optional(ValueOf(row).m_phase) : std::nullopt;
+  return Ok(row) ? std::optional(ValueOf(row)) : std::nullopt;
+}
+
+std::optional<jobs::PhaseRow> PhaseOfAccepted(std::string_view) {
+  return jobs::PhaseRow{};
+}
+
+// Null if the row is absent.
+const store::StoredRow* FindRow(const store::RowsDiffer& differ, const store::RowKey& key) {
+  const auto found = std::find_if(differ.m_rows.begin(), differ.m_rows.end(), [&key](const store::StoredRow& row) {
+    return row.m_key == key && row.m_version != Version{};
+  });
+  return found == differ.m_rows.end() ? nullptr : &*found;
+}
+
+bool IsTombstone(const store::StoredRow& ended) {
+  const auto row = jobs::ReadPhaseRow(ended.m_value);
+  return Ok(row) && ValueOf(row).m_tombstone;
 }
 
 // Where the phase of a job is found. In this order, since a job moves from the first to the last (see job_archive.h).
 struct Place {
   store::RowKey (*m_key)(const TableNames& tables, JobId job);
-  std::optional<jobs::JobPhase> (*m_phase)(std::string_view value);
+  std::optional<jobs::PhaseRow> (*m_read)(std::string_view value);
 };
 constexpr Place kPlaces[] = {
     {[](const TableNames& tables, JobId job) {
@@ -48,7 +65,7 @@
     {[](const TableNames& tables, JobId job) {
        return store::RowKey{tables.m_intake, tables.IntakePart(job), JobRowKey(job)};
      },
-     [](std::string_view) { return std::optional(jobs::JobPhase::kQueued); }},
+     &PhaseOfAccepted},
     {[](const TableNames& tables, JobId job) {
        return store::RowKey{tables.m_ended, tables.IntakePart(job), jobs::HexText(job)};
      },
@@ -57,7 +74,7 @@
     {[](const TableNames& tables, JobId job) {
        return store::RowKey{tables.m_intake, tables.m_whole_part, JobRowKey(job)};
      },
-     [](std::string_view) { return std::optional(jobs::JobPhase::kQueued); }},
+     &PhaseOfAccepted},
     {[](const TableNames& tables, JobId job) {
        return store::RowKey{tables.m_ended, tables.m_whole_part, jobs::HexText(job)};
      },
@@ -107,20 +124,28 @@
 // Intake
 //-------------------------------------------------------------------------------------------------
 
-// A transaction that is sent again until its outcome is known.
+// A transaction, and what follows from its outcome.
+struct Intake::Step {
+  store::Transaction m_transaction;
+  Result<Done, IntakeError> m_answer = Done{};  // To the caller, once it is stored.
+  std::function<void(Version)> m_on_stored;     // May be empty.
+  void (Intake::*m_on_conflict)(const WritePtr& write, const store::RowsDiffer& differ) = nullptr;
+};
+
+// A submission or a cancel. Its step is sent again until the outcome is known.
 struct Intake::Write {
   const char* m_log_text;
   JobId m_id{};
   int m_priority = 0;  // Of its queue.
-  store::Transaction m_transaction;
+  std::string m_row;   // Of the submitted job.
   StorePart m_part;
+  Step m_step;
+  void (Intake::*m_begin)(const WritePtr& write) = nullptr;  // Starts over, with the first step.
   Instant m_started;
   Instant m_until;    // Deadline of the answer to the caller.
   Millis m_limit{0};  // Of the attempt under way.
   int m_rejections = 0;
   bool m_maybe_applied = false;  // An attempt without an answer may still take effect.
-  std::function<Result<Done, IntakeError>(const store::RowsDiffer&)> m_on_conflict;
-  std::function<void(Version)> m_on_stored;  // May be empty.
   SubmitCallback m_callback;
 };
 
@@ -132,9 +157,12 @@
       m_settings(settings),
       m_phases(settings.m_phase_retention),
       m_watch(std::make_shared<PartWatch>(store, timers, clock, PartWatchSettings{})),
+      m_tombstones(settings.m_most_tombstones, settings.m_tombstone_age),
       m_metrics(metrics),
       m_accepted(&metrics->GetCounter("hq_jobs_accepted_total")),
       m_unknown(&metrics->GetCounter("hq_jobs_unknown_total")),
+      m_tombstones_stored(&metrics->GetCounter("hq_tombstones_stored_total")),
+      m_tombstones_met(&metrics->GetCounter("hq_tombstones_met_total")),
       m_submit_ms(&metrics->GetDistribution("hq_submit_ms")) {}
 
 void Intake::Start() {
@@ -167,6 +195,14 @@
   return {m_settings.m_tables.m_intake, m_settings.m_tables.IntakePart(job), CancelRowKey(job)};
 }
 
+store::RowKey Intake::EndedRow(JobId job) const {
+  return {m_settings.m_tables.m_ended, m_settings.m_tables.IntakePart(job), jobs::HexText(job)};
+}
+
+//-------------------------------------------------------------------------------------------------
+// Submissions
+//-------------------------------------------------------------------------------------------------
+
 void Intake::Submit(const Route& route, JobId id, jobs::JobRequest request, Millis time, SubmitCallback callback) {
   const std::string problem = Validate(request);
   if (!problem.empty()) return callback(IntakeError{Malformed{problem}});
@@ -185,20 +221,12 @@
   write->m_log_text = "Submission answered";
   write->m_id = id;
   write->m_priority = queue.m_priority;
-  const TableNames& tables = m_settings.m_tables;
+  write->m_row = jobs::Write(job);
   write->m_part = PartOf(id);
-  write->m_transaction.m_checks.push_back({JobRow(id), Version{}});
-  write->m_transaction.m_checks.push_back({{tables.m_ended, tables.IntakePart(id), jobs::HexText(id)}, Version{}});
-  write->m_transaction.m_puts.push_back({JobRow(id), jobs::Write(job)});
+  write->m_step = SubmissionStep(*write);
+  write->m_begin = &Intake::BeginSubmission;
   write->m_started = m_clock->Now();
   write->m_until = write->m_started + std::max(Millis{0}, time - m_settings.m_answer_margin);
-  // The job is known already: an earlier attempt, of the caller or of this instance, stored the same job. It may have
-  // ended since, so its phase is looked up when it is asked for.
-  write->m_on_conflict = [](const store::RowsDiffer&) { return Result<Done, IntakeError>(Done{}); };
-  write->m_on_stored = [this, id, row = write->m_transaction.m_puts.front().m_value](Version stored) {
-    if (!m_phases.Find(id, m_clock->Now())) m_phases.Set(id, jobs::JobPhase::kQueued, m_clock->Now());
-    if (m_on_accepted) m_on_accepted(id, row, stored);
-  };
   write->m_callback = [this, id, callback = std::move(callback)](Result<Done, IntakeError> result) {
     const auto* refused = Ok(result) ? nullptr : std::get_if<TryLater>(&ErrorOf(result));
     (Ok(result)           ? m_accepted
@@ -213,8 +241,145 @@
   });
 }
 
+Intake::Step Intake::SubmissionStep(const Write& write) {
+  Step step;
+  step.m_transaction.m_checks = {{JobRow(write.m_id), Version{}}, {EndedRow(write.m_id), Version{}}};
+  step.m_transaction.m_puts = {{JobRow(write.m_id), write.m_row}};
+  step.m_on_stored = [this, id = write.m_id, row = write.m_row](Version stored) {
+    if (!m_phases.Find(id, m_clock->Now())) m_phases.Set(id, jobs::JobPhase::kQueued, m_clock->Now());
+    if (m_on_accepted) m_on_accepted(id, row, stored);
+  };
+  step.m_on_conflict = &Intake::OnSubmissionConflict;
+  return step;
+}
+
+// The job's cancel came first. The job is accepted and has ended, for as long as any other that was cancelled.
+Intake::Step Intake::CancelledSubmissionStep(const Write& write, Version tombstone) {
+  Step step;
+  step.m_transaction.m_checks = {{EndedRow(write.m_id), tombstone}};
+  step.m_transaction.m_puts = {
+      {EndedRow(write.m_id), jobs::Write(jobs::PhaseRow{jobs::JobPhase::kCancelled, m_clock->Wall()})}};
+  step.m_on_stored = [this, id = write.m_id](Version) { m_phases.Set(id, jobs::JobPhase::kCancelled, m_clock->Now()); };
+  step.m_on_conflict = &Intake::OnSubmissionConflict;
+  return step;
+}
+
+void Intake::BeginSubmission(const WritePtr& write) {
+  write->m_step = SubmissionStep(*write);
+  Attempt(write);
+}
+
+// If the job is known, an earlier attempt, of the caller or of this instance, stored the same job. It may have ended
+// since, so its phase is looked up when it is asked for.
+void Intake::OnSubmissionConflict(const WritePtr& write, const store::RowsDiffer& differ) {
+  const store::StoredRow* ended = FindRow(differ, EndedRow(write->m_id));
+  if (ended != nullptr && IsTombstone(*ended)) {
+    m_tombstones_met->Add();
+    write->m_step = CancelledSubmissionStep(*write, ended->m_version);
+    return Attempt(write);
+  }
+  const bool known = ended != nullptr || FindRow(differ, JobRow(write->m_id)) != nullptr;
+  known ? Finish(write, Done{}) : StartOver(write);
+}
+
+//-------------------------------------------------------------------------------------------------
+// Cancels
+//-------------------------------------------------------------------------------------------------
+
+void Intake::Cancel(JobId id, Millis time, SubmitCallback callback) {
+  auto write = std::make_shared<Write>();
+  write->m_log_text = "Cancel answered";
+  write->m_id = id;
+  write->m_part = PartOf(id);
+  write->m_begin = &Intake::BeginCancel;
+  write->m_started = m_clock->Now();
+  write->m_until = write->m_started + std::max(Millis{0}, time - m_settings.m_answer_margin);
+  write->m_callback = std::move(callback);
+  BeginCancel(write);
+}
+
+void Intake::BeginCancel(const WritePtr& write) {
+  ReadRow(write, JobRow(write->m_id), [this, write](const store::StoredRow* job) {
+    if (job == nullptr) return BeginTombstone(write);
+    write->m_step = CancelStep(*write, job->m_version);
+    Attempt(write);
+  });
+}
+
+Intake::Step Intake::CancelStep(const Write& write, Version job) {
+  Step step;
+  step.m_transaction.m_checks = {{JobRow(write.m_id), job}};
+  step.m_transaction.m_puts = {{CancelRow(write.m_id), "{}"}};
+  step.m_on_stored = [this, id = write.m_id](Version stored) {
+    if (m_on_cancelled) m_on_cancelled(id, stored);
+  };
+  step.m_on_conflict = &Intake::OnCancelConflict;
+  return step;
+}
+
+// The job was archived since it was read.
+void Intake::OnCancelConflict(const WritePtr& write, const store::RowsDiffer&) {
+  StartOver(write);
+}
+
+void Intake::BeginTombstone(const WritePtr& write) {
+  if (m_tombstones.Take(m_clock->Now())) {
+    write->m_step = TombstoneStep(*write);
+    return Attempt(write);
+  }
+  ReadRow(write, EndedRow(write->m_id), [this, write](const store::StoredRow* ended) {
+    if (ended != nullptr) return AnswerCancel(write, *ended);
+    GiveUp(write, {m_tombstones.FreeIn(m_clock->Now()), "too many cancels of unknown jobs"});
+  });
+}
+
+Intake::Step Intake::TombstoneStep(const Write& write) {
+  const jobs::PhaseRow tombstone{jobs::JobPhase::kCancelled, m_clock->Wall(), true};
+  Step step;
+  step.m_transaction.m_checks = {{JobRow(write.m_id), Version{}}, {EndedRow(write.m_id), Version{}}};
+  step.m_transaction.m_puts = {{EndedRow(write.m_id), jobs::Write(tombstone)}};
+  step.m_answer = IntakeError{NoSuchJob{}};
+  step.m_on_stored = [this](Version) { m_tombstones_stored->Add(); };
+  step.m_on_conflict = &Intake::OnTombstoneConflict;
+  return step;
+}
+
+void Intake::OnTombstoneConflict(const WritePtr& write, const store::RowsDiffer& differ) {
+  if (!write->m_maybe_applied) m_tombstones.Return();
+  if (const store::StoredRow* ended = FindRow(differ, EndedRow(write->m_id))) return AnswerCancel(write, *ended);
+  StartOver(write);  // The job was accepted since it was read.
+}
+
+// The job has ended, or a tombstone stands for it already.
+void Intake::AnswerCancel(const WritePtr& write, const store::StoredRow&) {
+  Finish(write, IntakeError{NoSuchJob{}});
+}
+
+//-------------------------------------------------------------------------------------------------
+// Writes
+//-------------------------------------------------------------------------------------------------
+
+// Reads a row that decides on the next step; `then` gets null if it is absent.
+void Intake::ReadRow(const WritePtr& write, const store::RowKey& key,
+                     std::function<void(const store::StoredRow*)> then) {
+  m_store->Read({key.m_table, key.m_part, key.m_key, key.m_key + '\0'}, 1, m_settings.m_call_timeout,
+                [this, self = shared_from_this(), write, part = StorePart{key.m_table, key.m_part},
+                 then = std::move(then), sent = m_clock->Now()](const Result<store::RowPage, store::ReadError>& page) {
+                  if (!Ok(page)) return StartOver(write);
+                  m_watch->NoteAnswer(part, sent);
+                  then(ValueOf(page).m_rows.empty() ? nullptr : &ValueOf(page).m_rows.front());
+                });
+}
+
+// What is known of the rows does not hold, or could not be read.
+void Intake::StartOver(const WritePtr& write) {
+  Retry(
+      write->m_until, [this, write] { (this->*write->m_begin)(write); },
+      [this, write] { GiveUp(write, Refusal("the store does not answer", write->m_part)); });
+}
+
 // Keeps a write while its part of the store is silent, for as long as the policy allows.
-void Intake::Hold(const std::shared_ptr<Write>& write) {
+void Intake::Hold(const WritePtr& write) {
   const Instant now = m_clock->Now();
   const Millis time = write->m_until + m_settings.m_answer_margin - write->m_started;
   const Millis silent = m_watch->SilentFor(write->m_part);
@@ -246,71 +411,33 @@
   for (const auto& write : released) Attempt(write);
 }
 
-void Intake::Cancel(JobId id, Millis time, SubmitCallback callback) {
-  CancelUntil(id, m_clock->Now() + std::max(Millis{0}, time - m_settings.m_answer_margin), std::move(callback));
-}
-
-void Intake::CancelUntil(JobId id, Instant until, SubmitCallback callback) {
-  const store::RowKey job = JobRow(id);
-  m_store->Read({job.m_table, job.m_part, job.m_key, job.m_key + '\0'}, 1, m_settings.m_call_timeout,
-                [this, self = shared_from_this(), id, until, callback,
-                 sent = m_clock->Now()](const Result<store::RowPage, store::ReadError>& page) {
-                  if (!Ok(page)) {
-                    return Retry(
-                        until, [this, id, until, callback] { CancelUntil(id, until, callback); },
-                        [this, callback] { callback(IntakeError{Refusal("the store does not answer")}); });
-                  }
-                  m_watch->NoteAnswer(PartOf(id), sent);
-                  if (ValueOf(page).m_rows.empty()) {
-                    log::Info(kLog, "Cancel answered", {{"job", jobs::HexText(id)}, {"outcome", "no such job"}});
-                    return callback(IntakeError{NoSuchJob{}});
-                  }
-                  auto write = std::make_shared<Write>();
-                  write->m_log_text = "Cancel answered";
-                  write->m_id = id;
-                  write->m_part = PartOf(id);
-                  write->m_transaction.m_checks.push_back({JobRow(id), ValueOf(page).m_rows.front().m_version});
-                  write->m_transaction.m_puts.push_back({CancelRow(id), "{}"});
-                  write->m_on_stored = [this, id](Version stored) {
-                    if (m_on_cancelled) m_on_cancelled(id, stored);
-                  };
-                  write->m_started = m_clock->Now();
-                  write->m_until = until;
-                  write->m_on_conflict = [](const store::RowsDiffer&) {
-                    return Result<Done, IntakeError>(IntakeError{NoSuchJob{}});
-                  };
-                  write->m_callback = callback;
-                  Attempt(write);
-                });
-}
-
-void Intake::Attempt(const std::shared_ptr<Write>& write) {
+void Intake::Attempt(const WritePtr& write) {
   const Millis left = write->m_until - m_clock->Now();
   if (left.count() <= 0) return GiveUp(write, Refusal("the store does not answer", write->m_part));
   write->m_limit = std::min(left, m_settings.m_call_timeout);
   m_store->Transact(
-      write->m_transaction, write->m_limit,
+      write->m_step.m_transaction, write->m_limit,
       [self = shared_from_this(), write, sent = m_clock->Now()](Result<Version, store::TransactError> result) {
         self->OnAttempt(write, sent, std::move(result));
       });
 }
 
-void Intake::OnAttempt(const std::shared_ptr<Write>& write, Instant sent,
-                       Result<Version, store::TransactError> result) {
+void Intake::OnAttempt(const WritePtr& write, Instant sent, Result<Version, store::TransactError> result) {
   if (Ok(result)) {
     m_watch->NoteAnswer(write->m_part, sent);
-    if (write->m_on_stored) write->m_on_stored(ValueOf(result));
-    return Finish(write, Done{});
+    if (write->m_step.m_on_stored) write->m_step.m_on_stored(ValueOf(result));
+    return Finish(write, write->m_step.m_answer);
   }
   const store::TransactError& error = ErrorOf(result);
   if (std::holds_alternative<store::StoreSilent>(error)) m_watch->NoteSilence(write->m_part, sent, write->m_limit);
   if (const auto* differ = std::get_if<store::RowsDiffer>(&error)) {
     m_watch->NoteAnswer(write->m_part, sent);
-    return Finish(write, write->m_on_conflict(*differ));
+    return (this->*write->m_step.m_on_conflict)(write, *differ);
   }
   const bool rejected = std::holds_alternative<store::StoreRejected>(error);
   if (rejected && ++write->m_rejections >= kRejectionsToAnswer && !write->m_maybe_applied) {
     m_watch->NoteAnswer(write->m_part, sent);
+    if (write->m_row.empty()) return GiveUp(write, Refusal("the store does not take the row"));
     return Finish(write, IntakeError{Malformed{"the store does not take the row: " + store::ToString(error)}});
   }
   write->m_maybe_applied = write->m_maybe_applied || std::holds_alternative<store::StoreSilent>(error);
@@ -323,11 +450,11 @@
 }
 
 // Answers `refusal` only if no attempt can take effect.
-void Intake::GiveUp(const std::shared_ptr<Write>& write, const TryLater& refusal) {
+void Intake::GiveUp(const WritePtr& write, const TryLater& refusal) {
   Finish(write, write->m_maybe_applied ? IntakeError{OutcomeUnknown{}} : IntakeError{refusal});
 }
 
-void Intake::Finish(const std::shared_ptr<Write>& write, Result<Done, IntakeError> result) {
+void Intake::Finish(const WritePtr& write, Result<Done, IntakeError> result) {
   const Millis took = m_clock->Now() - write->m_started;
   m_submit_ms->Add(static_cast<double>(took.count()));
   const char* outcome = "stored";
@@ -380,13 +507,14 @@
                   m_watch->NoteAnswer(part, sent);
                   if (ValueOf(page).m_rows.empty()) return LookUp(id, place + 1, until, callback);
                   const store::StoredRow& row = ValueOf(page).m_rows.front();
-                  const auto phase = kPlaces[place].m_phase(row.m_value);
+                  const auto phase = kPlaces[place].m_read(row.m_value);
                   if (!phase) {
                     log::Error(kLog, "Phase row of a job can't be read", {{"key", row.m_key.m_key}});
                     return callback(IntakeError{Refusal("the job's row can't be read")});
                   }
-                  m_phases.Set(id, *phase, m_clock->Now());
-                  callback(*phase);
+                  if (phase->m_tombstone) return LookUp(id, place + 1, until, callback);
+                  m_phases.Set(id, phase->m_phase, m_clock->Now());
+                  callback(phase->m_phase);
                 });
 }
 
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -3,7 +3,14 @@
 // A job is accepted once its row is stored. A write that got no answer may still take effect, so it is sent again until
 // its outcome is known or the caller's timeout is over; only then is the outcome reported as unknown. A request is
 // refused only if nothing can have been written. Therefore a store that has not answered recently is probed with a read
-// before a write is sent. While the part of the store that keeps a job does not answer, the job is held for a while,
+// before a write is sent.
+//
+// A write without an answer may be done seconds later, so that a read proves nothing about a job that is not there yet.
+// A cancel that finds no job therefore leaves a tombstone, a row that makes any later write of the job fail; only then
+// is the caller told that there is no such job. A submission that meets a tombstone is accepted as a cancelled job.
+// JobArchive deletes tombstones with the rows of ended jobs.
+//
+// While the part of the store that keeps a job does not answer, the job is held for a while,
 // see outage_policy.h, and stored when the part is back: urgent ones first, then in the order in which they came.
 #pragma once
 
@@ -21,6 +28,7 @@
 #include "hickoryquay/service/outage_policy.h"
 #include "hickoryquay/service/part_watch.h"
 #include "hickoryquay/service/table_names.h"
+#include "hickoryquay/service/tombstone_budget.h"
 #include "hickoryquay/store/row_store.h"
 
 namespace hickoryquay::service {
@@ -31,8 +39,10 @@
   Millis m_retry_delay{60};      // After a refused or unanswered call.
   Millis m_refuse_after{500};    // Writes rejected for this long are refused if no attempt can take effect.
   OutageSettings m_outage;
-  Millis m_answer_margin{60};         // Callers are answered this long before their timeout.
-  Millis m_phase_retention{120'000};  // Of cached phases.
+  Millis m_answer_margin{60};             // Callers are answered this long before their timeout.
+  Millis m_phase_retention{120'000};      // Of cached phases.
+  std::size_t m_most_tombstones = 2'000;  // Of this instance at a time; further cancels of unknown jobs are refused.
+  Millis m_tombstone_age{200'000};        // Until JobArchive has deleted a tombstone.
 };
 
 //-------------------------------------------------------------------------------------------------
@@ -136,19 +146,34 @@
 
  private:
   struct Write;
-
-  void Hold(const std::shared_ptr<Write>& write);
+  struct Step;
+  using WritePtr = std::shared_ptr<Write>;
+
+  Step SubmissionStep(const Write& write);
+  Step CancelledSubmissionStep(const Write& write, Version tombstone);
+  Step CancelStep(const Write& write, Version job);
+  Step TombstoneStep(const Write& write);
+  void BeginSubmission(const WritePtr& write);
+  void BeginCancel(const WritePtr& write);
+  void BeginTombstone(const WritePtr& write);
+  void AnswerCancel(const WritePtr& write, const store::StoredRow& ended);
+  void OnSubmissionConflict(const WritePtr& write, const store::RowsDiffer& differ);
+  void OnCancelConflict(const WritePtr& write, const store::RowsDiffer& differ);
+  void OnTombstoneConflict(const WritePtr& write, const store::RowsDiffer& differ);
+  void ReadRow(const WritePtr& write, const store::RowKey& key, std::function<void(const store::StoredRow*)> then);
+  void StartOver(const WritePtr& write);
+  void Hold(const WritePtr& write);
   void ReleaseHeld();
-  void Attempt(const std::shared_ptr<Write>& write);
-  void OnAttempt(const std::shared_ptr<Write>& write, Instant sent, Result<Version, store::TransactError> result);
-  void GiveUp(const std::shared_ptr<Write>& write, const TryLater& refusal);
-  void Finish(const std::shared_ptr<Write>& write, Result<Done, IntakeError> result);
-  void CancelUntil(JobId id, Instant until, SubmitCallback callback);
+  void Attempt(const WritePtr& write);
+  void OnAttempt(const WritePtr& write, Instant sent, Result<Version, store::TransactError> result);
+  void GiveUp(const WritePtr& write, const TryLater& refusal);
+  void Finish(const WritePtr& write, Result<Done, IntakeError> result);
   void LookUp(JobId id, std::size_t place, Instant until, PhaseCallback callback);
   void Retry(Instant until, std::function<void()> again, std::function<void()> give_up);
   store::RowKey JobRow(JobId job) const;
   StorePart PartOf(JobId job) const { return {m_settings.m_tables.m_intake, m_settings.m_tables.IntakePart(job)}; }
   store::RowKey CancelRow(JobId job) const;
+  store::RowKey EndedRow(JobId job) const;
   TryLater Refusal(const char* why, const StorePart& part = {}) const {
     return {ReturnAfter(m_watch->SilentFor(part), m_settings.m_outage), why};
   }
@@ -160,13 +185,16 @@
   std::shared_ptr<const jobs::QueueConfiguration> m_configuration;
   PhaseCache m_phases;
   std::shared_ptr<PartWatch> m_watch;
-  std::multimap<int, std::shared_ptr<Write>> m_held;  // Until their parts are back, by priority of their queues.
+  TombstoneBudget m_tombstones;
+  std::multimap<int, WritePtr> m_held;  // Until their parts are back, by priority of their queues.
   std::function<void()> m_on_store_available;
   OnAccepted m_on_accepted;
   OnCancelled m_on_cancelled;
   Metrics* m_metrics;
   Counter* m_accepted;
   Counter* m_unknown;
+  Counter* m_tombstones_stored;
+  Counter* m_tombstones_met;
   Distribution* m_submit_ms;
 };
 
--- a/hickoryquay/service/job_archive.cc
+++ b/hickoryquay/service/job_archive.cc
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr log::Part kLog{"archive"};
-constexpr std::size_t kRowsOfMove = 3;  // The job, its cancel and the row in the archive.
+constexpr std::size_t kRowsOfMove = 3;      // The job, its cancel and the row in the archive.
+constexpr std::size_t kRowsOfDeletion = 2;  // Check and removal.
 
 }  // namespace
 
@@ -91,7 +92,7 @@
   m_archived_total->Add(moved.size());
   std::vector<JobId> ids;
   for (const jobs::SettledJob& job : moved) {
-    m_ended[part][job.m_id] = job.m_end.m_since;
+    Know(part, job.m_id, {job.m_end.m_since, ValueOf(result)});
     ids.push_back(job.m_id);
   }
   m_on_archived(ids);
@@ -102,41 +103,55 @@
 // Deleting
 //-------------------------------------------------------------------------------------------------
 
-// Deletes expired rows, those of one part at a time.
+void JobArchive::Know(const std::string& part, JobId job, const Row& row) {
+  Row& known = m_ended[part][job];
+  if (known.m_version < row.m_version) known = row;
+}
+
+// Deletes expired rows, those of one part at a time. Not during a scan, whose page may name rows that are deleted
+// meanwhile.
 void JobArchive::DeleteExpired() {
-  if (m_deleting) return;
+  if (m_deleting || m_scanning) return;
   const Instant expired = m_clock->Wall() - (m_settings.m_keep + m_settings.m_keep_margin);
   std::vector<JobId> old;
   std::string part;
   for (const auto& [name, jobs] : m_ended) {
-    for (const auto& [job, ended] : jobs) {
-      if (ended <= expired && old.size() < store::kMaxTransactionRows) old.push_back(job);
+    for (const auto& [job, row] : jobs) {
+      if (row.m_since <= expired && old.size() < store::kMaxTransactionRows / kRowsOfDeletion) old.push_back(job);
     }
     part = name;
     if (!old.empty()) break;
   }
   if (old.empty()) return;
   store::Transaction transaction;
-  for (const JobId job : old) transaction.m_removals.push_back(Key(part, job));
+  for (const JobId job : old) {
+    transaction.m_checks.push_back({Key(part, job), m_ended[part][job].m_version});
+    transaction.m_removals.push_back(Key(part, job));
+  }
   m_deleting = true;
   m_store->Transact(transaction, m_settings.m_call_timeout,
                     [weak = weak_from_this(), part, old](const Result<Version, store::TransactError>& result) {
-                      const auto self = weak.lock();
-                      if (!self || self->m_stopped) return;
-                      self->m_deleting = false;
-                      if (!Ok(result)) {
-                        log::Warn(kLog, "Could not delete expired jobs, trying again",
-                                  {{"jobs", std::to_string(old.size())}, {"why", ToString(ErrorOf(result))}});
-                        return;
-                      }
-                      for (const JobId job : old) self->m_ended[part].erase(job);
-                      self->DeleteExpired();
+                      if (const auto self = weak.lock(); self && !self->m_stopped) self->OnDeleted(part, old, result);
                     });
 }
 
-// Reads the next rows that earlier leaders left, so that they expire too.
+void JobArchive::OnDeleted(const std::string& part, const std::vector<JobId>& jobs,
+                           const Result<Version, store::TransactError>& result) {
+  m_deleting = false;
+  const bool differ = !Ok(result) && std::holds_alternative<store::RowsDiffer>(ErrorOf(result));
+  if (!Ok(result)) {
+    log::Warn(kLog, "Could not delete expired jobs, trying again",
+              {{"jobs", std::to_string(jobs.size())}, {"why", ToString(ErrorOf(result))}});
+    if (!differ) return;
+  }
+  // Those that were written anew, or are gone, are not told from the others: the next scan finds what is left.
+  for (const JobId job : jobs) m_ended[part].erase(job);
+  DeleteExpired();
+}
+
+// Reads the next page of the table.
 void JobArchive::ScanNext() {
-  if (m_scanned || m_scanning) return;
+  if (m_scanning || m_deleting || m_clock->Now() < m_next_scan) return;
   m_scanning = true;
   const std::string part = m_settings.m_tables.AllIntakeParts()[m_scan_part];
   m_store->Read({m_settings.m_tables.m_ended, part, m_scan_from, ""}, m_settings.m_scan_rows, m_settings.m_call_timeout,
@@ -147,22 +162,24 @@
 
 void JobArchive::OnPage(const Result<store::RowPage, store::ReadError>& result) {
   m_scanning = false;
-  if (!Ok(result)) return;  // The next tick tries again.
+  if (!Ok(result)) return DeleteExpired();  // The next tick tries again.
   const store::RowPage& page = ValueOf(result);
   for (const store::StoredRow& row : page.m_rows) {
     m_scan_from = row.m_key.m_key + '\0';
     const auto id = jobs::ParseHexJobId(row.m_key.m_key);
     const auto phase = jobs::ReadPhaseRow(row.m_value);
     if (id && Ok(phase)) {
-      m_ended[row.m_key.m_part].try_emplace(*id, ValueOf(phase).m_since);
+      Know(row.m_key.m_part, *id, {ValueOf(phase).m_since, row.m_version});
     } else {
       log::Error(kLog, "Row of an ended job can't be read, it is kept", {{"key", row.m_key.m_key}});
     }
   }
-  if (page.m_more) return;
+  if (page.m_more) return DeleteExpired();
   m_scan_from.clear();
-  m_scanned = ++m_scan_part == m_settings.m_tables.AllIntakeParts().size();
-  ScanNext();
+  if (++m_scan_part < m_settings.m_tables.AllIntakeParts().size()) return ScanNext();
+  m_scan_part = 0;
+  m_next_scan = m_clock->Now() + m_settings.m_scan_rest;
+  DeleteExpired();
 }
 
 }  // namespace hickoryquay::service
--- a/hickoryquay/service/job_archive.h
+++ b/hickoryquay/service/job_archive.h
@@ -2,7 +2,10 @@
 //
 // Once a job has ended, its phase is stored and nothing of it runs, one transaction replaces the rows of the job and of
 // its cancel by one row in the table of ended jobs. A takeover thus reads only jobs that have not ended, however many
-// are kept. The row is deleted when the job's phase no longer has to be known.
+// are kept. The row is deleted when the job's phase no longer has to be known, unless it was written anew meanwhile.
+//
+// Instances write rows of their own into the table: tombstones of cancels, see intake.h. Earlier leaders leave theirs.
+// The table is therefore read through again and again, so that no row stays for good.
 //
 // Order of writes: phase in the state table, then the archive, then the deletion of the job's rows in the state table.
 // Whoever looks for a job in the state table, among the accepted jobs and in the archive, in this order, finds it.
@@ -30,7 +33,8 @@
   Millis m_call_timeout{2'000};
   Millis m_retry_delay{500};        // After a call that failed.
   Millis m_expiry_interval{1'000};  // Between deletions of expired rows.
-  int m_scan_rows = 100;            // Of a page of rows that earlier leaders left; one every m_expiry_interval.
+  int m_scan_rows = 100;            // Of a page of a part; at most one a part every m_expiry_interval.
+  Millis m_scan_rest{60'000};       // From the end of a scan of the table to the next.
 };
 
 // Not thread-safe. One object per term. `store`, `timers`, `clock` and `metrics` must outlive it.
@@ -47,10 +51,18 @@
   void Add(const std::vector<jobs::SettledJob>& jobs);
 
  private:
+  struct Row {
+    Instant m_since;  // Wall time of the job's end.
+    Version m_version{};
+  };
+
   void SendNext();
   void OnAnswer(const std::string& part, const std::vector<jobs::SettledJob>& moved,
                 const Result<Version, store::TransactError>& result);
   void DeleteExpired();
+  void OnDeleted(const std::string& part, const std::vector<JobId>& jobs,
+                 const Result<Version, store::TransactError>& result);
+  void Know(const std::string& part, JobId job, const Row& row);
   void ScanNext();
   void OnPage(const Result<store::RowPage, store::ReadError>& page);
   store::RowKey Key(const std::string& part, JobId job) const;
@@ -65,10 +77,10 @@
   bool m_sending = false;
   bool m_deleting = false;
   bool m_scanning = false;
-  bool m_scanned = false;                                   // All rows of earlier leaders are in m_ended.
-  std::size_t m_scan_part = 0;                              // Index of the part that is scanned.
-  std::string m_scan_from;                                  // Key of the next page.
-  std::map<std::string, std::map<JobId, Instant>> m_ended;  // Archived jobs by part, with the wall time of their end.
+  Instant m_next_scan;                                  // When the next scan may begin.
+  std::size_t m_scan_part = 0;                          // Index of the part that is scanned.
+  std::string m_scan_from;                              // Key of the next page.
+  std::map<std::string, std::map<JobId, Row>> m_ended;  // Rows of the table, by part.
   bool m_stopped = false;
   Subscription m_retry;
   Subscription m_tick;
--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -168,6 +168,23 @@
 }
 
 
+class LateWrites:
+    """The store leaves writes of one instance to some parts unanswered and does them seconds later."""
+
+    def __init__(self, soak, random):
+        self.soak, self.instance, self.length = soak, random.choice(soak.instances), random.uniform(1.0, 4.5)
+        self.name = random.getrandbits(64)
+
+    def __str__(self):
+        return f"late-writes node-{self.instance.index} {self.length:.1f}"
+
+    async def play(self):
+        late = self.soak.store.late
+        late[self.instance.index].append(self.name)
+        await asyncio.sleep(self.length)
+        late[self.instance.index].remove(self.name)
+
+
 def draw(soak):
     return soak.random.choices(list(KINDS), [weight for weight, _ in KINDS.values()])[0]
 
--- a/scripts/soak/jobs.py
+++ b/scripts/soak/jobs.py
@@ -45,6 +45,7 @@
 MOST_LASTING = 4  # Jobs at a time.
 FAILING = Kind("failing", 0.0, tasks=(1, 3), gpu=(1,), work_s=(0.2, 0.5), lasting=True, fails=True)
 CRASHING = Kind("crashing", 0.0, tasks=(1, 1), gpu=(1,), work_s=(9.0, 9.0), crashes_s=3.0)
+SHORT = Kind("short", 0.0, tasks=(1, 1), gpu=(1,), work_s=(0.3, 0.6))
 CRASHES, STARTS_MORE = 3, 3  # Workers that crash under a task, and the starts after that until it is given up.
 
 PROFILES = {"low": 0.2, "half": 0.45, "full": 1.1, "busy": 0.75}  # Work handed in / room.
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -25,6 +25,7 @@
 ROUTES_ADDED, MAX_ROUTES = 1400, 5600
 IN_FORCE_S = 10.0             # For the last configuration to be in force everywhere, once all faults are over.
 CANCEL_S = 3.0                # For the runs of a cancelled job to be gone.
+IMPATIENT, LEAVES_S = 3, 0.3  # Callers without patience, and when they leave after they have handed a job in.
 KEY = {"Host": "soak.example", "Authorization": "Token key", "X-Deadline-Ms": "3000"}
 
 
@@ -88,7 +89,7 @@
         self.options, self.directory = options, directory
         self.binary = os.path.abspath(options.binary)
         self.random = random.Random(options.seed)
-        self.farm, self.store, self.instances = Farm(random.Random(options.seed)), Store(), []
+        self.farm, self.store, self.instances = Farm(random.Random(options.seed)), Store(options.seed), []
         self.faults, self.version, self.routes = [], 0, 0
         self.operator_random = random.Random(options.seed)
         self.all_small = self.operator_random.random() < 0.5  # Otherwise every other instance.
@@ -164,6 +165,27 @@
             await self.submit(link, job)
             link.close()
 
+    async def impatient_client(self, number):
+        """Hands in jobs while the store does writes late, leaves before it has an answer, and cancels them elsewhere."""
+        drawn, late = random.Random(f"impatient {number} {self.options.seed}"), None
+        while not self.over:
+            await asyncio.sleep(drawn.uniform(0.02, 0.2))
+            if late is None or late.done():
+                fault = faults.LateWrites(self, drawn)
+                late = asyncio.ensure_future(self.play(fault))
+            job = jobs.Job(f"{drawn.getrandbits(64):016x}", jobs.SHORT, drawn)
+            self.farm.jobs[job.id] = job
+            link = Client(fault.instance.callers)
+            status, _, _ = await link.call("POST", job.path, job.body(), KEY, timeout=LEAVES_S)
+            job.answered(status)
+            link.close()
+            if status == 0:
+                link = Client(drawn.choice(self.instances).callers)
+                await self.cancel(link, job)
+                link.close()
+        if late:
+            await late
+
     def lasting(self):
         """Jobs that last and that nobody has cancelled."""
         return [job for job in self.farm.jobs.values()
@@ -181,7 +203,7 @@
 
     async def cancel(self, link, job):
         status, _, _ = await link.call("DELETE", job.path, headers=KEY)
-        if status == 200:
+        if status in (200, 410):
             self.farm.cancelled.setdefault(job.id, time.monotonic())
         else:
             job.maybe_cancelled = True
@@ -202,6 +224,8 @@
         await asyncio.sleep(SETTLE_S)
         clients = [asyncio.ensure_future(self.client(i)) for i in range(self.options.clients)]
         clients.append(asyncio.ensure_future(self.operator()))
+        if not self.options.calm:
+            clients += [asyncio.ensure_future(self.impatient_client(i)) for i in range(IMPATIENT)]
         if self.options.seed % FAILING_EACH == 0:
             clients.append(asyncio.ensure_future(self.hand_in(jobs.FAILING, FAILING_JOBS)))
         if self.options.seed % CRASHING_EACH == 0:
--- a/scripts/soak/stand_ins.py
+++ b/scripts/soak/stand_ins.py
@@ -4,6 +4,7 @@
 import bisect
 import collections
 import json
+import random
 import time
 
 from http_json import port_of, serve
@@ -12,6 +13,7 @@
 STOP_S, GANG_S, LEASE_MAX_MS = 0.2, 3.0, 6000
 SLOW_SPEED = 0.1
 FAILS_EVERY_S = 20.0  # A task that lasts, on average.
+LATE_SHARE, LATE_S = 0.35, (1.0, 6.0)  # Of the parts whose writes are done late, and how late.
 
 
 def now_ms():
@@ -27,10 +29,11 @@
     """Nothing waits between a check and its write, so no lock is needed. A feed that waits must hold none: one that is
     cancelled as its time ends would leave it locked for good."""
 
-    def __init__(self):
+    def __init__(self, seed):
         self.rows, self.version, self.changed = {}, 1, asyncio.Event()
         self.history, self.cut = collections.defaultdict(list), 0  # Of each table, by version; the last one that is gone.
         self.refused, self.servers = collections.Counter(), []     # Instances that it turns away.
+        self.late, self.late_random = collections.defaultdict(list), random.Random(seed)  # Names of faults, by instance.
 
     async def start(self, instance):
         """A port of that instance's own."""
@@ -38,6 +41,8 @@
         async def handle(method, path, query, headers, body):
             if self.refused[instance]:
                 return 503, {}
+            if path == "/rows-tx" and self.is_late(instance, body):
+                return await self.transact_late(body)
             return await self.handle(method, path, query, headers, body)
 
         self.servers.append(await serve(handle))
@@ -97,6 +102,15 @@
         self._wake_feeds()
         return 200, {"ver": self.version, "nowMs": now_ms()}
 
+    def is_late(self, instance, body):
+        part = (body["puts"] + body["remove"])[0].get("part", "")
+        return any(random.Random(f"{fault} {part}").random() < LATE_SHARE for fault in self.late[instance])
+
+    async def transact_late(self, body):
+        """Its caller gets no answer."""
+        await asyncio.sleep(self.late_random.uniform(*LATE_S))
+        await self.transact(body)
+
     async def feed(self, table, after, wait):
         end = time.monotonic() + wait
         while True:
--- a/standin/sim_cluster.h
+++ b/standin/sim_cluster.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hickoryquay/service/intake.h"
@@ -94,6 +95,7 @@
   bool Accepted(JobId job) const { return m_accepted.contains(job); }
   std::optional<jobs::JobPhase> StoredPhase(JobId job) const;
   std::vector<JobId> Submitted() const { return m_submitted; }
+  std::vector<JobId> TakeUnknown() { return std::exchange(m_unknown, {}); }  // Whose callers were told nothing.
 
   void Run(Millis time);
 
@@ -141,6 +143,7 @@
   std::shared_ptr<jobs::QueueConfiguration> m_configuration;
   std::vector<JobId> m_submitted;
   std::set<JobId> m_accepted;
+  std::vector<JobId> m_unknown;
   std::uint64_t m_next_job = 1;
   std::uint64_t m_next_ended_job = 1'000'000;
   int m_incarnations = 0;
--- a/tests/service/fuzz_test.cc
+++ b/tests/service/fuzz_test.cc
@@ -50,6 +50,7 @@
       if (m_restarts && Chance(0.1)) m_cluster->RestartWorkerInPlace(AnyWorker(), Millis{UpTo(2'000)});
       if (m_crashes) CrashOrShrink();
       if (Chance(0.1)) CancelOne();
+      CancelUnknown();
       m_cluster->Run(kStep);
     }
     StopFaults();
@@ -120,6 +121,14 @@
     m_cluster->Cancel(*instance, jobs[static_cast<std::size_t>(UpTo(static_cast<int>(jobs.size()) - 1))]);
   }
 
+  // Callers that were not told what became of their submission leave, and cancel it at some instance.
+  void CancelUnknown() {
+    for (const JobId job : m_cluster->TakeUnknown()) {
+      const auto instance = AnyInstance();
+      if (instance && Chance(0.5)) m_cluster->Cancel(*instance, job);
+    }
+  }
+
   void InjectFault() {
     const int index = UpTo(kInstances - 1);
     switch (UpTo(12)) {
--- a/tests/service/takeover_test.cc
+++ b/tests/service/takeover_test.cc
@@ -24,6 +24,8 @@
   CPPUNIT_TEST(ArchiveSurvivesLostAnswers);
   CPPUNIT_TEST(RowsLeftByACrashAreDeleted);
   CPPUNIT_TEST(RowsOfEarlierLeadersExpire);
+  CPPUNIT_TEST(TombstonesExpire);
+  CPPUNIT_TEST(RowWrittenAnewIsKeptForItsOwnTime);
   CPPUNIT_TEST(JobIsEndedWhoseLastEndAloneWasStored);
   CPPUNIT_TEST_SUITE_END();
 
@@ -103,6 +105,40 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_cluster->Store().Rows(TableNames{}.m_ended).size());
   }
 
+  // Guards against rows that stay for good: other instances write them after the leader has read the table.
+  void TombstonesExpire() {
+    Build(0);
+    m_cluster->Run(Millis{20'000});
+    for (std::uint64_t job = 0; job < 300; ++job) {
+      m_cluster->Cancel(static_cast<int>(job % 3), JobId{0x10'000 + job});
+      m_cluster->Run(Millis{20});
+    }
+    m_cluster->Run(Millis{100'000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{300}, m_cluster->Store().Rows(TableNames{}.m_ended).size());
+    m_cluster->Run(IntakeSettings{}.m_tombstone_age - Millis{100'000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_cluster->Store().Rows(TableNames{}.m_ended).size());
+  }
+
+  // Guards against an accepted job that is unknown too early: the leader deletes its row by the age of a tombstone.
+  void RowWrittenAnewIsKeptForItsOwnTime() {
+    Build(0);
+    const TableNames tables;
+    const JobId job{0x999};
+    const store::RowKey key{tables.m_ended, tables.IntakePart(job), jobs::HexText(job)};
+    const auto put = [&](bool tombstone) {
+      m_cluster->Store().Put(key,
+                             jobs::Write(jobs::PhaseRow{JobPhase::kCancelled, m_cluster->Time().Wall(), tombstone}));
+    };
+    put(true);
+    m_cluster->KillInstance(*m_cluster->Leader());  // The next one reads the tombstone as it takes over.
+    m_cluster->Run(Millis{125'000});
+    put(false);
+    m_cluster->Run(Millis{120'000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_cluster->Store().Rows(tables.m_ended).size());
+    m_cluster->Run(IntakeSettings{}.m_tombstone_age - Millis{120'000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_cluster->Store().Rows(tables.m_ended).size());
+  }
+
   // Guards against jobs that never end: their leader was lost after it had stored the last end of a task, and before it
   // stored that the job has ended.
   void JobIsEndedWhoseLastEndAloneWasStored() {
