Cancels: a repeated cancel of an ended job is answered as the first

What callers saw: the cancel of a job was stored and answered 200, or its answer was lost; the job was archived within a second or two, and the repeat was answered 410, "no such job exists", while GET showed the job for two minutes more.

Cause: the cancel looked among the accepted jobs only, where an archived job has no row.

Change: what met the row of an ended job goes by that row: a job that has ended exists, so its cancel succeeds; a tombstone is answered "no such job" each time. A row that can't be read is answered 503.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -350,9 +350,14 @@
   StartOver(write);  // The job was accepted since it was read.
 }
 
-// The job has ended, or a tombstone stands for it already.
-void Intake::AnswerCancel(const WritePtr& write, const store::StoredRow&) {
-  Finish(write, IntakeError{NoSuchJob{}});
+// A job that has ended exists until its row expires.
+void Intake::AnswerCancel(const WritePtr& write, const store::StoredRow& ended) {
+  const auto row = jobs::ReadPhaseRow(ended.m_value);
+  if (!Ok(row)) {
+    log::Error(kLog, "Phase row of a job can't be read", {{"key", ended.m_key.m_key}});
+    return GiveUp(write, Refusal("the job's row can't be read"));
+  }
+  Finish(write, ValueOf(row).m_tombstone ? Result<Done, IntakeError>(IntakeError{NoSuchJob{}}) : Done{});
 }
 
 //-------------------------------------------------------------------------------------------------
--- a/tests/service/cancel_test.cc
+++ b/tests/service/cancel_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(SubmissionAfterItsCancelIsShownAsCancelled);
   CPPUNIT_TEST(JobThatNobodySubmittedIsNotShown);
   CPPUNIT_TEST(RepeatedCancelGetsTheSameAnswer);
+  CPPUNIT_TEST(CancelOfAnEndedJobDoesNotDenyIt);
   CPPUNIT_TEST(LateCancelOfAnArchivedJobLeavesNothing);
   CPPUNIT_TEST(CancelThatLeavesNoTombstoneIsNotAnswered);
   CPPUNIT_TEST(CancelsOfUnknownJobsDoNotFillTheStore);
@@ -89,6 +90,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("done"), *submitted);
     for (const std::size_t instance : {0, 1, 2}) CPPUNIT_ASSERT_EQUAL(std::string("cancelled"), State(instance));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_store->Rows(m_tables.m_intake).size());
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), Cancel(2));  // The job exists now.
   }
 
   void JobThatNobodySubmittedIsNotShown() {
@@ -101,6 +103,16 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store->Rows(m_tables.m_ended).size());
   }
 
+  // Guards against a repeated cancel that denies the job which the first one has cancelled.
+  void CancelOfAnEndedJobDoesNotDenyIt() {
+    const auto submitted = Submit(0);
+    m_timers.Advance(kCallerTimeout);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), Cancel(1));
+    Archive(jobs::JobPhase::kCancelled);
+    for (const std::size_t instance : {0, 1, 2}) CPPUNIT_ASSERT_EQUAL(std::string("done"), Cancel(instance));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_store->Rows(m_tables.m_intake).size());
+  }
+
   // Guards against rows of a cancel that is written after its job was archived, and that nobody deletes.
   void LateCancelOfAnArchivedJobLeavesNothing() {
     const auto submitted = Submit(0);
