Cancels: jobs that instances of earlier builds accept are cancelled too

Cause: versions before the sixteen parts of hq-intake keep all jobs in one other part. A cancel looked in the part of the sixteen only; so did its tombstone, and a late write of such an instance into its own part succeeded.

Change: a cancel that finds no job in its part looks whether any row is in the part of earlier versions. If so, it cancels the job there, or leaves a tombstone there as well; builds back to check that row before they accept. Where the part is empty this costs two reads. Not covered: a late write of such an instance after none of them has accepted a job for 130 s.

A cancel of an unknown job costs one write and three reads now, one read before.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -39,6 +39,10 @@
   return jobs::PhaseRow{};
 }
 
+store::RowRange OnlyRow(const store::RowKey& key) {
+  return {key.m_table, key.m_part, key.m_key, key.m_key + '\0'};
+}
+
 // Null if the row is absent.
 const store::StoredRow* FindRow(const store::RowsDiffer& differ, const store::RowKey& key) {
   const auto found = std::find_if(differ.m_rows.begin(), differ.m_rows.end(), [&key](const store::StoredRow& row) {
@@ -127,8 +131,9 @@
 // A transaction, and what follows from its outcome.
 struct Intake::Step {
   store::Transaction m_transaction;
-  Result<Done, IntakeError> m_answer = Done{};  // To the caller, once it is stored.
-  std::function<void(Version)> m_on_stored;     // May be empty.
+  Result<Done, IntakeError> m_answer = Done{};              // To the caller, once it is stored.
+  std::function<void(Version)> m_on_stored;                 // May be empty.
+  void (Intake::*m_next)(const WritePtr& write) = nullptr;  // Goes on instead of the answer; may be null.
   void (Intake::*m_on_conflict)(const WritePtr& write, const store::RowsDiffer& differ) = nullptr;
 };
 
@@ -138,7 +143,7 @@
   JobId m_id{};
   int m_priority = 0;  // Of its queue.
   std::string m_row;   // Of the submitted job.
-  StorePart m_part;
+  StorePart m_part;    // Of the rows that the step is about.
   Step m_step;
   void (Intake::*m_begin)(const WritePtr& write) = nullptr;  // Starts over, with the first step.
   Instant m_started;
@@ -187,16 +192,16 @@
   return Route{*queue, account == nullptr ? AccountId{} : account->m_id};
 }
 
-store::RowKey Intake::JobRow(JobId job) const {
-  return {m_settings.m_tables.m_intake, m_settings.m_tables.IntakePart(job), JobRowKey(job)};
+store::RowKey Intake::JobRow(const Write& write) const {
+  return {m_settings.m_tables.m_intake, write.m_part.m_part, JobRowKey(write.m_id)};
 }
 
-store::RowKey Intake::CancelRow(JobId job) const {
-  return {m_settings.m_tables.m_intake, m_settings.m_tables.IntakePart(job), CancelRowKey(job)};
+store::RowKey Intake::CancelRow(const Write& write) const {
+  return {m_settings.m_tables.m_intake, write.m_part.m_part, CancelRowKey(write.m_id)};
 }
 
-store::RowKey Intake::EndedRow(JobId job) const {
-  return {m_settings.m_tables.m_ended, m_settings.m_tables.IntakePart(job), jobs::HexText(job)};
+store::RowKey Intake::EndedRow(const Write& write) const {
+  return {m_settings.m_tables.m_ended, write.m_part.m_part, jobs::HexText(write.m_id)};
 }
 
 //-------------------------------------------------------------------------------------------------
@@ -243,8 +248,8 @@
 
 Intake::Step Intake::SubmissionStep(const Write& write) {
   Step step;
-  step.m_transaction.m_checks = {{JobRow(write.m_id), Version{}}, {EndedRow(write.m_id), Version{}}};
-  step.m_transaction.m_puts = {{JobRow(write.m_id), write.m_row}};
+  step.m_transaction.m_checks = {{JobRow(write), Version{}}, {EndedRow(write), Version{}}};
+  step.m_transaction.m_puts = {{JobRow(write), write.m_row}};
   step.m_on_stored = [this, id = write.m_id, row = write.m_row](Version stored) {
     if (!m_phases.Find(id, m_clock->Now())) m_phases.Set(id, jobs::JobPhase::kQueued, m_clock->Now());
     if (m_on_accepted) m_on_accepted(id, row, stored);
@@ -256,9 +261,9 @@
 // The job's cancel came first. The job is accepted and has ended, for as long as any other that was cancelled.
 Intake::Step Intake::CancelledSubmissionStep(const Write& write, Version tombstone) {
   Step step;
-  step.m_transaction.m_checks = {{EndedRow(write.m_id), tombstone}};
+  step.m_transaction.m_checks = {{EndedRow(write), tombstone}};
   step.m_transaction.m_puts = {
-      {EndedRow(write.m_id), jobs::Write(jobs::PhaseRow{jobs::JobPhase::kCancelled, m_clock->Wall()})}};
+      {EndedRow(write), jobs::Write(jobs::PhaseRow{jobs::JobPhase::kCancelled, m_clock->Wall()})}};
   step.m_on_stored = [this, id = write.m_id](Version) { m_phases.Set(id, jobs::JobPhase::kCancelled, m_clock->Now()); };
   step.m_on_conflict = &Intake::OnSubmissionConflict;
   return step;
@@ -272,13 +277,13 @@
 // If the job is known, an earlier attempt, of the caller or of this instance, stored the same job. It may have ended
 // since, so its phase is looked up when it is asked for.
 void Intake::OnSubmissionConflict(const WritePtr& write, const store::RowsDiffer& differ) {
-  const store::StoredRow* ended = FindRow(differ, EndedRow(write->m_id));
+  const store::StoredRow* ended = FindRow(differ, EndedRow(*write));
   if (ended != nullptr && IsTombstone(*ended)) {
     m_tombstones_met->Add();
     write->m_step = CancelledSubmissionStep(*write, ended->m_version);
     return Attempt(write);
   }
-  const bool known = ended != nullptr || FindRow(differ, JobRow(write->m_id)) != nullptr;
+  const bool known = ended != nullptr || FindRow(differ, JobRow(*write)) != nullptr;
   known ? Finish(write, Done{}) : StartOver(write);
 }
 
@@ -299,17 +304,41 @@
 }
 
 void Intake::BeginCancel(const WritePtr& write) {
-  ReadRow(write, JobRow(write->m_id), [this, write](const store::StoredRow* job) {
-    if (job == nullptr) return BeginTombstone(write);
+  write->m_part = PartOf(write->m_id);
+  CancelInPart(write, [this, write] { LookForEarlierVersions(write); });
+}
+
+void Intake::CancelInPart(const WritePtr& write, std::function<void()> absent) {
+  ReadFirst(write, OnlyRow(JobRow(*write)), [this, write, absent = std::move(absent)](const store::StoredRow* job) {
+    if (job == nullptr) return absent();
     write->m_step = CancelStep(*write, job->m_version);
     Attempt(write);
   });
 }
 
+// Instances of versions before the sixteen parts keep all jobs in one other part. While any is there, accepted or
+// ended, such instances may have writes under way.
+void Intake::LookForEarlierVersions(const WritePtr& write) {
+  const TableNames& tables = m_settings.m_tables;
+  const auto cancel_there = [this, write] {
+    write->m_part = {m_settings.m_tables.m_intake, m_settings.m_tables.m_whole_part};
+    CancelInPart(write, [this, write] { BeginTombstone(write); });
+  };
+  ReadFirst(write, {tables.m_intake, tables.m_whole_part, "", ""},
+            [this, write, cancel_there](const store::StoredRow* accepted) {
+              if (accepted != nullptr) return cancel_there();
+              const TableNames& tables = m_settings.m_tables;
+              ReadFirst(write, {tables.m_ended, tables.m_whole_part, "", ""},
+                        [this, write, cancel_there](const store::StoredRow* ended) {
+                          ended != nullptr ? cancel_there() : BeginTombstone(write);
+                        });
+            });
+}
+
 Intake::Step Intake::CancelStep(const Write& write, Version job) {
   Step step;
-  step.m_transaction.m_checks = {{JobRow(write.m_id), job}};
-  step.m_transaction.m_puts = {{CancelRow(write.m_id), "{}"}};
+  step.m_transaction.m_checks = {{JobRow(write), job}};
+  step.m_transaction.m_puts = {{CancelRow(write), "{}"}};
   step.m_on_stored = [this, id = write.m_id](Version stored) {
     if (m_on_cancelled) m_on_cancelled(id, stored);
   };
@@ -327,26 +356,32 @@
     write->m_step = TombstoneStep(*write);
     return Attempt(write);
   }
-  ReadRow(write, EndedRow(write->m_id), [this, write](const store::StoredRow* ended) {
+  ReadFirst(write, OnlyRow(EndedRow(*write)), [this, write](const store::StoredRow* ended) {
     if (ended != nullptr) return AnswerCancel(write, *ended);
     GiveUp(write, {m_tombstones.FreeIn(m_clock->Now()), "too many cancels of unknown jobs"});
   });
 }
 
+void Intake::BeginOwnTombstone(const WritePtr& write) {
+  write->m_part = PartOf(write->m_id);
+  BeginTombstone(write);
+}
+
 Intake::Step Intake::TombstoneStep(const Write& write) {
   const jobs::PhaseRow tombstone{jobs::JobPhase::kCancelled, m_clock->Wall(), true};
   Step step;
-  step.m_transaction.m_checks = {{JobRow(write.m_id), Version{}}, {EndedRow(write.m_id), Version{}}};
-  step.m_transaction.m_puts = {{EndedRow(write.m_id), jobs::Write(tombstone)}};
+  step.m_transaction.m_checks = {{JobRow(write), Version{}}, {EndedRow(write), Version{}}};
+  step.m_transaction.m_puts = {{EndedRow(write), jobs::Write(tombstone)}};
   step.m_answer = IntakeError{NoSuchJob{}};
   step.m_on_stored = [this](Version) { m_tombstones_stored->Add(); };
+  if (write.m_part != PartOf(write.m_id)) step.m_next = &Intake::BeginOwnTombstone;
   step.m_on_conflict = &Intake::OnTombstoneConflict;
   return step;
 }
 
 void Intake::OnTombstoneConflict(const WritePtr& write, const store::RowsDiffer& differ) {
   if (!write->m_maybe_applied) m_tombstones.Return();
-  if (const store::StoredRow* ended = FindRow(differ, EndedRow(write->m_id))) return AnswerCancel(write, *ended);
+  if (const store::StoredRow* ended = FindRow(differ, EndedRow(*write))) return AnswerCancel(write, *ended);
   StartOver(write);  // The job was accepted since it was read.
 }
 
@@ -357,18 +392,20 @@
     log::Error(kLog, "Phase row of a job can't be read", {{"key", ended.m_key.m_key}});
     return GiveUp(write, Refusal("the job's row can't be read"));
   }
-  Finish(write, ValueOf(row).m_tombstone ? Result<Done, IntakeError>(IntakeError{NoSuchJob{}}) : Done{});
+  if (!ValueOf(row).m_tombstone) return Finish(write, Done{});
+  if (write->m_part != PartOf(write->m_id)) return BeginOwnTombstone(write);
+  Finish(write, IntakeError{NoSuchJob{}});
 }
 
 //-------------------------------------------------------------------------------------------------
 // Writes
 //-------------------------------------------------------------------------------------------------
 
-// Reads a row that decides on the next step; `then` gets null if it is absent.
-void Intake::ReadRow(const WritePtr& write, const store::RowKey& key,
-                     std::function<void(const store::StoredRow*)> then) {
-  m_store->Read({key.m_table, key.m_part, key.m_key, key.m_key + '\0'}, 1, m_settings.m_call_timeout,
-                [this, self = shared_from_this(), write, part = StorePart{key.m_table, key.m_part},
+// Reads the first row of a range, which decides on the next step; `then` gets null if there is none.
+void Intake::ReadFirst(const WritePtr& write, const store::RowRange& range,
+                       std::function<void(const store::StoredRow*)> then) {
+  m_store->Read(range, 1, m_settings.m_call_timeout,
+                [this, self = shared_from_this(), write, part = StorePart{range.m_table, range.m_part},
                  then = std::move(then), sent = m_clock->Now()](const Result<store::RowPage, store::ReadError>& page) {
                   if (!Ok(page)) return StartOver(write);
                   m_watch->NoteAnswer(part, sent);
@@ -431,6 +468,7 @@
   if (Ok(result)) {
     m_watch->NoteAnswer(write->m_part, sent);
     if (write->m_step.m_on_stored) write->m_step.m_on_stored(ValueOf(result));
+    if (write->m_step.m_next) return (this->*write->m_step.m_next)(write);
     return Finish(write, write->m_step.m_answer);
   }
   const store::TransactError& error = ErrorOf(result);
@@ -501,7 +539,7 @@
 void Intake::LookUp(JobId id, std::size_t place, Instant until, PhaseCallback callback) {
   if (place == std::size(kPlaces)) return callback(IntakeError{NoSuchJob{}});
   const store::RowKey key = kPlaces[place].m_key(m_settings.m_tables, id);
-  m_store->Read({key.m_table, key.m_part, key.m_key, key.m_key + '\0'}, 1, m_settings.m_call_timeout,
+  m_store->Read(OnlyRow(key), 1, m_settings.m_call_timeout,
                 [this, self = shared_from_this(), id, place, until, callback, part = StorePart{key.m_table, key.m_part},
                  sent = m_clock->Now()](const Result<store::RowPage, store::ReadError>& page) {
                   if (!Ok(page)) {
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -155,12 +155,16 @@
   Step TombstoneStep(const Write& write);
   void BeginSubmission(const WritePtr& write);
   void BeginCancel(const WritePtr& write);
+  void CancelInPart(const WritePtr& write, std::function<void()> absent);
+  void LookForEarlierVersions(const WritePtr& write);
   void BeginTombstone(const WritePtr& write);
+  void BeginOwnTombstone(const WritePtr& write);
   void AnswerCancel(const WritePtr& write, const store::StoredRow& ended);
   void OnSubmissionConflict(const WritePtr& write, const store::RowsDiffer& differ);
   void OnCancelConflict(const WritePtr& write, const store::RowsDiffer& differ);
   void OnTombstoneConflict(const WritePtr& write, const store::RowsDiffer& differ);
-  void ReadRow(const WritePtr& write, const store::RowKey& key, std::function<void(const store::StoredRow*)> then);
+  void ReadFirst(const WritePtr& write, const store::RowRange& range,
+                 std::function<void(const store::StoredRow*)> then);
   void StartOver(const WritePtr& write);
   void Hold(const WritePtr& write);
   void ReleaseHeld();
@@ -170,10 +174,10 @@
   void Finish(const WritePtr& write, Result<Done, IntakeError> result);
   void LookUp(JobId id, std::size_t place, Instant until, PhaseCallback callback);
   void Retry(Instant until, std::function<void()> again, std::function<void()> give_up);
-  store::RowKey JobRow(JobId job) const;
+  store::RowKey JobRow(const Write& write) const;
+  store::RowKey CancelRow(const Write& write) const;
+  store::RowKey EndedRow(const Write& write) const;
   StorePart PartOf(JobId job) const { return {m_settings.m_tables.m_intake, m_settings.m_tables.IntakePart(job)}; }
-  store::RowKey CancelRow(JobId job) const;
-  store::RowKey EndedRow(JobId job) const;
   TryLater Refusal(const char* why, const StorePart& part = {}) const {
     return {ReturnAfter(m_watch->SilentFor(part), m_settings.m_outage), why};
   }
--- a/tests/service/cancel_test.cc
+++ b/tests/service/cancel_test.cc
@@ -49,6 +49,8 @@
   CPPUNIT_TEST(LateCancelOfAnArchivedJobLeavesNothing);
   CPPUNIT_TEST(CancelThatLeavesNoTombstoneIsNotAnswered);
   CPPUNIT_TEST(CancelsOfUnknownJobsDoNotFillTheStore);
+  CPPUNIT_TEST(CancelOfAJobOfAnEarlierVersionCancelsIt);
+  CPPUNIT_TEST(LateWriteOfAnEarlierVersionFailsAfterItsCancel);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -150,6 +152,41 @@
     CPPUNIT_ASSERT_EQUAL(std::string("no such job"), Cancel(1, JobId{kCancels}));
   }
 
+  // Guards against a job that runs although its cancel was answered: a version before the sixteen parts accepted it.
+  void CancelOfAJobOfAnEarlierVersionCancelsIt() {
+    m_store->Put({m_tables.m_intake, m_tables.m_whole_part, JobRowKey(kJob)}, "{}");
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), Cancel(1));
+    const auto rows = m_store->Rows(m_tables.m_intake);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, rows.size());
+    for (const auto& row : rows) CPPUNIT_ASSERT_EQUAL(m_tables.m_whole_part, row.m_key.m_part);
+    CPPUNIT_ASSERT_EQUAL(CancelRowKey(kJob), rows.front().m_key.m_key);
+    for (const auto& row : rows) m_store->Remove(row.m_key);  // It ends.
+    m_store->Put({m_tables.m_ended, m_tables.m_whole_part, jobs::HexText(kJob)},
+                 jobs::Write(jobs::PhaseRow{jobs::JobPhase::kCancelled, m_clock.Wall()}));
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), Cancel(2));
+  }
+
+  // Guards against the same where the write of such a version is still under way. Any job in its part tells that it
+  // runs.
+  void LateWriteOfAnEarlierVersionFailsAfterItsCancel() {
+    const std::string& part = m_tables.m_whole_part;
+    m_store->Put({m_tables.m_intake, part, JobRowKey(JobId{1})}, "{}");
+    for (const std::size_t instance : {1, 2}) CPPUNIT_ASSERT_EQUAL(std::string("no such job"), Cancel(instance));
+    store::Transaction submission;
+    submission.m_checks = {{{m_tables.m_intake, part, JobRowKey(kJob)}, Version{}},
+                           {{m_tables.m_ended, part, jobs::HexText(kJob)}, Version{}}};
+    submission.m_puts = {{{m_tables.m_intake, part, JobRowKey(kJob)}, "{}"}};
+    bool stored = false;
+    m_instances[0]->m_client.Transact(submission, kCallerTimeout,
+                                      [&stored](const auto& result) { stored = Ok(result); });
+    const auto submitted = Submit(0);  // And where it is sent again to an instance of this version.
+    m_timers.Advance(kCallerTimeout);
+    CPPUNIT_ASSERT(!stored);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store->Rows(m_tables.m_intake).size());
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), *submitted);
+    CPPUNIT_ASSERT_EQUAL(std::string("cancelled"), State(2));
+  }
+
  private:
   static constexpr std::size_t kMostTombstones = 20;
 
