Intake: writes are not repeated for longer than the rows of ended jobs are kept

Cause: a write without an answer was repeated for as long as its caller waits, however long that is. Nothing in the store tells of the job once its row among the ended ones is gone.

Change: calls are answered within 60 s whatever their caller's timeout, so the last attempt comes 70 s before the row expires, which is longer than the store takes for a late write. Usual callers wait 3 s; nothing changes for them.

Evidence: WriteIsNotRepeatedAfterTheEndOfItsJobIsForgotten, "none yet" instead of "unknown" before. Not seen on processes.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -231,7 +231,7 @@
   write->m_step = SubmissionStep(*write);
   write->m_begin = &Intake::BeginSubmission;
   write->m_started = m_clock->Now();
-  write->m_until = write->m_started + std::max(Millis{0}, time - m_settings.m_answer_margin);
+  write->m_until = write->m_started + AnswerWithin(time);
   write->m_callback = [this, id, callback = std::move(callback)](Result<Done, IntakeError> result) {
     const auto* refused = Ok(result) ? nullptr : std::get_if<TryLater>(&ErrorOf(result));
     (Ok(result)           ? m_accepted
@@ -240,7 +240,8 @@
         ->Add();
     callback(std::move(result));
   };
-  const Millis longest = HoldTime(Millis{0}, time, m_held.size(), m_settings.m_outage);
+  const Millis longest =
+      HoldTime(Millis{0}, std::min(time, m_settings.m_longest_call), m_held.size(), m_settings.m_outage);
   m_watch->Check(write->m_part, longest, [self = shared_from_this(), write](bool answers) {
     answers ? self->Attempt(write) : self->Hold(write);
   });
@@ -298,7 +299,7 @@
   write->m_part = PartOf(id);
   write->m_begin = &Intake::BeginCancel;
   write->m_started = m_clock->Now();
-  write->m_until = write->m_started + std::max(Millis{0}, time - m_settings.m_answer_margin);
+  write->m_until = write->m_started + AnswerWithin(time);
   write->m_callback = std::move(callback);
   BeginCancel(write);
 }
@@ -532,7 +533,7 @@
 
 void Intake::State(JobId id, Millis time, PhaseCallback callback) {
   if (const auto phase = m_phases.Find(id, m_clock->Now())) return callback(*phase);
-  LookUp(id, 0, m_clock->Now() + std::max(Millis{0}, time - m_settings.m_answer_margin), std::move(callback));
+  LookUp(id, 0, m_clock->Now() + AnswerWithin(time), std::move(callback));
 }
 
 // Reads one place after the other until one knows the job.
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -14,6 +14,7 @@
 // see outage_policy.h, and stored when the part is back: urgent ones first, then in the order in which they came.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -39,8 +40,9 @@
   Millis m_retry_delay{60};      // After a refused or unanswered call.
   Millis m_refuse_after{500};    // Writes rejected for this long are refused if no attempt can take effect.
   OutageSettings m_outage;
-  Millis m_answer_margin{60};             // Callers are answered this long before their timeout.
-  Millis m_phase_retention{120'000};      // Of cached phases.
+  Millis m_answer_margin{60};         // Callers are answered this long before their timeout.
+  Millis m_longest_call{60'000};      // Of a call, whatever its timeout. Shorter than the rows of ended jobs are kept.
+  Millis m_phase_retention{120'000};  // Of cached phases.
   std::size_t m_most_tombstones = 2'000;  // Of this instance at a time; further cancels of unknown jobs are refused.
   Millis m_tombstone_age{200'000};        // Until JobArchive has deleted a tombstone.
 };
@@ -178,6 +180,9 @@
   store::RowKey CancelRow(const Write& write) const;
   store::RowKey EndedRow(const Write& write) const;
   StorePart PartOf(JobId job) const { return {m_settings.m_tables.m_intake, m_settings.m_tables.IntakePart(job)}; }
+  Millis AnswerWithin(Millis timeout) const {  // Of a caller.
+    return std::max(Millis{0}, std::min(timeout, m_settings.m_longest_call) - m_settings.m_answer_margin);
+  }
   TryLater Refusal(const char* why, const StorePart& part = {}) const {
     return {ReturnAfter(m_watch->SilentFor(part), m_settings.m_outage), why};
   }
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(LongOutageOfAllPartsIsProbedSeldom);
   CPPUNIT_TEST(SlowAnswerIsNoContactForLong);
   CPPUNIT_TEST(UnansweredWriteIsReportedUnknown);
+  CPPUNIT_TEST(WriteIsNotRepeatedAfterTheEndOfItsJobIsForgotten);
   CPPUNIT_TEST(SubmissionToARefusingStoreIsHeldForAThirdOfItsCallersTime);
   CPPUNIT_TEST(WriteRefusedByStoreIsRefusedSoon);
   CPPUNIT_TEST(SlowStoreCausesNoRepeatedWrites);
@@ -289,6 +290,26 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_store->Rows(TableNames{}.m_intake).size());
   }
 
+  // Guards against a job that runs twice: its caller waits for longer than the row of an ended job is kept, and the
+  // write is sent again when nothing tells any more that it was done.
+  void WriteIsNotRepeatedAfterTheEndOfItsJobIsForgotten() {
+    Submit(JobId{1}, kCallerTimeout);  // So that the store has answered recently.
+    m_client->SetMood(StoreMood::kLateWrites);
+    std::string outcome = "none yet";
+    jobs::JobRequest request;
+    request.m_steps.resize(1);
+    const Route route{m_intake->Configuration()->m_queues[0], AccountId{"account"}};
+    m_intake->Submit(route, JobId{2}, request, Millis{600'000},
+                     [&outcome](const Result<Done, IntakeError>& result) { outcome = Text(result); });
+    m_timers.Advance(IntakeSettings{}.m_phase_retention);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcome);
+    const TableNames tables;
+    m_store->Remove({tables.m_intake, tables.IntakePart(JobId{2}), JobRowKey(JobId{2})});
+    m_client->SetMood(StoreMood::kServes);
+    m_timers.Advance(Millis{600'000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store->Rows(tables.m_intake).size());
+  }
+
   void WriteRefusedByStoreIsRefusedSoon() {
     Submit(JobId{1}, Millis{200});  // So that the store has answered recently.
     m_client->SetMood(StoreMood::kRefuses);
