Cancels: a cancel that is done in part is not answered as having had no effect

Cause: only attempts without an answer counted as effects.

Change: a stored first step counts too, so such a cancel is answered 504 and may be repeated.

Evidence: CancelThatIsDoneInPartIsNotRefused, "try later" before. LateTombstoneDoesNotHideAnAcceptedJob is new too and passed before.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -469,8 +469,9 @@
   if (Ok(result)) {
     m_watch->NoteAnswer(write->m_part, sent);
     if (write->m_step.m_on_stored) write->m_step.m_on_stored(ValueOf(result));
-    if (write->m_step.m_next) return (this->*write->m_step.m_next)(write);
-    return Finish(write, write->m_step.m_answer);
+    if (write->m_step.m_next == nullptr) return Finish(write, write->m_step.m_answer);
+    write->m_maybe_applied = true;
+    return (this->*write->m_step.m_next)(write);
   }
   const store::TransactError& error = ErrorOf(result);
   if (std::holds_alternative<store::StoreSilent>(error)) m_watch->NoteSilence(write->m_part, sent, write->m_limit);
--- a/tests/service/cancel_test.cc
+++ b/tests/service/cancel_test.cc
@@ -47,6 +47,8 @@
   CPPUNIT_TEST(RepeatedCancelGetsTheSameAnswer);
   CPPUNIT_TEST(CancelOfAnEndedJobDoesNotDenyIt);
   CPPUNIT_TEST(LateCancelOfAnArchivedJobLeavesNothing);
+  CPPUNIT_TEST(LateTombstoneDoesNotHideAnAcceptedJob);
+  CPPUNIT_TEST(CancelThatIsDoneInPartIsNotRefused);
   CPPUNIT_TEST(CancelThatLeavesNoTombstoneIsNotAnswered);
   CPPUNIT_TEST(CancelsOfUnknownJobsDoNotFillTheStore);
   CPPUNIT_TEST(CancelOfAJobOfAnEarlierVersionCancelsIt);
@@ -129,6 +131,27 @@
     CPPUNIT_ASSERT_EQUAL(std::string("unknown"), answer);
   }
 
+  // Guards against an accepted job that is lost to a cancel which was sent before it and is done after it.
+  void LateTombstoneDoesNotHideAnAcceptedJob() {
+    m_instances[1]->m_client.SetMood(StoreMood::kLateWrites);
+    std::string answer;
+    m_instances[1]->m_intake->Cancel(kJob, kCallerTimeout, [&answer](const auto& result) { answer = Text(result); });
+    m_timers.Advance(Millis{500});
+    const auto submitted = Submit(0);
+    m_timers.Advance(kLatestLateWrite);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), answer);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), *submitted);
+    CPPUNIT_ASSERT_EQUAL(std::string("queued"), State(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_store->Rows(m_tables.m_ended).size());
+  }
+
+  // Guards against a refusal that says "no effect" of a cancel whose first tombstone of two is stored.
+  void CancelThatIsDoneInPartIsNotRefused() {
+    m_store->Put({m_tables.m_intake, m_tables.m_whole_part, JobRowKey(JobId{1})}, "{}");
+    m_store->Reject({m_tables.m_ended, m_tables.IntakePart(kJob), jobs::HexText(kJob)});
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), Cancel(1));
+  }
+
   // Guards against a cancel that promises an end which nothing in the store brings about.
   void CancelThatLeavesNoTombstoneIsNotAnswered() {
     m_instances[1]->m_client.SetMood(StoreMood::kLateWrites);
