Log: an instance outlives the reader of its log

Every log line may be the one that ends the process.

Cause: SIGPIPE had its default action. Sockets never raise it (Boost.Asio), so only the log could.

Change: configuring the log ignores the signal, for standard error as well, so hickoryquayd is covered. Lines wait within their bound and are then counted as left out, as with a reader that has stopped.

Evidence: ReaderThatIsGoneDoesNotEndTheProcess fails before ("WIFEXITED").

--- a/hickoryquay/base/log.cc
+++ b/hickoryquay/base/log.cc
@@ -5,6 +5,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <chrono>
+#include <csignal>
 #include <ctime>
 #include <map>
 #include <mutex>
@@ -106,6 +107,7 @@
   State& state = Shared();
   const std::scoped_lock lock(state.m_mutex);
   state.m_settings = settings;
+  std::signal(SIGPIPE, SIG_IGN);  // A log without a reader must not end the process.
   if (settings.m_standard_output) UseStandardOutput();
 }
 
--- a/tests/base/line_output_test.cc
+++ b/tests/base/line_output_test.cc
@@ -2,11 +2,15 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fcntl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
 #include <string>
 
+#include "hickoryquay/base/log.h"
+
 namespace hickoryquay::log {
 namespace {
 
@@ -16,6 +20,7 @@
   CPPUNIT_TEST_SUITE(LineOutputTest);
   CPPUNIT_TEST(LinesArriveWhole);
   CPPUNIT_TEST(ReaderThatStopsNeverBlocksTheWriter);
+  CPPUNIT_TEST(ReaderThatIsGoneDoesNotEndTheProcess);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +62,26 @@
     CPPUNIT_ASSERT(read.ends_with("last\n"));
   }
 
+  // Guards against an instance that ends because whoever read its log has ended.
+  void ReaderThatIsGoneDoesNotEndTheProcess() {
+    ::close(m_pipe[0]);
+    for (const bool standard_output : {true, false}) {
+      const pid_t child = ::fork();
+      if (child == 0) {
+        std::signal(SIGPIPE, SIG_DFL);
+        ::dup2(m_pipe[1], standard_output ? STDOUT_FILENO : STDERR_FILENO);
+        Settings settings;
+        settings.m_standard_output = standard_output;
+        Configure(settings);
+        for (int line = 0; line < 3; ++line) Info(Part{"test"}, "nobody reads this");
+        ::_exit(0);
+      }
+      int status = 0;
+      CPPUNIT_ASSERT_EQUAL(child, ::waitpid(child, &status, 0));
+      CPPUNIT_ASSERT(WIFEXITED(status));
+    }
+  }
+
  private:
   std::string ReadAll() {
     std::string all;
