Intake: its times follow from how long ended jobs are kept

The bound on repeated writes and the age of tombstones were fixed figures, right for `[terms] keep_ended` of 120 s only: with 30 s a write could still be repeated after the row of its ended job had been deleted, with 600 s more tombstones would stand in the store than the bound says.

Now: calls are answered within half of keep_ended, 60 s at most; a tombstone counts until the archive has surely deleted it. Nothing changes where keep_ended is 120 s.

--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -22,6 +22,7 @@
 constexpr Millis kConfigurationTimeout{500};
 constexpr Millis kMemberWait{5'000};     // Of a feed call; may be long, since new instances also send heartbeats.
 constexpr Millis kAnnounceTimeout{500};  // Of the call that tells the leader of a new job.
+constexpr Millis kScanTime{10'000};      // Of the rows of ended jobs, and of the deletions that follow.
 constexpr int kHexDigits = 16;
 
 std::string RandomHex() {
@@ -42,6 +43,16 @@
   return leadership;
 }
 
+IntakeSettings MakeIntakeSettings(const JobServiceSettings& settings) {
+  const Millis keep = settings.m_node.m_terms.m_keep_ended;
+  const ArchiveSettings archive;
+  IntakeSettings intake;
+  intake.m_phase_retention = keep;
+  intake.m_longest_call = std::min(intake.m_longest_call, keep / 2);
+  intake.m_tombstone_age = keep + archive.m_keep_margin + archive.m_scan_rest + kScanTime;
+  return intake;
+}
+
 DriverSettings MakeDriverSettings(const JobServiceSettings& settings) {
   const settings::TermsSection& terms = settings.m_node.m_terms;
   DriverSettings driver;
@@ -74,7 +85,8 @@
 
 JobService::JobService(const JobServiceParts& parts, const JobServiceSettings& settings)
     : m_parts(parts), m_settings(settings), m_self(settings.m_node.m_node.m_name + "-" + RandomHex()) {
-  m_intake = std::make_shared<Intake>(parts.m_store, parts.m_timers, parts.m_clock, parts.m_metrics, IntakeSettings{});
+  m_intake = std::make_shared<Intake>(parts.m_store, parts.m_timers, parts.m_clock, parts.m_metrics,
+                                      MakeIntakeSettings(settings));
 }
 
 void JobService::Start() {
