Placer: the cancel of a job whose row is written late is not forgotten

Cause: a cancel is a row of its own, so it would have outlived the late write; but the placer read the job's row, found none and deleted the cancel at once. A read proves nothing about a write under way.

Change: the cancel of an unknown job stays for 60 s by the time in its row, and is deleted only if the job's row is still absent. A job that turns up meanwhile ends as cancelled before anything of it starts. All pages of cancel rows are read each time, so that those which are kept delay no others.

Evidence: RowThatIsWrittenAfterItsCancelNeverRuns fails before (state not cancelled), also over a change of the placer. CancelsOfUnknownJobsDoNotDelayOthers passed before.

--- a/hickoryquay/placer/job_intake.cc
+++ b/hickoryquay/placer/job_intake.cc
@@ -127,10 +127,9 @@
 
 void JobIntake::Cancel(const DomainId& domain, JobId job, const std::string& by, CancelCallback callback) {
   const std::string key = CancelKey(domain, job);
-  const json::object value{{"by", by}, {"at_ms", m_parts.m_clock->Wall().m_ms}};
   store::Commit commit;
   commit.m_checks.push_back({key, Version{0}});
-  commit.m_writes.push_back({key, json::serialize(value)});
+  commit.m_writes.push_back({key, CancelValue(by, m_parts.m_clock->Wall())});
   m_parts.m_table->Submit(
       std::move(commit), [self = shared_from_this(), job, callback = std::move(callback)](const auto& result) {
         const bool already_recorded = !Ok(result) && std::holds_alternative<store::Conflict>(ErrorOf(result));
--- a/hickoryquay/placer/placer.h
+++ b/hickoryquay/placer/placer.h
@@ -42,6 +42,7 @@
   Millis m_adopt_timeout{2'000};       // Longest time from reports to first renewal of an adopted attempt.
   Millis m_read_retry{300};            // After a failed read of the rows.
   Millis m_cancels_every{2'000};       // Between reads of the cancel rows.
+  Millis m_keep_cancels{60'000};       // Of unknown jobs, whose rows may still be written.
   Millis m_sweep_every{10'000};        // Between pages of the sweep, which finds new rows whose notification was lost.
   int m_sweep_rows = 25;               // Per page of the sweep.
   int m_page_rows = 500;               // Per page while the view is rebuilt.
--- a/hickoryquay/placer/placer_term.h
+++ b/hickoryquay/placer/placer_term.h
@@ -86,9 +86,11 @@
   bool RunsAtMostOnce(const JobSpec& spec) const;
   void FetchDeferred();
   void ReadCancelRows();
+  void ReadCancelPage(const std::string& after);
   void OnCancelRows(const store::Page& page);
   void CancelJob(JobId job);
   void ResolveCancelRow(JobId id, const store::Row& cancel);
+  void DeleteCancelRow(JobId id, const store::Row& cancel, Version job);
   void Sweep();
   void OnSweepPage(const store::Page& page);
   void DeleteEnded(const store::Row& row);
@@ -160,7 +162,8 @@
   std::vector<policy::StartGang> m_held_starts;  // Decisions held until the lease is confirmed.
 
   std::set<JobId> m_jobs_being_fetched;
-  std::set<JobId> m_deferred_jobs;  // Their market, account or class is not configured here yet.
+  std::set<JobId> m_deferred_jobs;      // Their market, account or class is not configured here yet.
+  std::set<JobId> m_cancelled_unknown;  // Have a cancel row, and no row of their own was found.
   bool m_reading_cancels = false;
   bool m_sweeping = false;
   std::string m_sweep_after;
--- a/hickoryquay/placer/rows.cc
+++ b/hickoryquay/placer/rows.cc
@@ -68,6 +68,19 @@
   return ParseJob(ValueOf(parsed));
 }
 
+std::string CancelValue(const std::string& by, Instant wall) {
+  return json::serialize(json::object{{"by", by}, {"at_ms", wall.m_ms}});
+}
+
+Instant CancelledAt(std::string_view value) {
+  Instant at;
+  const auto parsed = ParseJson(value);
+  if (!Ok(parsed)) return at;
+  FieldReader reader(ValueOf(parsed));
+  if (!reader.Failed()) reader.ReadInstant("at_ms", &at);
+  return at;
+}
+
 std::string LeaseValue(const LeaseRow& lease) {
   return json::serialize(json::object{{"holder", lease.m_holder.m_value},
                                       {"address", lease.m_address},
--- a/hickoryquay/placer/rows.h
+++ b/hickoryquay/placer/rows.h
@@ -22,6 +22,9 @@
 std::string JobValue(const Job& job);
 Parsed<Job> ParseJobValue(std::string_view value);
 
+std::string CancelValue(const std::string& by, Instant wall);
+Instant CancelledAt(std::string_view value);  // Wall time; 0 if it can't be read.
+
 // The value of a domain's placer lease row.
 struct LeaseRow {
   InstanceId m_holder;  // Empty: released, can be taken over immediately.
--- a/hickoryquay/placer/term_rows.cc
+++ b/hickoryquay/placer/term_rows.cc
@@ -71,6 +71,10 @@
   record.m_durable_attempt = job.m_attempt;
   record.m_job = std::move(job);
   record.m_once = RunsAtMostOnce(record.m_job.m_spec);
+  if (m_cancelled_unknown.erase(id) > 0) {
+    record.m_cancelled = true;
+    return EndJob(&record, JobState::kCancelled, "cancelled before it was known");
+  }
   const auto admitted = m_scheduler->Admit(record.m_job.m_spec, DecisionTime());
   if (!Ok(admitted)) return EndJob(&record, JobState::kRefused, "not run: " + policy::ToString(ErrorOf(admitted)));
   ApplyEvent(policy::JobSubmitted{record.m_job});
@@ -133,45 +137,63 @@
 void Placer::Term::ReadCancelRows() {
   if (m_reading_cancels) return;
   m_reading_cancels = true;
-  m_parts.m_table->Scan(CancelPrefix(m_settings.m_domain), "", kCancelRows,
+  ReadCancelPage("");
+}
+
+void Placer::Term::ReadCancelPage(const std::string& after) {
+  m_parts.m_table->Scan(CancelPrefix(m_settings.m_domain), after, kCancelRows,
                         [self = shared_from_this()](const auto& result) {
                           self->m_parts.m_executor([self, result] {
-                            self->m_reading_cancels = false;
-                            if (!self->m_ended && Ok(result)) self->OnCancelRows(ValueOf(result));
+                            if (self->m_ended) return;
+                            const bool more = Ok(result) && ValueOf(result).m_more && !ValueOf(result).m_rows.empty();
+                            self->m_reading_cancels = more;
+                            if (Ok(result)) self->OnCancelRows(ValueOf(result));
+                            if (more) self->ReadCancelPage(ValueOf(result).m_rows.back().m_key);
                           });
                         });
 }
 
-// The cancel row of a known job is deleted in the commit that writes the job's end. Others are deleted on their own.
+// The cancel row of a known job is deleted in the commit that writes the job's end. That of an unknown job is kept for
+// a while: the write of the job's row may still be under way.
 void Placer::Term::OnCancelRows(const store::Page& page) {
   for (const store::Row& row : page.m_rows) {
     JobId id{};
     if (!ParseJobKey(row.m_key, &id)) continue;
     if (FindJob(id) != nullptr) {
       CancelJob(id);
-    } else {
+    } else if (m_cancelled_unknown.insert(id).second) {
       ResolveCancelRow(id, row);
+    } else if (m_parts.m_clock->Wall() - CancelledAt(row.m_value) >= m_settings.m_keep_cancels) {
+      DeleteCancelRow(id, row, Version{0});
     }
   }
 }
 
-// Reads the job's row first, since the job may be new here.
+// Reads the job's row, since the job may be new here, or have ended.
 void Placer::Term::ResolveCancelRow(JobId id, const store::Row& cancel) {
   if (!m_jobs_being_fetched.insert(id).second) return;
   m_parts.m_table->Get(JobKey(m_settings.m_domain, id), [self = shared_from_this(), id, cancel](const auto& result) {
     self->m_parts.m_executor([self, id, cancel, result] {
       self->m_jobs_being_fetched.erase(id);
-      if (self->m_ended || !Ok(result)) return;
-      self->OnJobRow(id, ValueOf(result));
-      if (self->FindJob(id) != nullptr) return self->CancelJob(id);
-      store::Commit commit;
-      commit.m_checks = {self->Fence(), {cancel.m_key, cancel.m_version}};
-      commit.m_writes = {{cancel.m_key, std::nullopt}};
-      self->m_parts.m_table->Submit(std::move(commit), [](const auto&) {});  // The next read retries.
+      if (self->m_ended || !Ok(result) || ValueOf(result).m_version == Version{0}) return;
+      const store::Row& job = ValueOf(result);
+      self->OnJobRow(id, job);
+      const auto parsed = ParseJobValue(job.m_value);
+      if (Ok(parsed) && Ended(ValueOf(parsed).m_state)) self->DeleteCancelRow(id, cancel, job.m_version);
     });
   });
 }
 
+// `job` is the version of the job's row, 0 if it is absent. Where that has changed, the next read looks at it again.
+void Placer::Term::DeleteCancelRow(JobId id, const store::Row& cancel, Version job) {
+  store::Commit commit;
+  commit.m_checks = {Fence(), {cancel.m_key, cancel.m_version}, {JobKey(m_settings.m_domain, id), job}};
+  commit.m_writes = {{cancel.m_key, std::nullopt}};
+  m_parts.m_table->Submit(std::move(commit), [self = shared_from_this(), id](const auto&) {
+    self->m_parts.m_executor([self, id] { self->m_cancelled_unknown.erase(id); });
+  });
+}
+
 void Placer::Term::CancelJob(JobId id) {
   JobRecord* record = FindJob(id);
   if (record == nullptr || record->m_cancelled || Ended(record->m_job.m_state)) return;
--- a/tests/placer/placer_test.cc
+++ b/tests/placer/placer_test.cc
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(TableDownLongerThanEveryLease);
   CPPUNIT_TEST(RepeatedKeyIsOneJob);
   CPPUNIT_TEST(CancelsManyJobsAtOnce);
+  CPPUNIT_TEST(RowThatIsWrittenAfterItsCancelNeverRuns);
+  CPPUNIT_TEST(CancelsOfUnknownJobsDoNotDelayOthers);
   CPPUNIT_TEST(RunningJobSurvivesFailover);
   CPPUNIT_TEST(WritingBehindSavesRowWrites);
   CPPUNIT_TEST(MovesOnlyJobsThatCannotRunTwice);
@@ -166,6 +168,49 @@
     CPPUNIT_ASSERT(simulation.m_table.Engine().Scan("cancel/", "", 10).m_rows.empty());
   }
 
+  // Guards against a job that runs after its cancel was acknowledged: the table does the write of its row late.
+  void RowThatIsWrittenAfterItsCancelNeverRuns() {
+    for (const bool failover : {false, true}) {
+      Simulation simulation(2);
+      simulation.StartProcess();
+      const auto process = simulation.StartProcess();
+      simulation.Advance(Millis{3'000});
+      Job job;
+      job.m_id = JobId{0x5c0e};
+      job.m_domain = DomainId("leicester");
+      job.m_spec = simulation.Spec(1, false);
+      job.m_accepted = simulation.m_clock.Wall();
+      const std::string key = placer::JobKey(job.m_domain, job.m_id);
+      process->m_intake->Cancel(job.m_domain, job.m_id, "caller", [](const auto&) {});
+      simulation.Advance(Millis{8'000});
+      simulation.m_table.Engine().Submit({"", {{key, Version{0}}}, {{key, placer::JobValue(job)}}});
+      if (failover) simulation.Crash(simulation.Holder());
+      simulation.Advance(Millis{120'000});
+      CPPUNIT_ASSERT(simulation.RowOf(job.m_id).m_state == JobState::kCancelled);
+      CPPUNIT_ASSERT(simulation.m_log.empty());
+      CPPUNIT_ASSERT(simulation.m_table.Engine().Scan("cancel/", "", 10).m_rows.empty());
+    }
+  }
+
+  // Guards against a cancel that waits behind more cancels of unknown jobs than are read at once.
+  void CancelsOfUnknownJobsDoNotDelayOthers() {
+    Simulation simulation(2);
+    const auto process = simulation.StartProcess();
+    simulation.Advance(Millis{3'000});
+    for (auto& [id, worker] : simulation.m_workers) worker.m_run_for = Millis{60'000};
+    simulation.Submit(process, simulation.Spec(1, false));
+    simulation.Advance(Millis{2'000});
+    for (std::uint64_t id = 1; id <= 500; ++id) {
+      process->m_intake->Cancel(DomainId("leicester"), JobId{id}, "caller", [](const auto&) {});
+    }
+    const JobId job = simulation.m_accepted.begin()->first;
+    process->m_intake->Cancel(DomainId("leicester"), job, "caller", [](const auto&) {});
+    simulation.Advance(Millis{6'000});
+    CPPUNIT_ASSERT(simulation.RowOf(job).m_state == JobState::kCancelled);
+    simulation.Advance(Millis{90'000});
+    CPPUNIT_ASSERT(simulation.m_table.Engine().Scan("cancel/", "", 10).m_rows.empty());
+  }
+
   void RunningJobSurvivesFailover() {
     Simulation simulation(3);
     simulation.StartProcess();
