Upgrades: a job that an earlier build accepted is not accepted again

Cause: builds before keep all jobs in one other part of the tables. A submission looked in one of the sixteen parts only; GET looked in both.

Change: a submission looks for its job in the part of earlier versions before it writes, unless the leader said within 30 s that nothing is there. The leader follows the accepted jobs by their feed and reads the ended ones through; its heartbeats have a new optional field, which is absent where a leader does not know, or is of a version before.

Without the look ResubmittedJobOfAnEarlierVersionIsNotStoredAgain finds three rows instead of one. Not covered: a late write of such an instance, done after the job was accepted elsewhere.

--- a/hickoryquay/inner/gen/inner_types.cpp
+++ b/hickoryquay/inner/gen/inner_types.cpp
@@ -1484,6 +1484,11 @@
 void LeaderBeat::__set_released(const bool val) {
   this->released = val;
 }
+
+void LeaderBeat::__set_no_earlier_rows(const bool val) {
+  this->no_earlier_rows = val;
+__isset.no_earlier_rows = true;
+}
 std::ostream& operator<<(std::ostream& out, const LeaderBeat& obj)
 {
   obj.printTo(out);
@@ -1615,6 +1620,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->no_earlier_rows);
+          this->__isset.no_earlier_rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1689,6 +1702,11 @@
   xfer += oprot->writeBool(this->released);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.no_earlier_rows) {
+    xfer += oprot->writeFieldBegin("no_earlier_rows", ::apache::thrift::protocol::T_BOOL, 9);
+    xfer += oprot->writeBool(this->no_earlier_rows);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1704,6 +1722,7 @@
   swap(a.ready, b.ready);
   swap(a.pass_on, b.pass_on);
   swap(a.released, b.released);
+  swap(a.no_earlier_rows, b.no_earlier_rows);
   swap(a.__isset, b.__isset);
 }
 
@@ -1716,6 +1735,7 @@
   ready = other76.ready;
   pass_on = other76.pass_on;
   released = other76.released;
+  no_earlier_rows = other76.no_earlier_rows;
   __isset = other76.__isset;
 }
 LeaderBeat::LeaderBeat(LeaderBeat&& other77) noexcept {
@@ -1727,6 +1747,7 @@
   ready = other77.ready;
   pass_on = std::move(other77.pass_on);
   released = other77.released;
+  no_earlier_rows = other77.no_earlier_rows;
   __isset = other77.__isset;
 }
 LeaderBeat& LeaderBeat::operator=(const LeaderBeat& other78) {
@@ -1738,6 +1759,7 @@
   ready = other78.ready;
   pass_on = other78.pass_on;
   released = other78.released;
+  no_earlier_rows = other78.no_earlier_rows;
   __isset = other78.__isset;
   return *this;
 }
@@ -1750,6 +1772,7 @@
   ready = other79.ready;
   pass_on = std::move(other79.pass_on);
   released = other79.released;
+  no_earlier_rows = other79.no_earlier_rows;
   __isset = other79.__isset;
   return *this;
 }
@@ -1764,6 +1787,7 @@
   out << ", " << "ready=" << to_string(ready);
   out << ", " << "pass_on=" << to_string(pass_on);
   out << ", " << "released=" << to_string(released);
+  out << ", " << "no_earlier_rows="; (__isset.no_earlier_rows ? (out << to_string(no_earlier_rows)) : (out << "<null>"));
   out << ")";
 }
 
--- a/hickoryquay/inner/gen/inner_types.h
+++ b/hickoryquay/inner/gen/inner_types.h
@@ -607,7 +607,7 @@
 std::ostream& operator<<(std::ostream& out, const PhaseChange& obj);
 
 typedef struct _LeaderBeat__isset {
-  _LeaderBeat__isset() : instance(false), epoch(false), sequence(false), phases(false), pending(false), ready(false), pass_on(false), released(false) {}
+  _LeaderBeat__isset() : instance(false), epoch(false), sequence(false), phases(false), pending(false), ready(false), pass_on(false), released(false), no_earlier_rows(false) {}
   bool instance :1;
   bool epoch :1;
   bool sequence :1;
@@ -616,6 +616,7 @@
   bool ready :1;
   bool pass_on :1;
   bool released :1;
+  bool no_earlier_rows :1;
 } _LeaderBeat__isset;
 
 class LeaderBeat : public virtual ::apache::thrift::TBase {
@@ -630,7 +631,8 @@
                epoch(0),
                sequence(0),
                ready(0),
-               released(0) {
+               released(0),
+               no_earlier_rows(0) {
   }
 
   virtual ~LeaderBeat() noexcept;
@@ -642,6 +644,7 @@
   bool ready;
   std::vector<std::string>  pass_on;
   bool released;
+  bool no_earlier_rows;
 
   _LeaderBeat__isset __isset;
 
@@ -661,6 +664,8 @@
 
   void __set_released(const bool val);
 
+  void __set_no_earlier_rows(const bool val);
+
   bool operator == (const LeaderBeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -679,6 +684,10 @@
       return false;
     if (!(released == rhs.released))
       return false;
+    if (__isset.no_earlier_rows != rhs.__isset.no_earlier_rows)
+      return false;
+    else if (__isset.no_earlier_rows && !(no_earlier_rows == rhs.no_earlier_rows))
+      return false;
     return true;
   }
   bool operator != (const LeaderBeat &rhs) const {
--- a/hickoryquay/inner/inner.thrift
+++ b/hickoryquay/inner/inner.thrift
@@ -79,6 +79,7 @@
   6: bool ready,                // The leader has read all rows, so `pending` counts them.
   7: list<string> pass_on,      // Inner addresses of instances to which the receiver sends the same, without this list.
   8: bool released,             // The sender gave the leadership up: the last beat of its term.
+  9: optional bool no_earlier_rows,  // No row of a job is in the part of versions before the sixteen parts.
 }
 
 // A call to the platform's store for an instance that can't reach it; answered with StoreAnswer.
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -15,6 +15,8 @@
 
 constexpr int kRejectionsToAnswer = 2;    // A peer that passes calls on may have rejected one for reasons of its own.
 constexpr Millis kHeartbeatValid{1'000};  // Five heartbeat intervals.
+// Longer than outages in which no leader tells: jobs of an earlier version appear only where its instances are started.
+constexpr Millis kNoEarlierRowsValid{30'000};
 
 // Returns why a request is invalid; empty if it is valid.
 std::string Validate(const jobs::JobRequest& request) {
@@ -107,6 +109,14 @@
   m_has_pending = true;
 }
 
+void PhaseCache::SetEarlierRows(bool any, Instant now) {
+  m_no_earlier_rows_at = any ? Instant{} : now;
+}
+
+bool PhaseCache::MayHaveEarlierRows(Instant now) const {
+  return m_no_earlier_rows_at == Instant{} || now - m_no_earlier_rows_at > kNoEarlierRowsValid;
+}
+
 std::optional<jobs::JobPhase> PhaseCache::Find(JobId job, Instant now) const {
   const auto found = m_entries.find(job);
   if (found == m_entries.end()) return std::nullopt;
@@ -228,7 +238,6 @@
   write->m_priority = queue.m_priority;
   write->m_row = jobs::Write(job);
   write->m_part = PartOf(id);
-  write->m_step = SubmissionStep(*write);
   write->m_begin = &Intake::BeginSubmission;
   write->m_started = m_clock->Now();
   write->m_until = write->m_started + AnswerWithin(time);
@@ -243,7 +252,7 @@
   const Millis longest =
       HoldTime(Millis{0}, std::min(time, m_settings.m_longest_call), m_held.size(), m_settings.m_outage);
   m_watch->Check(write->m_part, longest, [self = shared_from_this(), write](bool answers) {
-    answers ? self->Attempt(write) : self->Hold(write);
+    answers ? self->BeginSubmission(write) : self->Hold(write);
   });
 }
 
@@ -272,7 +281,21 @@
 
 void Intake::BeginSubmission(const WritePtr& write) {
   write->m_step = SubmissionStep(*write);
-  Attempt(write);
+  m_phases.MayHaveEarlierRows(m_clock->Now()) ? LookForEarlierJob(write) : Attempt(write);
+}
+
+// An instance of a version before the sixteen parts may have accepted the job. A tombstone there is no job: its cancel
+// has left another one where the write finds it.
+void Intake::LookForEarlierJob(const WritePtr& write) {
+  const TableNames& tables = m_settings.m_tables;
+  const store::RowKey accepted{tables.m_intake, tables.m_whole_part, JobRowKey(write->m_id)};
+  const store::RowKey ended{tables.m_ended, tables.m_whole_part, jobs::HexText(write->m_id)};
+  ReadFirst(write, OnlyRow(accepted), [this, write, ended](const store::StoredRow* job) {
+    if (job != nullptr) return Finish(write, Done{});
+    ReadFirst(write, OnlyRow(ended), [this, write](const store::StoredRow* row) {
+      row != nullptr && !IsTombstone(*row) ? Finish(write, Done{}) : Attempt(write);
+    });
+  });
 }
 
 // If the job is known, an earlier attempt, of the caller or of this instance, stored the same job. It may have ended
@@ -416,6 +439,9 @@
 
 // What is known of the rows does not hold, or could not be read.
 void Intake::StartOver(const WritePtr& write) {
+  const bool submission = !write->m_row.empty();
+  const bool expired = m_clock->Now() - write->m_started >= m_settings.m_refuse_after;
+  if (submission && expired) return GiveUp(write, Refusal("the store does not answer", write->m_part));
   Retry(
       write->m_until, [this, write] { (this->*write->m_begin)(write); },
       [this, write] { GiveUp(write, Refusal("the store does not answer", write->m_part)); });
@@ -451,7 +477,7 @@
     released.push_back(entry.second);
     return true;
   });
-  for (const auto& write : released) Attempt(write);
+  for (const auto& write : released) (this->*write->m_begin)(write);
 }
 
 void Intake::Attempt(const WritePtr& write) {
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -89,6 +89,9 @@
   // Drops the phases of jobs that have not ended. For when updates may have been missed.
   void DropUnfinished();
   void SetPending(std::map<jobs::QueueName, int> pending, Instant now);
+  // Whether the part of versions before the sixteen parts has rows of jobs, as the leader says.
+  void SetEarlierRows(bool any, Instant now);
+  bool MayHaveEarlierRows(Instant now) const;  // True if the leader has not told recently.
   // Records a heartbeat of the leader. Phases of unfinished jobs are valid only for a short time after one.
   void NoteHeartbeat(Instant now) { m_heartbeat_at = now; }
   std::optional<jobs::JobPhase> Find(JobId job, Instant now) const;
@@ -105,6 +108,7 @@
   std::map<jobs::QueueName, int> m_pending;
   Instant m_pending_at;
   Instant m_heartbeat_at;
+  Instant m_no_earlier_rows_at;  // When the leader last said that there are none; 0: never, or there are some.
   bool m_has_pending = false;
 };
 
@@ -156,6 +160,7 @@
   Step CancelStep(const Write& write, Version job);
   Step TombstoneStep(const Write& write);
   void BeginSubmission(const WritePtr& write);
+  void LookForEarlierJob(const WritePtr& write);
   void BeginCancel(const WritePtr& write);
   void CancelInPart(const WritePtr& write, std::function<void()> absent);
   void LookForEarlierVersions(const WritePtr& write);
--- a/hickoryquay/service/job_archive.cc
+++ b/hickoryquay/service/job_archive.cc
@@ -41,6 +41,11 @@
   m_retry.Cancel();
 }
 
+bool JobArchive::MayHaveRows(const std::string& part) const {
+  const auto found = m_ended.find(part);
+  return !m_scanned || (found != m_ended.end() && !found->second.empty());
+}
+
 store::RowKey JobArchive::Key(const std::string& part, JobId job) const {
   return {m_settings.m_tables.m_ended, part, jobs::HexText(job)};
 }
@@ -178,6 +183,7 @@
   m_scan_from.clear();
   if (++m_scan_part < m_settings.m_tables.AllIntakeParts().size()) return ScanNext();
   m_scan_part = 0;
+  m_scanned = true;
   m_next_scan = m_clock->Now() + m_settings.m_scan_rest;
   DeleteExpired();
 }
--- a/hickoryquay/service/job_archive.h
+++ b/hickoryquay/service/job_archive.h
@@ -49,6 +49,8 @@
   void Start();
   void Stop();
   void Add(const std::vector<jobs::SettledJob>& jobs);
+  // False once the part has been read through and no row is in it.
+  bool MayHaveRows(const std::string& part) const;
 
  private:
   struct Row {
@@ -77,6 +79,7 @@
   bool m_sending = false;
   bool m_deleting = false;
   bool m_scanning = false;
+  bool m_scanned = false;                               // The whole table, once.
   Instant m_next_scan;                                  // When the next scan may begin.
   std::size_t m_scan_part = 0;                          // Index of the part that is scanned.
   std::string m_scan_from;                              // Key of the next page.
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -146,7 +146,7 @@
   beats.m_peers = [this] { return m_peers->Peers(); };
   beats.m_status = [this]() -> std::optional<LeaderStatus> {
     if (!m_leadership->Leading() || !m_driver) return std::nullopt;
-    return LeaderStatus{m_leadership->CurrentEpoch(), m_driver->Pending()};
+    return LeaderStatus{m_leadership->CurrentEpoch(), m_driver->Pending(), m_driver->MayHaveEarlierRows()};
   };
   beats.m_on_leader = [this](Epoch epoch) { m_leadership->OnHeartbeat(epoch); };
   beats.m_on_released = [this](Epoch epoch) { m_leadership->OnReleased(epoch); };
--- a/hickoryquay/service/leader_beats.cc
+++ b/hickoryquay/service/leader_beats.cc
@@ -84,6 +84,8 @@
     pending[queue.m_value] = count;
   beat.__set_pending(pending);
   if (status->m_pending) m_parts.m_phases->SetPending(*status->m_pending, now);
+  if (!status->m_may_have_earlier_rows) beat.__set_no_earlier_rows(true);
+  m_parts.m_phases->SetEarlierRows(status->m_may_have_earlier_rows, now);
   m_parts.m_phases->NoteHeartbeat(now);
   SendToAll(beat);
 }
@@ -183,6 +185,7 @@
   std::map<jobs::QueueName, int> pending;
   for (const auto& [queue, count] : beat.pending) pending[jobs::QueueName{queue}] = count;
   if (beat.ready) cache.SetPending(std::move(pending), now);
+  cache.SetEarlierRows(!(beat.__isset.no_earlier_rows && beat.no_earlier_rows), now);
   cache.NoteHeartbeat(now);
 }
 
--- a/hickoryquay/service/leader_beats.h
+++ b/hickoryquay/service/leader_beats.h
@@ -38,6 +38,7 @@
 struct LeaderStatus {
   Epoch m_epoch{};
   std::optional<std::map<jobs::QueueName, int>> m_pending;  // Of all jobs; empty: not known.
+  bool m_may_have_earlier_rows = true;                      // See SchedulerDriver::MayHaveEarlierRows.
 };
 
 struct BeatParts {
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -363,7 +363,10 @@
         const TableNames& tables = m_settings.m_tables;
         return m_whole_part_jobs.contains(job) ? tables.m_whole_part : tables.IntakePart(job);
       },
-      [this](const std::vector<JobId>& jobs) { m_scheduler.OnArchived(jobs, Time()); });
+      [this](const std::vector<JobId>& jobs) {
+        m_scheduler.OnArchived(jobs, Time());
+        for (const JobId job : jobs) m_whole_part_jobs.erase(job);
+      });
   m_archive->Start();
   OnIntakeRows(buffered, false);  // For the cancels; the jobs were restored above.
   m_scheduler.EndRestoredJobs(Time());
@@ -490,6 +493,10 @@
   return known ? std::optional(m_scheduler.Pending()) : std::nullopt;
 }
 
+bool SchedulerDriver::MayHaveEarlierRows() const {
+  return !m_ready || !m_whole_part_jobs.empty() || m_archive->MayHaveRows(m_settings.m_tables.m_whole_part);
+}
+
 void SchedulerDriver::NoteStartView() {
   const bool old = !MayStart();
   if (std::exchange(m_view_is_old, old) == old) return;
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -77,6 +77,8 @@
   bool Ready() const { return m_ready; }  // All tables are loaded.
   // Waiting jobs by queue; empty while what is known of accepted jobs is older than m_pending_age.
   std::optional<std::map<jobs::QueueName, int>> Pending() const;
+  // Whether the part of versions before the sixteen parts may have rows of jobs, accepted or ended.
+  bool MayHaveEarlierRows() const;
   jobs::SchedulerCounts Counts() const { return m_scheduler.Counts(); }
   std::optional<jobs::JobPhase> Phase(JobId job) const { return m_scheduler.Phase(job); }
 
@@ -129,7 +131,7 @@
   AnnouncedJobs m_announced;
   std::vector<store::StoredRow> m_buffered_intake;  // Rows received before Ready().
   std::vector<store::StoredRow> m_state_rows;
-  std::set<JobId> m_whole_part_jobs;  // Accepted by an earlier version, see TableNames.
+  std::set<JobId> m_whole_part_jobs;  // Accepted by an earlier version, see TableNames; not archived yet.
   bool m_intake_read = false;
   bool m_state_read = false;
   bool m_workers_read = false;
--- a/standin/sim_cluster.cc
+++ b/standin/sim_cluster.cc
@@ -213,6 +213,10 @@
   return std::nullopt;
 }
 
+bool SimCluster::MayHaveEarlierRowsAt(int leader) const {
+  return m_instances[Slot(leader)]->m_driver->MayHaveEarlierRows();
+}
+
 std::optional<int> SimCluster::PendingAt(int leader) const {
   const auto pending = m_instances[Slot(leader)]->m_driver->Pending();
   if (!pending) return std::nullopt;
--- a/standin/sim_cluster.h
+++ b/standin/sim_cluster.h
@@ -64,6 +64,7 @@
   }
   void ReleaseLeader();
   std::optional<int> PendingAt(int leader) const;  // Jobs that it says are waiting; empty: it doesn't know.
+  bool MayHaveEarlierRowsAt(int leader) const;
 
   // Evacuations of failure domains, as the operator requests them. The domain of a rack is "d-" and its name.
   void Evacuate(const DomainId& domain);
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -21,6 +21,8 @@
   CPPUNIT_TEST_SUITE(IntakeTest);
   CPPUNIT_TEST(ResubmittedJobIsStoredOnce);
   CPPUNIT_TEST(ResubmittedArchivedJobIsNotStoredAgain);
+  CPPUNIT_TEST(ResubmittedJobOfAnEarlierVersionIsNotStoredAgain);
+  CPPUNIT_TEST(SubmissionReadsNothingWhereNoEarlierVersionHasJobs);
   CPPUNIT_TEST(PhaseOfAnArchivedJobIsFound);
   CPPUNIT_TEST(ResubmittedJobThatHasEndedIsNotShownAsQueued);
   CPPUNIT_TEST(SilentStoreIsProbedBeforeWrite);
@@ -67,6 +69,7 @@
     configuration->m_queues = {queue};
     configuration->m_accounts = {{AccountId{"account"}, {"key"}, 0}};
     m_intake->SetConfiguration(configuration);
+    m_intake->Phases().SetEarlierRows(false, m_clock.Now());
     m_intake->Start();
   }
 
@@ -85,6 +88,32 @@
     CPPUNIT_ASSERT(m_store->Rows(tables.m_intake).empty());
   }
 
+  // Guards against a job that runs twice over an upgrade: versions before the sixteen parts keep it in another part.
+  void ResubmittedJobOfAnEarlierVersionIsNotStoredAgain() {
+    const TableNames tables;
+    m_store->Put({tables.m_intake, tables.m_whole_part, JobRowKey(JobId{1})}, "{}");
+    m_store->Put({tables.m_ended, tables.m_whole_part, jobs::HexText(JobId{2})},
+                 jobs::Write(jobs::PhaseRow{jobs::JobPhase::kCompleted, m_clock.Wall()}));
+    m_timers.Advance(Millis{60'000});        // No leader has told for long.
+    for (const bool told : {false, true}) {  // By a leader that such rows are there.
+      if (told) m_intake->Phases().SetEarlierRows(true, m_clock.Now());
+      for (const JobId job : {JobId{1}, JobId{2}}) {
+        CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(job, kCallerTimeout));
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store->Rows(tables.m_intake).size());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{3}, kCallerTimeout));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_store->Rows(tables.m_intake).size());
+  }
+
+  void SubmissionReadsNothingWhereNoEarlierVersionHasJobs() {
+    Submit(JobId{1}, Millis{100});
+    m_intake->Phases().SetEarlierRows(false, m_clock.Now());
+    const std::int64_t before = m_client->Reads();
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{2}, Millis{100}));
+    CPPUNIT_ASSERT_EQUAL(before, m_client->Reads());
+  }
+
   // Guards against an ended job that is shown as queued by an instance that has not heard of its end.
   void ResubmittedJobThatHasEndedIsNotShownAsQueued() {
     const TableNames tables;
--- a/tests/service/leader_beats_test.cc
+++ b/tests/service/leader_beats_test.cc
@@ -51,6 +51,13 @@
   std::int64_t CallsOf(std::size_t index) const { return m_calls[index]; }
   Millis SilenceAt(std::size_t index) const { return m_clock.Now() - m_heard[index]; }
   bool Alive(std::size_t index) const { return !m_dead[index]; }
+  void SetEarlierRows(bool may_have) { m_may_have_earlier_rows = may_have; }
+  // Instances that have to look for jobs of an earlier version.
+  int LookForEarlierRows() const {
+    return static_cast<int>(std::count_if(m_caches.begin(), m_caches.end(), [this](const auto& cache) {
+      return cache->MayHaveEarlierRows(m_clock.Now());
+    }));
+  }
 
   // Number of living instances that don't know yet that the job has completed.
   int Unaware(JobId job) const {
@@ -75,9 +82,9 @@
       others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
       return others;
     };
-    parts.m_status = [index]() -> std::optional<LeaderStatus> {
+    parts.m_status = [this, index]() -> std::optional<LeaderStatus> {
       if (index != 0) return std::nullopt;
-      return LeaderStatus{Epoch{7}, std::map<jobs::QueueName, int>{}};
+      return LeaderStatus{Epoch{7}, std::map<jobs::QueueName, int>{}, m_may_have_earlier_rows};
     };
     parts.m_on_leader = [this, index](Epoch) { m_heard[index] = m_clock.Now(); };
     parts.m_on_released = [this](Epoch) { ++m_released; };
@@ -104,6 +111,7 @@
   ManualClock m_clock;
   ManualTimerService m_timers{&m_clock};
   Metrics m_metrics;
+  bool m_may_have_earlier_rows = true;
   std::vector<peers::Peer> m_peers;
   std::vector<std::unique_ptr<PhaseCache>> m_caches;
   std::vector<std::shared_ptr<LeaderBeats>> m_all;
@@ -123,9 +131,30 @@
   CPPUNIT_TEST(OvertakenHeartbeatBringsOnlyEnds);
   CPPUNIT_TEST(GapDropsUnfinishedPhases);
   CPPUNIT_TEST(GroupsCoverEveryPeerOnce);
+  CPPUNIT_TEST(InstancesLookForJobsOfAnEarlierVersionUntilToldOtherwise);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against an instance that accepts such a job again, since it trusts what it was told long ago or never.
+  void InstancesLookForJobsOfAnEarlierVersionUntilToldOtherwise() {
+    constexpr int kCount = 40;
+    Instances instances(kCount);
+    instances.Run(Millis{1'000});
+    CPPUNIT_ASSERT_EQUAL(kCount, instances.LookForEarlierRows());
+    instances.SetEarlierRows(false);
+    instances.Run(Millis{1'000});
+    CPPUNIT_ASSERT_EQUAL(0, instances.LookForEarlierRows());
+    instances.SetEarlierRows(true);
+    instances.Run(Millis{1'000});
+    CPPUNIT_ASSERT_EQUAL(kCount, instances.LookForEarlierRows());
+    instances.SetEarlierRows(false);
+    instances.Run(Millis{1'000});
+    instances.Release();  // And nobody takes over.
+    for (std::size_t i = 0; i < instances.Count(); ++i) instances.Kill(i);
+    instances.Run(Millis{60'000});
+    CPPUNIT_ASSERT(instances.LookForEarlierRows() >= kCount - 1);
+  }
+
   void EndsReachAllInstancesSoon() {
     Instances instances(147);
     instances.Run(kSecond);
--- a/tests/service/side_by_side_test.cc
+++ b/tests/service/side_by_side_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(UnreadableJobIsReportedOnce);
   CPPUNIT_TEST(JobOfAnEarlierVersionRunsOnce);
   CPPUNIT_TEST(JobOfAnEarlierVersionRunsOnceOverATakeover);
+  CPPUNIT_TEST(LeaderKnowsWhetherAnEarlierVersionHasJobs);
   CPPUNIT_TEST(UnreadableStepOfARunningJobRunsNothingTwice);
   CPPUNIT_TEST(UnreadableStepThatIsDoneIsNotRepeated);
   CPPUNIT_TEST(JobWithAnUnreadableStepCanBeCancelled);
@@ -154,6 +155,24 @@
     CPPUNIT_ASSERT_EQUAL(1, m_cluster->Sim().Starts());
   }
 
+  // Guards against a leader that says so too early, so that a job which is ending or has ended is accepted again.
+  void LeaderKnowsWhetherAnEarlierVersionHasJobs() {
+    const auto may_have = [this] { return m_cluster->MayHaveEarlierRowsAt(*m_cluster->Leader()); };
+    m_cluster->Run(kWork);
+    CPPUNIT_ASSERT(!may_have());
+    const JobId early{0x999};
+    m_cluster->Store().Put({m_tables.m_intake, m_tables.m_whole_part, JobRowKey(early)}, PlainJob(early));
+    for (int second = 0; second < 100; ++second) {
+      m_cluster->Run(Millis{1'000});
+      CPPUNIT_ASSERT(may_have());
+      if (second == 50) m_cluster->KillInstance(*m_cluster->Leader());
+      if (second == 50) m_cluster->Run(kStartup);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_cluster->Store().Rows(m_tables.m_ended).size());
+    m_cluster->Run(Millis{100'000});
+    CPPUNIT_ASSERT(!may_have());
+  }
+
   // Guards against a second start of tasks that run, where only the row that tells of them can't be read. The workers
   // tell their ends.
   void UnreadableStepOfARunningJobRunsNothingTwice() {
