--- a/tests/service/cancel_test.cc
+++ b/tests/service/cancel_test.cc
@@ -252,7 +252,7 @@
     m_store->Put({m_tables.m_ended, part, jobs::HexText(kJob)}, jobs::Write(jobs::PhaseRow{phase, m_clock.Wall()}));
   }
 
-  const TableNames m_tables;
+  const TableNames m_tables{};
   ManualClock m_clock;
   ManualTimerService m_timers{&m_clock};
   std::unique_ptr<standin::SimStore> m_store;
