Fuzz: the room of a worker counts as of the sending of a start that is held up

The trace: the worker shrank at 1011000 ms, the gang's starts were sent at 1012002 and 1012352 ms behind a cut, and carried out at 1016752 ms, when the cut was over. The users' rule lets a room that has shrunk count for contactMs and one beat more, here until 1015500 ms, and its bounds of time don't hold "for orders that a worker carried out late" (RULES.md, Jobs). So the starts were due when they were sent, and the check was wrong, as it had been for cancels.

The check now looks at the moment from which an order counts, which it did for cancels already; for orders that arrive in time nothing changes.

--- a/standin/sim_workers.h
+++ b/standin/sim_workers.h
@@ -184,7 +184,7 @@
   // Whether an earlier incarnation would have refused a start that arrives only now. The scheduler may have relied on
   // that, and no call tells the worker, so such a run may exist beside another one until it is found and stopped.
   bool WouldHaveRefused(const Worker& worker, const jobs::StartCall& call) const;
-  Resources CapacityForStarts(const Worker& worker) const;
+  static Resources CapacityForStarts(const Worker& worker, Instant sent);
   bool HasRoom(const Worker& worker, const jobs::StartCall& call) const;
   jobs::StopOutcome CarryOutStop(Worker* worker, const jobs::StopCall& call);
   jobs::PollReply ListOf(const Worker& worker) const;
