--- a/tests/service/cancel_test.cc
+++ b/tests/service/cancel_test.cc
@@ -97,11 +97,13 @@
     CPPUNIT_ASSERT_EQUAL(std::string("done"), Cancel(2));  // The job exists now.
   }
 
+  // Guards against a tombstone that is shown as a cancelled job.
   void JobThatNobodySubmittedIsNotShown() {
     CPPUNIT_ASSERT_EQUAL(std::string("no such job"), Cancel(1));
     for (const std::size_t instance : {0, 1, 2}) CPPUNIT_ASSERT_EQUAL(std::string("no such job"), State(instance));
   }
 
+  // Guards against a repeat, at another instance too, that is answered otherwise or leaves another row.
   void RepeatedCancelGetsTheSameAnswer() {
     for (const std::size_t instance : {0, 1, 1}) CPPUNIT_ASSERT_EQUAL(std::string("no such job"), Cancel(instance));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store->Rows(m_tables.m_ended).size());
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -106,6 +106,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_store->Rows(tables.m_intake).size());
   }
 
+  // Guards against two reads more for each submission where all instances are of this version.
   void SubmissionReadsNothingWhereNoEarlierVersionHasJobs() {
     Submit(JobId{1}, Millis{100});
     m_intake->Phases().SetEarlierRows(false, m_clock.Now());
