Tests: clients that don't behave, against processes

29 cases start instances (or one hickoryquayd) as processes on loopback, open a small crowd at them and check what does not depend on time: that the process lives, that its peak of memory, bytes in the kernel that it has not read included, and its descriptors stay under those of its machine, and that an ordinary job is accepted and completed afterwards. Where silent connections are the crowd, a job beside them too.

They run one at a time, without other tests beside them, and not under sanitizers, whose own memory would count.

--- /dev/null
+++ b/tests/crowd/crowd_test.py
@@ -0,0 +1,150 @@
+#!/usr/bin/env python3
+"""Clients that don't behave must not end an instance, take it over the memory or the descriptors of its machine, or keep
+it from serving others afterwards. `crowd_test.py --bin DIR CASE` plays one case. Nothing checked depends on time."""
+import argparse
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import world as worlds
+from world import ADMIN, CALLERS, INNER, METRICS, READY, EntryWorld, World
+
+SETTLE_S = 1.0  # For the instances to read what has been sent; what they hold then is sampled meanwhile.
+HERE = os.path.dirname(os.path.abspath(__file__))
+
+
+class Crowd:
+    def __init__(self, shape, host, port, count):
+        command = [sys.executable, os.path.join(HERE, "crowd.py"), shape, host, str(port), str(count)]
+        self.process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+
+    async def line(self):
+        return await asyncio.get_running_loop().run_in_executor(None, self.process.stdout.readline)
+
+    async def leave(self):
+        self.process.stdin.close()
+        answers = await self.line()
+        self.process.wait()
+        return answers.strip()
+
+
+async def press(world, shape, count, port=CALLERS):
+    """The same crowd at each instance, of which one leads."""
+    crowds = [Crowd(shape, host, port, count) for host in world.hosts]
+    for crowd in crowds:
+        await crowd.line()
+    await asyncio.sleep(SETTLE_S)
+    return crowds
+
+
+async def leave(crowds):
+    for crowd in crowds:
+        print("crowd was answered", await crowd.leave(), flush=True)
+
+
+def crowd_case(shape, count, port=CALLERS, beside=False):
+    async def case(world):
+        crowds = await press(world, shape, count, port)
+        if beside:
+            await world.serve_ordinary("beside the crowd")
+        await leave(crowds)
+        await world.serve_ordinary("afterwards")
+
+    return case
+
+
+async def drain(world):
+    """A planned stop ends, whatever the crowd keeps open."""
+    crowds = await press(world, "half_body", 150)
+    usage = world.usage.pop()
+    world.hosts.pop()
+    usage.process.send_signal(signal.SIGTERM)
+    await asyncio.get_running_loop().run_in_executor(None, usage.process.wait, worlds.PATIENCE_S)
+    assert usage.process.returncode == 0, f"the drained instance ended with {usage.process.returncode}"
+    await leave(crowds)
+    await world.serve_ordinary("afterwards")
+
+
+async def slow_caller(world):
+    """A job at the limit of a row over a thin link is served while nobody else presses."""
+    job = {"spec": "x" * 40_000, "steps": [{"count": 1, "cpu": 500, "memMb": 64}]}
+    body = json.dumps(job).encode()
+    reader, writer = await asyncio.open_connection(world.hosts[0], CALLERS)
+    lines = [f"Content-Length: {len(body)}"] + [f"{name}: {value}" for name, value in worlds.KEY.items()]
+    writer.write(("POST /jobs/00000000000000aa HTTP/1.1\r\n" + "\r\n".join(lines) + "\r\n\r\n").encode())
+    for i in range(0, len(body), 4_000):
+        writer.write(body[i:i + 4_000])
+        await writer.drain()
+        await asyncio.sleep(1.0)
+    status = (await asyncio.wait_for(reader.readline(), worlds.PATIENCE_S)).split(b" ")[1]
+    assert status == b"200", f"the slow caller was answered {status}"
+    writer.close()
+
+
+CASES = {
+    "half_chunk": crowd_case("half_chunk", 120),
+    "half_chunk_ready": crowd_case("half_chunk", 120, READY),
+    "half_chunk_metrics": crowd_case("half_chunk", 120, METRICS),
+    "small_chunks": crowd_case("small_chunks", 120),
+    "half_body": crowd_case("half_body", 300),
+    "announced": crowd_case("announced", 150),
+    "endless": crowd_case("endless", 100),
+    "half_head": crowd_case("half_head", 300),
+    "waves": crowd_case("waves:half_chunk", 100),
+    "silent": crowd_case("silent", 1_100, beside=True),
+    "silent_ready": crowd_case("silent", 1_100, READY, beside=True),
+    "wide_job": crowd_case("wide_job", 40),
+    "many_tasks": crowd_case("many_tasks", 60),
+    "many_jobs": crowd_case("many_jobs", 50),
+    "million_tasks": crowd_case("million_tasks", 1),
+    "nested": crowd_case("nested", 150),
+    "wide_json": crowd_case("wide_json", 150),
+    "wrong_key": crowd_case("wrong_key", 150),
+    "unread": crowd_case("unread", 150),
+    "unread_metrics": crowd_case("unread", 150, METRICS),
+    "inner_frame": crowd_case("frame", 40, INNER),
+    "inner_silent": crowd_case("silent", 1_100, INNER, beside=True),
+    "drain": drain,
+    "slow_caller": slow_caller,
+}
+ENTRY_CASES = {
+    "entry_half_chunk": crowd_case("half_chunk", 300),
+    "entry_half_chunk_admin": crowd_case("half_chunk", 300, ADMIN),
+    "entry_half_body": crowd_case("half_body", 300),
+    "entry_silent": crowd_case("silent", 500, beside=True),
+    "entry_silent_admin": crowd_case("silent", 1_100, ADMIN, beside=True),
+}
+
+
+async def play(case, binaries):
+    world = World(binaries) if case in CASES else EntryWorld(binaries)
+    wrong = []
+    try:
+        await world.start()
+        await {**CASES, **ENTRY_CASES}[case](world)
+    except (AssertionError, subprocess.TimeoutExpired) as error:
+        wrong.append(str(error))
+    finally:
+        wrong += world.wrong()
+        world.stop()
+    for usage in world.usage:
+        print(f"{usage.host} held at most {usage.peak_mb:.0f} MB, {usage.queued_mb:.1f} MB more not read yet, "
+              f"and {usage.sockets} descriptors")
+    for line in wrong:
+        print("wrong:", line)
+    if wrong:
+        print("logs:", world.folder)
+    return 1 if wrong else 0
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--bin", required=True)
+    parser.add_argument("case", choices=sorted({**CASES, **ENTRY_CASES}))
+    options = parser.parse_args()
+    code = asyncio.run(play(options.case, os.path.abspath(options.bin)))
+    sys.stdout.flush()
+    os._exit(code)  # Connections of stand-ins that wait for an answer would hold the interpreter.
