MemoryBudget: to base, and what a message holds of it can grow

A hold now covers so many bytes in all, so that a body of unknown length can take more as it arrives.

--- a/hickoryquay/routing/memory_budget.h
+++ b/hickoryquay/base/memory_budget.h
@@ -1,5 +1,5 @@
-// MemoryBudget: bounds the bodies in flight of the whole process. Shared by its holds, since an operation that an
-// io_context destroys at its end may hold some of it after the server is gone.
+// MemoryBudget: bounds the bodies of requests that the whole process holds. Shared by its holds, since an operation
+// that an io_context destroys at its end may hold some of it after the server is gone.
 #pragma once
 
 #include <atomic>
@@ -7,7 +7,7 @@
 #include <memory>
 #include <utility>
 
-namespace hickoryquay::routing {
+namespace hickoryquay {
 
 // Thread-safe, lock-free.
 class MemoryBudget {
@@ -40,15 +40,20 @@
   }
   ~MemoryHold() { Release(); }
 
-  // Bodies up to kUncounted bytes are free: the number of connections bounds them.
+  static constexpr std::uint64_t kUncounted = 16 * 1024;
+
+  // Holds `bytes` in all from now on; false, and what was held stays, where the budget lacks the difference. Bodies up
+  // to kUncounted bytes are free: the number of connections bounds them.
   bool Take(const std::shared_ptr<MemoryBudget>& budget, std::uint64_t bytes) {
-    Release();
-    if (budget == nullptr || bytes <= kUncounted) return true;
-    if (!budget->TryTake(bytes)) return false;
+    const std::uint64_t counted = bytes <= kUncounted ? 0 : bytes;
+    if (budget == nullptr || counted == m_bytes) return true;
+    if (counted > m_bytes && !budget->TryTake(counted - m_bytes)) return false;
+    if (counted < m_bytes) budget->Return(m_bytes - counted);
     m_budget = budget;
-    m_bytes = bytes;
+    m_bytes = counted;
     return true;
   }
+  std::uint64_t Bytes() const { return m_bytes; }
   void Release() {
     if (m_budget != nullptr) m_budget->Return(m_bytes);
     m_budget.reset();
@@ -56,10 +61,8 @@
   }
 
  private:
-  static constexpr std::uint64_t kUncounted = 16 * 1024;
-
   std::shared_ptr<MemoryBudget> m_budget;
   std::uint64_t m_bytes = 0;
 };
 
-}  // namespace hickoryquay::routing
+}  // namespace hickoryquay
--- a/hickoryquay/routing/request_core.h
+++ b/hickoryquay/routing/request_core.h
@@ -7,12 +7,12 @@
 #include <vector>
 
 #include "hickoryquay/base/clock.h"
+#include "hickoryquay/base/memory_budget.h"
 #include "hickoryquay/base/metrics.h"
 #include "hickoryquay/net/http.h"
 #include "hickoryquay/routing/backend_connection.h"
 #include "hickoryquay/routing/claim_sweeper.h"
 #include "hickoryquay/routing/claims.h"
-#include "hickoryquay/routing/memory_budget.h"
 #include "hickoryquay/routing/outcome.h"
 #include "hickoryquay/routing/request_server.h"
 #include "hickoryquay/routing/request_thread.h"
--- a/hickoryquay/routing/request_head.h
+++ b/hickoryquay/routing/request_head.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-#include "hickoryquay/routing/memory_budget.h"
+#include "hickoryquay/base/memory_budget.h"
 
 namespace hickoryquay::routing {
 
