Settings: memory and descriptors of the machine, and the size of a row

Builds of before ignore the three keys, as they do all unknown ones of these sections. Nothing uses them yet.

--- a/hickoryquay/settings/node_settings.cc
+++ b/hickoryquay/settings/node_settings.cc
@@ -16,6 +16,12 @@
 constexpr double kMostRemote = 100.0;
 constexpr double kMostCores = 1'000.0;
 constexpr double kMostMbitS = 1'000'000.0;
+constexpr int kLeastRowBytes = 1'024;
+constexpr int kMostRowBytes = 1'000'000'000;
+constexpr int kLeastMemoryMb = 16;
+constexpr int kMostMemoryMb = 1'000'000;
+constexpr int kLeastDescriptors = 256;
+constexpr int kMostDescriptors = 1'000'000;
 
 Key<All>::Reader Text(std::string NodeSection::*value) {
   return [value](const std::string& text, All* all) -> std::string {
@@ -55,6 +61,16 @@
   };
 }
 
+// A plain number of bytes, without a unit.
+Key<All>::Reader PlainBytes(TermsSection All::*section, std::size_t TermsSection::*value) {
+  return [at = Member(section, value)](const std::string& text, All* all) {
+    std::int64_t bytes = 0;
+    std::string wrong = ParseCount(text, kLeastRowBytes, kMostRowBytes, &bytes);
+    if (wrong.empty()) *at(all) = static_cast<std::size_t>(bytes);
+    return wrong;
+  };
+}
+
 std::vector<Key<All>> NodeKeys() {
   using S = NodeSection;
   constexpr auto kSection = &All::m_node;
@@ -76,6 +92,10 @@
           {"capacity", "link_mbit_s", Need::kOptional,
            Number(&All::m_capacity, &CapacitySection::m_link_mbit_s, 0.001, kMostMbitS,
                   "expected a number of megabits a second, such as 20")},
+          {"capacity", "memory_mb", Need::kOptional,
+           Count(&All::m_capacity, &CapacitySection::m_memory_mb, kLeastMemoryMb, kMostMemoryMb)},
+          {"capacity", "descriptors", Need::kOptional,
+           Count(&All::m_capacity, &CapacitySection::m_descriptors, kLeastDescriptors, kMostDescriptors)},
           {"machines", "address", Need::kOptional, Address(&All::m_machines, &MachinesSection::m_address)}};
 }
 
@@ -89,6 +109,7 @@
           {"terms", "evacuate", Need::kOptional, FractionOf(&All::m_terms, &S::m_evacuate)},
           {"terms", "cancel", Need::kOptional, FractionOf(&All::m_terms, &S::m_cancel)},
           {"terms", "drain", Need::kOptional, FractionOf(&All::m_terms, &S::m_drain)},
+          {"terms", "row_bytes", Need::kOptional, PlainBytes(&All::m_terms, &S::m_row_bytes)},
           {"terms", "remote_factor", Need::kOptional,
            Number(&All::m_terms, &S::m_remote_factor, 1.0, kMostRemote, "expected a number from 1 to 100")}};
 }
--- a/hickoryquay/settings/node_settings.h
+++ b/hickoryquay/settings/node_settings.h
@@ -39,10 +39,12 @@
   net::Endpoint m_address;  // Required.
 };
 
-// [capacity]: what the machine has, so that an able one leads.
+// [capacity]: what the machine has, so that an able one leads and none takes more than there is.
 struct CapacitySection {
   double m_processor_share = 1.0;  // Of a core.
   double m_link_mbit_s = 1'000.0;  // Of its network link.
+  int m_memory_mb = 128;           // The process is killed beyond it.
+  int m_descriptors = 3'072;       // Most that the process may have open.
 };
 
 // [machines]
@@ -60,7 +62,8 @@
   Millis m_evacuate{0};           // No task is started in an evacuated failure domain after this; 0: none is evacuated.
   Millis m_cancel{3'000};         // Nothing of a cancelled job is started later than this.
   Millis m_drain{2'000};          // Nothing is started later than this on a worker that has announced its leaving.
-  double m_remote_factor = 3.0;   // Slowdown of work away from its data, and of gangs across racks.
+  std::size_t m_row_bytes = 65'536;  // The store takes no larger rows.
+  double m_remote_factor = 3.0;      // Slowdown of work away from its data, and of gangs across racks.
 };
 
 //-------------------------------------------------------------------------------------------------
--- a/tests/service/side_by_side_test.cc
+++ b/tests/service/side_by_side_test.cc
@@ -304,6 +304,9 @@
     CheckFacts(read);
     CPPUNIT_ASSERT(read.m_terms.m_cancel == Millis{3'100});
     CPPUNIT_ASSERT(read.m_terms.m_drain == Millis{2'100});
+    CPPUNIT_ASSERT_EQUAL(512, read.m_capacity.m_memory_mb);
+    CPPUNIT_ASSERT_EQUAL(8'192, read.m_capacity.m_descriptors);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{32'768}, read.m_terms.m_row_bytes);
   }
 
  private:
@@ -348,6 +351,9 @@
                                                            {"platform.address", "127.0.0.1:1"},
                                                            {"limits.cpuShare", "0.25"},
                                                            {"limits.linkMbps", "20.0"},
+                                                           {"limits.memoryMb", "512"},
+                                                           {"limits.maxFds", "8192"},
+                                                           {"platform.rowBytes", "32768"},
                                                            {"cloudApi.address", "127.0.0.1:2"},
                                                            {"bounds.maxHoldMs", "5000"},
                                                            {"bounds.stopTimeoutMs", "900"},
--- a/tests/settings/node_settings_test.cc
+++ b/tests/settings/node_settings_test.cc
@@ -56,6 +56,9 @@
     for (const char* wrong : {"0", "-1", "nan", "much", "1e99", ""}) {
       CheckWrong("processor_share", std::string(kNode) + kStore + "[capacity]\nprocessor_share = " + wrong + "\n");
       CheckWrong("link_mbit_s", std::string(kNode) + kStore + "[capacity]\nlink_mbit_s = " + wrong + "\n");
+      CheckWrong("memory_mb", std::string(kNode) + kStore + "[capacity]\nmemory_mb = " + wrong + "\n");
+      CheckWrong("descriptors", std::string(kNode) + kStore + "[capacity]\ndescriptors = " + wrong + "\n");
+      CheckWrong("row_bytes", std::string(kNode) + kStore + "[terms]\nrow_bytes = " + wrong + "\n");
     }
     CheckWrong("name", kStore);
     CheckWrong("address", kNode);
