HTTP: bodies that clients send halfway can't take the process's memory

Cause: each of a process's addresses received up to 1,024 bodies of 1 MB at a time, whatever became of them, and nothing bounded them together. The body limit of the configuration, the route and the key were looked at once the body was whole; a chunked body grew by doubling; a client that stopped short of the end kept its memory for 60 s. On the admin address of hickoryquayd the token was checked after the body.

Change: one account of memory for the long bodies of all addresses (net/arrivals.h), taken before bytes are read: for a body with a length at its head, for a chunked one as it grows. Bodies up to 16 KB don't count, so an ordinary request always finds room. Where the account is used up, a further body is answered 503 with Retry-After, and bodies that have been arriving for over a second give way, the slowest first, with the same answer. A client that is still sending is listened to for 1 MB and 2 s, so that it reads its refusal. Refusals are counted (hq_http_refused_total) and logged once a second.

Why it works: what is held follows from the account and from the number of connections, no longer from what clients send. Every refusal comes before a handler has seen the request, so the job never runs.

--- a/hickoryquay/instance/entry_instance.cc
+++ b/hickoryquay/instance/entry_instance.cc
@@ -12,6 +12,7 @@
 
 #include "hickoryquay/base/log.h"
 #include "hickoryquay/base/run_loop.h"
+#include "hickoryquay/net/arrivals.h"
 #include "hickoryquay/policy/policy.h"
 
 namespace hickoryquay::instance {
@@ -28,6 +29,7 @@
 constexpr Millis kWorkerListPoll{5'000};
 constexpr Millis kCommitDeadline{4'000};  // With the read behind it a caller is told within six seconds.
 constexpr Millis kReadDeadline{2'000};
+constexpr std::uint64_t kAdminBodyBytes = 8 * 1024 * 1024;  // All long ones together.
 
 InstanceId MakeId(const settings::DaemonSettings& settings) {
   if (!settings.m_instance.m_id.Empty()) return settings.m_instance.m_id;
@@ -228,8 +230,10 @@
   settings.m_listen = m_settings.m_instance.m_admin;
   settings.m_tls_certificate = m_settings.m_admin.m_tls_certificate;
   settings.m_tls_key = m_settings.m_admin.m_tls_key;
-  settings.m_tls_certificate = m_settings.m_admin.m_tls_certificate;
-  settings.m_tls_key = m_settings.m_admin.m_tls_key;
+  settings.m_name = "admin";
+  settings.m_metrics = &m_metrics;
+  settings.m_arrivals = std::make_shared<net::Arrivals>(std::make_shared<MemoryBudget>(kAdminBodyBytes), &m_clock);
+  settings.m_check_head = [this](const net::HttpRequest& head) { return m_admin_api->CheckHead(head); };
   m_admin_server =
       std::make_unique<net::HttpServer>(&m_control, settings, [this](net::HttpRequest request, net::Responder respond) {
         m_admin_api->Handle(std::move(request), std::move(respond));
--- a/hickoryquay/net/http.h
+++ b/hickoryquay/net/http.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,8 +22,14 @@
 #include "hickoryquay/base/clock.h"
 #include "hickoryquay/base/result.h"
 
+namespace hickoryquay {
+class Metrics;
+}
+
 namespace hickoryquay::net {
 
+class Arrivals;  // net/arrivals.h
+
 //-------------------------------------------------------------------------------------------------
 // [SECTION] Messages
 //-------------------------------------------------------------------------------------------------
@@ -114,12 +121,25 @@
 // [SECTION] Server
 //-------------------------------------------------------------------------------------------------
 
+// What the head of a request already tells.
+struct HeadVerdict {
+  std::size_t m_max_body_bytes = 0;
+  std::optional<HttpResponse> m_refusal;  // Sent at once; the body is not received and the connection ends.
+};
+
+// Asked before a body is received that is long or does not tell its length. `head` has no body yet.
+using HeadCheck = std::function<HeadVerdict(const HttpRequest& head)>;
+
 struct ServerSettings {
   Endpoint m_listen{"127.0.0.1", 0};  // Port 0: any free one, see HttpServer::Local().
+  std::string m_name = "http";        // In metrics and log lines.
   std::size_t m_max_header_bytes = 16 * 1024;
   std::size_t m_max_body_bytes = 1024 * 1024;
-  Millis m_idle_timeout{60'000};  // Also bounds how slowly a request may arrive.
-  int m_max_connections = 1024;   // Further ones are closed at once.
+  HeadCheck m_check_head;                // May be empty.
+  std::shared_ptr<Arrivals> m_arrivals;  // Bounds the bodies of all servers that share it; null: not bounded.
+  Metrics* m_metrics = nullptr;          // May be null.
+  Millis m_idle_timeout{60'000};         // Also bounds how slowly a request may arrive.
+  int m_max_connections = 1024;          // Further ones are closed at once.
   std::string m_tls_certificate;  // PEM file of the certificate chain; empty: plain TCP.
   std::string m_tls_key;          // PEM file of its private key.
 };
@@ -129,7 +149,9 @@
 using Responder = std::function<void(HttpResponse)>;
 using Handler = std::function<void(HttpRequest, Responder)>;
 
-// Malformed or oversized requests get a 4xx with a JSON body and never reach the handler. Thread-safe.
+// Malformed or oversized requests get a 4xx with a JSON body and never reach the handler; so do requests for whose body
+// memory is short, which get 503 with Retry-After. A client that is still sending then is listened to for a while, so
+// that it can read the answer. Thread-safe.
 class HttpServer {
  public:
   // Binds at once. Throws std::runtime_error, naming the endpoint or the TLS file, where that fails: a daemon can't go
--- a/hickoryquay/net/server.cc
+++ b/hickoryquay/net/server.cc
@@ -12,7 +12,9 @@
 #include <optional>
 #include <stdexcept>
 
+#include "hickoryquay/net/arrivals.h"
 #include "hickoryquay/net/http.h"
+#include "hickoryquay/net/refusals.h"
 
 namespace hickoryquay::net {
 
@@ -26,14 +28,22 @@
 
 constexpr std::size_t kRequestBuffer = 4 * 1024;  // Each read of a request takes no more than fits.
 constexpr std::chrono::seconds kTlsShutdownTimeout{2};
+// How much and how long a client is listened to that still sends when its request has been refused.
+constexpr std::size_t kMaxLingerBytes = 1024 * 1024;
+constexpr std::chrono::seconds kLingerTimeout{2};
 
-HttpRequest FromBeast(http::request<http::string_body>&& message) {
+HttpRequest HeadOf(const http::request<http::string_body>& message) {
   HttpRequest request;
   request.m_method = std::string(message.method_string());
   request.m_target = std::string(message.target());
   for (const auto& field : message) {
     request.m_headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
+  return request;
+}
+
+HttpRequest FromBeast(http::request<http::string_body>&& message) {
+  HttpRequest request = HeadOf(message);
   request.m_body = std::move(message.body());
   return request;
 }
@@ -49,10 +59,26 @@
   return message;
 }
 
-HttpResponse ForReadError(const beast::error_code& error) {
-  if (error == http::error::body_limit) return JsonError(413, "body_too_large", "the body is over the limit");
-  if (error == http::error::header_limit) return JsonError(431, "header_too_large", "the header is over the limit");
-  return JsonError(400, "malformed_request", error.message());
+// Why a request is refused before its handler sees it, by the error of the parser.
+struct ParseRefusal {
+  Refusal m_why;
+  HttpResponse m_response;
+};
+
+ParseRefusal ForParseError(const beast::error_code& error) {
+  if (error == http::error::body_limit) {
+    return {Refusal::kBodyTooLarge, JsonError(413, "body_too_large", "the body is over the limit")};
+  }
+  if (error == http::error::header_limit) {
+    return {Refusal::kHeaderTooLarge, JsonError(431, "header_too_large", "the header is over the limit")};
+  }
+  return {Refusal::kMalformed, JsonError(400, "malformed_request", error.message())};
+}
+
+HttpResponse NoRoom() {
+  HttpResponse response = JsonError(503, "no_room", "too many large bodies are arriving, this one was not looked at");
+  response.m_headers.push_back({"Retry-After", "1"});
+  return response;
 }
 
 }  // namespace
@@ -60,7 +86,11 @@
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
  public:
   Impl(asio::io_context* io, const ServerSettings& settings, Handler handler)
-      : m_io(io), m_settings(settings), m_handler(std::move(handler)), m_acceptor(asio::make_strand(*io)) {
+      : m_io(io),
+        m_settings(settings),
+        m_handler(std::move(handler)),
+        m_refusals(settings.m_name, settings.m_metrics),
+        m_acceptor(asio::make_strand(*io)) {
     LoadTls();
     Bind();
   }
@@ -85,6 +115,7 @@
   asio::io_context* m_io;
   ServerSettings m_settings;
   Handler m_handler;
+  RefusalLog m_refusals;
   std::optional<asio::ssl::context> m_tls;  // Empty: plain TCP.
   tcp::acceptor m_acceptor;
   std::atomic<bool> m_draining{false};
@@ -121,11 +152,18 @@
 
   void CloseIfIdle() override {
     asio::post(m_stream.get_executor(), [self = this->shared_from_this()] {
-      if (!self->m_in_flight && self->m_buffer.size() == 0) self->CloseSocket();
+      if (!self->m_in_flight && self->m_phase == Phase::kHead && self->m_buffer.size() == 0) self->CloseSocket();
     });
   }
 
  private:
+  enum class Phase {
+    kHead,       // Between requests, or a head has arrived in part.
+    kBody,       // A head is there, its body is not whole.
+    kAnswering,  // The request is handled or its answer goes out.
+    kLingering,  // The last answer is out; what the client still sends is dropped.
+  };
+
   // Answers through the session once; closes the connection where nobody answered.
   struct Reply {
     explicit Reply(std::shared_ptr<SessionOn> session) : m_session(std::move(session)) {}
@@ -158,26 +196,117 @@
     }
   }
 
+  //-----------------------------------------------------------------------------------------------
+  // [SECTION] Reading
+  //-----------------------------------------------------------------------------------------------
+
   void Read() {
+    m_phase = Phase::kHead;
     m_parser.emplace();
-    m_buffer.reserve(kRequestBuffer);
-    m_parser->body_limit(m_server->m_settings.m_max_body_bytes);
+    m_parser->eager(false);
+    m_parser->body_limit(boost::none);  // Checked with the head.
     m_parser->header_limit(static_cast<std::uint32_t>(m_server->m_settings.m_max_header_bytes));
     Lowest().expires_after(m_server->m_settings.m_idle_timeout);
-    http::async_read(
-        m_stream, m_buffer, *m_parser,
-        [self = this->shared_from_this()](const beast::error_code& error, std::size_t) { self->OnRead(error); });
+    m_buffer.size() > 0 ? Parse() : ReadSome();
+  }
+
+  void ReadSome() {
+    const std::size_t room = std::min(kRequestBuffer, m_buffer.max_size() - m_buffer.size());
+    if (room == 0) return Refuse(ForParseError(http::error::header_limit));
+    m_reading = true;
+    m_stream.async_read_some(m_buffer.prepare(room),
+                             [self = this->shared_from_this()](const beast::error_code& error, std::size_t bytes) {
+                               self->m_reading = false;
+                               self->OnRead(error, bytes);
+                             });
+  }
+
+  void OnRead(const beast::error_code& error, std::size_t bytes) {
+    if (m_phase == Phase::kLingering) return OnLinger(error, bytes);
+    if (error && m_phase != Phase::kAnswering) return Close();
+    m_buffer.commit(bytes);
+    if (m_phase == Phase::kAnswering) return m_buffer.consume(bytes);  // It gave way while it was read.
+    if (m_arrival) m_arrival->m_received += bytes;
+    Parse();
+  }
+
+  void Parse() {
+    while (!m_parser->is_done() && m_buffer.size() > 0) {
+      if (m_phase == Phase::kBody && !HoldBody()) return;
+      beast::error_code error;
+      const std::size_t taken = m_parser->put(m_buffer.data(), error);
+      m_buffer.consume(taken);
+      if (error && error != http::error::need_more) return Refuse(ForParseError(error));
+      if (m_phase == Phase::kHead && m_parser->is_header_done() && !BeginBody()) return;
+      if (error == http::error::need_more) break;
+    }
+    m_parser->is_done() ? Handle() : ReadSome();
+  }
+
+  // Refuses what the head already shows to be unservable; returns whether the request is still to be received.
+  bool BeginBody() {
+    m_phase = Phase::kBody;
+    m_parser->eager(true);
+    const auto length = m_parser->content_length();
+    std::size_t limit = m_server->m_settings.m_max_body_bytes;
+    if (m_parser->is_done() || (length && *length <= std::min<std::uint64_t>(limit, MemoryHold::kUncounted)))
+      return true;
+    if (m_server->m_settings.m_check_head) {
+      HeadVerdict verdict = m_server->m_settings.m_check_head(HeadOf(m_parser->get()));
+      if (verdict.m_refusal) {
+        Refuse({Refusal::kHead, std::move(*verdict.m_refusal)});
+        return false;
+      }
+      limit = std::min(limit, verdict.m_max_body_bytes);
+    }
+    if (length && *length > limit) {
+      Refuse(ForParseError(http::error::body_limit));
+      return false;
+    }
+    m_parser->body_limit(limit);
+    if (!m_server->m_settings.m_arrivals) return true;
+    m_arrival = m_server->m_settings.m_arrivals->Begin([weak = this->weak_from_this()] {
+      if (const auto self = weak.lock()) asio::post(self->m_stream.get_executor(), [self] { self->GiveUpBody(); });
+    });
+    return !length || HoldBytes(*length);
+  }
+
+  // Makes room for what is in the buffer. A body without a length grows by half of what it has.
+  bool HoldBody() {
+    std::string& body = m_parser->get().body();
+    const std::size_t wanted = body.size() + m_buffer.size();
+    if (!m_arrival || m_parser->content_length() || wanted <= body.capacity()) return true;
+    const std::size_t grown = std::max(wanted, body.capacity() + body.capacity() / 2);
+    if (!HoldBytes(grown)) return false;
+    body.reserve(grown);
+    return true;
+  }
+
+  bool HoldBytes(std::uint64_t bytes) {
+    if (m_server->m_settings.m_arrivals->Take(bytes, m_arrival.get(), &m_hold)) return true;
+    Refuse({Refusal::kNoRoom, NoRoom()});
+    return false;
   }
 
-  void OnRead(const beast::error_code& error) {
-    if (error) {
-      const bool peer_error = error.category() == make_error_code(http::error::bad_method).category();
-      if (!peer_error || error == http::error::end_of_stream || error == http::error::partial_message) return Close();
-      m_keep_alive = false;
-      return Write(ForReadError(error));
+  // Another body needs the room of this one, which arrives more slowly.
+  void GiveUpBody() {
+    if (m_phase != Phase::kBody) return;
+    if (std::is_same_v<Stream, TlsStream>) {  // A TLS stream can't be shut down while it is read.
+      m_server->m_refusals.Note(Refusal::kGaveWay);
+      return CloseSocket();
     }
+    Refuse({Refusal::kGaveWay, NoRoom()});
+  }
+
+  //-----------------------------------------------------------------------------------------------
+  // [SECTION] Answering
+  //-----------------------------------------------------------------------------------------------
+
+  void Handle() {
     Lowest().expires_never();
+    m_phase = Phase::kAnswering;
     m_in_flight = true;
+    m_arrival.reset();
     auto message = m_parser->release();
     m_keep_alive = message.keep_alive();
     auto reply = std::make_shared<Reply>(this->shared_from_this());
@@ -185,18 +314,61 @@
                         [reply](HttpResponse response) { (*reply)(std::move(response)); });
   }
 
+  void Refuse(ParseRefusal refusal) {
+    m_server->m_refusals.Note(refusal.m_why);
+    m_phase = Phase::kAnswering;
+    m_keep_alive = false;
+    m_parser.reset();
+    m_arrival.reset();
+    m_hold.Release();
+    Write(std::move(refusal.m_response));
+  }
+
   void Write(HttpResponse response) {
     const bool keep = m_keep_alive && !m_server->m_draining;
     m_response.emplace(ToBeast(std::move(response), keep));
-    Lowest().expires_after(m_server->m_settings.m_idle_timeout);
+    if (!m_reading) Lowest().expires_after(m_server->m_settings.m_idle_timeout);
     http::async_write(m_stream, *m_response,
                       [self = this->shared_from_this(), keep](const beast::error_code& error, std::size_t) {
-                        self->m_in_flight = false;
-                        if (error || !keep) return self->Close();
-                        self->Read();
+                        self->OnWritten(error, keep);
                       });
   }
 
+  void OnWritten(const beast::error_code& error, bool keep) {
+    const bool was_whole = m_in_flight.exchange(false);
+    m_response.reset();
+    m_hold.Release();
+    if (error) return Close();
+    if (keep) return Read();
+    was_whole ? Close() : Linger();
+  }
+
+  //-----------------------------------------------------------------------------------------------
+  // [SECTION] Ending
+  //-----------------------------------------------------------------------------------------------
+
+  // Closing a connection with unread bytes would reset it, and the answer with it.
+  void Linger() {
+    if (std::is_same_v<Stream, TlsStream>) return Close();
+    beast::error_code ignored;
+    Lowest().socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_phase = Phase::kLingering;
+    m_buffer.clear();
+    m_reading ? Lowest().cancel() : ReadToLinger();
+  }
+
+  void OnLinger(const beast::error_code& error, std::size_t bytes) {
+    const bool was_cancelled = error == asio::error::operation_aborted && !m_lingers;
+    m_lingered_bytes += bytes;
+    if ((error && !was_cancelled) || m_lingered_bytes > kMaxLingerBytes) return CloseSocket();
+    ReadToLinger();
+  }
+
+  void ReadToLinger() {
+    if (!std::exchange(m_lingers, true)) Lowest().expires_after(kLingerTimeout);
+    ReadSome();
+  }
+
   void Close() {
     if constexpr (std::is_same_v<Stream, TlsStream>) {
       if (m_closing) return;
@@ -219,8 +391,14 @@
   beast::flat_buffer m_buffer;
   std::optional<http::request_parser<http::string_body>> m_parser;
   std::optional<http::response<http::string_body>> m_response;
+  Phase m_phase = Phase::kHead;
+  std::shared_ptr<Arrival> m_arrival;  // Of the body that is being received, if it counts.
+  MemoryHold m_hold;                   // Covers the body until its answer is out.
   bool m_keep_alive = true;
-  bool m_in_flight = false;
+  bool m_reading = false;                // A read is pending.
+  std::atomic<bool> m_in_flight{false};  // A whole request is being answered.
+  bool m_lingers = false;
+  std::size_t m_lingered_bytes = 0;
   bool m_closing = false;
   Sessions::iterator m_position;
 };
@@ -268,7 +446,9 @@
   beast::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   std::unique_lock lock(m_mutex);
-  if (static_cast<int>(m_sessions.size()) >= m_settings.m_max_connections) return;
+  if (static_cast<int>(m_sessions.size()) >= m_settings.m_max_connections) {
+    return m_refusals.Note(Refusal::kConnection);
+  }
   std::shared_ptr<Session> session;
   if (m_tls.has_value()) {
     session = std::make_shared<SessionOn<TlsStream>>(shared_from_this(), std::move(socket), *m_tls);
--- a/hickoryquay/operators/admin_api.cc
+++ b/hickoryquay/operators/admin_api.cc
@@ -4,6 +4,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <charconv>
+#include <limits>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -112,40 +113,55 @@
   return nullptr;
 }
 
+std::variant<const AdminApi::Route*, net::HttpResponse> AdminApi::Admit(const net::HttpRequest& request,
+                                                                        const std::string& path, Caller* caller) const {
+  bool path_known = false;
+  const Route* route = FindRoute(request.m_method, path, &path_known);
+  if (route == nullptr && path_known) {
+    return net::JsonError(405, "wrong_method", "this path does not take this method");
+  }
+  if (route == nullptr) return net::JsonError(404, "unknown_path", "no such path");
+  if (auto refusal = Authorize(route->m_access, request, caller)) return std::move(*refusal);
+  return route;
+}
+
 void AdminApi::Handle(net::HttpRequest request, net::Responder responder) const {
   Call call;
   call.m_target = net::ParseTarget(request.m_target);
   call.m_responder = std::move(responder);
-  bool path_known = false;
-  const Route* route = FindRoute(request.m_method, call.m_target.m_path, &path_known);
+  auto admitted = Admit(request, call.m_target.m_path, &call.m_caller);
+  if (auto* refusal = std::get_if<net::HttpResponse>(&admitted)) return call.m_responder(std::move(*refusal));
+  const Route* route = std::get<const Route*>(admitted);
   call.m_request = std::move(request);
-  if (route == nullptr && path_known) {
-    return call.m_responder(net::JsonError(405, "wrong_method", "this path does not take this method"));
-  }
-  if (route == nullptr) return call.m_responder(net::JsonError(404, "unknown_path", "no such path"));
-  if (!Authorize(route->m_access, &call)) return;
   const std::string_view path = route->m_path;
   if (path.ends_with('/')) call.m_name = call.m_target.m_path.substr(path.size());
   (this->*route->m_handle)(call);
 }
 
-bool AdminApi::Authorize(Access access, Call* call) const {
-  if (access == Access::kOpen) return true;
-  const std::string* header = net::FindHeader(call->m_request.m_headers, "Authorization");
+net::HeadVerdict AdminApi::CheckHead(const net::HttpRequest& head) const {
+  Caller caller;
+  auto admitted = Admit(head, net::ParseTarget(head.m_target).m_path, &caller);
+  if (auto* refusal = std::get_if<net::HttpResponse>(&admitted)) return {0, std::move(*refusal)};
+  const bool open = std::get<const Route*>(admitted)->m_access == Access::kOpen;
+  return {open ? 0 : std::numeric_limits<std::size_t>::max(), std::nullopt};
+}
+
+std::optional<net::HttpResponse> AdminApi::Authorize(Access access, const net::HttpRequest& request,
+                                                     Caller* caller) const {
+  if (access == Access::kOpen) return std::nullopt;
+  const std::string* header = net::FindHeader(request.m_headers, "Authorization");
   const bool bearer = header != nullptr && header->starts_with(kBearer);
   const auto identity = bearer ? m_tokens.Find(header->substr(kBearer.size())) : std::nullopt;
   if (!identity.has_value()) {
     net::HttpResponse response =
         net::JsonError(401, "unauthorized", "send Authorization: Bearer TOKEN with a token of the settings");
     response.m_headers.push_back({"WWW-Authenticate", "Bearer"});
-    call->m_responder(std::move(response));
-    return false;
+    return response;
   }
-  call->m_caller = Caller{identity->m_name, identity->m_role == settings::Role::kOperator};
-  if (access == Access::kView || call->m_caller.m_may_change) return true;
-  call->m_responder(net::JsonError(403, "forbidden",
-                                   identity->m_name + " may view only; changes need a token with the role operator"));
-  return false;
+  *caller = Caller{identity->m_name, identity->m_role == settings::Role::kOperator};
+  if (access == Access::kView || caller->m_may_change) return std::nullopt;
+  return net::JsonError(403, "forbidden",
+                        identity->m_name + " may view only; changes need a token with the role operator");
 }
 
 void AdminApi::Operate(const Call& call) const {
--- a/hickoryquay/operators/admin_api.h
+++ b/hickoryquay/operators/admin_api.h
@@ -16,7 +16,9 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <variant>
 
 #include "hickoryquay/net/http.h"
 #include "hickoryquay/operators/backend.h"
@@ -34,6 +36,9 @@
   // A net::Handler. Answers once, from any thread.
   void Handle(net::HttpRequest request, net::Responder responder) const;
 
+  // A net::HeadCheck: only who may use a route may send it a long body.
+  net::HeadVerdict CheckHead(const net::HttpRequest& head) const;
+
  private:
   // What a route needs: nothing, any token, or a token that may change.
   enum class Access { kOpen, kView, kChange };
@@ -55,7 +60,11 @@
   };
   static const Route* FindRoute(const std::string& method, const std::string& path, bool* path_known);
 
-  bool Authorize(Access access, Call* call) const;  // Answers and returns false where the caller may not.
+  // Finds who calls; returns the refusal where they may not.
+  std::optional<net::HttpResponse> Authorize(Access access, const net::HttpRequest& request, Caller* caller) const;
+  // The route of a request, or its refusal.
+  std::variant<const Route*, net::HttpResponse> Admit(const net::HttpRequest& request, const std::string& path,
+                                                      Caller* caller) const;
 
   void Operate(const Call& call) const;
   void Query(const Call& call) const;
