HTTP: connections that do nothing give way to new ones

What callers saw: 1,100 connections that sent one byte and stayed shut everybody out of an instance for up to 60 s; a new connection was closed unanswered, whoever it belonged to. Each address took 1,024 connections whatever the machine's descriptors were.

Cause: past its limit a server closed the new connection, never the ones that do nothing.

Change: past the limit the connection that has gone longest without a whole request is closed, and the new one is served. One whose request is being answered stays. A server's kernel buffers are small, and as many connections wait to be accepted as may be open.

Why it works: an ordinary caller sends its request at once, so it is handled long before its connection is the oldest without one, while silent connections push each other out. A connection that is closed unanswered promises nothing.

SilentConnectionMakesRoomForANewOne guards it.

--- a/hickoryquay/instance/entry_instance.cc
+++ b/hickoryquay/instance/entry_instance.cc
@@ -29,6 +29,7 @@
 constexpr Millis kWorkerListPoll{5'000};
 constexpr Millis kCommitDeadline{4'000};  // With the read behind it a caller is told within six seconds.
 constexpr Millis kReadDeadline{2'000};
+constexpr int kAdminConnections = 128;
 constexpr std::uint64_t kAdminBodyBytes = 8 * 1024 * 1024;  // All long ones together.
 
 InstanceId MakeId(const settings::DaemonSettings& settings) {
@@ -232,6 +233,7 @@
   settings.m_tls_key = m_settings.m_admin.m_tls_key;
   settings.m_name = "admin";
   settings.m_metrics = &m_metrics;
+  settings.m_max_connections = kAdminConnections;
   settings.m_arrivals = std::make_shared<net::Arrivals>(std::make_shared<MemoryBudget>(kAdminBodyBytes), &m_clock);
   settings.m_check_head = [this](const net::HttpRequest& head) { return m_admin_api->CheckHead(head); };
   m_admin_server =
--- a/hickoryquay/net/http.h
+++ b/hickoryquay/net/http.h
@@ -139,7 +139,8 @@
   std::shared_ptr<Arrivals> m_arrivals;  // Bounds the bodies of all servers that share it; null: not bounded.
   Metrics* m_metrics = nullptr;          // May be null.
   Millis m_idle_timeout{60'000};         // Also bounds how slowly a request may arrive.
-  int m_max_connections = 1024;          // Further ones are closed at once.
+  // Beyond it a new connection takes the place of the one that has gone longest without a whole request.
+  int m_max_connections = 1024;
   std::string m_tls_certificate;  // PEM file of the certificate chain; empty: plain TCP.
   std::string m_tls_key;          // PEM file of its private key.
 };
--- a/hickoryquay/net/refusals.cc
+++ b/hickoryquay/net/refusals.cc
@@ -11,7 +11,7 @@
 constexpr log::Part kLog{"http"};
 constexpr Millis kBetweenLines{1'000};
 constexpr std::array<const char*, kRefusals> kNames{
-    "malformed", "header_too_large", "body_too_large", "head", "no_room", "gave_way", "connection"};
+    "malformed", "header_too_large", "body_too_large", "head", "no_room", "gave_way", "connection", "idle_connection"};
 
 const char* NameOf(Refusal why) {
   return kNames.at(static_cast<std::size_t>(why));
--- a/hickoryquay/net/refusals.h
+++ b/hickoryquay/net/refusals.h
@@ -19,9 +19,10 @@
   kHead,            // The head showed that the request can't be served.
   kNoRoom,          // Memory was short for its body.
   kGaveWay,         // Its body arrived slowly while memory was short.
-  kConnection,      // A new connection, since there are too many.
+  kConnection,      // A new connection, since none of the others could give way.
+  kIdleConnection,  // A connection that gave way to a new one.
 };
-constexpr std::size_t kRefusals = static_cast<std::size_t>(Refusal::kConnection) + 1;
+constexpr std::size_t kRefusals = static_cast<std::size_t>(Refusal::kIdleConnection) + 1;
 
 // Thread-safe.
 class RefusalLog {
--- a/hickoryquay/net/server.cc
+++ b/hickoryquay/net/server.cc
@@ -31,6 +31,8 @@
 // How much and how long a client is listened to that still sends when its request has been refused.
 constexpr std::size_t kMaxLingerBytes = 1024 * 1024;
 constexpr std::chrono::seconds kLingerTimeout{2};
+constexpr int kReceiveBuffer = 16 * 1024;  // Of one connection, in the kernel.
+constexpr int kClosingConnections = 8;     // Beyond the limit, while those that gave way are being closed.
 
 HttpRequest HeadOf(const http::request<http::string_body>& message) {
   HttpRequest request;
@@ -109,7 +111,9 @@
   void LoadTls();
   void Bind();
   void Admit(tcp::socket socket);
+  void MoveToEnd(Sessions::iterator position);
   void Remove(Sessions::iterator position);
+  bool MakeRoom(std::vector<std::shared_ptr<Session>>* looked_at);
   void FinishDrainIfIdle(std::unique_lock<std::mutex> lock);
 
   asio::io_context* m_io;
@@ -120,7 +124,7 @@
   tcp::acceptor m_acceptor;
   std::atomic<bool> m_draining{false};
   std::mutex m_mutex;
-  Sessions m_sessions;              // Guarded by m_mutex.
+  Sessions m_sessions;              // Guarded by m_mutex; by when they began or got their last whole request.
   std::function<void()> m_drained;  // Guarded by m_mutex.
 };
 
@@ -132,6 +136,9 @@
 
   // Closes the connection unless a request is in flight; that one closes it behind its answer.
   virtual void CloseIfIdle() = 0;
+
+  // Makes room for another connection. False while its request is being handled, or where it was asked before.
+  virtual bool GiveWay() = 0;
 };
 
 // Kept alive by its pending operations and by the responder of a request in flight.
@@ -156,6 +163,12 @@
     });
   }
 
+  bool GiveWay() override {
+    if (m_in_flight || m_gave_way.exchange(true)) return false;
+    asio::post(m_stream.get_executor(), [self = this->shared_from_this()] { self->CloseSocket(); });
+    return true;
+  }
+
  private:
   enum class Phase {
     kHead,       // Between requests, or a head has arrived in part.
@@ -307,6 +320,7 @@
     m_phase = Phase::kAnswering;
     m_in_flight = true;
     m_arrival.reset();
+    m_server->MoveToEnd(m_position);
     auto message = m_parser->release();
     m_keep_alive = message.keep_alive();
     auto reply = std::make_shared<Reply>(this->shared_from_this());
@@ -397,6 +411,7 @@
   bool m_keep_alive = true;
   bool m_reading = false;                // A read is pending.
   std::atomic<bool> m_in_flight{false};  // A whole request is being answered.
+  std::atomic<bool> m_gave_way{false};
   bool m_lingers = false;
   std::size_t m_lingered_bytes = 0;
   bool m_closing = false;
@@ -421,8 +436,10 @@
     const tcp::endpoint at(asio::ip::make_address(m_settings.m_listen.m_address), m_settings.m_listen.m_port);
     m_acceptor.open(at.protocol());
     m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    beast::error_code ignored;
+    m_acceptor.set_option(asio::socket_base::receive_buffer_size(kReceiveBuffer), ignored);  // Connections inherit it.
     m_acceptor.bind(at);
-    m_acceptor.listen(asio::socket_base::max_listen_connections);
+    m_acceptor.listen(std::min<int>(m_settings.m_max_connections, asio::socket_base::max_listen_connections));
   } catch (const boost::system::system_error& error) {
     throw std::runtime_error("cannot listen on " + ToString(m_settings.m_listen) + ": " + error.code().message());
   }
@@ -445,9 +462,13 @@
 void HttpServer::Impl::Admit(tcp::socket socket) {
   beast::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
+  std::vector<std::shared_ptr<Session>> looked_at;  // Outlives the lock: the end of a session takes it too.
   std::unique_lock lock(m_mutex);
-  if (static_cast<int>(m_sessions.size()) >= m_settings.m_max_connections) {
-    return m_refusals.Note(Refusal::kConnection);
+  const int open = static_cast<int>(m_sessions.size());
+  if (open >= m_settings.m_max_connections) {
+    const bool full = open >= m_settings.m_max_connections + kClosingConnections || !MakeRoom(&looked_at);
+    m_refusals.Note(full ? Refusal::kConnection : Refusal::kIdleConnection);
+    if (full) return;
   }
   std::shared_ptr<Session> session;
   if (m_tls.has_value()) {
@@ -460,6 +481,20 @@
   session->Start(position);
 }
 
+// Asks the connection to close that has gone longest without a whole request. The caller holds m_mutex.
+bool HttpServer::Impl::MakeRoom(std::vector<std::shared_ptr<Session>>* looked_at) {
+  for (const auto& weak : m_sessions) {
+    looked_at->push_back(weak.lock());
+    if (looked_at->back() && looked_at->back()->GiveWay()) return true;
+  }
+  return false;
+}
+
+void HttpServer::Impl::MoveToEnd(Sessions::iterator position) {
+  const std::lock_guard lock(m_mutex);
+  m_sessions.splice(m_sessions.end(), m_sessions, position);
+}
+
 void HttpServer::Impl::Remove(Sessions::iterator position) {
   std::unique_lock lock(m_mutex);
   m_sessions.erase(position);
--- a/tests/net/pressure_test.cc
+++ b/tests/net/pressure_test.cc
@@ -1,4 +1,4 @@
-// What a server does when clients take more than there is: whose body gives way, and that a
+// What a server does when clients take more than there is: whose body gives way, which connection does, and that a
 // refused client can read why.
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(SmallBodyAlwaysFindsRoom);
   CPPUNIT_TEST(ClientThatStillSendsReadsItsRefusal);
   CPPUNIT_TEST(UnservableHeadIsRefusedBeforeItsBody);
+  CPPUNIT_TEST(SilentConnectionMakesRoomForANewOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -83,6 +84,22 @@
     CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 404"), SendLong("Content-Length: 900000\r\n\r\n", 10));
   }
 
+  // Guards against connections that do nothing and shut every caller out.
+  void SilentConnectionMakesRoomForANewOne() {
+    ServerSettings settings;
+    settings.m_max_connections = 2;
+    Serve(settings);
+    tcp::socket first = Connect();
+    tcp::socket second = Connect();
+    tcp::socket third = Connect();
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), Ask(&third));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), Ask(&second));
+    char byte = 0;
+    boost::system::error_code error;
+    asio::read(first, asio::buffer(&byte, 1), error);
+    CPPUNIT_ASSERT(error);  // It was closed.
+  }
+
   void tearDown() override {
     if (!m_thread.joinable()) return;
     m_io.stop();
@@ -123,6 +140,11 @@
     return status;
   }
 
+  static std::string Ask(tcp::socket* socket) {
+    asio::write(*socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    return Status(socket);
+  }
+
   std::string SendLong(const std::string& rest_of_head, std::size_t body) {
     tcp::socket socket = Connect();
     asio::write(socket, asio::buffer("POST /other HTTP/1.1\r\nHost: h\r\n" + rest_of_head));
