Inner: announced frames and silent connections take no memory and no places

Cause: the whole of a frame was allocated, and zeroed, by its length; a connection kept the memory of its largest frame for good; every connection was accepted.

Change: memory for a frame grows as it arrives, from 64 KB on, on one account for all connections, a tenth of the machine's memory; what is over 64 KB is given back behind the frame. Of too many connections the one that has gone longest without a whole frame is closed. A third of the descriptors are for other instances.

Why it works: what a peer has not sent takes nothing, and what it has sent is on the account.

--- a/hickoryquay/inner/channel.h
+++ b/hickoryquay/inner/channel.h
@@ -36,11 +36,19 @@
   std::uint64_t m_received_bytes = 0;
 };
 
+struct InnerServerSettings {
+  // Beyond it a new connection takes the place of the one that has gone longest without a whole frame.
+  int m_max_connections = 2'048;
+  std::uint64_t m_frame_bytes = 32 * 1024 * 1024;  // Of frames that have arrived in part, on all connections.
+  Metrics* m_metrics = nullptr;                    // May be null.
+};
+
 // Thread-safe. Unknown messages are answered with Unsupported, bad frames end their connection.
 class InnerServer {
  public:
   // Throws std::runtime_error, naming the endpoint, where it can't listen.
-  InnerServer(boost::asio::io_context* io, const net::Endpoint& listen, MessageHandler handler);
+  InnerServer(boost::asio::io_context* io, const net::Endpoint& listen, MessageHandler handler,
+              const InnerServerSettings& settings = {});
   ~InnerServer();
   net::Endpoint Local() const;
   Traffic Bytes() const;
--- a/hickoryquay/inner/frame_stream.h
+++ b/hickoryquay/inner/frame_stream.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 
+#include "hickoryquay/base/memory_budget.h"
 #include "hickoryquay/inner/message.h"
 
 namespace hickoryquay::inner {
@@ -25,7 +26,9 @@
   using OnFrame = std::function<void(Frame)>;
   using OnClosed = std::function<void(const std::string& why)>;
 
-  FrameStream(boost::asio::ip::tcp::socket socket, std::shared_ptr<TrafficCounters> counters);
+  // `memory` bounds the frames that arrive, of all streams that share it; null: not bounded.
+  FrameStream(boost::asio::ip::tcp::socket socket, std::shared_ptr<TrafficCounters> counters,
+              std::shared_ptr<MemoryBudget> memory = nullptr);
 
   // Delivers frames until the connection ends; then calls `closed` once.
   void Start(OnFrame on_frame, OnClosed on_closed);
@@ -41,9 +44,10 @@
 
  private:
   static constexpr std::size_t kMaxQueuedBytes = 8 * 1024 * 1024;
+  static constexpr std::size_t kFirstBytes = 64 * 1024;  // Of a body; also what a stream keeps between frames.
 
   void ReadLength();
-  void ReadBody(std::uint32_t length);
+  void ReadBody();
   void Deliver();
   void WriteNext();
 
@@ -52,7 +56,10 @@
   OnFrame m_on_frame;
   OnClosed m_on_closed;
   std::array<unsigned char, kLengthBytes> m_length{};
+  std::shared_ptr<MemoryBudget> m_memory;
+  MemoryHold m_hold;  // Covers m_body.
   std::string m_body;
+  std::size_t m_body_bytes = 0;  // As the peer has announced them.
   bool m_frame_arriving = false;
   std::uint64_t m_received_bytes = 0;
   std::deque<std::string> m_queue;
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -6,6 +6,7 @@
 
 #include "hickoryquay/base/log.h"
 #include "hickoryquay/service/member_row.h"
+#include "hickoryquay/settings/machine_limits.h"
 
 namespace hickoryquay::service {
 
@@ -130,10 +131,12 @@
     }
     return alive;
   });
+  const settings::MachineLimits limits = settings::ShareOut(m_settings.m_node.m_capacity);
   m_inner_server = std::make_unique<inner::InnerServer>(
       m_parts.m_io, node.m_inner, [weak](const inner::Message& message, const inner::Answer& answer) {
         if (const auto self = weak.lock()) self->OnMessage(message, answer);
-      });
+      },
+      inner::InnerServerSettings{limits.m_peer_connections, limits.m_frame_bytes, m_parts.m_metrics});
   m_peers->Start(m_parts.m_timers);
   m_peers->Beat();
   BeatParts beats;
