Intake: accepted jobs can't take more memory than their leader has

What callers saw: one job with `count` 1,000,000 made the leader 368 MB large, of 260 that its machine has; 40 jobs within the body limit with 12,500 steps each 478 MB; 1,000 jobs like those of the platform's pages, none of which could start, 370 MB. They answered 200.

Cause: nothing bounded what is accepted. A job was taken in whatever its leader has to keep for it, also one whose row the store never takes, and the leader keeps all until they have ended.

Change: a job whose row is larger than a row of the store ([terms] row_bytes) or that alone takes more than the leader has for jobs, a quarter of the machine's memory, is known to be unservable and answered 413 at once. The leader tells with its heartbeats what its jobs take and how much they may take; an instance accepts up to its part of what is left and answers 503 with Retry-After beyond. A refusal is true: if the job was stored by an earlier attempt the answer is 200; that is read for 100 refusals a second, others are answered 504, outcome unknown. A leader of an earlier build tells nothing; then each instance goes by the limit of its own machine until its part is used up.

Why it works: the estimate of a job (jobs/job_memory.h) is above what was measured for a task, 370 bytes, and jobs are refused before they are stored, by all instances together within what is left.

IntakeTest and JobRoomTest guard the decisions.

--- a/hickoryquay/inner/gen/inner_types.cpp
+++ b/hickoryquay/inner/gen/inner_types.cpp
@@ -1489,6 +1489,16 @@
   this->no_earlier_rows = val;
 __isset.no_earlier_rows = true;
 }
+
+void LeaderBeat::__set_job_bytes_held(const int64_t val) {
+  this->job_bytes_held = val;
+__isset.job_bytes_held = true;
+}
+
+void LeaderBeat::__set_job_bytes_limit(const int64_t val) {
+  this->job_bytes_limit = val;
+__isset.job_bytes_limit = true;
+}
 std::ostream& operator<<(std::ostream& out, const LeaderBeat& obj)
 {
   obj.printTo(out);
@@ -1628,6 +1638,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->job_bytes_held);
+          this->__isset.job_bytes_held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->job_bytes_limit);
+          this->__isset.job_bytes_limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1707,6 +1733,16 @@
     xfer += oprot->writeBool(this->no_earlier_rows);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.job_bytes_held) {
+    xfer += oprot->writeFieldBegin("job_bytes_held", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->job_bytes_held);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.job_bytes_limit) {
+    xfer += oprot->writeFieldBegin("job_bytes_limit", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->job_bytes_limit);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1723,6 +1759,8 @@
   swap(a.pass_on, b.pass_on);
   swap(a.released, b.released);
   swap(a.no_earlier_rows, b.no_earlier_rows);
+  swap(a.job_bytes_held, b.job_bytes_held);
+  swap(a.job_bytes_limit, b.job_bytes_limit);
   swap(a.__isset, b.__isset);
 }
 
@@ -1736,6 +1774,8 @@
   pass_on = other76.pass_on;
   released = other76.released;
   no_earlier_rows = other76.no_earlier_rows;
+  job_bytes_held = other76.job_bytes_held;
+  job_bytes_limit = other76.job_bytes_limit;
   __isset = other76.__isset;
 }
 LeaderBeat::LeaderBeat(LeaderBeat&& other77) noexcept {
@@ -1748,6 +1788,8 @@
   pass_on = std::move(other77.pass_on);
   released = other77.released;
   no_earlier_rows = other77.no_earlier_rows;
+  job_bytes_held = other77.job_bytes_held;
+  job_bytes_limit = other77.job_bytes_limit;
   __isset = other77.__isset;
 }
 LeaderBeat& LeaderBeat::operator=(const LeaderBeat& other78) {
@@ -1760,6 +1802,8 @@
   pass_on = other78.pass_on;
   released = other78.released;
   no_earlier_rows = other78.no_earlier_rows;
+  job_bytes_held = other78.job_bytes_held;
+  job_bytes_limit = other78.job_bytes_limit;
   __isset = other78.__isset;
   return *this;
 }
@@ -1773,6 +1817,8 @@
   pass_on = std::move(other79.pass_on);
   released = other79.released;
   no_earlier_rows = other79.no_earlier_rows;
+  job_bytes_held = other79.job_bytes_held;
+  job_bytes_limit = other79.job_bytes_limit;
   __isset = other79.__isset;
   return *this;
 }
@@ -1788,6 +1834,8 @@
   out << ", " << "pass_on=" << to_string(pass_on);
   out << ", " << "released=" << to_string(released);
   out << ", " << "no_earlier_rows="; (__isset.no_earlier_rows ? (out << to_string(no_earlier_rows)) : (out << "<null>"));
+  out << ", " << "job_bytes_held="; (__isset.job_bytes_held ? (out << to_string(job_bytes_held)) : (out << "<null>"));
+  out << ", " << "job_bytes_limit="; (__isset.job_bytes_limit ? (out << to_string(job_bytes_limit)) : (out << "<null>"));
   out << ")";
 }
 
--- a/hickoryquay/inner/gen/inner_types.h
+++ b/hickoryquay/inner/gen/inner_types.h
@@ -607,7 +607,7 @@
 std::ostream& operator<<(std::ostream& out, const PhaseChange& obj);
 
 typedef struct _LeaderBeat__isset {
-  _LeaderBeat__isset() : instance(false), epoch(false), sequence(false), phases(false), pending(false), ready(false), pass_on(false), released(false), no_earlier_rows(false) {}
+  _LeaderBeat__isset() : instance(false), epoch(false), sequence(false), phases(false), pending(false), ready(false), pass_on(false), released(false), no_earlier_rows(false), job_bytes_held(false), job_bytes_limit(false) {}
   bool instance :1;
   bool epoch :1;
   bool sequence :1;
@@ -617,6 +617,8 @@
   bool pass_on :1;
   bool released :1;
   bool no_earlier_rows :1;
+  bool job_bytes_held :1;
+  bool job_bytes_limit :1;
 } _LeaderBeat__isset;
 
 class LeaderBeat : public virtual ::apache::thrift::TBase {
@@ -632,7 +634,9 @@
                sequence(0),
                ready(0),
                released(0),
-               no_earlier_rows(0) {
+               no_earlier_rows(0),
+               job_bytes_held(0),
+               job_bytes_limit(0) {
   }
 
   virtual ~LeaderBeat() noexcept;
@@ -645,6 +649,8 @@
   std::vector<std::string>  pass_on;
   bool released;
   bool no_earlier_rows;
+  int64_t job_bytes_held;
+  int64_t job_bytes_limit;
 
   _LeaderBeat__isset __isset;
 
@@ -666,6 +672,10 @@
 
   void __set_no_earlier_rows(const bool val);
 
+  void __set_job_bytes_held(const int64_t val);
+
+  void __set_job_bytes_limit(const int64_t val);
+
   bool operator == (const LeaderBeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -688,6 +698,14 @@
       return false;
     else if (__isset.no_earlier_rows && !(no_earlier_rows == rhs.no_earlier_rows))
       return false;
+    if (__isset.job_bytes_held != rhs.__isset.job_bytes_held)
+      return false;
+    else if (__isset.job_bytes_held && !(job_bytes_held == rhs.job_bytes_held))
+      return false;
+    if (__isset.job_bytes_limit != rhs.__isset.job_bytes_limit)
+      return false;
+    else if (__isset.job_bytes_limit && !(job_bytes_limit == rhs.job_bytes_limit))
+      return false;
     return true;
   }
   bool operator != (const LeaderBeat &rhs) const {
--- a/hickoryquay/inner/inner.thrift
+++ b/hickoryquay/inner/inner.thrift
@@ -80,6 +80,8 @@
   7: list<string> pass_on,      // Inner addresses of instances to which the receiver sends the same, without this list.
   8: bool released,             // The sender gave the leadership up: the last beat of its term.
   9: optional bool no_earlier_rows,  // No row of a job is in the part of versions before the sixteen parts.
+  10: optional i64 job_bytes_held,   // Memory that the leader takes for jobs, and the most that it takes.
+  11: optional i64 job_bytes_limit,
 }
 
 // A call to the platform's store for an instance that can't reach it; answered with StoreAnswer.
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "hickoryquay/base/log.h"
+#include "hickoryquay/jobs/job_memory.h"
 
 namespace hickoryquay::jobs {
 
@@ -30,6 +31,8 @@
   state->m_occurrences = std::max(1, job.m_request.m_repeats);
   state->m_steps.resize(static_cast<std::size_t>(state->m_occurrences));
   state->m_critical_path = EstimateCriticalPath(job.m_request);
+  state->m_memory_bytes = MemoryOf(job.m_request);
+  m_job_bytes += state->m_memory_bytes;
   m_open_jobs[job.m_id] = state.get();
 }
 
@@ -268,6 +271,7 @@
     }
     m_removed_rows.push_back(HexText(id));
     job->m_payload.reset();
+    m_job_bytes -= std::exchange(job->m_memory_bytes, 0);
     m_archived.emplace_back(now.m_steady, id);
   }
 }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -137,6 +137,7 @@
 
   std::map<QueueName, int> Pending() const;  // Jobs without a started task, by queue.
   SchedulerCounts Counts() const;
+  std::uint64_t JobBytes() const { return m_job_bytes; }  // Estimate of the memory that all jobs take.
   // Accepted jobs of which nothing runs, and jobs with a step that lasts and is interrupted; in the order of
   // acceptance, the first `most`. Timed jobs that are not due are left out. O(open jobs + most * workers).
   std::vector<IdleJob> IdleJobs(std::size_t most, Now now) const;
@@ -224,6 +225,7 @@
   std::shared_ptr<const QueueConfiguration> m_configuration;
   std::map<JobId, std::unique_ptr<JobState>> m_jobs;
   std::map<JobId, JobState*> m_open_jobs;  // Those of m_jobs that have not ended: few of many at most times.
+  std::uint64_t m_job_bytes = 0;           // Of m_jobs, see MemoryOf.
   std::map<std::pair<PoolName, int>, Instant> m_last_jobs;  // By pool and priority: the last arrival, steady time.
   WorkerTable m_workers;
   std::set<DomainId> m_evacuated;
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -131,9 +131,10 @@
   bool m_begun = false;    // All tasks of its first step have run, at least once at the same time.
   Instant m_taken_in;      // Steady time at which this scheduler learned of it.
   bool m_phase_stored = false;
-  bool m_settled = false;     // Returned by TakeSettledJobs.
-  Instant m_ended;            // Wall time.
-  Millis m_critical_path{0};  // By the caller's estimates.
+  bool m_settled = false;            // Returned by TakeSettledJobs.
+  Instant m_ended;                   // Wall time.
+  Millis m_critical_path{0};         // By the caller's estimates.
+  std::uint64_t m_memory_bytes = 0;  // See MemoryOf; 0 once it is archived.
   int m_occurrences = 1;
   int m_created_occurrences = 0;                                 // Number of occurrences that have their steps created.
   std::vector<std::vector<std::unique_ptr<StepState>>> m_steps;  // By occurrence and step; empty until created.
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "hickoryquay/base/log.h"
+#include "hickoryquay/jobs/job_memory.h"
 #include "hickoryquay/jobs/rows.h"
 
 namespace hickoryquay::service {
@@ -11,12 +12,10 @@
 namespace {
 
 constexpr log::Part kLog{"intake"};
-constexpr Millis kPendingValid{1'500};  // The API allows counts up to 2 s old. Heartbeats come every 200 ms.
-
-constexpr int kRejectionsToAnswer = 2;    // A peer that passes calls on may have rejected one for reasons of its own.
-constexpr Millis kHeartbeatValid{1'000};  // Five heartbeat intervals.
-// Longer than outages in which no leader tells: jobs of an earlier version appear only where its instances are started.
-constexpr Millis kNoEarlierRowsValid{30'000};
+constexpr Millis kNoRoomRetry{5'000};
+constexpr std::size_t kRefusalReads = 100;  // Of submissions that are refused for want of room; others stay unknown.
+constexpr Millis kRefusalReadsWithin{1'000};
+constexpr int kRejectionsToAnswer = 2;  // A peer that passes calls on may have rejected one for reasons of its own.
 
 // Returns why a request is invalid; empty if it is valid.
 std::string Validate(const jobs::JobRequest& request) {
@@ -89,51 +88,6 @@
 
 }  // namespace
 
-//-------------------------------------------------------------------------------------------------
-// PhaseCache
-//-------------------------------------------------------------------------------------------------
-
-void PhaseCache::Set(JobId job, jobs::JobPhase phase, Instant now) {
-  const auto found = m_entries.find(job);
-  if (found != m_entries.end() && jobs::Ended(found->second.m_phase)) return;  // Final.
-  m_entries[job] = {phase, now};
-}
-
-void PhaseCache::DropUnfinished() {
-  std::erase_if(m_entries, [](const auto& entry) { return !jobs::Ended(entry.second.m_phase); });
-}
-
-void PhaseCache::SetPending(std::map<jobs::QueueName, int> pending, Instant now) {
-  m_pending = std::move(pending);
-  m_pending_at = now;
-  m_has_pending = true;
-}
-
-void PhaseCache::SetEarlierRows(bool any, Instant now) {
-  m_no_earlier_rows_at = any ? Instant{} : now;
-}
-
-bool PhaseCache::MayHaveEarlierRows(Instant now) const {
-  return m_no_earlier_rows_at == Instant{} || now - m_no_earlier_rows_at > kNoEarlierRowsValid;
-}
-
-std::optional<jobs::JobPhase> PhaseCache::Find(JobId job, Instant now) const {
-  const auto found = m_entries.find(job);
-  if (found == m_entries.end()) return std::nullopt;
-  const bool fresh = jobs::Ended(found->second.m_phase) || now - m_heartbeat_at <= kHeartbeatValid;
-  return fresh ? std::optional(found->second.m_phase) : std::nullopt;
-}
-
-std::optional<int> PhaseCache::Pending(const jobs::QueueName& queue, Instant now) const {
-  if (!m_has_pending || now - m_pending_at > kPendingValid) return std::nullopt;
-  const auto found = m_pending.find(queue);
-  return found == m_pending.end() ? 0 : found->second;
-}
-
-void PhaseCache::RemoveExpired(Instant now) {
-  std::erase_if(m_entries, [&](const auto& entry) { return now - entry.second.m_since > m_retention; });
-}
-
 //-------------------------------------------------------------------------------------------------
 // Intake
 //-------------------------------------------------------------------------------------------------
@@ -170,9 +124,10 @@
       m_timers(timers),
       m_clock(clock),
       m_settings(settings),
-      m_phases(settings.m_phase_retention),
+      m_phases(settings.m_phase_retention, settings.m_job_memory_bytes),
       m_watch(std::make_shared<PartWatch>(store, timers, clock, PartWatchSettings{})),
       m_tombstones(settings.m_most_tombstones, settings.m_tombstone_age),
+      m_refusal_reads(kRefusalReads, kRefusalReadsWithin),
       m_metrics(metrics),
       m_accepted(&metrics->GetCounter("hq_jobs_accepted_total")),
       m_unknown(&metrics->GetCounter("hq_jobs_unknown_total")),
@@ -221,6 +176,7 @@
 void Intake::Submit(const Route& route, JobId id, jobs::JobRequest request, Millis time, SubmitCallback callback) {
   const std::string problem = Validate(request);
   if (!problem.empty()) return callback(IntakeError{Malformed{problem}});
+  const std::uint64_t memory = jobs::MemoryOf(request);
   const jobs::Queue& queue = route.m_queue;
   const jobs::AcceptedJob job{id,
                               queue.m_name,
@@ -237,6 +193,9 @@
   write->m_id = id;
   write->m_priority = queue.m_priority;
   write->m_row = jobs::Write(job);
+  if (write->m_row.size() > m_settings.m_max_row_bytes) {
+    return callback(IntakeError{JobTooLarge{"the job takes more than a row of the store"}});
+  }
   write->m_part = PartOf(id);
   write->m_begin = &Intake::BeginSubmission;
   write->m_started = m_clock->Now();
@@ -249,6 +208,15 @@
         ->Add();
     callback(std::move(result));
   };
+  if (!m_phases.Find(id, write->m_started)) {  // A repeated submission takes nothing.
+    const JobRoom::Answer room = m_phases.Room().Take(memory, write->m_started);
+    if (room == JobRoom::Answer::kNever) return Finish(write, IntakeError{JobTooLarge{"the job has too many tasks"}});
+    if (room == JobRoom::Answer::kNotNow) {
+      if (!m_refusal_reads.Take(write->m_started)) return Finish(write, IntakeError{OutcomeUnknown{}});
+      write->m_begin = &Intake::BeginRefusal;
+      return BeginRefusal(write);
+    }
+  }
   const Millis longest =
       HoldTime(Millis{0}, std::min(time, m_settings.m_longest_call), m_held.size(), m_settings.m_outage);
   m_watch->Check(write->m_part, longest, [self = shared_from_this(), write](bool answers) {
@@ -256,6 +224,17 @@
   });
 }
 
+// An earlier attempt may have stored the job, and then a refusal would be untrue.
+void Intake::BeginRefusal(const WritePtr& write) {
+  ReadFirst(write, OnlyRow(JobRow(*write)), [this, write](const store::StoredRow* job) {
+    if (job != nullptr) return Finish(write, Done{});
+    ReadFirst(write, OnlyRow(EndedRow(*write)), [this, write](const store::StoredRow* ended) {
+      if (ended != nullptr && !IsTombstone(*ended)) return Finish(write, Done{});
+      Finish(write, IntakeError{TryLater{kNoRoomRetry, "too much work is held already"}});
+    });
+  });
+}
+
 Intake::Step Intake::SubmissionStep(const Write& write) {
   Step step;
   step.m_transaction.m_checks = {{JobRow(write), Version{}}, {EndedRow(write), Version{}}};
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -28,8 +28,9 @@
 #include "hickoryquay/jobs/job.h"
 #include "hickoryquay/service/outage_policy.h"
 #include "hickoryquay/service/part_watch.h"
+#include "hickoryquay/service/phase_cache.h"
 #include "hickoryquay/service/table_names.h"
-#include "hickoryquay/service/tombstone_budget.h"
+#include "hickoryquay/service/window_budget.h"
 #include "hickoryquay/store/row_store.h"
 
 namespace hickoryquay::service {
@@ -43,6 +44,8 @@
   Millis m_answer_margin{60};         // Callers are answered this long before their timeout.
   Millis m_longest_call{60'000};      // Of a call, whatever its timeout. Shorter than the rows of ended jobs are kept.
   Millis m_phase_retention{120'000};  // Of cached phases.
+  std::size_t m_max_row_bytes = 65'536;   // Of a job; the store takes no larger ones.
+  std::uint64_t m_job_memory_bytes = 0;   // Limit of what a leader holds of jobs until it tells its own; 0: none.
   std::size_t m_most_tombstones = 2'000;  // Of this instance at a time; further cancels of unknown jobs are refused.
   Millis m_tombstone_age{200'000};        // Until JobArchive has deleted a tombstone.
 };
@@ -65,7 +68,12 @@
 struct OutcomeUnknown {};  // The request may have taken effect; it is safe to repeat.
 struct NoSuchJob {};
 
-using IntakeError = std::variant<UnknownQueue, UnknownKey, Malformed, TryLater, OutcomeUnknown, NoSuchJob>;
+// The job can never be stored or held, whoever is asked.
+struct JobTooLarge {
+  std::string m_why;
+};
+
+using IntakeError = std::variant<UnknownQueue, UnknownKey, Malformed, TryLater, OutcomeUnknown, NoSuchJob, JobTooLarge>;
 
 // Queue and client account of a call.
 struct Route {
@@ -76,42 +84,6 @@
 using SubmitCallback = std::function<void(Result<Done, IntakeError>)>;
 using PhaseCallback = std::function<void(Result<jobs::JobPhase, IntakeError>)>;
 
-//-------------------------------------------------------------------------------------------------
-// PhaseCache
-//-------------------------------------------------------------------------------------------------
-
-// Job phases and numbers of waiting jobs, as reported by the leader or read from the store. Not thread-safe.
-class PhaseCache {
- public:
-  explicit PhaseCache(Millis keep) : m_retention(keep) {}
-
-  void Set(JobId job, jobs::JobPhase phase, Instant now);
-  // Drops the phases of jobs that have not ended. For when updates may have been missed.
-  void DropUnfinished();
-  void SetPending(std::map<jobs::QueueName, int> pending, Instant now);
-  // Whether the part of versions before the sixteen parts has rows of jobs, as the leader says.
-  void SetEarlierRows(bool any, Instant now);
-  bool MayHaveEarlierRows(Instant now) const;  // True if the leader has not told recently.
-  // Records a heartbeat of the leader. Phases of unfinished jobs are valid only for a short time after one.
-  void NoteHeartbeat(Instant now) { m_heartbeat_at = now; }
-  std::optional<jobs::JobPhase> Find(JobId job, Instant now) const;
-  std::optional<int> Pending(const jobs::QueueName& queue, Instant now) const;  // Empty if the count is too old.
-  void RemoveExpired(Instant now);
-
- private:
-  struct Entry {
-    jobs::JobPhase m_phase;
-    Instant m_since;
-  };
-  Millis m_retention;
-  std::map<JobId, Entry> m_entries;
-  std::map<jobs::QueueName, int> m_pending;
-  Instant m_pending_at;
-  Instant m_heartbeat_at;
-  Instant m_no_earlier_rows_at;  // When the leader last said that there are none; 0: never, or there are some.
-  bool m_has_pending = false;
-};
-
 //-------------------------------------------------------------------------------------------------
 // Intake
 //-------------------------------------------------------------------------------------------------
@@ -160,6 +132,7 @@
   Step CancelStep(const Write& write, Version job);
   Step TombstoneStep(const Write& write);
   void BeginSubmission(const WritePtr& write);
+  void BeginRefusal(const WritePtr& write);
   void LookForEarlierJob(const WritePtr& write);
   void BeginCancel(const WritePtr& write);
   void CancelInPart(const WritePtr& write, std::function<void()> absent);
@@ -199,7 +172,8 @@
   std::shared_ptr<const jobs::QueueConfiguration> m_configuration;
   PhaseCache m_phases;
   std::shared_ptr<PartWatch> m_watch;
-  TombstoneBudget m_tombstones;
+  WindowBudget m_tombstones;
+  WindowBudget m_refusal_reads;
   std::multimap<int, WritePtr> m_held;  // Until their parts are back, by priority of their queues.
   std::function<void()> m_on_store_available;
   OnAccepted m_on_accepted;
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -49,6 +49,8 @@
   const ArchiveSettings archive;
   IntakeSettings intake;
   intake.m_phase_retention = keep;
+  intake.m_max_row_bytes = settings.m_node.m_terms.m_row_bytes;
+  intake.m_job_memory_bytes = settings::ShareOut(settings.m_node.m_capacity).m_job_bytes;
   intake.m_longest_call = std::min(intake.m_longest_call, keep / 2);
   intake.m_tombstone_age = keep + archive.m_keep_margin + archive.m_scan_rest + kScanTime;
   return intake;
@@ -133,7 +135,8 @@
   });
   const settings::MachineLimits limits = settings::ShareOut(m_settings.m_node.m_capacity);
   m_inner_server = std::make_unique<inner::InnerServer>(
-      m_parts.m_io, node.m_inner, [weak](const inner::Message& message, const inner::Answer& answer) {
+      m_parts.m_io, node.m_inner,
+      [weak](const inner::Message& message, const inner::Answer& answer) {
         if (const auto self = weak.lock()) self->OnMessage(message, answer);
       },
       inner::InnerServerSettings{limits.m_peer_connections, limits.m_frame_bytes, m_parts.m_metrics});
@@ -149,7 +152,11 @@
   beats.m_peers = [this] { return m_peers->Peers(); };
   beats.m_status = [this]() -> std::optional<LeaderStatus> {
     if (!m_leadership->Leading() || !m_driver) return std::nullopt;
-    return LeaderStatus{m_leadership->CurrentEpoch(), m_driver->Pending(), m_driver->MayHaveEarlierRows()};
+    JobMemory memory;  // Not known until all rows are read.
+    if (const auto held = m_driver->JobBytes()) {
+      memory = {*held, settings::ShareOut(m_settings.m_node.m_capacity).m_job_bytes};
+    }
+    return LeaderStatus{m_leadership->CurrentEpoch(), m_driver->Pending(), m_driver->MayHaveEarlierRows(), memory};
   };
   beats.m_on_leader = [this](Epoch epoch) { m_leadership->OnHeartbeat(epoch); };
   beats.m_on_released = [this](Epoch epoch) { m_leadership->OnReleased(epoch); };
--- a/hickoryquay/service/leader_beats.h
+++ b/hickoryquay/service/leader_beats.h
@@ -39,6 +39,7 @@
   Epoch m_epoch{};
   std::optional<std::map<jobs::QueueName, int>> m_pending;  // Of all jobs; empty: not known.
   bool m_may_have_earlier_rows = true;                      // See SchedulerDriver::MayHaveEarlierRows.
+  JobMemory m_job_memory{};
 };
 
 struct BeatParts {
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -79,6 +79,10 @@
   std::optional<std::map<jobs::QueueName, int>> Pending() const;
   // Whether the part of versions before the sixteen parts may have rows of jobs, accepted or ended.
   bool MayHaveEarlierRows() const;
+  // Memory that its jobs take; empty until all rows are read.
+  std::optional<std::uint64_t> JobBytes() const {
+    return m_ready ? std::optional(m_scheduler.JobBytes()) : std::nullopt;
+  }
   jobs::SchedulerCounts Counts() const { return m_scheduler.Counts(); }
   std::optional<jobs::JobPhase> Phase(JobId job) const { return m_scheduler.Phase(job); }
 
--- a/hickoryquay/service/tombstone_budget.h
+++ b/hickoryquay/service/window_budget.h
@@ -1,7 +1,5 @@
-// TombstoneBudget: how many tombstones an instance may leave in the store.
-//
-// Each cancel of an unknown job leaves a row for a while. Without a bound, callers that cancel jobs which nobody
-// submitted would fill the store.
+// WindowBudget: how often something may be done within a time, whatever callers ask for: tombstones left in the store
+// by cancels of jobs that nobody submitted, reads for submissions that are refused.
 //
 // Pure.
 #pragma once
@@ -15,10 +13,10 @@
 namespace hickoryquay::service {
 
 // Not thread-safe.
-class TombstoneBudget {
+class WindowBudget {
  public:
-  // `most` tombstones at a time; each counts for `age`.
-  TombstoneBudget(std::size_t most, Millis age) : m_most(most), m_age(age) {}
+  // `most` at a time; each counts for `age`.
+  WindowBudget(std::size_t most, Millis age) : m_most(most), m_age(age) {}
 
   // Returns false if there are `most` already.
   bool Take(Instant now) {
@@ -28,7 +26,7 @@
     return true;
   }
 
-  // The one taken last was not written.
+  // The one taken last was not done.
   void Return() {
     if (!m_taken.empty()) m_taken.pop_back();
   }
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -49,6 +49,8 @@
   CPPUNIT_TEST(UnfinishedPhaseExpiresWithoutHeartbeats);
   CPPUNIT_TEST(UnknownQueueAndKeyAreDistinguished);
   CPPUNIT_TEST(MalformedJobNeverReachesTheStore);
+  CPPUNIT_TEST(JobThatNoRowHoldsIsRefusedAtOnce);
+  CPPUNIT_TEST(JobsBeyondTheLeadersMemoryAreRefused);
   CPPUNIT_TEST(RefusalsAndCallsAreCountedByReason);
   CPPUNIT_TEST(LostCallIsIgnoredOnceALaterOneIsAnswered);
   CPPUNIT_TEST_SUITE_END();
@@ -435,6 +437,33 @@
     CPPUNIT_ASSERT(m_store->Rows(TableNames{}.m_intake).empty());
   }
 
+  // Guards against jobs that take a request's whole body limit at every instance on their way to a store that won't
+  // have them.
+  void JobThatNoRowHoldsIsRefusedAtOnce() {
+    jobs::JobRequest request;
+    request.m_steps.resize(1);
+    request.m_payload = std::string(IntakeSettings{}.m_max_row_bytes, 'x');
+    CPPUNIT_ASSERT_EQUAL(std::string("too large"), Submit(JobId{1}, Millis{0}, request));
+    CPPUNIT_ASSERT(m_store->Rows(TableNames{}.m_intake).empty());
+  }
+
+  // Guards against a leader that runs out of memory by jobs that wait, and against the refusal of a job that was
+  // stored.
+  void JobsBeyondTheLeadersMemoryAreRefused() {
+    jobs::JobRequest request;
+    request.m_steps.resize(1);
+    m_intake->Phases().Room().OnReport({0, 100'000}, 1, m_clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, kCallerTimeout, request));
+    m_intake->Phases().Room().OnReport({100'000, 100'000}, 1, m_clock.Now());
+    m_timers.Advance(IntakeSettings{}.m_phase_retention);
+    m_intake->Phases().RemoveExpired(m_clock.Now() + Millis{1});
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, kCallerTimeout, request));
+    CPPUNIT_ASSERT_EQUAL(std::string("try later"), Submit(JobId{2}, kCallerTimeout, request));
+    request.m_steps[0].m_tasks = 1'000'000;
+    CPPUNIT_ASSERT_EQUAL(std::string("too large"), Submit(JobId{3}, kCallerTimeout, request));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store->Rows(TableNames{}.m_intake).size());
+  }
+
  private:
   static std::string Text(const Result<Done, IntakeError>& result) {
     if (Ok(result)) return "accepted";
@@ -444,7 +473,8 @@
     return std::visit(
         Overloaded{[](const UnknownQueue&) { return "unknown queue"; }, [](const UnknownKey&) { return "unknown key"; },
                    [](const Malformed&) { return "malformed"; }, [](const TryLater&) { return "try later"; },
-                   [](const OutcomeUnknown&) { return "unknown"; }, [](const NoSuchJob&) { return "no such job"; }},
+                   [](const OutcomeUnknown&) { return "unknown"; }, [](const NoSuchJob&) { return "no such job"; },
+                   [](const JobTooLarge&) { return "too large"; }},
         error);
   }
 
--- /dev/null
+++ b/tests/service/job_room_test.cc
@@ -0,0 +1,78 @@
+// How much work an instance accepts while the leader's memory is short, and how a machine is shared out.
+
+#include "hickoryquay/service/job_room.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "hickoryquay/settings/machine_limits.h"
+
+namespace hickoryquay::service {
+namespace {
+
+using Answer = JobRoom::Answer;
+
+constexpr Instant kNow{1'000'000};
+
+class JobRoomTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(JobRoomTest);
+  CPPUNIT_TEST(InstancesTogetherStayWithinTheLimit);
+  CPPUNIT_TEST(LargeJobFitsAlone);
+  CPPUNIT_TEST(JobOverTheLimitNeverFits);
+  CPPUNIT_TEST(LeaderThatTellsNothingBoundsNothing);
+  CPPUNIT_TEST(SharesOfAMachineStayWithinIt);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against instances that fill the leader's memory between two of its heartbeats.
+  void InstancesTogetherStayWithinTheLimit() {
+    std::uint64_t taken = 0;
+    for (int instance = 0; instance < 4; ++instance) {
+      JobRoom room;
+      room.OnReport({600, 1'000}, 4, kNow);
+      while (room.Take(10, kNow) == Answer::kFits) taken += 10;
+      room.OnReport({600, 1'000}, 4, kNow + Millis{200});  // The leader does not know of them yet.
+      CPPUNIT_ASSERT(room.Take(10, kNow + Millis{200}) == Answer::kNotNow);
+      room.OnReport({600, 1'000}, 4, kNow + Millis{1'200});
+      CPPUNIT_ASSERT(room.Take(10, kNow + Millis{1'200}) == Answer::kFits);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{400}, taken);
+  }
+
+  // Guards against a job within the limit that is refused for good, since it is larger than an instance's part.
+  void LargeJobFitsAlone() {
+    JobRoom room;
+    room.OnReport({0, 1'000}, 8, kNow);
+    CPPUNIT_ASSERT(room.Take(900, kNow) == Answer::kFits);
+    CPPUNIT_ASSERT(room.Take(1, kNow) == Answer::kNotNow);
+  }
+
+  void JobOverTheLimitNeverFits() {
+    JobRoom room(1'000);
+    CPPUNIT_ASSERT(room.Take(1'001, kNow) == Answer::kNever);
+  }
+
+  // Guards against refusals while the leader is of an earlier version.
+  void LeaderThatTellsNothingBoundsNothing() {
+    JobRoom room;
+    room.OnReport({0, 0}, 3, kNow);
+    CPPUNIT_ASSERT(room.Take(1'000'000'000'000, kNow) == Answer::kFits);
+  }
+
+  // Guards against limits that add up to more than there is, on any machine of the platform's pages and smaller ones.
+  void SharesOfAMachineStayWithinIt() {
+    for (const auto& [memory_mb, descriptors] : {std::pair{64, 400}, {160, 4'100}, {260, 4'100}, {512, 8'192}}) {
+      settings::CapacitySection machine;
+      machine.m_memory_mb = memory_mb;
+      machine.m_descriptors = descriptors;
+      const settings::MachineLimits limits = settings::ShareOut(machine);
+      CPPUNIT_ASSERT(limits.m_body_bytes + limits.m_frame_bytes + limits.m_job_bytes <
+                     static_cast<std::uint64_t>(memory_mb) * 1024 * 1024 / 2);
+      CPPUNIT_ASSERT(limits.m_caller_connections + limits.m_peer_connections + 2 * limits.m_probe_connections <
+                     descriptors - 200);
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(JobRoomTest);
+
+}  // namespace
+}  // namespace hickoryquay::service
