Requests: half bodies and silent connections at hickoryquayd give way

What callers saw: 8 half bodies of 8 MB held the memory for all bodies of hickoryquayd for 10 s, and every other body over 16 KB got 503; a chunked body took the largest size there is with its head. 4,096 silent connections shut callers out until their time was over.

Cause: memory was only given back by the request's end or its time, and past the limit the new connection was closed, whoever it belonged to.

Change: the same as for net::HttpServer. A body that finds no room makes the one that arrives most slowly give way, if that has been arriving for over a second; a chunked body takes memory as it grows. A new connection over the limit takes the place of the one longest without a whole request on its thread.

Why it works: what stops halfway is the slowest there is, and what sends nothing is the oldest without a request; both give way to callers who send. A read that was pending when its request was refused is no longer doubled by the one that lingers.

--- a/hickoryquay/routing/caller_session.cc
+++ b/hickoryquay/routing/caller_session.cc
@@ -108,7 +108,10 @@
 }
 
 void CallerSession::Read() {
+  if (m_reading) return;  // Since before its request was refused.
+  m_reading = true;
   m_socket.async_read_some(m_in.Room(), [self = shared_from_this()](const ErrorCode& error, std::size_t bytes) {
+    self->m_reading = false;
     if (self->m_phase != Phase::kClosed) self->OnRead(error, bytes);
   });
 }
@@ -116,10 +119,30 @@
 void CallerSession::OnRead(const ErrorCode& error, std::size_t bytes) {
   if (m_phase == Phase::kLingering) return OnLinger(error, bytes);
   if (error) return Close();
+  if (m_phase == Phase::kWriting) return;  // It was refused while it was read: the rest does not count.
   m_in.Commit(bytes);
   Parse();
 }
 
+// Of a body that holds memory and is not whole yet.
+void CallerSession::NoteArrival() {
+  const std::uint64_t held = m_request.m_memory.Bytes();
+  if (held == 0) return;
+  if (!m_arrival) {
+    m_arrival = m_core->m_arrivals->Begin([weak = weak_from_this(), io = m_thread->m_io] {
+      asio::post(*io, [weak] {
+        if (const auto self = weak.lock()) self->GiveUpBody();
+      });
+    });
+  }
+  m_arrival->m_received = m_request.m_body.size();
+  m_arrival->m_held_bytes = held;
+}
+
+void CallerSession::GiveUpBody() {
+  if (m_phase == Phase::kReading) RefuseAndClose(Reason::kOutOfMemory);
+}
+
 void CallerSession::Parse() {
   if (m_phase == Phase::kIdle) Enter(Phase::kReading, m_core->m_settings.m_request_timeout);
   const ParseResult parsed = m_parser.Put(m_in.Unread());
@@ -128,6 +151,7 @@
     case ParseState::kDone:
       return Handle();
     case ParseState::kMore:
+      NoteArrival();
       if (m_request.m_wants_100 && m_parser.HeaderDone() && !m_continued) Continue();
       return Read();
     case ParseState::kHeaderTooLarge:
@@ -135,6 +159,7 @@
     case ParseState::kBodyTooLarge:
       return RefuseAndClose(Reason::kBodyTooLarge);
     case ParseState::kOutOfMemory:
+      m_core->m_arrivals->GiveUpSlowest(1, m_arrival.get());
       return RefuseAndClose(Reason::kOutOfMemory);
     case ParseState::kMalformed:
       return RefuseAndClose(Reason::kMalformed);
@@ -149,6 +174,7 @@
 }
 
 void CallerSession::Handle() {
+  m_arrival.reset();
   ++m_requests;
   m_keep = m_request.m_keep_alive;
   Enter(Phase::kHandling, kForever);
@@ -244,6 +270,9 @@
 
 void CallerSession::RefuseAndClose(Reason reason) {
   m_keep = false;
+  m_arrival.reset();
+  m_request.m_memory.Release();
+  std::string().swap(m_request.m_body);
   SendReason(reason);
 }
 
--- a/hickoryquay/routing/caller_session.h
+++ b/hickoryquay/routing/caller_session.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "hickoryquay/net/arrivals.h"
 #include "hickoryquay/net/http.h"
 #include "hickoryquay/routing/exchange.h"
 #include "hickoryquay/routing/http_parser.h"
@@ -36,6 +37,12 @@
   // Cuts the connection, whatever is in flight.
   void Close();
 
+  // Nothing of it is being handled or answered.
+  bool MayGiveWay() const {
+    return m_phase == Phase::kIdle || m_phase == Phase::kReading || m_phase == Phase::kLingering;
+  }
+  Instant PhaseBegan() const { return m_phase_began; }
+
  private:
   friend class Roster<CallerSession>;
   using ErrorCode = boost::system::error_code;
@@ -55,6 +62,8 @@
   void Read();
   void OnRead(const ErrorCode& error, std::size_t bytes);
   void Continue();
+  void NoteArrival();
+  void GiveUpBody();
   void Handle();
   void HandleElsewhere();
   void SendResponse(net::HttpResponse response);
@@ -75,6 +84,8 @@
   ReadBuffer m_in;
   RequestParser m_parser;
   RequestHead m_request;
+  std::shared_ptr<net::Arrival> m_arrival;  // Of a long body that is being received.
+  bool m_reading = false;                   // A read is pending.
   Exchange m_exchange;
   Phase m_phase = Phase::kIdle;
   Instant m_expires;  // Of the phase.
--- a/hickoryquay/routing/http_parser.cc
+++ b/hickoryquay/routing/http_parser.cc
@@ -1,5 +1,6 @@
 #include "hickoryquay/routing/http_parser.h"
 
+#include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <optional>
@@ -51,23 +52,33 @@
     }
   }
   void on_body_init_impl(const boost::optional<std::uint64_t>& length, ErrorCode& error) override {
-    const std::uint64_t expected = length.value_or(this->chunked() ? m_limits.m_body_bytes : 0);
-    if (m_head->m_memory.Take(m_limits.m_memory, expected)) return;
-    m_out_of_memory = true;
-    error = http::error::body_limit;
+    if (length && !Hold(*length)) error = http::error::body_limit;
   }
   std::size_t on_body_impl(BeastView body, ErrorCode&) override {
     m_head->m_body.append(body.data(), body.size());
     return body.size();
   }
   void on_chunk_header_impl(std::uint64_t, BeastView, ErrorCode&) override {}
-  std::size_t on_chunk_body_impl(std::uint64_t, BeastView body, ErrorCode&) override {
+  std::size_t on_chunk_body_impl(std::uint64_t, BeastView body, ErrorCode& error) override {
+    const std::size_t wanted = m_head->m_body.size() + body.size();
+    const std::size_t room = m_head->m_body.capacity();
+    if (wanted > room && !Hold(std::max(wanted, room + room / 2))) {
+      error = http::error::body_limit;
+      return 0;
+    }
     m_head->m_body.append(body.data(), body.size());
     return body.size();
   }
   void on_finish_impl(ErrorCode&) override {}
   // NOLINTEND(readability-identifier-naming)
 
+  // Makes room for a body of so many bytes, and no more.
+  bool Hold(std::uint64_t bytes) {
+    m_out_of_memory = !m_head->m_memory.Take(m_limits.m_memory, bytes);
+    if (!m_out_of_memory) m_head->m_body.reserve(bytes);
+    return !m_out_of_memory;
+  }
+
   Head* m_head;
   MessageLimits m_limits;
   bool m_out_of_memory = false;
--- a/hickoryquay/routing/request_core.h
+++ b/hickoryquay/routing/request_core.h
@@ -9,6 +9,7 @@
 #include "hickoryquay/base/clock.h"
 #include "hickoryquay/base/memory_budget.h"
 #include "hickoryquay/base/metrics.h"
+#include "hickoryquay/net/arrivals.h"
 #include "hickoryquay/net/http.h"
 #include "hickoryquay/routing/backend_connection.h"
 #include "hickoryquay/routing/claim_sweeper.h"
@@ -31,6 +32,7 @@
   std::shared_ptr<Claims> m_claims;
   std::unique_ptr<ClaimSweeper> m_sweeper;
   std::shared_ptr<MemoryBudget> m_memory;
+  std::unique_ptr<net::Arrivals> m_arrivals;  // Of callers' bodies.
   ConnectionLimits m_connection_limits;
   std::vector<std::unique_ptr<RequestThread>> m_threads;
   std::atomic<bool> m_draining{false};
@@ -40,6 +42,7 @@
   Counter* m_retries = nullptr;
   Counter* m_hedges = nullptr;
   Counter* m_refused_connections = nullptr;
+  Counter* m_replaced_connections = nullptr;
   Distribution* m_latency_ms = nullptr;  // Of one request in kLatencySampleEvery.
 };
 
--- a/hickoryquay/routing/request_server.cc
+++ b/hickoryquay/routing/request_server.cc
@@ -25,12 +25,14 @@
 namespace {
 
 constexpr log::Part kLog{"requests"};
-constexpr Millis kTick{10};  // How late a deadline may be seen.
+constexpr Millis kTick{10};             // How late a deadline may be seen.
+constexpr int kClosingConnections = 8;  // Beyond the limit, while others give way to them.
 
 std::shared_ptr<RequestCore> MakeCore(const RequestSettings& settings, const std::vector<asio::io_context*>& threads,
                                       const Clock* clock, Metrics* metrics) {
   auto core = std::make_shared<RequestCore>(settings);
   core->m_clock = clock;
+  core->m_arrivals = std::make_unique<net::Arrivals>(core->m_memory, clock);
   core->m_connection_limits.m_answer = {settings.m_max_header_bytes, settings.m_max_answer_bytes, core->m_memory};
   for (asio::io_context* io : threads) {
     auto thread = std::make_unique<RequestThread>();
@@ -48,6 +50,7 @@
   core->m_retries = &metrics->GetCounter("hq_requests_retried_total");
   core->m_hedges = &metrics->GetCounter("hq_requests_hedged_total");
   core->m_refused_connections = &metrics->GetCounter("hq_callers_refused_connections_total");
+  core->m_replaced_connections = &metrics->GetCounter("hq_callers_replaced_connections_total");
   core->m_latency_ms = &metrics->GetDistribution("hq_request_ms");
   return core;
 }
@@ -79,6 +82,7 @@
   void Bind();
   void Accept();
   void Admit(RequestThread* thread, tcp::socket socket);
+  bool MakeRoom(RequestThread* thread);
   void AcceptBacklog();
   void Tick();
   void TickThread(RequestThread* thread);
@@ -147,13 +151,31 @@
 }
 
 void RequestServer::Impl::Admit(RequestThread* thread, tcp::socket socket) {
-  if (++m_core->m_sessions > m_core->m_settings.m_max_connections) {
+  const int before = m_core->m_sessions++;
+  const int limit = m_core->m_settings.m_max_connections;
+  if (before >= limit + kClosingConnections) {
     --m_core->m_sessions;
     m_core->m_refused_connections->Add();
     return;
   }
   auto session = std::make_shared<CallerSession>(m_core, thread, std::move(socket));
-  asio::post(*thread->m_io, [session = std::move(session)] { session->Start(); });
+  asio::post(*thread->m_io, [self = shared_from_this(), thread, session = std::move(session), full = before >= limit] {
+    if (full && !self->MakeRoom(thread)) return self->m_core->m_refused_connections->Add();
+    session->Start();
+  });
+}
+
+// Closes the connection of this thread that has gone longest without a whole request.
+bool RequestServer::Impl::MakeRoom(RequestThread* thread) {
+  std::shared_ptr<CallerSession> longest;
+  for (auto& session : thread->m_sessions.Alive()) {
+    const bool longer = session->MayGiveWay() && (!longest || session->PhaseBegan() < longest->PhaseBegan());
+    if (longer) longest = std::move(session);
+  }
+  if (!longest) return false;
+  m_core->m_replaced_connections->Add();
+  longest->Close();
+  return true;
 }
 
 // What the kernel has accepted already would be cut by closing the acceptor.
--- a/hickoryquay/routing/request_server.h
+++ b/hickoryquay/routing/request_server.h
@@ -36,9 +36,9 @@
   std::uint64_t m_max_body_bytes = 1024 * 1024;         // Of a request.
   std::uint64_t m_max_answer_bytes = 4 * 1024 * 1024;   // Of a backend server's answer.
   std::uint64_t m_max_bodies_bytes = 64 * 1024 * 1024;  // All large bodies in flight together.
-  int m_max_connections = 1024;                         // Of callers; further ones are closed at once.
-  Millis m_request_timeout{10'000};                     // From a request's first byte to its last.
-  Millis m_write_timeout{10'000};                       // For a caller to take an answer.
+  int m_max_connections = 1024;      // Of callers; a further one takes the place of the one longest without a request.
+  Millis m_request_timeout{10'000};  // From a request's first byte to its last.
+  Millis m_write_timeout{10'000};    // For a caller to take an answer.
   Millis m_idle_timeout{60'000};
 
   Millis m_default_deadline{30'000};  // Where neither request nor class of work has one.
