Servers: accepting pauses where it fails

Where no descriptor is left, accepting fails at once as long as a connection waits, and all three servers tried again without a pause, which takes the whole processor. Shown by no run: it needs a process at its limit of descriptors, and limits stay as they are.

--- a/hickoryquay/inner/server.cc
+++ b/hickoryquay/inner/server.cc
@@ -8,6 +8,7 @@
 
 #include "hickoryquay/inner/channel.h"
 #include "hickoryquay/inner/frame_stream.h"
+#include "hickoryquay/net/accept_again.h"
 #include "hickoryquay/net/refusals.h"
 
 namespace hickoryquay::inner {
@@ -41,7 +42,9 @@
                             [self = shared_from_this()](const error_code& error, tcp::socket socket) {
                               if (error == asio::error::operation_aborted) return;
                               if (!error) self->Serve(std::move(socket));
-                              self->Accept();
+                              net::AcceptAgain(self->m_acceptor.get_executor(), error, [self] {
+                                if (self->m_acceptor.is_open()) self->Accept();
+                              });
                             });
   }
 
--- a/hickoryquay/net/server.cc
+++ b/hickoryquay/net/server.cc
@@ -12,6 +12,7 @@
 #include <optional>
 #include <stdexcept>
 
+#include "hickoryquay/net/accept_again.h"
 #include "hickoryquay/net/arrivals.h"
 #include "hickoryquay/net/http.h"
 #include "hickoryquay/net/refusals.h"
@@ -455,7 +456,9 @@
                           [self = shared_from_this()](const beast::error_code& error, tcp::socket socket) {
                             if (error == asio::error::operation_aborted || self->m_draining) return;
                             if (!error) self->Admit(std::move(socket));
-                            self->Accept();
+                            AcceptAgain(self->m_acceptor.get_executor(), error, [self] {
+                              if (!self->m_draining) self->Accept();
+                            });
                           });
 }
 
--- a/hickoryquay/routing/request_server.cc
+++ b/hickoryquay/routing/request_server.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "hickoryquay/base/log.h"
+#include "hickoryquay/net/accept_again.h"
 #include "hickoryquay/routing/caller_session.h"
 #include "hickoryquay/routing/request_core.h"
 #include "hickoryquay/routing/share_keeper.h"
@@ -146,7 +147,9 @@
   m_acceptor.async_accept(
       *thread->m_io, [self = shared_from_this(), thread](const boost::system::error_code& error, tcp::socket socket) {
         if (!error) self->Admit(thread, std::move(socket));
-        if (self->m_acceptor.is_open()) self->Accept();
+        net::AcceptAgain(self->m_acceptor.get_executor(), error, [self] {
+          if (self->m_acceptor.is_open()) self->Accept();
+        });
       });
 }
 
