Settings: connections of callers follow from the memory too

A machine of 120 MB with 3,075 descriptors took 958 connections; each may hold 70 KB of heads, short bodies and unread bytes, beside bodies, frames and jobs more than there is. One for each 160 KB now: 768 there, 1,024 on larger machines as before.

--- a/hickoryquay/settings/machine_limits.h
+++ b/hickoryquay/settings/machine_limits.h
@@ -24,13 +24,15 @@
   constexpr std::uint64_t kMegabyte = 1024 * 1024;
   constexpr int kReservedDescriptors = 200;  // The platform keeps them for files.
   constexpr int kMaxCallers = 1'024;
+  constexpr std::uint64_t kConnectionBytes =
+      160 * 1024;  // A head, a short body, and what the kernel keeps, twice over.
   const std::uint64_t memory = static_cast<std::uint64_t>(machine.m_memory_mb) * kMegabyte;
   const int sockets = std::max(kReservedDescriptors, machine.m_descriptors - kReservedDescriptors);
   MachineLimits limits;
   limits.m_body_bytes = memory / 10;
   limits.m_frame_bytes = memory / 10;
   limits.m_job_bytes = memory / 4;
-  limits.m_caller_connections = std::min(kMaxCallers, sockets / 3);
+  limits.m_caller_connections = std::min({kMaxCallers, sockets / 3, static_cast<int>(memory / kConnectionBytes)});
   limits.m_probe_connections = 12;
   limits.m_peer_connections = sockets / 3;  // The last third is for connections that the instance opens itself.
   return limits;
