Soak: clients that don't behave

In every third seed crowds of tests/crowd press one instance after the other, beside all other faults, and no instance may have held more than the 128 MB that count without a setting.

--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -1,7 +1,9 @@
 """Faults from outside the instances, one entry each, and how they come: in series, one over the other, with calm between."""
 import asyncio
 import contextlib
+import os
 import signal
+import sys
 
 LONGEST_S = 5.0
 SAME_SHARE = 0.3          # Of the series: the same fault again and again.
@@ -185,6 +187,30 @@
         late[self.instance.index].remove(self.name)
 
 
+class Crowd:
+    """Clients that don't behave open connections to one instance and keep them for a while; see tests/crowd."""
+
+    SHAPES = ("half_chunk", "small_chunks", "half_body", "endless", "half_head", "silent", "nested", "wide_json",
+              "wrong_key", "waves:half_body")
+    SCRIPT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "tests", "crowd", "crowd.py")
+
+    def __init__(self, soak, random):
+        self.soak, self.instance, self.length = soak, random.choice(soak.instances), random.uniform(0.5, LONGEST_S)
+        self.shape, self.count = random.choice(self.SHAPES), random.randint(20, 100)
+
+    def __str__(self):
+        return f"crowd node-{self.instance.index} {self.shape} {self.count} {self.length:.1f}"
+
+    async def play(self):
+        host, port = self.instance.callers
+        words = [sys.executable, self.SCRIPT, self.shape, host, str(port), str(self.count), "/q0/", "soak.example"]
+        process = await asyncio.create_subprocess_exec(*words, stdin=asyncio.subprocess.PIPE,
+                                                       stdout=asyncio.subprocess.DEVNULL)
+        await asyncio.sleep(self.length)
+        process.stdin.close()
+        await process.wait()
+
+
 def draw(soak):
     return soak.random.choices(list(KINDS), [weight for weight, _ in KINDS.values()])[0]
 
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -30,7 +30,8 @@
 
 
 CALLERS, READY, INNER = 7001, 7002, 7003
-BUSY_EACH, FAILING_EACH, CRASHING_EACH = 7, 5, 11  # Seeds.
+BUSY_EACH, FAILING_EACH, CRASHING_EACH, CROWD_EACH = 7, 5, 11, 3  # Seeds.
+MEMORY_MB = 128                                    # Of an instance's machine: the default of its settings.
 FAILING_JOBS, CRASHING_JOBS = 2, 1                 # In these.
 ROW_STAYS_S = 1.0                                  # Of a worker that crashed.
 
@@ -186,6 +187,22 @@
         if late:
             await late
 
+    async def crowds(self):
+        """Clients that don't behave, drawn apart."""
+        drawn = random.Random(f"crowd {self.options.seed}")
+        while not self.over:
+            await asyncio.sleep(drawn.uniform(0.5, 2.0))
+            await self.play(faults.Crowd(self, drawn))
+
+    def check_memory(self):
+        """No instance has held more than its machine has."""
+        for instance in self.instances:
+            with contextlib.suppress(OSError):
+                with open(f"/proc/{instance.process.pid}/status", encoding="ascii") as file:
+                    peak = next((int(line.split()[1]) / 1024 for line in file if line.startswith("VmHWM:")), 0.0)
+                if peak > MEMORY_MB:
+                    self.farm.wrong.append(f"node-{instance.index} held {peak:.0f} MB, of {MEMORY_MB}")
+
     def lasting(self):
         """Jobs that last and that nobody has cancelled."""
         return [job for job in self.farm.jobs.values()
@@ -231,6 +248,8 @@
         if self.options.seed % CRASHING_EACH == 0:
             self.farm.on_crash = lambda worker: asyncio.ensure_future(self.crash(worker))
             clients.append(asyncio.ensure_future(self.hand_in(jobs.CRASHING, CRASHING_JOBS)))
+        if self.options.seed % CROWD_EACH == 0 and not self.options.calm:
+            clients.append(asyncio.ensure_future(self.crowds()))
         left = self.options.seconds - (time.monotonic() - self.begun)
         running = []
         if self.options.calm:
@@ -243,6 +262,7 @@
         await asyncio.gather(*running)
         for instance in self.instances:
             instance.signal(signal.SIGCONT)
+        self.check_memory()
         await self.check_configuration()
         await self.cancel_all([job for job in self.lasting() if job.kind.fails])  # They would keep racks from being empty.
         await self.check()
--- a/tests/crowd/crowd.py
+++ b/tests/crowd/crowd.py
@@ -1,12 +1,14 @@
 #!/usr/bin/env python3
-"""Misbehaving clients of one address. `crowd.py SHAPE HOST PORT COUNT` opens COUNT connections, sends on each what the
-shape says, prints "open", keeps the connections until standard input ends, then prints the statuses it was answered."""
+"""Misbehaving clients of one address. `crowd.py SHAPE HOST PORT COUNT [PREFIX NAME]` opens COUNT connections, sends on
+each what the shape says, prints "open", keeps the connections until standard input ends, then prints the statuses it was
+answered. PREFIX and NAME are those of a queue: the begin of its path, and its host."""
 import asyncio
 import collections
 import json
 import sys
 
-HEAD = "POST /jobs/{id:016x} HTTP/1.1\r\nHost: crowd.example\r\nAuthorization: Token {key}\r\n"
+PREFIX, NAME = sys.argv[5:7] or ("/jobs/", "crowd.example")
+HEAD = "POST " + PREFIX + "{id:016x} HTTP/1.1\r\nHost: " + NAME + "\r\nAuthorization: Token {key}\r\n"
 OVER_LIMIT, IN_LIMIT = 1_040_000, 262_100  # Bytes of a body; the platform's limit is 262,144.
 STALLED_S = 5.0                            # A write that the peer does not take in is given up.
 ANSWERED_S = 30.0                          # So is an answer.
