--- a/hickoryquay/service/leader_beats.cc
+++ b/hickoryquay/service/leader_beats.cc
@@ -89,7 +89,7 @@
   m_parts.m_phases->NoteHeartbeat(now);
   beat.__set_job_bytes_held(static_cast<std::int64_t>(status->m_job_memory.m_held_bytes));
   beat.__set_job_bytes_limit(static_cast<std::int64_t>(status->m_job_memory.m_limit_bytes));
-  m_parts.m_phases->Room().OnReport(status->m_job_memory, m_parts.m_peers().size() + 1, now);
+  m_parts.m_phases->Room().OnReport(status->m_job_memory, now);
   SendToAll(beat);
 }
 
@@ -192,7 +192,7 @@
   cache.NoteHeartbeat(now);
   // A leader of an earlier version tells neither.
   const auto bytes = [](std::int64_t value) { return static_cast<std::uint64_t>(std::max<std::int64_t>(0, value)); };
-  cache.Room().OnReport({bytes(beat.job_bytes_held), bytes(beat.job_bytes_limit)}, m_parts.m_peers().size() + 1, now);
+  cache.Room().OnReport({bytes(beat.job_bytes_held), bytes(beat.job_bytes_limit)}, now);
 }
 
 void LeaderBeats::PassOn(const wire::LeaderBeat& beat) {
