--- a/hickoryquay/net/server.cc
+++ b/hickoryquay/net/server.cc
@@ -440,7 +440,7 @@
     beast::error_code ignored;
     m_acceptor.set_option(asio::socket_base::receive_buffer_size(kReceiveBuffer), ignored);  // Connections inherit it.
     m_acceptor.bind(at);
-    m_acceptor.listen(std::min<int>(m_settings.m_max_connections, asio::socket_base::max_listen_connections));
+    m_acceptor.listen(std::min(m_settings.m_max_connections, int{asio::socket_base::max_listen_connections}));
   } catch (const boost::system::system_error& error) {
     throw std::runtime_error("cannot listen on " + ToString(m_settings.m_listen) + ": " + error.code().message());
   }
