Requests: a stopped server does not wait to accept again

The aborted accept ends it at once again, as before. routing_path_test and routing_threads_test pass. An include that nothing needs is gone.

--- a/hickoryquay/inner/server.cc
+++ b/hickoryquay/inner/server.cc
@@ -4,7 +4,6 @@
 #include <mutex>
 #include <stdexcept>
 #include <utility>
-#include <vector>
 
 #include "hickoryquay/inner/channel.h"
 #include "hickoryquay/inner/frame_stream.h"
--- a/hickoryquay/routing/request_server.cc
+++ b/hickoryquay/routing/request_server.cc
@@ -147,6 +147,7 @@
   m_acceptor.async_accept(
       *thread->m_io, [self = shared_from_this(), thread](const boost::system::error_code& error, tcp::socket socket) {
         if (!error) self->Admit(thread, std::move(socket));
+        if (!self->m_acceptor.is_open()) return;
         net::AcceptAgain(self->m_acceptor.get_executor(), error, [self] {
           if (self->m_acceptor.is_open()) self->Accept();
         });
