--- a/hickoryquay/jobs/evacuation.h
+++ b/hickoryquay/jobs/evacuation.h
@@ -30,6 +30,13 @@
   std::map<DomainId, bool> m_domains;  // Whether the domain is evacuated.
 };
 
+// State of a failure domain that is evacuated.
+struct EvacuatedDomain {
+  int m_workers = 0;
+  int m_runs = 0;        // That are or may be there.
+  int m_unanswered = 0;  // Of these, the ones that are not known to run: their start may still arrive.
+};
+
 // What a merge has changed.
 struct EvacuationChange {
   std::set<DomainId> m_added;
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "hickoryquay/jobs/commands.h"
+#include "hickoryquay/jobs/evacuation.h"
 #include "hickoryquay/jobs/idle_jobs.h"
 #include "hickoryquay/jobs/incarnation.h"
 #include "hickoryquay/jobs/job.h"
@@ -50,13 +51,6 @@
   int m_accelerators = 0;
 };
 
-// State of a failure domain that is evacuated.
-struct EvacuatedDomain {
-  int m_workers = 0;
-  int m_runs = 0;        // That are or may be there.
-  int m_unanswered = 0;  // Of these, the ones that are not known to run: their start may still arrive.
-};
-
 // Not thread-safe.
 class Scheduler {
  public:
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -13,7 +13,8 @@
 
 constexpr log::Part kLog{"intake"};
 constexpr Millis kNoRoomRetry{5'000};
-constexpr std::size_t kRefusalReads = 100;  // Of submissions that are refused for want of room; others stay unknown.
+constexpr std::size_t kRefusalReads =
+    100;  // Within kRefusalReadsWithin; further refusals say that the outcome is unknown.
 constexpr Millis kRefusalReadsWithin{1'000};
 constexpr int kRejectionsToAnswer = 2;  // A peer that passes calls on may have rejected one for reasons of its own.
 
