Tests: further clients that don't behave

Bodies within the limit in one chunk, in chunks of one byte, and for a route that does not exist; frames at hickoryquayd's inner address; and a slow honest caller with a body at the limit of 262,144 bytes, who has to be served in calm. slow_caller plays as before.

--- a/tests/crowd/crowd.py
+++ b/tests/crowd/crowd.py
@@ -32,10 +32,23 @@
     yield head(number, "Transfer-Encoding: chunked") + chunk(b" " * OVER_LIMIT)[:-3]
 
 
+def half_chunk_in_limit(number):
+    yield head(number, "Transfer-Encoding: chunked") + chunk(b" " * IN_LIMIT)[:-3]
+
+
+def chunks_of(size, total):
+    each = chunk(b" " * size) * 512
+    return (each for _ in range(total // (512 * size)))
+
+
 def small_chunks(number):
     yield head(number, "Transfer-Encoding: chunked")
-    for _ in range(OVER_LIMIT // 4096):
-        yield chunk(b" " * 8) * 512
+    yield from chunks_of(8, OVER_LIMIT)
+
+
+def byte_chunks(number):
+    yield head(number, "Transfer-Encoding: chunked")
+    yield from chunks_of(1, IN_LIMIT)
 
 
 def half_body(number):
@@ -95,6 +108,10 @@
     yield sized(number, b" " * IN_LIMIT, key="other")
 
 
+def wrong_route(number):
+    yield sized(number, b" " * IN_LIMIT).replace(PREFIX.encode(), b"/nowhere/", 1)
+
+
 def unread(number):
     """Requests on end whose answers nobody reads."""
     for _ in range(50):
@@ -107,9 +124,9 @@
 
 
 SHAPES = {shape.__name__: shape for shape in (
-    half_chunk, small_chunks, half_body, announced, endless, half_head, silent, wide_job, many_tasks, many_jobs,
-    million_tasks, nested, wide_json, wrong_key, unread, frame)}
-WHOLE = {wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key}  # Their answers are waited for.
+    half_chunk, half_chunk_in_limit, small_chunks, byte_chunks, half_body, announced, endless, half_head, silent, wide_job, many_tasks, many_jobs,
+    million_tasks, nested, wide_json, wrong_key, wrong_route, unread, frame)}
+WHOLE = {wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key, wrong_route}  # Answers are awaited.
 
 
 async def read_answers(reader, answers, expected, answered):
--- a/tests/crowd/crowd_test.py
+++ b/tests/crowd/crowd_test.py
@@ -68,15 +68,15 @@
     await world.serve_ordinary("afterwards")
 
 
-async def slow_caller(world):
-    """A job at the limit of a row over a thin link is served while nobody else presses."""
-    job = {"spec": "x" * 40_000, "steps": [{"count": 1, "cpu": 500, "memMb": 64}]}
+async def send_slowly(world, job, padding, pieces):
+    """One job at one instance, a piece a second."""
     body = json.dumps(job).encode()
+    body += b" " * (padding - len(body))
     reader, writer = await asyncio.open_connection(world.hosts[0], CALLERS)
     lines = [f"Content-Length: {len(body)}"] + [f"{name}: {value}" for name, value in worlds.KEY.items()]
     writer.write(("POST /jobs/00000000000000aa HTTP/1.1\r\n" + "\r\n".join(lines) + "\r\n\r\n").encode())
-    for i in range(0, len(body), 4_000):
-        writer.write(body[i:i + 4_000])
+    for i in range(0, len(body), -(-len(body) // pieces)):
+        writer.write(body[i:i - (-len(body) // pieces)])
         await writer.drain()
         await asyncio.sleep(1.0)
     status = (await asyncio.wait_for(reader.readline(), worlds.PATIENCE_S)).split(b" ")[1]
@@ -84,11 +84,23 @@
     writer.close()
 
 
+async def slow_caller(world):
+    """A job with a large text over a thin link is served while nobody else presses."""
+    await send_slowly(world, {"spec": "x" * 40_000, "steps": [{"count": 1, "cpu": 500, "memMb": 64}]}, 0, 10)
+
+
+async def slow_caller_at_limit(world):
+    """So is a body at the limit of the configuration, of 262,144 bytes."""
+    await send_slowly(world, {"spec": "x", "steps": [{"count": 1, "cpu": 500, "memMb": 64}]}, 262_144, 25)
+
+
 CASES = {
     "half_chunk": crowd_case("half_chunk", 120),
     "half_chunk_ready": crowd_case("half_chunk", 120, READY),
     "half_chunk_metrics": crowd_case("half_chunk", 120, METRICS),
+    "half_chunk_in_limit": crowd_case("half_chunk_in_limit", 300),
     "small_chunks": crowd_case("small_chunks", 120),
+    "byte_chunks": crowd_case("byte_chunks", 190),
     "half_body": crowd_case("half_body", 300),
     "announced": crowd_case("announced", 150),
     "endless": crowd_case("endless", 100),
@@ -103,18 +115,21 @@
     "nested": crowd_case("nested", 150),
     "wide_json": crowd_case("wide_json", 150),
     "wrong_key": crowd_case("wrong_key", 150),
+    "wrong_route": crowd_case("wrong_route", 150),
     "unread": crowd_case("unread", 150),
     "unread_metrics": crowd_case("unread", 150, METRICS),
     "inner_frame": crowd_case("frame", 40, INNER),
     "inner_silent": crowd_case("silent", 1_100, INNER, beside=True),
     "drain": drain,
     "slow_caller": slow_caller,
+    "slow_caller_at_limit": slow_caller_at_limit,
 }
 ENTRY_CASES = {
     "entry_half_chunk": crowd_case("half_chunk", 300),
     "entry_half_chunk_admin": crowd_case("half_chunk", 300, ADMIN),
     "entry_half_body": crowd_case("half_body", 300),
     "entry_silent": crowd_case("silent", 500, beside=True),
+    "entry_inner_frame": crowd_case("frame", 80, INNER),
     "entry_silent_admin": crowd_case("silent", 1_100, ADMIN, beside=True),
 }
 
