Inner: answers that no peer reads are on the account of frames

What waits to be sent is on the account of the frames that arrive now, a tenth of the machine's memory; where that is used up the peer that doesn't read is cut off.

--- a/hickoryquay/inner/frame_stream.cc
+++ b/hickoryquay/inner/frame_stream.cc
@@ -71,6 +71,7 @@
   m_queue.push_back(Encode(frame));
   m_queued_bytes += m_queue.back().size();
   if (m_queued_bytes > kMaxQueuedBytes) return Close("the peer does not read");
+  if (!m_queue_hold.Take(m_memory, m_queued_bytes)) return Close("too many peers do not read");
   if (m_queue.size() == 1) WriteNext();
 }
 
@@ -82,6 +83,7 @@
                       if (self->m_closed) return;
                       self->m_queued_bytes -= self->m_queue.front().size();
                       self->m_queue.pop_front();
+                      self->m_queue_hold.Take(self->m_memory, self->m_queued_bytes);
                       if (!self->m_queue.empty()) self->WriteNext();
                     });
 }
@@ -91,6 +93,7 @@
   m_closed = true;
   error_code ignored;
   m_socket.close(ignored);
+  m_hold.Release();
   m_on_frame = nullptr;
   const OnClosed on_closed = std::exchange(m_on_closed, nullptr);
   if (on_closed) on_closed(why);
--- a/hickoryquay/inner/frame_stream.h
+++ b/hickoryquay/inner/frame_stream.h
@@ -26,14 +26,14 @@
   using OnFrame = std::function<void(Frame)>;
   using OnClosed = std::function<void(const std::string& why)>;
 
-  // `memory` bounds the frames that arrive, of all streams that share it; null: not bounded.
+  // `memory` bounds the frames that arrive or wait to be sent, of all streams that share it; null: not bounded.
   FrameStream(boost::asio::ip::tcp::socket socket, std::shared_ptr<TrafficCounters> counters,
               std::shared_ptr<MemoryBudget> memory = nullptr);
 
   // Delivers frames until the connection ends; then calls `closed` once.
   void Start(OnFrame on_frame, OnClosed on_closed);
 
-  // Queues one frame. A peer that doesn't read is cut off once kMaxQueuedBytes wait for it.
+  // Queues one frame. A peer that doesn't read is cut off once kMaxQueuedBytes wait for it, or where memory is short.
   void Write(const Frame& frame);
   void Close(const std::string& why);
 
@@ -44,7 +44,7 @@
 
  private:
   static constexpr std::size_t kMaxQueuedBytes = 8 * 1024 * 1024;
-  static constexpr std::size_t kFirstBytes = 64 * 1024;  // Of a body; also what a stream keeps between frames.
+  static constexpr std::size_t kFirstBytes = MemoryHold::kUncounted;  // Of a body; also what is kept between frames.
 
   void ReadLength();
   void ReadBody();
@@ -64,6 +64,7 @@
   std::uint64_t m_received_bytes = 0;
   std::deque<std::string> m_queue;
   std::size_t m_queued_bytes = 0;
+  MemoryHold m_queue_hold;  // Covers m_queue.
   bool m_closed = false;
 };
 
