Jobs: a gang for one rack waits no longer than it would lose on several

What callers saw: an accepted job stays queued for as long as work that lasts keeps a worker of each rack busy.

Cause: the bound of preferences needs room twice over in a pool that is used for less than half. A gang that fits once and not twice into what is free waits for an empty rack without an end.

Change: the time in which such a gang would have fitted on several racks is summed apart. Once it is as long as what the gang loses there, (remote_factor - 1) times its estimate and at least the bound of preferences, it takes any room. The wait has then cost its caller as much, so both together never cost more than twice the better of the two. It holds at any use of the pool, and a new leader credits the time since the job was accepted.

The free share has the same gap where room is short, which stays open.

--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -194,10 +194,13 @@
   bool LeavesTooFewFree(const Unit& unit, Now now) const;
   bool PrefersDataRack(const Unit& unit, Now now) const;
   bool HasWaitedLongEnough(const StepState& step, Now now) const;
+  Millis LongestWaitForRack(const StepSpec& spec) const;
+  bool MayLeaveRack(const Unit& unit, Now now) const;
+  bool FitsIntoFreeRoom(const Unit& unit, int times);
   bool HasAmpleRoom(const Unit& unit);
   void NoteHeldBack(const Unit& unit, Now now);
   void NoteStopping(Now now);
-  Millis WaitBeforeTakeover(const StepState& step, Now now) const;
+  Millis WaitBeforeTakeover(const StepState& step, Millis bound, Now now) const;
   std::vector<StepState*> ReadySteps(Now now);
   const Candidates& CandidatesFor(const Unit& unit);
   const PoolPace& PaceOf(const PoolName& pool, Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -125,18 +125,29 @@
   return step.m_held_back.HasLasted(m_settings.m_longest_preference, now.m_steady);
 }
 
-// The unit fits twice into what is free, and the pool is lightly used: room that is taken now is not missed by others.
-// A limit per worker holds for each of the two. Workers that return soon count: the step would wait for them, and then
-// for as long again. A step that lasts serves its callers at any load.
-bool Scheduler::HasAmpleRoom(const Unit& unit) {
+// What a gang for one rack loses where it runs on several. A wait of that length has cost its caller as much.
+Millis Scheduler::LongestWaitForRack(const StepSpec& spec) const {
+  const double lost_ms = (m_settings.m_remote_factor - 1.0) * static_cast<double>(spec.m_estimate.count());
+  return std::max(m_settings.m_longest_preference, Millis{static_cast<std::int64_t>(lost_ms)});
+}
+
+// The unit needs to wait no longer for the rack that it prefers.
+bool Scheduler::MayLeaveRack(const Unit& unit, Now now) const {
+  const StepState& step = *unit.m_step;
+  return HasWaitedLongEnough(step, now) ||
+         step.m_held_for_rack.HasLasted(LongestWaitForRack(*step.m_spec), now.m_steady) ||
+         (unit.m_may_leave_rack && m_guarantees.Covers(*step.m_job));
+}
+
+// A limit per worker holds for each of the times. Workers that return soon count: the step would wait for them, and
+// then for as long again.
+bool Scheduler::FitsIntoFreeRoom(const Unit& unit, int times) {
   const StepSpec& spec = *unit.m_step->m_spec;
-  const auto pool = m_rooms.find(unit.m_step->m_job->m_job.m_pool);
-  if (pool == m_rooms.end() || !(spec.m_long_running || pool->second.IsLightlyUsed())) return false;
-  const std::size_t needed = 2 * unit.m_members.size();
+  const std::size_t needed = static_cast<std::size_t>(times) * unit.m_members.size();
   std::size_t room = 0;
   const auto add = [&](const WorkerSlot* slot) {
     const int fitting = CountFitting(slot->m_free, spec.m_task);
-    const int limit = 2 * spec.m_max_per_worker;
+    const int limit = times * spec.m_max_per_worker;
     room += static_cast<std::size_t>(limit == 0 ? fitting : std::min(fitting, limit));
     return room >= needed;
   };
@@ -145,8 +156,19 @@
          std::any_of(candidates.m_returning.begin(), candidates.m_returning.end(), add);
 }
 
+// The unit fits twice into what is free, and the pool is lightly used: room that is taken now is not missed by others.
+// A step that lasts serves its callers at any load.
+bool Scheduler::HasAmpleRoom(const Unit& unit) {
+  const auto pool = m_rooms.find(unit.m_step->m_job->m_job.m_pool);
+  if (pool == m_rooms.end()) return false;
+  return (unit.m_step->m_spec->m_long_running || pool->second.IsLightlyUsed()) && FitsIntoFreeRoom(unit, 2);
+}
+
 void Scheduler::NoteHeldBack(const Unit& unit, Now now) {
-  unit.m_step->m_held_back.Note(HasAmpleRoom(unit), now.m_steady);
+  StepState* step = unit.m_step;
+  step->m_held_back.Note(HasAmpleRoom(unit), now.m_steady);
+  const bool wants_rack = step->m_spec->m_rack_local && unit.m_members.size() > 1;
+  if (wants_rack) step->m_held_for_rack.Note(FitsIntoFreeRoom(unit, 1), now.m_steady);
 }
 
 // A unit that is being stopped waits for its next run already.
@@ -194,21 +216,22 @@
 }
 
 // For how long an earlier scheduler may have held the step back. The workers that join get their time in any case.
-Millis Scheduler::WaitBeforeTakeover(const StepState& step, Now now) const {
+Millis Scheduler::WaitBeforeTakeover(const StepState& step, Millis bound, Now now) const {
   const AcceptedJob& job = step.m_job->m_job;
   const bool restored = step.m_job->m_taken_in == Instant{} && job.m_request.m_repeats == 0;
   if (!restored || now.m_steady - m_first_placement >= m_settings.m_join_time) return Millis{0};
-  return std::clamp(now.m_wall - job.m_accepted, Millis{0}, m_settings.m_longest_preference - m_settings.m_join_time);
+  return std::clamp(now.m_wall - job.m_accepted, Millis{0}, bound - m_settings.m_join_time);
 }
 
 void Scheduler::PlaceStep(StepState* step, Now now) {
   if (Ended(step->m_job->m_phase)) return;  // Another step has ended it in this round.
   if (!step->HasWaiting()) return;
   // Room may have become short, or ample, since the last round.
-  if (!step->m_held_back.IsEmpty()) NoteHeldBack(*step->m_units[step->m_passed], now);
+  if (step->WasHeldBack()) NoteHeldBack(*step->m_units[step->m_passed], now);
   const Unit* left = PlaceUnits(step, now);
-  if (left == nullptr || !step->m_held_back.IsEmpty()) return;
-  step->m_held_back.Credit(WaitBeforeTakeover(*step, now));
+  if (left == nullptr || step->WasHeldBack()) return;
+  step->m_held_back.Credit(WaitBeforeTakeover(*step, m_settings.m_longest_preference, now));
+  step->m_held_for_rack.Credit(WaitBeforeTakeover(*step, LongestWaitForRack(*step->m_spec), now));
   NoteHeldBack(*left, now);
 }
 
@@ -323,7 +346,7 @@
     return true;
   }
   if (ranked != nullptr) ranked->reset();
-  const bool leaves_rack = HasWaitedLongEnough(*unit->m_step, now) || (unit->m_may_leave_rack && input.m_guaranteed);
+  const bool leaves_rack = MayLeaveRack(*unit, now);
   const bool gang = unit->m_members.size() > 1;
   const bool uneven = input.m_pace.m_uneven;
   const auto choose = [&](const std::vector<WorkerSlot*>& slots) {
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -211,7 +211,11 @@
 // A member of the unit runs. Reports the job when its first step has begun within a guarantee.
 void Scheduler::NoteRunning(const Unit& unit, Now now) {
   JobState* job = unit.m_step->m_job;
-  if (!unit.m_step->m_held_back.IsEmpty() && AllRunOn(*unit.m_step)) unit.m_step->m_held_back.Clear();
+  StepState* step = unit.m_step;
+  if (step->WasHeldBack() && AllRunOn(*step)) {
+    step->m_held_back.Clear();
+    step->m_held_for_rack.Clear();
+  }
   NoteBegun(job, now);
   if (job->m_begun || job->m_job.m_priority != 0 || unit.m_step->m_key.m_step != 0) return;
   job->m_begun = AllRun(*unit.m_step);
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -115,11 +115,13 @@
   std::set<int> m_stored_rows;     // Of which a row is stored.
   std::set<int> m_set_aside_rows;  // That the store rejects.
   StepPace m_pace;
-  HeldBackTime m_held_back;               // Until all of its units run. See Scheduler::NoteHeldBack.
+  HeldBackTime m_held_back;               // With ample room, until all of its units run: Scheduler::NoteHeldBack.
+  HeldBackTime m_held_for_rack;           // As above, of a gang for one rack that would fit on several.
   std::map<WorkerId, Instant> m_avoided;  // Workers on which its tasks failed, each until a steady time.
 
   Unit* FindUnit(int task) const;
-  bool HasWaiting();                 // Of the units.
+  bool HasWaiting();  // Of the units.
+  bool WasHeldBack() const { return !m_held_back.IsEmpty() || !m_held_for_rack.IsEmpty(); }
   void OnWaiting(const Unit& unit);  // It was placed before.
 };
 
--- a/tests/jobs/held_back_bound_test.cc
+++ b/tests/jobs/held_back_bound_test.cc
@@ -34,6 +34,10 @@
   CPPUNIT_TEST(OldGangDoesNotWaitAnewAfterATakeover);
   CPPUNIT_TEST(YoungGangDoesNotWaitAnewAfterATakeover);
   CPPUNIT_TEST(GangWaitsForItsRackWhileWorkersJoin);
+  CPPUNIT_TEST(GangThatFitsOnceDoesNotWaitForARackForEver);
+  CPPUNIT_TEST(GangThatFitsOnceKeepsItsRackWhileTheWaitCostsLess);
+  CPPUNIT_TEST(GangThatFitsOnceDoesNotWaitForEverInABusyPool);
+  CPPUNIT_TEST(GangThatFitsOnceDoesNotWaitAnewAfterATakeover);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -154,7 +158,64 @@
     CPPUNIT_ASSERT(!WaitUntilPlaced(gang, Millis{300}));
   }
 
+  // Guards against a gang that waits longer for one rack than it would lose on several. It needs 7 workers, and 4 of
+  // each rack are empty, so it fits once and not twice.
+  void GangThatFitsOnceDoesNotWaitForARackForEver() {
+    const StepSpec gang = GangThatFitsOnce();
+    CPPUNIT_ASSERT(WaitUntilPlaced(Submit(gang, 1), LostOnSeveralRacks(gang)));
+  }
+
+  // Guards against a gang that is spread over racks, where it runs slower, sooner than that pays.
+  void GangThatFitsOnceKeepsItsRackWhileTheWaitCostsLess() {
+    const StepSpec gang = GangThatFitsOnce();
+    const JobId job = Submit(gang, 1);
+    CPPUNIT_ASSERT(!WaitUntilPlaced(job, LostOnSeveralRacks(gang) - kRound * 5));
+    for (int i = 0; i < 4; ++i) EndRunOn(WorkerAt(i));
+    CPPUNIT_ASSERT(WaitUntilPlaced(job, kRound * 3));
+    for (const auto& [task, run] : m_runs) {
+      if (task.m_step.m_job == job) CPPUNIT_ASSERT(Raw(run.m_run) == 1 && run.m_worker < WorkerAt(kRackSize));
+    }
+  }
+
+  // As the first, where lasting work uses more than half of the pool.
+  void GangThatFitsOnceDoesNotWaitForEverInABusyPool() {
+    const StepSpec gang = GangThatFitsOnce(kAccelerators);
+    CPPUNIT_ASSERT(WaitUntilPlaced(Submit(gang, 0), LostOnSeveralRacks(gang)));
+  }
+
+  // Guards against a gang that each new leader holds back for as long as the one before.
+  void GangThatFitsOnceDoesNotWaitAnewAfterATakeover() {
+    const StepSpec gang = GangThatFitsOnce();
+    const JobId job = Submit(gang, 1);
+    const AcceptedJob accepted = m_last_job;
+    CPPUNIT_ASSERT(!WaitUntilPlaced(job, LostOnSeveralRacks(gang) - kRound * 5));
+    m_time += Millis{1'000};
+    TakeOver(accepted);
+    GangThatFitsOnce();
+    CPPUNIT_ASSERT(WaitUntilPlaced(job, Millis{700}));
+  }
+
  private:
+  // Occupies half of the workers of each rack with work that lasts, so that a gang of seven fits on several racks,
+  // once.
+  StepSpec GangThatFitsOnce(int occupied = 1) {
+    for (int i = 0; i < kWorkers; ++i) {
+      if (i % kRackSize < 4) Occupy(WorkerAt(i), occupied);
+    }
+    return Gang(7, kAccelerators, true);
+  }
+
+  static Millis LostOnSeveralRacks(const StepSpec& gang) {
+    const auto factor = static_cast<int>(SchedulerSettings{}.m_remote_factor);
+    return gang.m_estimate * (factor - 1);
+  }
+
+  void EndRunOn(const WorkerId& worker) {
+    const auto run =
+        std::find_if(m_runs.begin(), m_runs.end(), [&](const auto& entry) { return entry.second.m_worker == worker; });
+    EndRun(StartCommand(run->second), EndKind::kDone);
+  }
+
   // Plays on while others run for `busy` rounds and then rest for `idle`, again and again.
   std::optional<Millis> WaitBeside(const StepSpec& others, int busy, int idle, JobId gang, Millis most) {
     const Millis since = m_time;
