--- a/tests/crowd/crowd_test.py
+++ b/tests/crowd/crowd_test.py
@@ -10,9 +10,10 @@
 import sys
 
 import world as worlds
-from world import ADMIN, CALLERS, INNER, METRICS, READY, EntryWorld, World
+from world import ADMIN, CALLERS, INNER, METRICS, OTHER_KEY, READY, EntryWorld, World
 
 SETTLE_S = 1.0  # For the instances to read what has been sent; what they hold then is sampled meanwhile.
+REPORTED_S, REFUSALS = 1.5, 3  # Until all instances know of a job; so often a size is tried in vain.
 HERE = os.path.dirname(os.path.abspath(__file__))
 
 
@@ -94,6 +95,37 @@
     await send_slowly(world, {"spec": "x", "steps": [{"count": 1, "cpu": 500, "memMb": 64}]}, 262_144, 25)
 
 
+async def fill_jobs(world):
+    """Jobs of one account that can't start, smaller and smaller ones, until the leader has no room for any of them."""
+    tasks, refused, number = 2**15, 0, 0
+    while tasks:
+        number += 1
+        job = {"spec": "", "steps": [{"count": tasks, "constraints": "x"}]}
+        status, _, _ = await world.ask(world.hosts[number % 2], CALLERS, "POST", f"/jobs/{number:016x}", job, OTHER_KEY)
+        refused = 0 if status == 200 else refused + 1
+        if status == 413 or refused == REFUSALS:
+            tasks, refused = tasks // 4, 0
+        elif status != 200:
+            await asyncio.sleep(REPORTED_S)
+
+
+async def large_jobs(world):
+    """Jobs that are each as large as a leader takes, or somewhat smaller, handed in at all instances at a time."""
+    for number, tasks in enumerate((30_000, 30_000, 10_000, 3_000, 800)):
+        job = {"spec": "", "steps": [{"count": tasks, "constraints": "x"}]}
+        targets = [f"/jobs/{number:x}{i:015x}" for i in range(len(world.hosts))]
+        calls = [world.ask(host, CALLERS, "POST", target, job, OTHER_KEY) for host, target in zip(world.hosts, targets)]
+        print(tasks, "tasks were answered", [status for status, _, _ in await asyncio.gather(*calls)], flush=True)
+        await asyncio.sleep(REPORTED_S)
+    await world.serve_ordinary("beside large jobs")
+
+
+async def account_jobs(world):
+    """One account's jobs don't keep those of another from being accepted."""
+    await fill_jobs(world)
+    await world.serve_ordinary("beside the jobs of another account")
+
+
 CASES = {
     "half_chunk": crowd_case("half_chunk", 120),
     "half_chunk_ready": crowd_case("half_chunk", 120, READY),
@@ -120,10 +152,13 @@
     "unread_metrics": crowd_case("unread", 150, METRICS),
     "inner_frame": crowd_case("frame", 40, INNER),
     "inner_silent": crowd_case("silent", 1_100, INNER, beside=True),
+    "account_jobs": account_jobs,
+    "large_jobs": large_jobs,
     "drain": drain,
     "slow_caller": slow_caller,
     "slow_caller_at_limit": slow_caller_at_limit,
 }
+INSTANCES = {"large_jobs": 8}  # Two otherwise.
 ENTRY_CASES = {
     "entry_half_chunk": crowd_case("half_chunk", 300),
     "entry_half_chunk_admin": crowd_case("half_chunk", 300, ADMIN),
@@ -135,7 +170,7 @@
 
 
 async def play(case, binaries):
-    world = World(binaries) if case in CASES else EntryWorld(binaries)
+    world = World(binaries, INSTANCES.get(case, 2)) if case in CASES else EntryWorld(binaries)
     wrong = []
     try:
         await world.start()
