Intake: large jobs at all instances can't take more memory than the leader has

What callers saw: nothing, since no report names it; found by adding up what one client with a valid key can do. One job of 30,000 tasks at each of eight instances at the same time, eight requests in all: each was accepted, and the leader held 95 MB of 64 (crowd_large_jobs). The users' platform ends it then.

Cause: between two heartbeats each instance uses a sixteenth of what the leader has left, but one job alone could be as large as all of it, at each instance. And the part was a fixed one: more than sixteen instances took more than all.

The leader tells the number of parts with its heartbeat: as many as there are instances, 16 at least, and 32 at most, since a part must hold any usual job. An earlier build's leader tells no parts, then there are 16.

Beyond 32 instances that are all pressed within a second the sum can still be more than the limit; that stays open.

--- a/hickoryquay/inner/gen/inner_types.cpp
+++ b/hickoryquay/inner/gen/inner_types.cpp
@@ -1499,6 +1499,11 @@
   this->job_bytes_limit = val;
 __isset.job_bytes_limit = true;
 }
+
+void LeaderBeat::__set_job_parts(const int32_t val) {
+  this->job_parts = val;
+__isset.job_parts = true;
+}
 std::ostream& operator<<(std::ostream& out, const LeaderBeat& obj)
 {
   obj.printTo(out);
@@ -1654,6 +1659,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->job_parts);
+          this->__isset.job_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1743,6 +1756,11 @@
     xfer += oprot->writeI64(this->job_bytes_limit);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.job_parts) {
+    xfer += oprot->writeFieldBegin("job_parts", ::apache::thrift::protocol::T_I32, 12);
+    xfer += oprot->writeI32(this->job_parts);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1761,6 +1779,7 @@
   swap(a.no_earlier_rows, b.no_earlier_rows);
   swap(a.job_bytes_held, b.job_bytes_held);
   swap(a.job_bytes_limit, b.job_bytes_limit);
+  swap(a.job_parts, b.job_parts);
   swap(a.__isset, b.__isset);
 }
 
@@ -1776,6 +1795,7 @@
   no_earlier_rows = other76.no_earlier_rows;
   job_bytes_held = other76.job_bytes_held;
   job_bytes_limit = other76.job_bytes_limit;
+  job_parts = other76.job_parts;
   __isset = other76.__isset;
 }
 LeaderBeat::LeaderBeat(LeaderBeat&& other77) noexcept {
@@ -1790,6 +1810,7 @@
   no_earlier_rows = other77.no_earlier_rows;
   job_bytes_held = other77.job_bytes_held;
   job_bytes_limit = other77.job_bytes_limit;
+  job_parts = other77.job_parts;
   __isset = other77.__isset;
 }
 LeaderBeat& LeaderBeat::operator=(const LeaderBeat& other78) {
@@ -1804,6 +1825,7 @@
   no_earlier_rows = other78.no_earlier_rows;
   job_bytes_held = other78.job_bytes_held;
   job_bytes_limit = other78.job_bytes_limit;
+  job_parts = other78.job_parts;
   __isset = other78.__isset;
   return *this;
 }
@@ -1819,6 +1841,7 @@
   no_earlier_rows = other79.no_earlier_rows;
   job_bytes_held = other79.job_bytes_held;
   job_bytes_limit = other79.job_bytes_limit;
+  job_parts = other79.job_parts;
   __isset = other79.__isset;
   return *this;
 }
@@ -1836,6 +1859,7 @@
   out << ", " << "no_earlier_rows="; (__isset.no_earlier_rows ? (out << to_string(no_earlier_rows)) : (out << "<null>"));
   out << ", " << "job_bytes_held="; (__isset.job_bytes_held ? (out << to_string(job_bytes_held)) : (out << "<null>"));
   out << ", " << "job_bytes_limit="; (__isset.job_bytes_limit ? (out << to_string(job_bytes_limit)) : (out << "<null>"));
+  out << ", " << "job_parts="; (__isset.job_parts ? (out << to_string(job_parts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/hickoryquay/inner/gen/inner_types.h
+++ b/hickoryquay/inner/gen/inner_types.h
@@ -607,7 +607,7 @@
 std::ostream& operator<<(std::ostream& out, const PhaseChange& obj);
 
 typedef struct _LeaderBeat__isset {
-  _LeaderBeat__isset() : instance(false), epoch(false), sequence(false), phases(false), pending(false), ready(false), pass_on(false), released(false), no_earlier_rows(false), job_bytes_held(false), job_bytes_limit(false) {}
+  _LeaderBeat__isset() : instance(false), epoch(false), sequence(false), phases(false), pending(false), ready(false), pass_on(false), released(false), no_earlier_rows(false), job_bytes_held(false), job_bytes_limit(false), job_parts(false) {}
   bool instance :1;
   bool epoch :1;
   bool sequence :1;
@@ -619,6 +619,7 @@
   bool no_earlier_rows :1;
   bool job_bytes_held :1;
   bool job_bytes_limit :1;
+  bool job_parts :1;
 } _LeaderBeat__isset;
 
 class LeaderBeat : public virtual ::apache::thrift::TBase {
@@ -636,7 +637,8 @@
                released(0),
                no_earlier_rows(0),
                job_bytes_held(0),
-               job_bytes_limit(0) {
+               job_bytes_limit(0),
+               job_parts(0) {
   }
 
   virtual ~LeaderBeat() noexcept;
@@ -651,6 +653,7 @@
   bool no_earlier_rows;
   int64_t job_bytes_held;
   int64_t job_bytes_limit;
+  int32_t job_parts;
 
   _LeaderBeat__isset __isset;
 
@@ -676,6 +679,8 @@
 
   void __set_job_bytes_limit(const int64_t val);
 
+  void __set_job_parts(const int32_t val);
+
   bool operator == (const LeaderBeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -706,6 +711,10 @@
       return false;
     else if (__isset.job_bytes_limit && !(job_bytes_limit == rhs.job_bytes_limit))
       return false;
+    if (__isset.job_parts != rhs.__isset.job_parts)
+      return false;
+    else if (__isset.job_parts && !(job_parts == rhs.job_parts))
+      return false;
     return true;
   }
   bool operator != (const LeaderBeat &rhs) const {
--- a/hickoryquay/inner/inner.thrift
+++ b/hickoryquay/inner/inner.thrift
@@ -82,6 +82,7 @@
   9: optional bool no_earlier_rows,  // No row of a job is in the part of versions before the sixteen parts.
   10: optional i64 job_bytes_held,   // Memory that the leader takes for jobs, and the most that it takes.
   11: optional i64 job_bytes_limit,
+  12: optional i32 job_parts,        // Into which instances split what is left between two beats.
 }
 
 // A call to the platform's store for an instance that can't reach it; answered with StoreAnswer.
--- a/hickoryquay/service/leader_beats.cc
+++ b/hickoryquay/service/leader_beats.cc
@@ -87,9 +87,12 @@
   if (!status->m_may_have_earlier_rows) beat.__set_no_earlier_rows(true);
   m_parts.m_phases->SetEarlierRows(status->m_may_have_earlier_rows, now);
   m_parts.m_phases->NoteHeartbeat(now);
-  beat.__set_job_bytes_held(static_cast<std::int64_t>(status->m_job_memory.m_held_bytes));
-  beat.__set_job_bytes_limit(static_cast<std::int64_t>(status->m_job_memory.m_limit_bytes));
-  m_parts.m_phases->Room().OnReport(status->m_job_memory, now);
+  JobMemory memory = status->m_job_memory;
+  memory.m_parts = JobPartsFor(m_peer_count + 1);
+  beat.__set_job_bytes_held(static_cast<std::int64_t>(memory.m_held_bytes));
+  beat.__set_job_bytes_limit(static_cast<std::int64_t>(memory.m_limit_bytes));
+  beat.__set_job_parts(memory.m_parts);
+  m_parts.m_phases->Room().OnReport(memory, now);
   SendToAll(beat);
 }
 
@@ -190,9 +193,10 @@
   if (beat.ready) cache.SetPending(std::move(pending), now);
   cache.SetEarlierRows(!(beat.__isset.no_earlier_rows && beat.no_earlier_rows), now);
   cache.NoteHeartbeat(now);
-  // A leader of an earlier version tells neither.
+  // A leader of an earlier version tells less.
   const auto bytes = [](std::int64_t value) { return static_cast<std::uint64_t>(std::max<std::int64_t>(0, value)); };
-  cache.Room().OnReport({bytes(beat.job_bytes_held), bytes(beat.job_bytes_limit)}, now);
+  const int parts = std::max(kFewestJobParts, beat.job_parts);
+  cache.Room().OnReport({bytes(beat.job_bytes_held), bytes(beat.job_bytes_limit), parts}, now);
 }
 
 void LeaderBeats::PassOn(const wire::LeaderBeat& beat) {
