Intake: the jobs of one client account leave room for those of all others

Cause: the leader's memory for jobs is bounded for the process, and whoever comes first may take all of it.

Change: an account may hold as much as it leaves to all others, so half of the bound where it is alone with a flood, a third beside another. The scheduler counts by account, heartbeats name the accounts that hold a sixteenth of the bound, and JobRoom compares. An earlier build's leader names no account, then only the old bound holds.

--- a/hickoryquay/inner/gen/inner_types.cpp
+++ b/hickoryquay/inner/gen/inner_types.cpp
@@ -1504,6 +1504,11 @@
   this->job_parts = val;
 __isset.job_parts = true;
 }
+
+void LeaderBeat::__set_job_bytes_of_accounts(const std::map<std::string, int64_t> & val) {
+  this->job_bytes_of_accounts = val;
+__isset.job_bytes_of_accounts = true;
+}
 std::ostream& operator<<(std::ostream& out, const LeaderBeat& obj)
 {
   obj.printTo(out);
@@ -1667,6 +1672,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->job_bytes_of_accounts.clear();
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _ktype74;
+            ::apache::thrift::protocol::TType _vtype75;
+            xfer += iprot->readMapBegin(_ktype74, _vtype75, _size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
+            {
+              std::string _key78;
+              xfer += iprot->readString(_key78);
+              int64_t& _val79 = this->job_bytes_of_accounts[_key78];
+              xfer += iprot->readI64(_val79);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.job_bytes_of_accounts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1699,10 +1727,10 @@
   xfer += oprot->writeFieldBegin("phases", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->phases.size()));
-    std::vector<PhaseChange> ::const_iterator _iter73;
-    for (_iter73 = this->phases.begin(); _iter73 != this->phases.end(); ++_iter73)
+    std::vector<PhaseChange> ::const_iterator _iter80;
+    for (_iter80 = this->phases.begin(); _iter80 != this->phases.end(); ++_iter80)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter80).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1711,11 +1739,11 @@
   xfer += oprot->writeFieldBegin("pending", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->pending.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter74;
-    for (_iter74 = this->pending.begin(); _iter74 != this->pending.end(); ++_iter74)
+    std::map<std::string, int32_t> ::const_iterator _iter81;
+    for (_iter81 = this->pending.begin(); _iter81 != this->pending.end(); ++_iter81)
     {
-      xfer += oprot->writeString(_iter74->first);
-      xfer += oprot->writeI32(_iter74->second);
+      xfer += oprot->writeString(_iter81->first);
+      xfer += oprot->writeI32(_iter81->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1728,10 +1756,10 @@
   xfer += oprot->writeFieldBegin("pass_on", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->pass_on.size()));
-    std::vector<std::string> ::const_iterator _iter75;
-    for (_iter75 = this->pass_on.begin(); _iter75 != this->pass_on.end(); ++_iter75)
+    std::vector<std::string> ::const_iterator _iter82;
+    for (_iter82 = this->pass_on.begin(); _iter82 != this->pass_on.end(); ++_iter82)
     {
-      xfer += oprot->writeString((*_iter75));
+      xfer += oprot->writeString((*_iter82));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1761,6 +1789,20 @@
     xfer += oprot->writeI32(this->job_parts);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.job_bytes_of_accounts) {
+    xfer += oprot->writeFieldBegin("job_bytes_of_accounts", ::apache::thrift::protocol::T_MAP, 13);
+    {
+      xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->job_bytes_of_accounts.size()));
+      std::map<std::string, int64_t> ::const_iterator _iter83;
+      for (_iter83 = this->job_bytes_of_accounts.begin(); _iter83 != this->job_bytes_of_accounts.end(); ++_iter83)
+      {
+        xfer += oprot->writeString(_iter83->first);
+        xfer += oprot->writeI64(_iter83->second);
+      }
+      xfer += oprot->writeMapEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1780,69 +1822,74 @@
   swap(a.job_bytes_held, b.job_bytes_held);
   swap(a.job_bytes_limit, b.job_bytes_limit);
   swap(a.job_parts, b.job_parts);
+  swap(a.job_bytes_of_accounts, b.job_bytes_of_accounts);
   swap(a.__isset, b.__isset);
 }
 
-LeaderBeat::LeaderBeat(const LeaderBeat& other76) {
-  instance = other76.instance;
-  epoch = other76.epoch;
-  sequence = other76.sequence;
-  phases = other76.phases;
-  pending = other76.pending;
-  ready = other76.ready;
-  pass_on = other76.pass_on;
-  released = other76.released;
-  no_earlier_rows = other76.no_earlier_rows;
-  job_bytes_held = other76.job_bytes_held;
-  job_bytes_limit = other76.job_bytes_limit;
-  job_parts = other76.job_parts;
-  __isset = other76.__isset;
-}
-LeaderBeat::LeaderBeat(LeaderBeat&& other77) noexcept {
-  instance = std::move(other77.instance);
-  epoch = other77.epoch;
-  sequence = other77.sequence;
-  phases = std::move(other77.phases);
-  pending = std::move(other77.pending);
-  ready = other77.ready;
-  pass_on = std::move(other77.pass_on);
-  released = other77.released;
-  no_earlier_rows = other77.no_earlier_rows;
-  job_bytes_held = other77.job_bytes_held;
-  job_bytes_limit = other77.job_bytes_limit;
-  job_parts = other77.job_parts;
-  __isset = other77.__isset;
-}
-LeaderBeat& LeaderBeat::operator=(const LeaderBeat& other78) {
-  instance = other78.instance;
-  epoch = other78.epoch;
-  sequence = other78.sequence;
-  phases = other78.phases;
-  pending = other78.pending;
-  ready = other78.ready;
-  pass_on = other78.pass_on;
-  released = other78.released;
-  no_earlier_rows = other78.no_earlier_rows;
-  job_bytes_held = other78.job_bytes_held;
-  job_bytes_limit = other78.job_bytes_limit;
-  job_parts = other78.job_parts;
-  __isset = other78.__isset;
+LeaderBeat::LeaderBeat(const LeaderBeat& other84) {
+  instance = other84.instance;
+  epoch = other84.epoch;
+  sequence = other84.sequence;
+  phases = other84.phases;
+  pending = other84.pending;
+  ready = other84.ready;
+  pass_on = other84.pass_on;
+  released = other84.released;
+  no_earlier_rows = other84.no_earlier_rows;
+  job_bytes_held = other84.job_bytes_held;
+  job_bytes_limit = other84.job_bytes_limit;
+  job_parts = other84.job_parts;
+  job_bytes_of_accounts = other84.job_bytes_of_accounts;
+  __isset = other84.__isset;
+}
+LeaderBeat::LeaderBeat(LeaderBeat&& other85) noexcept {
+  instance = std::move(other85.instance);
+  epoch = other85.epoch;
+  sequence = other85.sequence;
+  phases = std::move(other85.phases);
+  pending = std::move(other85.pending);
+  ready = other85.ready;
+  pass_on = std::move(other85.pass_on);
+  released = other85.released;
+  no_earlier_rows = other85.no_earlier_rows;
+  job_bytes_held = other85.job_bytes_held;
+  job_bytes_limit = other85.job_bytes_limit;
+  job_parts = other85.job_parts;
+  job_bytes_of_accounts = std::move(other85.job_bytes_of_accounts);
+  __isset = other85.__isset;
+}
+LeaderBeat& LeaderBeat::operator=(const LeaderBeat& other86) {
+  instance = other86.instance;
+  epoch = other86.epoch;
+  sequence = other86.sequence;
+  phases = other86.phases;
+  pending = other86.pending;
+  ready = other86.ready;
+  pass_on = other86.pass_on;
+  released = other86.released;
+  no_earlier_rows = other86.no_earlier_rows;
+  job_bytes_held = other86.job_bytes_held;
+  job_bytes_limit = other86.job_bytes_limit;
+  job_parts = other86.job_parts;
+  job_bytes_of_accounts = other86.job_bytes_of_accounts;
+  __isset = other86.__isset;
   return *this;
 }
-LeaderBeat& LeaderBeat::operator=(LeaderBeat&& other79) noexcept {
-  instance = std::move(other79.instance);
-  epoch = other79.epoch;
-  sequence = other79.sequence;
-  phases = std::move(other79.phases);
-  pending = std::move(other79.pending);
-  ready = other79.ready;
-  pass_on = std::move(other79.pass_on);
-  released = other79.released;
-  no_earlier_rows = other79.no_earlier_rows;
-  job_bytes_held = other79.job_bytes_held;
-  job_bytes_limit = other79.job_bytes_limit;
-  job_parts = other79.job_parts;
-  __isset = other79.__isset;
+LeaderBeat& LeaderBeat::operator=(LeaderBeat&& other87) noexcept {
+  instance = std::move(other87.instance);
+  epoch = other87.epoch;
+  sequence = other87.sequence;
+  phases = std::move(other87.phases);
+  pending = std::move(other87.pending);
+  ready = other87.ready;
+  pass_on = std::move(other87.pass_on);
+  released = other87.released;
+  no_earlier_rows = other87.no_earlier_rows;
+  job_bytes_held = other87.job_bytes_held;
+  job_bytes_limit = other87.job_bytes_limit;
+  job_parts = other87.job_parts;
+  job_bytes_of_accounts = std::move(other87.job_bytes_of_accounts);
+  __isset = other87.__isset;
   return *this;
 }
 void LeaderBeat::printTo(std::ostream& out) const {
@@ -1860,6 +1907,7 @@
   out << ", " << "job_bytes_held="; (__isset.job_bytes_held ? (out << to_string(job_bytes_held)) : (out << "<null>"));
   out << ", " << "job_bytes_limit="; (__isset.job_bytes_limit ? (out << to_string(job_bytes_limit)) : (out << "<null>"));
   out << ", " << "job_parts="; (__isset.job_parts ? (out << to_string(job_parts)) : (out << "<null>"));
+  out << ", " << "job_bytes_of_accounts="; (__isset.job_bytes_of_accounts ? (out << to_string(job_bytes_of_accounts)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1990,34 +2038,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreCall::StoreCall(const StoreCall& other80) {
-  method = other80.method;
-  target = other80.target;
-  body = other80.body;
-  timeout_ms = other80.timeout_ms;
-  __isset = other80.__isset;
-}
-StoreCall::StoreCall(StoreCall&& other81) noexcept {
-  method = std::move(other81.method);
-  target = std::move(other81.target);
-  body = std::move(other81.body);
-  timeout_ms = other81.timeout_ms;
-  __isset = other81.__isset;
-}
-StoreCall& StoreCall::operator=(const StoreCall& other82) {
-  method = other82.method;
-  target = other82.target;
-  body = other82.body;
-  timeout_ms = other82.timeout_ms;
-  __isset = other82.__isset;
+StoreCall::StoreCall(const StoreCall& other88) {
+  method = other88.method;
+  target = other88.target;
+  body = other88.body;
+  timeout_ms = other88.timeout_ms;
+  __isset = other88.__isset;
+}
+StoreCall::StoreCall(StoreCall&& other89) noexcept {
+  method = std::move(other89.method);
+  target = std::move(other89.target);
+  body = std::move(other89.body);
+  timeout_ms = other89.timeout_ms;
+  __isset = other89.__isset;
+}
+StoreCall& StoreCall::operator=(const StoreCall& other90) {
+  method = other90.method;
+  target = other90.target;
+  body = other90.body;
+  timeout_ms = other90.timeout_ms;
+  __isset = other90.__isset;
   return *this;
 }
-StoreCall& StoreCall::operator=(StoreCall&& other83) noexcept {
-  method = std::move(other83.method);
-  target = std::move(other83.target);
-  body = std::move(other83.body);
-  timeout_ms = other83.timeout_ms;
-  __isset = other83.__isset;
+StoreCall& StoreCall::operator=(StoreCall&& other91) noexcept {
+  method = std::move(other91.method);
+  target = std::move(other91.target);
+  body = std::move(other91.body);
+  timeout_ms = other91.timeout_ms;
+  __isset = other91.__isset;
   return *this;
 }
 void StoreCall::printTo(std::ostream& out) const {
@@ -2140,30 +2188,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreAnswer::StoreAnswer(const StoreAnswer& other84) {
-  status = other84.status;
-  body = other84.body;
-  sent = other84.sent;
-  __isset = other84.__isset;
+StoreAnswer::StoreAnswer(const StoreAnswer& other92) {
+  status = other92.status;
+  body = other92.body;
+  sent = other92.sent;
+  __isset = other92.__isset;
 }
-StoreAnswer::StoreAnswer(StoreAnswer&& other85) noexcept {
-  status = other85.status;
-  body = std::move(other85.body);
-  sent = other85.sent;
-  __isset = other85.__isset;
+StoreAnswer::StoreAnswer(StoreAnswer&& other93) noexcept {
+  status = other93.status;
+  body = std::move(other93.body);
+  sent = other93.sent;
+  __isset = other93.__isset;
 }
-StoreAnswer& StoreAnswer::operator=(const StoreAnswer& other86) {
-  status = other86.status;
-  body = other86.body;
-  sent = other86.sent;
-  __isset = other86.__isset;
+StoreAnswer& StoreAnswer::operator=(const StoreAnswer& other94) {
+  status = other94.status;
+  body = other94.body;
+  sent = other94.sent;
+  __isset = other94.__isset;
   return *this;
 }
-StoreAnswer& StoreAnswer::operator=(StoreAnswer&& other87) noexcept {
-  status = other87.status;
-  body = std::move(other87.body);
-  sent = other87.sent;
-  __isset = other87.__isset;
+StoreAnswer& StoreAnswer::operator=(StoreAnswer&& other95) noexcept {
+  status = other95.status;
+  body = std::move(other95.body);
+  sent = other95.sent;
+  __isset = other95.__isset;
   return *this;
 }
 void StoreAnswer::printTo(std::ostream& out) const {
@@ -2285,30 +2333,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AcceptedJob::AcceptedJob(const AcceptedJob& other88) {
-  job = other88.job;
-  row = other88.row;
-  version = other88.version;
-  __isset = other88.__isset;
+AcceptedJob::AcceptedJob(const AcceptedJob& other96) {
+  job = other96.job;
+  row = other96.row;
+  version = other96.version;
+  __isset = other96.__isset;
 }
-AcceptedJob::AcceptedJob(AcceptedJob&& other89) noexcept {
-  job = other89.job;
-  row = std::move(other89.row);
-  version = other89.version;
-  __isset = other89.__isset;
+AcceptedJob::AcceptedJob(AcceptedJob&& other97) noexcept {
+  job = other97.job;
+  row = std::move(other97.row);
+  version = other97.version;
+  __isset = other97.__isset;
 }
-AcceptedJob& AcceptedJob::operator=(const AcceptedJob& other90) {
-  job = other90.job;
-  row = other90.row;
-  version = other90.version;
-  __isset = other90.__isset;
+AcceptedJob& AcceptedJob::operator=(const AcceptedJob& other98) {
+  job = other98.job;
+  row = other98.row;
+  version = other98.version;
+  __isset = other98.__isset;
   return *this;
 }
-AcceptedJob& AcceptedJob::operator=(AcceptedJob&& other91) noexcept {
-  job = other91.job;
-  row = std::move(other91.row);
-  version = other91.version;
-  __isset = other91.__isset;
+AcceptedJob& AcceptedJob::operator=(AcceptedJob&& other99) noexcept {
+  job = other99.job;
+  row = std::move(other99.row);
+  version = other99.version;
+  __isset = other99.__isset;
   return *this;
 }
 void AcceptedJob::printTo(std::ostream& out) const {
@@ -2413,26 +2461,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelledJob::CancelledJob(const CancelledJob& other92) noexcept {
-  job = other92.job;
-  version = other92.version;
-  __isset = other92.__isset;
+CancelledJob::CancelledJob(const CancelledJob& other100) noexcept {
+  job = other100.job;
+  version = other100.version;
+  __isset = other100.__isset;
 }
-CancelledJob::CancelledJob(CancelledJob&& other93) noexcept {
-  job = other93.job;
-  version = other93.version;
-  __isset = other93.__isset;
+CancelledJob::CancelledJob(CancelledJob&& other101) noexcept {
+  job = other101.job;
+  version = other101.version;
+  __isset = other101.__isset;
 }
-CancelledJob& CancelledJob::operator=(const CancelledJob& other94) noexcept {
-  job = other94.job;
-  version = other94.version;
-  __isset = other94.__isset;
+CancelledJob& CancelledJob::operator=(const CancelledJob& other102) noexcept {
+  job = other102.job;
+  version = other102.version;
+  __isset = other102.__isset;
   return *this;
 }
-CancelledJob& CancelledJob::operator=(CancelledJob&& other95) noexcept {
-  job = other95.job;
-  version = other95.version;
-  __isset = other95.__isset;
+CancelledJob& CancelledJob::operator=(CancelledJob&& other103) noexcept {
+  job = other103.job;
+  version = other103.version;
+  __isset = other103.__isset;
   return *this;
 }
 void CancelledJob::printTo(std::ostream& out) const {
@@ -2498,18 +2546,18 @@
   (void) b;
 }
 
-Acknowledged::Acknowledged(const Acknowledged& other96) noexcept {
-  (void) other96;
+Acknowledged::Acknowledged(const Acknowledged& other104) noexcept {
+  (void) other104;
 }
-Acknowledged::Acknowledged(Acknowledged&& other97) noexcept {
-  (void) other97;
+Acknowledged::Acknowledged(Acknowledged&& other105) noexcept {
+  (void) other105;
 }
-Acknowledged& Acknowledged::operator=(const Acknowledged& other98) noexcept {
-  (void) other98;
+Acknowledged& Acknowledged::operator=(const Acknowledged& other106) noexcept {
+  (void) other106;
   return *this;
 }
-Acknowledged& Acknowledged::operator=(Acknowledged&& other99) noexcept {
-  (void) other99;
+Acknowledged& Acknowledged::operator=(Acknowledged&& other107) noexcept {
+  (void) other107;
   return *this;
 }
 void Acknowledged::printTo(std::ostream& out) const {
@@ -2594,22 +2642,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Unsupported::Unsupported(const Unsupported& other100) noexcept {
-  protocol = other100.protocol;
-  __isset = other100.__isset;
+Unsupported::Unsupported(const Unsupported& other108) noexcept {
+  protocol = other108.protocol;
+  __isset = other108.__isset;
 }
-Unsupported::Unsupported(Unsupported&& other101) noexcept {
-  protocol = other101.protocol;
-  __isset = other101.__isset;
+Unsupported::Unsupported(Unsupported&& other109) noexcept {
+  protocol = other109.protocol;
+  __isset = other109.__isset;
 }
-Unsupported& Unsupported::operator=(const Unsupported& other102) noexcept {
-  protocol = other102.protocol;
-  __isset = other102.__isset;
+Unsupported& Unsupported::operator=(const Unsupported& other110) noexcept {
+  protocol = other110.protocol;
+  __isset = other110.__isset;
   return *this;
 }
-Unsupported& Unsupported::operator=(Unsupported&& other103) noexcept {
-  protocol = other103.protocol;
-  __isset = other103.__isset;
+Unsupported& Unsupported::operator=(Unsupported&& other111) noexcept {
+  protocol = other111.protocol;
+  __isset = other111.__isset;
   return *this;
 }
 void Unsupported::printTo(std::ostream& out) const {
@@ -2925,70 +2973,70 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other104) {
-  heartbeat = other104.heartbeat;
-  configuration_pull = other104.configuration_pull;
-  configuration_documents = other104.configuration_documents;
-  job_notice = other104.job_notice;
-  state_query = other104.state_query;
-  state_answer = other104.state_answer;
-  acknowledged = other104.acknowledged;
-  unsupported = other104.unsupported;
-  leader_beat = other104.leader_beat;
-  store_call = other104.store_call;
-  store_answer = other104.store_answer;
-  accepted_job = other104.accepted_job;
-  cancelled_job = other104.cancelled_job;
-  __isset = other104.__isset;
-}
-Body::Body(Body&& other105) noexcept {
-  heartbeat = std::move(other105.heartbeat);
-  configuration_pull = std::move(other105.configuration_pull);
-  configuration_documents = std::move(other105.configuration_documents);
-  job_notice = std::move(other105.job_notice);
-  state_query = std::move(other105.state_query);
-  state_answer = std::move(other105.state_answer);
-  acknowledged = std::move(other105.acknowledged);
-  unsupported = std::move(other105.unsupported);
-  leader_beat = std::move(other105.leader_beat);
-  store_call = std::move(other105.store_call);
-  store_answer = std::move(other105.store_answer);
-  accepted_job = std::move(other105.accepted_job);
-  cancelled_job = std::move(other105.cancelled_job);
-  __isset = other105.__isset;
-}
-Body& Body::operator=(const Body& other106) {
-  heartbeat = other106.heartbeat;
-  configuration_pull = other106.configuration_pull;
-  configuration_documents = other106.configuration_documents;
-  job_notice = other106.job_notice;
-  state_query = other106.state_query;
-  state_answer = other106.state_answer;
-  acknowledged = other106.acknowledged;
-  unsupported = other106.unsupported;
-  leader_beat = other106.leader_beat;
-  store_call = other106.store_call;
-  store_answer = other106.store_answer;
-  accepted_job = other106.accepted_job;
-  cancelled_job = other106.cancelled_job;
-  __isset = other106.__isset;
+Body::Body(const Body& other112) {
+  heartbeat = other112.heartbeat;
+  configuration_pull = other112.configuration_pull;
+  configuration_documents = other112.configuration_documents;
+  job_notice = other112.job_notice;
+  state_query = other112.state_query;
+  state_answer = other112.state_answer;
+  acknowledged = other112.acknowledged;
+  unsupported = other112.unsupported;
+  leader_beat = other112.leader_beat;
+  store_call = other112.store_call;
+  store_answer = other112.store_answer;
+  accepted_job = other112.accepted_job;
+  cancelled_job = other112.cancelled_job;
+  __isset = other112.__isset;
+}
+Body::Body(Body&& other113) noexcept {
+  heartbeat = std::move(other113.heartbeat);
+  configuration_pull = std::move(other113.configuration_pull);
+  configuration_documents = std::move(other113.configuration_documents);
+  job_notice = std::move(other113.job_notice);
+  state_query = std::move(other113.state_query);
+  state_answer = std::move(other113.state_answer);
+  acknowledged = std::move(other113.acknowledged);
+  unsupported = std::move(other113.unsupported);
+  leader_beat = std::move(other113.leader_beat);
+  store_call = std::move(other113.store_call);
+  store_answer = std::move(other113.store_answer);
+  accepted_job = std::move(other113.accepted_job);
+  cancelled_job = std::move(other113.cancelled_job);
+  __isset = other113.__isset;
+}
+Body& Body::operator=(const Body& other114) {
+  heartbeat = other114.heartbeat;
+  configuration_pull = other114.configuration_pull;
+  configuration_documents = other114.configuration_documents;
+  job_notice = other114.job_notice;
+  state_query = other114.state_query;
+  state_answer = other114.state_answer;
+  acknowledged = other114.acknowledged;
+  unsupported = other114.unsupported;
+  leader_beat = other114.leader_beat;
+  store_call = other114.store_call;
+  store_answer = other114.store_answer;
+  accepted_job = other114.accepted_job;
+  cancelled_job = other114.cancelled_job;
+  __isset = other114.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other107) noexcept {
-  heartbeat = std::move(other107.heartbeat);
-  configuration_pull = std::move(other107.configuration_pull);
-  configuration_documents = std::move(other107.configuration_documents);
-  job_notice = std::move(other107.job_notice);
-  state_query = std::move(other107.state_query);
-  state_answer = std::move(other107.state_answer);
-  acknowledged = std::move(other107.acknowledged);
-  unsupported = std::move(other107.unsupported);
-  leader_beat = std::move(other107.leader_beat);
-  store_call = std::move(other107.store_call);
-  store_answer = std::move(other107.store_answer);
-  accepted_job = std::move(other107.accepted_job);
-  cancelled_job = std::move(other107.cancelled_job);
-  __isset = other107.__isset;
+Body& Body::operator=(Body&& other115) noexcept {
+  heartbeat = std::move(other115.heartbeat);
+  configuration_pull = std::move(other115.configuration_pull);
+  configuration_documents = std::move(other115.configuration_documents);
+  job_notice = std::move(other115.job_notice);
+  state_query = std::move(other115.state_query);
+  state_answer = std::move(other115.state_answer);
+  acknowledged = std::move(other115.acknowledged);
+  unsupported = std::move(other115.unsupported);
+  leader_beat = std::move(other115.leader_beat);
+  store_call = std::move(other115.store_call);
+  store_answer = std::move(other115.store_answer);
+  accepted_job = std::move(other115.accepted_job);
+  cancelled_job = std::move(other115.cancelled_job);
+  __isset = other115.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -3137,34 +3185,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other108) {
-  protocol = other108.protocol;
-  id = other108.id;
-  answer = other108.answer;
-  body = other108.body;
-  __isset = other108.__isset;
-}
-Envelope::Envelope(Envelope&& other109) noexcept {
-  protocol = other109.protocol;
-  id = other109.id;
-  answer = other109.answer;
-  body = std::move(other109.body);
-  __isset = other109.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other110) {
-  protocol = other110.protocol;
-  id = other110.id;
-  answer = other110.answer;
-  body = other110.body;
-  __isset = other110.__isset;
+Envelope::Envelope(const Envelope& other116) {
+  protocol = other116.protocol;
+  id = other116.id;
+  answer = other116.answer;
+  body = other116.body;
+  __isset = other116.__isset;
+}
+Envelope::Envelope(Envelope&& other117) noexcept {
+  protocol = other117.protocol;
+  id = other117.id;
+  answer = other117.answer;
+  body = std::move(other117.body);
+  __isset = other117.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other118) {
+  protocol = other118.protocol;
+  id = other118.id;
+  answer = other118.answer;
+  body = other118.body;
+  __isset = other118.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other111) noexcept {
-  protocol = other111.protocol;
-  id = other111.id;
-  answer = other111.answer;
-  body = std::move(other111.body);
-  __isset = other111.__isset;
+Envelope& Envelope::operator=(Envelope&& other119) noexcept {
+  protocol = other119.protocol;
+  id = other119.id;
+  answer = other119.answer;
+  body = std::move(other119.body);
+  __isset = other119.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/hickoryquay/inner/gen/inner_types.h
+++ b/hickoryquay/inner/gen/inner_types.h
@@ -607,7 +607,7 @@
 std::ostream& operator<<(std::ostream& out, const PhaseChange& obj);
 
 typedef struct _LeaderBeat__isset {
-  _LeaderBeat__isset() : instance(false), epoch(false), sequence(false), phases(false), pending(false), ready(false), pass_on(false), released(false), no_earlier_rows(false), job_bytes_held(false), job_bytes_limit(false), job_parts(false) {}
+  _LeaderBeat__isset() : instance(false), epoch(false), sequence(false), phases(false), pending(false), ready(false), pass_on(false), released(false), no_earlier_rows(false), job_bytes_held(false), job_bytes_limit(false), job_parts(false), job_bytes_of_accounts(false) {}
   bool instance :1;
   bool epoch :1;
   bool sequence :1;
@@ -620,6 +620,7 @@
   bool job_bytes_held :1;
   bool job_bytes_limit :1;
   bool job_parts :1;
+  bool job_bytes_of_accounts :1;
 } _LeaderBeat__isset;
 
 class LeaderBeat : public virtual ::apache::thrift::TBase {
@@ -654,6 +655,7 @@
   int64_t job_bytes_held;
   int64_t job_bytes_limit;
   int32_t job_parts;
+  std::map<std::string, int64_t>  job_bytes_of_accounts;
 
   _LeaderBeat__isset __isset;
 
@@ -681,6 +683,8 @@
 
   void __set_job_parts(const int32_t val);
 
+  void __set_job_bytes_of_accounts(const std::map<std::string, int64_t> & val);
+
   bool operator == (const LeaderBeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -715,6 +719,10 @@
       return false;
     else if (__isset.job_parts && !(job_parts == rhs.job_parts))
       return false;
+    if (__isset.job_bytes_of_accounts != rhs.__isset.job_bytes_of_accounts)
+      return false;
+    else if (__isset.job_bytes_of_accounts && !(job_bytes_of_accounts == rhs.job_bytes_of_accounts))
+      return false;
     return true;
   }
   bool operator != (const LeaderBeat &rhs) const {
--- a/hickoryquay/inner/inner.thrift
+++ b/hickoryquay/inner/inner.thrift
@@ -83,6 +83,7 @@
   10: optional i64 job_bytes_held,   // Memory that the leader takes for jobs, and the most that it takes.
   11: optional i64 job_bytes_limit,
   12: optional i32 job_parts,        // Into which instances split what is left between two beats.
+  13: optional map<string, i64> job_bytes_of_accounts,  // Of job_bytes_held, by client account; only large ones.
 }
 
 // A call to the platform's store for an instance that can't reach it; answered with StoreAnswer.
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -132,6 +132,7 @@
   std::map<QueueName, int> Pending() const;  // Jobs without a started task, by queue.
   SchedulerCounts Counts() const;
   std::uint64_t JobBytes() const { return m_job_bytes; }  // Estimate of the memory that all jobs take.
+  const std::map<AccountId, std::uint64_t>& AccountBytes() const { return m_account_bytes; }  // The same, by account.
   // Accepted jobs of which nothing runs, and jobs with a step that lasts and is interrupted; in the order of
   // acceptance, the first `most`. Timed jobs that are not due are left out. O(open jobs + most * workers).
   std::vector<IdleJob> IdleJobs(std::size_t most, Now now) const;
@@ -148,6 +149,7 @@
   void SetPhase(JobState* job, JobPhase phase, Now now);
   void FinishIfComplete(JobState* job, Now now);
   void EndJob(JobState* job, JobPhase phase, Now now);
+  void ForgetMemory(JobState* job);
   void ForgetArchivedJobs(Now now);
   StepRow MakeStepRow(const StepState& step, int index) const;
 
@@ -223,6 +225,7 @@
   std::map<JobId, std::unique_ptr<JobState>> m_jobs;
   std::map<JobId, JobState*> m_open_jobs;  // Those of m_jobs that have not ended: few of many at most times.
   std::uint64_t m_job_bytes = 0;           // Of m_jobs, see MemoryOf.
+  std::map<AccountId, std::uint64_t> m_account_bytes;
   std::map<std::pair<PoolName, int>, Instant> m_last_jobs;  // By pool and priority: the last arrival, steady time.
   WorkerTable m_workers;
   std::set<DomainId> m_evacuated;
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -115,6 +115,7 @@
   Instant m_until;    // Deadline of the answer to the caller.
   Millis m_limit{0};  // Of the attempt under way.
   int m_rejections = 0;
+  const char* m_no_room = "";    // Why the submission is refused.
   bool m_maybe_applied = false;  // An attempt without an answer may still take effect.
   SubmitCallback m_callback;
 };
@@ -210,9 +211,11 @@
     callback(std::move(result));
   };
   if (!m_phases.Find(id, write->m_started)) {  // A repeated submission takes nothing.
-    const JobRoom::Answer room = m_phases.Room().Take(memory, write->m_started);
+    const JobRoom::Answer room = m_phases.Room().Take(route.m_account, memory, write->m_started);
     if (room == JobRoom::Answer::kNever) return Finish(write, IntakeError{JobTooLarge{"the job has too many tasks"}});
-    if (room == JobRoom::Answer::kNotNow) {
+    if (room != JobRoom::Answer::kFits) {
+      write->m_no_room = room == JobRoom::Answer::kAccountFull ? "the account's jobs take too much already"
+                                                               : "too much work is held already";
       if (!m_refusal_reads.Take(write->m_started)) return Finish(write, IntakeError{OutcomeUnknown{}});
       write->m_begin = &Intake::BeginRefusal;
       return BeginRefusal(write);
@@ -231,7 +234,7 @@
     if (job != nullptr) return Finish(write, Done{});
     ReadFirst(write, OnlyRow(EndedRow(*write)), [this, write](const store::StoredRow* ended) {
       if (ended != nullptr && !IsTombstone(*ended)) return Finish(write, Done{});
-      Finish(write, IntakeError{TryLater{kNoRoomRetry, "too much work is held already"}});
+      Finish(write, IntakeError{TryLater{kNoRoomRetry, write->m_no_room}});
     });
   });
 }
--- a/hickoryquay/service/job_room.h
+++ b/hickoryquay/service/job_room.h
@@ -4,6 +4,9 @@
 // take, and into how many parts the rest is split. Between two heartbeats all instances accept jobs without knowing of
 // each other's, so each uses up only one part of what is left, with large jobs too.
 //
+// One client account may hold as much as it leaves to all others, so that its jobs can't keep theirs from being
+// accepted.
+//
 // Pure.
 #pragma once
 
@@ -11,9 +14,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <utility>
+#include <map>
 
 #include "hickoryquay/base/clock.h"
+#include "hickoryquay/base/ids.h"
 
 namespace hickoryquay::service {
 
@@ -30,6 +34,14 @@
   std::uint64_t m_held_bytes = 0;   // Of jobs that have not been archived.
   std::uint64_t m_limit_bytes = 0;  // 0: not known.
   int m_parts = kFewestJobParts;
+  std::map<AccountId, std::uint64_t> m_accounts{};  // Of m_held_bytes, of accounts that hold much.
+
+  void AddLarge(const std::map<AccountId, std::uint64_t>& accounts) {
+    constexpr std::uint64_t kLargeShare = 16;  // Of the limit: few accounts hold as much at a time.
+    for (const auto& [account, bytes] : accounts) {
+      if (bytes >= m_limit_bytes / kLargeShare) m_accounts.emplace(account, bytes);
+    }
+  }
 };
 
 // Not thread-safe.
@@ -38,40 +50,63 @@
   enum class Answer {
     kFits,
     kNotNow,
-    kNever,  // The job alone takes more than a part of an empty leader.
+    kAccountFull,  // Not now either: the job's account holds as much as it leaves to others.
+    kNever,        // The job alone takes more than an account's part of an empty leader.
   };
 
   // `limit_bytes` holds until a leader tells its own; 0: none.
-  explicit JobRoom(std::uint64_t limit_bytes = 0) : m_memory{0, limit_bytes, kFewestJobParts} {}
+  explicit JobRoom(std::uint64_t limit_bytes = 0) : m_memory{0, limit_bytes} {}
 
   // What the leader tells.
   void OnReport(const JobMemory& memory, Instant now) {
     if (memory.m_limit_bytes != 0) m_memory = memory;
     // What was accepted shortly before may not have reached the leader.
-    while (!m_taken.empty() && now - m_taken.front().first >= kUntilReported) {
-      m_taken_bytes -= m_taken.front().second;
+    while (!m_taken.empty() && now - m_taken.front().m_at >= kUntilReported) {
+      const Taken& taken = m_taken.front();
+      m_taken_bytes -= taken.m_bytes;
+      const auto account = m_taken_by.find(taken.m_account);
+      account->second -= taken.m_bytes;
+      if (account->second == 0) m_taken_by.erase(account);
       m_taken.pop_front();
     }
   }
 
   // On kFits the job counts from now on.
-  Answer Take(std::uint64_t bytes, Instant now) {
+  Answer Take(const AccountId& account, std::uint64_t bytes, Instant now) {
     if (m_memory.m_limit_bytes == 0) return Answer::kFits;
     const auto parts = static_cast<std::uint64_t>(m_memory.m_parts);
-    if (bytes > m_memory.m_limit_bytes / parts) return Answer::kNever;
+    if (bytes > ShareOf(m_memory.m_limit_bytes, 0) / parts) return Answer::kNever;
     const std::uint64_t left = m_memory.m_limit_bytes - std::min(m_memory.m_limit_bytes, m_memory.m_held_bytes);
     if (m_taken_bytes + bytes > left / parts) return Answer::kNotNow;
-    m_taken.emplace_back(now, bytes);
+    const std::uint64_t share = ShareOf(left, BytesOf(m_memory.m_accounts, account));
+    if (BytesOf(m_taken_by, account) + bytes > share / parts) return Answer::kAccountFull;
+    m_taken.push_back({now, account, bytes});
     m_taken_bytes += bytes;
+    m_taken_by[account] += bytes;
     return Answer::kFits;
   }
 
  private:
   static constexpr Millis kUntilReported{1'000};
 
+  struct Taken {
+    Instant m_at;
+    AccountId m_account;
+    std::uint64_t m_bytes = 0;
+  };
+
+  // What an account may take of `left`, so that it holds as much as it leaves then.
+  static std::uint64_t ShareOf(std::uint64_t left, std::uint64_t held) { return left > held ? (left - held) / 2 : 0; }
+
+  static std::uint64_t BytesOf(const std::map<AccountId, std::uint64_t>& accounts, const AccountId& account) {
+    const auto found = accounts.find(account);
+    return found == accounts.end() ? 0 : found->second;
+  }
+
   JobMemory m_memory;
-  std::deque<std::pair<Instant, std::uint64_t>> m_taken;  // Not reported by the leader yet.
+  std::deque<Taken> m_taken;  // Not reported by the leader yet.
   std::uint64_t m_taken_bytes = 0;
+  std::map<AccountId, std::uint64_t> m_taken_by;  // The same, by account.
 };
 
 }  // namespace hickoryquay::service
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -155,6 +155,7 @@
     JobMemory memory;  // Not known until all rows are read.
     if (const auto held = m_driver->JobBytes()) {
       memory = {*held, settings::ShareOut(m_settings.m_node.m_capacity).m_job_bytes};
+      memory.AddLarge(m_driver->AccountBytes());
     }
     return LeaderStatus{m_leadership->CurrentEpoch(), m_driver->Pending(), m_driver->MayHaveEarlierRows(), memory};
   };
--- a/hickoryquay/service/leader_beats.cc
+++ b/hickoryquay/service/leader_beats.cc
@@ -92,6 +92,9 @@
   beat.__set_job_bytes_held(static_cast<std::int64_t>(memory.m_held_bytes));
   beat.__set_job_bytes_limit(static_cast<std::int64_t>(memory.m_limit_bytes));
   beat.__set_job_parts(memory.m_parts);
+  std::map<std::string, std::int64_t> accounts;
+  for (const auto& [account, bytes] : memory.m_accounts) accounts[account.m_value] = static_cast<std::int64_t>(bytes);
+  if (!accounts.empty()) beat.__set_job_bytes_of_accounts(accounts);
   m_parts.m_phases->Room().OnReport(memory, now);
   SendToAll(beat);
 }
@@ -195,8 +198,9 @@
   cache.NoteHeartbeat(now);
   // A leader of an earlier version tells less.
   const auto bytes = [](std::int64_t value) { return static_cast<std::uint64_t>(std::max<std::int64_t>(0, value)); };
-  const int parts = std::max(kFewestJobParts, beat.job_parts);
-  cache.Room().OnReport({bytes(beat.job_bytes_held), bytes(beat.job_bytes_limit), parts}, now);
+  JobMemory memory{bytes(beat.job_bytes_held), bytes(beat.job_bytes_limit), std::max(kFewestJobParts, beat.job_parts)};
+  for (const auto& [account, held] : beat.job_bytes_of_accounts) memory.m_accounts[AccountId{account}] = bytes(held);
+  cache.Room().OnReport(memory, now);
 }
 
 void LeaderBeats::PassOn(const wire::LeaderBeat& beat) {
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -83,6 +83,7 @@
   std::optional<std::uint64_t> JobBytes() const {
     return m_ready ? std::optional(m_scheduler.JobBytes()) : std::nullopt;
   }
+  const std::map<AccountId, std::uint64_t>& AccountBytes() const { return m_scheduler.AccountBytes(); }
   jobs::SchedulerCounts Counts() const { return m_scheduler.Counts(); }
   std::optional<jobs::JobPhase> Phase(JobId job) const { return m_scheduler.Phase(job); }
 
