Intake: a stored job is not refused because its leader has less memory now

What callers could see: 413 for a repeated submission whose first one was stored and runs, so an untrue refusal (REFUSED), where the answer to the first was lost and the instance that gets the second knows of a leader with less memory, or of more instances. The part that bounds a job follows from both.

Change: a job over its part is looked up in the store before it is refused, as a job is for which there is no room at the moment. One that takes more than all of the leader's memory for jobs is refused at once, as before.

JobThatALargerLeaderAcceptedIsNotRefused failed before ("too large"); the test of the limits asks in addition that a new job over its part is refused.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -115,7 +115,7 @@
   Instant m_until;    // Deadline of the answer to the caller.
   Millis m_limit{0};  // Of the attempt under way.
   int m_rejections = 0;
-  const char* m_no_room = "";    // Why the submission is refused.
+  IntakeError m_refusal;         // Of a submission for which there is no room.
   bool m_maybe_applied = false;  // An attempt without an answer may still take effect.
   SubmitCallback m_callback;
 };
@@ -175,6 +175,22 @@
 // Submissions
 //-------------------------------------------------------------------------------------------------
 
+namespace {
+
+IntakeError RefusalOf(JobRoom::Answer room) {
+  switch (room) {
+    case JobRoom::Answer::kOverPart:
+    case JobRoom::Answer::kNever:
+      return JobTooLarge{"the job has too many tasks"};
+    case JobRoom::Answer::kAccountFull:
+      return TryLater{kNoRoomRetry, "the account's jobs take too much already"};
+    default:
+      return TryLater{kNoRoomRetry, "too much work is held already"};
+  }
+}
+
+}  // namespace
+
 void Intake::Submit(const Route& route, JobId id, jobs::JobRequest request, Millis time, SubmitCallback callback) {
   const std::string problem = Validate(request);
   if (!problem.empty()) return callback(IntakeError{Malformed{problem}});
@@ -212,10 +228,9 @@
   };
   if (!m_phases.Find(id, write->m_started)) {  // A repeated submission takes nothing.
     const JobRoom::Answer room = m_phases.Room().Take(route.m_account, memory, write->m_started);
-    if (room == JobRoom::Answer::kNever) return Finish(write, IntakeError{JobTooLarge{"the job has too many tasks"}});
+    if (room == JobRoom::Answer::kNever) return Finish(write, RefusalOf(room));
     if (room != JobRoom::Answer::kFits) {
-      write->m_no_room = room == JobRoom::Answer::kAccountFull ? "the account's jobs take too much already"
-                                                               : "too much work is held already";
+      write->m_refusal = RefusalOf(room);
       if (!m_refusal_reads.Take(write->m_started)) return Finish(write, IntakeError{OutcomeUnknown{}});
       write->m_begin = &Intake::BeginRefusal;
       return BeginRefusal(write);
@@ -234,7 +249,7 @@
     if (job != nullptr) return Finish(write, Done{});
     ReadFirst(write, OnlyRow(EndedRow(*write)), [this, write](const store::StoredRow* ended) {
       if (ended != nullptr && !IsTombstone(*ended)) return Finish(write, Done{});
-      Finish(write, IntakeError{TryLater{kNoRoomRetry, write->m_no_room}});
+      Finish(write, write->m_refusal);
     });
   });
 }
--- a/hickoryquay/service/job_room.h
+++ b/hickoryquay/service/job_room.h
@@ -51,7 +51,9 @@
     kFits,
     kNotNow,
     kAccountFull,  // Not now either: the job's account holds as much as it leaves to others.
-    kNever,        // The job alone takes more than an account's part of an empty leader.
+    kOverPart,     // Nor later: the job takes more than an account's part of an empty leader. It may have been accepted
+                   // before, under a leader with more memory.
+    kNever,        // The job alone takes more than there is.
   };
 
   // `limit_bytes` holds until a leader tells its own; 0: none.
@@ -75,7 +77,8 @@
   Answer Take(const AccountId& account, std::uint64_t bytes, Instant now) {
     if (m_memory.m_limit_bytes == 0) return Answer::kFits;
     const auto parts = static_cast<std::uint64_t>(m_memory.m_parts);
-    if (bytes > ShareOf(m_memory.m_limit_bytes, 0) / parts) return Answer::kNever;
+    if (bytes > m_memory.m_limit_bytes) return Answer::kNever;
+    if (bytes > ShareOf(m_memory.m_limit_bytes, 0) / parts) return Answer::kOverPart;
     const std::uint64_t left = m_memory.m_limit_bytes - std::min(m_memory.m_limit_bytes, m_memory.m_held_bytes);
     if (m_taken_bytes + bytes > left / parts) return Answer::kNotNow;
     const std::uint64_t share = ShareOf(left, BytesOf(m_memory.m_accounts, account));
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(MalformedJobNeverReachesTheStore);
   CPPUNIT_TEST(JobThatNoRowHoldsIsRefusedAtOnce);
   CPPUNIT_TEST(JobsBeyondTheLeadersMemoryAreRefused);
+  CPPUNIT_TEST(JobThatALargerLeaderAcceptedIsNotRefused);
   CPPUNIT_TEST(RefusalsAndCallsAreCountedByReason);
   CPPUNIT_TEST(LostCallIsIgnoredOnceALaterOneIsAnswered);
   CPPUNIT_TEST_SUITE_END();
@@ -461,9 +462,24 @@
     CPPUNIT_ASSERT_EQUAL(std::string("try later"), Submit(JobId{2}, kCallerTimeout, request));
     request.m_steps[0].m_tasks = 1'000'000;
     CPPUNIT_ASSERT_EQUAL(std::string("too large"), Submit(JobId{3}, kCallerTimeout, request));
+    request.m_steps[0].m_tasks = 100;
+    CPPUNIT_ASSERT_EQUAL(std::string("too large"), Submit(JobId{4}, kCallerTimeout, request));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store->Rows(TableNames{}.m_intake).size());
   }
 
+  // Guards against a refusal of a job that was accepted under a leader with more memory and runs.
+  void JobThatALargerLeaderAcceptedIsNotRefused() {
+    jobs::JobRequest request;
+    request.m_steps.resize(1);
+    request.m_steps[0].m_tasks = 100;
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, kCallerTimeout, request));
+    m_intake->Phases().Room().OnReport({0, 200'000}, m_clock.Now());
+    m_timers.Advance(IntakeSettings{}.m_phase_retention);
+    m_intake->Phases().RemoveExpired(m_clock.Now() + Millis{1});
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, kCallerTimeout, request));
+    CPPUNIT_ASSERT_EQUAL(std::string("too large"), Submit(JobId{2}, kCallerTimeout, request));
+  }
+
  private:
   static std::string Text(const Result<Done, IntakeError>& result) {
     if (Ok(result)) return "accepted";
--- a/tests/service/job_room_test.cc
+++ b/tests/service/job_room_test.cc
@@ -60,7 +60,8 @@
   // A job within a part of an empty leader is never refused for good, a larger one at once.
   void JobOverTheLimitNeverFits() {
     JobRoom room(16'000);
-    CPPUNIT_ASSERT(room.Take(kAccount, 501, kNow) == Answer::kNever);
+    CPPUNIT_ASSERT(room.Take(kAccount, 16'001, kNow) == Answer::kNever);
+    CPPUNIT_ASSERT(room.Take(kAccount, 501, kNow) == Answer::kOverPart);
     room.OnReport({15'999, 16'000}, kNow);
     CPPUNIT_ASSERT(room.Take(kAccount, 500, kNow) == Answer::kNotNow);
     room.OnReport({0, 16'000}, kNow);
