Intake: as many parts of the leader's memory as instances, down to 1 MB each

With 32 parts at most, jobs handed in within a second at all of 147 instances, by several accounts, could still take 4.6 times the leader's bound for jobs.

Found by reading; JobsOfManyInstancesStayWithinTheLimit asks for both ends. service_patterns_test and service_test pass.

--- a/hickoryquay/service/job_room.h
+++ b/hickoryquay/service/job_room.h
@@ -23,11 +23,12 @@
 
 constexpr int kFewestJobParts = 16;
 
-// So many parts as there are instances, within bounds: a part must hold any usual job. Beyond kMostJobParts instances,
-// all of them at a time may accept more than the limit.
-inline int JobPartsFor(std::size_t instances) {
-  constexpr std::size_t kMostJobParts = 32;
-  return static_cast<int>(std::clamp(instances, std::size_t{kFewestJobParts}, kMostJobParts));
+// As many parts as there are instances, but none so small that usual jobs don't fit. Where there are more instances
+// than parts, all of them at a time may accept more than the limit.
+inline int JobPartsFor(std::size_t instances, std::uint64_t limit_bytes) {
+  constexpr std::uint64_t kLeastPart = 1024 * 1024;
+  const auto most = std::max<std::uint64_t>(kFewestJobParts, limit_bytes / kLeastPart);
+  return static_cast<int>(std::clamp<std::uint64_t>(instances, kFewestJobParts, most));
 }
 
 struct JobMemory {
--- a/hickoryquay/service/leader_beats.cc
+++ b/hickoryquay/service/leader_beats.cc
@@ -88,7 +88,7 @@
   m_parts.m_phases->SetEarlierRows(status->m_may_have_earlier_rows, now);
   m_parts.m_phases->NoteHeartbeat(now);
   JobMemory memory = status->m_job_memory;
-  memory.m_parts = JobPartsFor(m_peer_count + 1);
+  memory.m_parts = JobPartsFor(m_peer_count + 1, memory.m_limit_bytes);
   beat.__set_job_bytes_held(static_cast<std::int64_t>(memory.m_held_bytes));
   beat.__set_job_bytes_limit(static_cast<std::int64_t>(memory.m_limit_bytes));
   beat.__set_job_parts(memory.m_parts);
--- a/tests/service/job_room_test.cc
+++ b/tests/service/job_room_test.cc
@@ -52,9 +52,12 @@
 
   // Guards against parts that are too large for so many instances.
   void JobsOfManyInstancesStayWithinTheLimit() {
-    CPPUNIT_ASSERT_EQUAL(16, JobPartsFor(1));
-    CPPUNIT_ASSERT_EQUAL(32, JobPartsFor(100));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{16'000}, MostTaken(20, JobPartsFor(20), 400));
+    constexpr std::uint64_t kMegabyte = 1024 * 1024;
+    CPPUNIT_ASSERT_EQUAL(16, JobPartsFor(1, 128 * kMegabyte));
+    CPPUNIT_ASSERT_EQUAL(100, JobPartsFor(100, 128 * kMegabyte));
+    CPPUNIT_ASSERT_EQUAL(40, JobPartsFor(100, 40 * kMegabyte));  // Each holds a job of 1,000 tasks.
+    CPPUNIT_ASSERT_EQUAL(16, JobPartsFor(100, 1));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{16'000}, MostTaken(20, JobPartsFor(20, 128 * kMegabyte), 400));
   }
 
   // A job within a part of an empty leader is never refused for good, a larger one at once.
