--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -272,20 +272,14 @@
     }
     m_removed_rows.push_back(HexText(id));
     job->m_payload.reset();
-    ForgetMemory(job);
+    const std::uint64_t bytes = std::exchange(job->m_memory_bytes, 0);
+    m_job_bytes -= bytes;
+    const auto account = m_account_bytes.find(job->m_job.m_account);
+    if (account != m_account_bytes.end() && (account->second -= bytes) == 0) m_account_bytes.erase(account);
     m_archived.emplace_back(now.m_steady, id);
   }
 }
 
-void Scheduler::ForgetMemory(JobState* job) {
-  const std::uint64_t bytes = std::exchange(job->m_memory_bytes, 0);
-  if (bytes == 0) return;
-  m_job_bytes -= bytes;
-  const auto account = m_account_bytes.find(job->m_job.m_account);
-  account->second -= bytes;
-  if (account->second == 0) m_account_bytes.erase(account);
-}
-
 // An archived job is remembered for a while, since the feed of the accepted jobs may still repeat it.
 void Scheduler::ForgetArchivedJobs(Now now) {
   while (!m_archived.empty() && now.m_steady - m_archived.front().first >= m_settings.m_forget_after) {
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -149,7 +149,6 @@
   void SetPhase(JobState* job, JobPhase phase, Now now);
   void FinishIfComplete(JobState* job, Now now);
   void EndJob(JobState* job, JobPhase phase, Now now);
-  void ForgetMemory(JobState* job);
   void ForgetArchivedJobs(Now now);
   StepRow MakeStepRow(const StepState& step, int index) const;
 
@@ -196,7 +195,6 @@
   bool LeavesTooFewFree(const Unit& unit, Now now) const;
   bool PrefersDataRack(const Unit& unit, Now now) const;
   bool HasWaitedLongEnough(const StepState& step, Now now) const;
-  Millis LongestWaitForRack(const StepSpec& spec) const;
   bool MayLeaveRack(const Unit& unit, Now now) const;
   bool FitsIntoFreeRoom(const Unit& unit, int times);
   bool HasAmpleRoom(const Unit& unit);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -125,17 +125,21 @@
   return step.m_held_back.HasLasted(m_settings.m_longest_preference, now.m_steady);
 }
 
+namespace {
+
 // What a gang for one rack loses where it runs on several. A wait of that length has cost its caller as much.
-Millis Scheduler::LongestWaitForRack(const StepSpec& spec) const {
-  const double lost_ms = (m_settings.m_remote_factor - 1.0) * static_cast<double>(spec.m_estimate.count());
-  return std::max(m_settings.m_longest_preference, Millis{static_cast<std::int64_t>(lost_ms)});
+Millis LongestWaitForRack(const StepSpec& spec, const SchedulerSettings& settings) {
+  const double lost_ms = (settings.m_remote_factor - 1.0) * static_cast<double>(spec.m_estimate.count());
+  return std::max(settings.m_longest_preference, Millis{static_cast<std::int64_t>(lost_ms)});
 }
 
+}  // namespace
+
 // The unit needs to wait no longer for the rack that it prefers.
 bool Scheduler::MayLeaveRack(const Unit& unit, Now now) const {
   const StepState& step = *unit.m_step;
   return HasWaitedLongEnough(step, now) ||
-         step.m_held_for_rack.HasLasted(LongestWaitForRack(*step.m_spec), now.m_steady) ||
+         step.m_held_for_rack.HasLasted(LongestWaitForRack(*step.m_spec, m_settings), now.m_steady) ||
          (unit.m_may_leave_rack && m_guarantees.Covers(*step.m_job));
 }
 
@@ -231,7 +235,7 @@
   const Unit* left = PlaceUnits(step, now);
   if (left == nullptr || step->WasHeldBack()) return;
   step->m_held_back.Credit(WaitBeforeTakeover(*step, m_settings.m_longest_preference, now));
-  step->m_held_for_rack.Credit(WaitBeforeTakeover(*step, LongestWaitForRack(*step->m_spec), now));
+  step->m_held_for_rack.Credit(WaitBeforeTakeover(*step, LongestWaitForRack(*step->m_spec, m_settings), now));
   NoteHeldBack(*left, now);
 }
 
