--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -195,7 +195,7 @@
   bool LeavesTooFewFree(const Unit& unit, Now now) const;
   bool PrefersDataRack(const Unit& unit, Now now) const;
   bool HasWaitedLongEnough(const StepState& step, Now now) const;
-  bool MayLeaveRack(const Unit& unit, Now now) const;
+  bool IsRackOptional(const Unit& unit, Now now) const;
   bool FitsIntoFreeRoom(const Unit& unit, int times);
   bool HasAmpleRoom(const Unit& unit);
   void NoteHeldBack(const Unit& unit, Now now);
--- a/hickoryquay/jobs/scheduler_idle.cc
+++ b/hickoryquay/jobs/scheduler_idle.cc
@@ -56,7 +56,7 @@
   if (NeedsIsolation(unit, crashes)) return IdleCause::kAlone;
   if (room->m_takeable < members) return IdleCause::kWithheldRoom;
   if (LeavesTooFewFree(unit, now)) return IdleCause::kFreeShare;
-  if (waited || MayLeaveRack(unit, now)) return IdleCause::kUnexplained;
+  if (waited || IsRackOptional(unit, now)) return IdleCause::kUnexplained;
   if (spec.m_rack_local && members > 1 && room->m_best_rack < members) return IdleCause::kRack;
   const auto& slots = m_workers.Slots();
   const bool rack_exists = std::any_of(slots.begin(), slots.end(), [&spec](const WorkerSlot* slot) {
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -127,7 +127,7 @@
 
 namespace {
 
-// What a gang for one rack loses where it runs on several. A wait of that length has cost its caller as much.
+// What a gang for one rack loses where it runs on several: a longer wait would cost its caller more.
 Millis LongestWaitForRack(const StepSpec& spec, const SchedulerSettings& settings) {
   const double lost_ms = (settings.m_remote_factor - 1.0) * static_cast<double>(spec.m_estimate.count());
   return std::max(settings.m_longest_preference, Millis{static_cast<std::int64_t>(lost_ms)});
@@ -135,16 +135,16 @@
 
 }  // namespace
 
-// The unit needs to wait no longer for the rack that it prefers.
-bool Scheduler::MayLeaveRack(const Unit& unit, Now now) const {
+// The unit no longer waits for the rack that it prefers.
+bool Scheduler::IsRackOptional(const Unit& unit, Now now) const {
   const StepState& step = *unit.m_step;
   return HasWaitedLongEnough(step, now) ||
          step.m_held_for_rack.HasLasted(LongestWaitForRack(*step.m_spec, m_settings), now.m_steady) ||
          (unit.m_may_leave_rack && m_guarantees.Covers(*step.m_job));
 }
 
-// A limit per worker holds for each of the times. Workers that return soon count: the step would wait for them, and
-// then for as long again.
+// Whether the unit fits so many times, with its limit per worker for each of them. Workers that return soon count: the
+// step would wait for them, and then for as long again.
 bool Scheduler::FitsIntoFreeRoom(const Unit& unit, int times) {
   const StepSpec& spec = *unit.m_step->m_spec;
   const std::size_t needed = static_cast<std::size_t>(times) * unit.m_members.size();
@@ -350,7 +350,7 @@
     return true;
   }
   if (ranked != nullptr) ranked->reset();
-  const bool leaves_rack = MayLeaveRack(*unit, now);
+  const bool leaves_rack = IsRackOptional(*unit, now);
   const bool gang = unit->m_members.size() > 1;
   const bool uneven = input.m_pace.m_uneven;
   const auto choose = [&](const std::vector<WorkerSlot*>& slots) {
--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -13,8 +13,7 @@
 
 constexpr log::Part kLog{"intake"};
 constexpr Millis kNoRoomRetry{5'000};
-constexpr std::size_t kRefusalReads =
-    100;  // Within kRefusalReadsWithin; further refusals say that the outcome is unknown.
+constexpr std::size_t kRefusalReads = 100;  // Within the time below; beyond it the outcome is answered as unknown.
 constexpr Millis kRefusalReadsWithin{1'000};
 constexpr int kRejectionsToAnswer = 2;  // A peer that passes calls on may have rejected one for reasons of its own.
 
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -68,7 +68,7 @@
 struct OutcomeUnknown {};  // The request may have taken effect; it is safe to repeat.
 struct NoSuchJob {};
 
-// The job can never be stored or held, whoever is asked.
+// Neither a row of the store nor the memory of the present leader can hold the job.
 struct JobTooLarge {
   std::string m_why;
 };
