Relay: answers that the asking instance can't use are not received for it

Cause, one of three: an instance that the store is away for asks a peer. The peer received the answer to the end, 5 MB and more where many versions of up to 5,600 routes were missed, also after the asking instance had given the call up; its frame was then over the limit and ended the connection. All instances ask each other so, and each link of 1.25 MB/s carried the answers of others beside its own.

Change: HttpRequest::m_max_answer_bytes. A longer answer is broken off at its head, as TooLong. A relayed answer is as long as a frame holds, and has the time for which the peer waits.

Why it works: what is received for a peer is what the peer can receive.

Evidence: RelayTest, RelayedAnswersFitIntoAFrame and RelayedAnswersArriveWhileThePeerWaits, red on; NetTest, AnswerLongerThanItsLimitIsBrokenOff.

--- a/hickoryquay/net/client.cc
+++ b/hickoryquay/net/client.cc
@@ -38,6 +38,7 @@
   Deadline m_deadline;
   Millis m_timeout;
   bool m_large_answer = false;
+  std::size_t m_max_answer_bytes = 0;
   std::function<void(int status)> m_on_progress;
   ResponseCallback m_callback;
 };
@@ -184,7 +185,7 @@
 
   void Read() {
     m_parser.emplace();
-    m_parser->body_limit(m_client->m_settings.m_max_body_bytes);
+    m_parser->body_limit(m_call->m_max_answer_bytes);
     m_parser->eager(true);
     m_received = 0;
     ReadSome();
@@ -229,6 +230,7 @@
 
   void FailAfterSending(const beast::error_code& error) {
     if (m_timed_out) return Fail(TimedOut{true, m_received});
+    if (error == http::error::body_limit) return Fail(TooLong{});
     const bool http_error = error.category() == make_error_code(http::error::bad_method).category();
     const bool ended = error == http::error::end_of_stream || error == http::error::partial_message;
     if (http_error && !ended) return Fail(Garbled{error.message()});
@@ -266,6 +268,8 @@
   auto call = std::make_shared<Call>();
   call->m_timeout = timeout;
   call->m_large_answer = request.m_large_answer;
+  const std::size_t most = request.m_max_answer_bytes;
+  call->m_max_answer_bytes = most == 0 ? m_settings.m_max_body_bytes : std::min(most, m_settings.m_max_body_bytes);
   call->m_on_progress = std::move(request.m_on_progress);
   call->m_request = ToBeast(to, std::move(request));
   call->m_deadline = std::chrono::steady_clock::now() + timeout;
--- a/hickoryquay/net/http.h
+++ b/hickoryquay/net/http.h
@@ -60,6 +60,7 @@
   // The answer may be of any size. The time limit then bounds the wait for its first bytes and for any further ones,
   // not the answer as a whole: one that was broken off for its size would be as large the next time.
   bool m_large_answer = false;
+  std::size_t m_max_answer_bytes = 0;  // Of the body; a longer one is broken off as TooLong. 0: the client's limit.
   std::function<void(int status)> m_on_progress = nullptr;  // A part of an answer arrived that is not whole yet.
 };
 
@@ -111,7 +112,10 @@
   std::string m_why;
 };
 
-using NetError = std::variant<NotSent, TimedOut, Cut, Garbled>;
+// The answer's body is longer than its caller takes.
+struct TooLong {};
+
+using NetError = std::variant<NotSent, TimedOut, Cut, Garbled, TooLong>;
 
 // True where the peer may have acted on the call.
 bool MaybeSent(const NetError& error);
--- a/hickoryquay/net/message.cc
+++ b/hickoryquay/net/message.cc
@@ -130,7 +130,8 @@
                                  return e.m_sent ? "timed out after sending" : "timed out before sending";
                                },
                                [](const Cut& e) { return "connection cut: " + e.m_why; },
-                               [](const Garbled& e) { return "bad answer: " + e.m_why; }},
+                               [](const Garbled& e) { return "bad answer: " + e.m_why; },
+                               [](const TooLong&) -> std::string { return "the answer is too long"; }},
                     error);
 }
 
--- a/hickoryquay/service/store_relay.cc
+++ b/hickoryquay/service/store_relay.cc
@@ -13,6 +13,7 @@
 constexpr log::Part kLog{"relay"};
 constexpr int kTooManyCalls = 429;
 constexpr int kUnavailable = 503;
+constexpr std::size_t kFrameRest = 4'096;     // Of a frame, all but the answer that it holds.
 constexpr std::size_t kMaxLoggedTarget = 60;  // Characters of path and query written to the log.
 
 bool IsUnavailable(int status) {
@@ -252,7 +253,7 @@
   request.m_method = call.method;
   request.m_target = call.target;
   request.m_body = call.body;
-  request.m_large_answer = call.method == "GET";
+  request.m_max_answer_bytes = inner::kMaxFrameBytes - kFrameRest;
   if (!call.body.empty()) request.m_headers.push_back({"Content-Type", "application/json"});
   m_direct(m_store, std::move(request), Millis{call.timeout_ms},
            [self = shared_from_this(), answer](const Result<net::HttpResponse, net::NetError>& result) {
--- a/hickoryquay/service/store_relay.h
+++ b/hickoryquay/service/store_relay.h
@@ -48,7 +48,8 @@
 
   store::HttpSend Send();
 
-  // Relays a call of a peer to the store.
+  // Relays a call of a peer to the store. An answer that is too large for a frame, or that takes longer than the peer
+  // waits, is broken off: the peer has no use for it, and it would keep this instance's own calls from the link.
   void Handle(const inner::wire::StoreCall& call, const std::function<void(inner::Message)>& answer);
 
  private:
--- a/tests/net/net_test.cc
+++ b/tests/net/net_test.cc
@@ -128,6 +128,7 @@
   CPPUNIT_TEST(CallsBeyondTheConnectionsWait);
   CPPUNIT_TEST(LargeAnswerMayTakeLongerThanItsLimit);
   CPPUNIT_TEST(LargeAnswerThatStopsTimesOut);
+  CPPUNIT_TEST(AnswerLongerThanItsLimitIsBrokenOff);
   CPPUNIT_TEST(DrainAnswersWhatIsInFlight);
   CPPUNIT_TEST(TargetsAndEndpoints);
   CPPUNIT_TEST(EndpointsHoldNoHiddenText);
@@ -219,6 +220,14 @@
     CPPUNIT_ASSERT(std::get<TimedOut>(ErrorOf(result)).m_received > 0);
   }
 
+  // It is broken off as soon as its length is known, not once it has arrived.
+  void AnswerLongerThanItsLimitIsBrokenOff() {
+    DrippingServer server(&m_io, DrippingServer::kBytes, 0);
+    HttpRequest request = LargeRead("/");
+    request.m_max_answer_bytes = DrippingServer::kBytes - 1;
+    CPPUNIT_ASSERT(std::holds_alternative<TooLong>(ErrorOf(Call(server.Local(), request, DrippingServer::kLimit))));
+  }
+
   // A handler that keeps its responder must not keep the drain.
   void DrainAnswersWhatIsInFlight() {
     Serve();
--- a/tests/service/relay_test.cc
+++ b/tests/service/relay_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
 #include <optional>
 
 #include "hickoryquay/service/store_relay.h"
@@ -33,6 +34,8 @@
   CPPUNIT_TEST(GlobalOutageIsReportedSoon);
   CPPUNIT_TEST(InstanceWithoutStoreRelaysNothing);
   CPPUNIT_TEST(RelayedCallsAreBounded);
+  CPPUNIT_TEST(RelayedAnswersFitIntoAFrame);
+  CPPUNIT_TEST(RelayedAnswersArriveWhileThePeerWaits);
   CPPUNIT_TEST(SilentReadIsHedgedThroughPeer);
   CPPUNIT_TEST(HedgesRevealACutInstance);
   CPPUNIT_TEST(SilenceMovesWaitingCallsToPeers);
@@ -60,6 +63,7 @@
                const net::ResponseCallback& callback) {
           CPPUNIT_ASSERT(to == kStore);
           ++m_direct_calls;
+          m_last_request = request;
           m_progress = request.m_on_progress;
           m_hold ? m_held.push_back(callback) : callback(m_direct);
         },
@@ -172,6 +176,27 @@
     CPPUNIT_ASSERT_EQUAL(200, Handle().status);
   }
 
+  // Guards against answers that are received for a peer whole, only to end the connection to it as a frame over the
+  // limit.
+  void RelayedAnswersFitIntoAFrame() {
+    Handle("GET");
+    const std::size_t most = m_last_request.m_max_answer_bytes;
+    CPPUNIT_ASSERT(most > 0);
+    wire::StoreAnswer answer = Answer(200);
+    answer.__set_body(std::string(most, 'x'));
+    inner::Frame frame;
+    frame.m_id = std::numeric_limits<std::int64_t>::max();
+    frame.m_answer = true;
+    frame.m_message = answer;
+    CPPUNIT_ASSERT(inner::Encode(frame).size() <= inner::kMaxFrameBytes + inner::kLengthBytes);
+  }
+
+  // Guards against answers of seconds on a small link that are received for a peer which has given the call up.
+  void RelayedAnswersArriveWhileThePeerWaits() {
+    Handle("GET");
+    CPPUNIT_ASSERT(!m_last_request.m_large_answer);
+  }
+
   // Known from a day on which the store turned away the leader alone, in silence: its reads, and the feed of accepted
   // jobs, waited for 1.9 s.
   void SilentReadIsHedgedThroughPeer() {
@@ -353,9 +378,9 @@
     return outcome;
   }
 
-  wire::StoreAnswer Handle() {
+  wire::StoreAnswer Handle(const char* method = "POST") {
     wire::StoreCall call;
-    call.__set_method("POST");
+    call.__set_method(method);
     call.__set_timeout_ms(kTimeout.count());
     auto outcome = std::make_shared<wire::StoreAnswer>(Answer(-1));
     m_relay->Handle(call, [outcome](inner::Message message) { *outcome = std::get<wire::StoreAnswer>(message); });
@@ -382,6 +407,7 @@
   HttpResult m_direct = Status(200);
   std::optional<wire::StoreAnswer> m_peer;  // Empty: no answer.
   std::vector<net::ResponseCallback> m_held;
+  net::HttpRequest m_last_request;      // Of the direct calls.
   std::function<void(int)> m_progress;  // Of the last direct call.
   bool m_hold = false;
   bool m_hold_peer = false;
