Relay: a call is not sent again beside the probe that brings its answer

Where peers fail, the read was sent directly a second time, and to further peers, while the probe's answer arrived: two copies of 5 MB shared a link of 1.25 MB/s.

Change: a call knows of its probe. While the probe's answer arrives no other copy is sent; where peers are used up the probe decides; where it breaks off, peers that were not asked yet are.

Why it works: an instance's link carries one copy of an answer.

Evidence: RelayTest, ProbedCallIsNotSentTwice and ArrivingAnswerOfAProbeIsLeftToArrive, red without it.

--- a/hickoryquay/service/store_relay.cc
+++ b/hickoryquay/service/store_relay.cc
@@ -34,7 +34,8 @@
   bool m_maybe_applied = false;  // A write was sent but not answered.
   bool m_last_direct = false;
   bool m_direct_pending = false;
-  bool m_arriving = false;  // The direct answer has begun.
+  bool m_probe_pending = false;  // A probe of the store is a copy of this call.
+  bool m_arriving = false;       // The direct answer has begun, or that of the probe.
   bool m_peer_pending = false;
   bool m_counted = false;  // As a failure of the direct way.
   bool m_finished = false;
@@ -75,6 +76,7 @@
 
 void StoreRelay::Begin(const std::shared_ptr<Call>& call) {
   if (StoreUnreachable() && call->m_read) ProbeStore(call);
+  if (call->m_finished || call->m_peer_pending) return;  // The probe has ended already.
   StoreUnreachable() && m_send ? SendThroughPeer(call) : SendDirect(call);
 }
 
@@ -86,21 +88,36 @@
   if (m_probing || now - m_last_direct < m_settings.m_direct_interval) return;
   m_probing = true;
   m_last_direct = now;
+  call->m_probe_pending = true;
+  call->m_last_direct = true;
   net::HttpRequest request = call->m_request;
-  request.m_on_progress = [weak = weak_from_this()](int status) {
+  request.m_on_progress = [weak = weak_from_this(), weak_call = std::weak_ptr(call)](int status) {
     const auto self = weak.lock();
-    if (self && !IsUnavailable(status)) self->MarkReachable();
+    const auto arriving = weak_call.lock();
+    if (!self || !arriving || IsUnavailable(status)) return;
+    self->MarkReachable();
+    arriving->m_arriving = true;
   };
   m_direct(m_store, std::move(request), call->m_until - now,
            [self = shared_from_this(), call](Result<net::HttpResponse, net::NetError> result) {
-             self->m_probing = false;
-             self->CountDiscarded(result);
-             if (IsUnavailable(result)) return;
-             self->MarkReachable();
-             Finish(call, std::move(result));
+             self->OnProbeAnswer(call, std::move(result));
            });
 }
 
+void StoreRelay::OnProbeAnswer(const std::shared_ptr<Call>& call, Result<net::HttpResponse, net::NetError> result) {
+  m_probing = false;
+  call->m_probe_pending = false;
+  call->m_arriving = false;
+  CountDiscarded(result);
+  if (!IsUnavailable(result)) {
+    MarkReachable();
+    return Finish(call, std::move(result));
+  }
+  if (call->m_finished || call->m_peer_pending) return;
+  call->m_last_result = std::move(result);
+  SendThroughPeer(call);
+}
+
 void StoreRelay::MarkReachable() {
   if (StoreUnreachable()) log::Info(kLog, "Store is reachable from this instance again");
   m_direct_failures = 0;
@@ -196,9 +213,12 @@
 }
 
 void StoreRelay::SendThroughPeer(const std::shared_ptr<Call>& call) {
+  // A second copy would share the link with an answer that is arriving.
+  if (call->m_probe_pending && call->m_arriving) return;
   const Millis left = call->m_until - m_clock->Now();
   const auto peers = m_send && left.count() > 0 ? m_peers() : std::vector<net::Endpoint>{};
   if (peers.empty() || call->m_peers_tried == m_settings.m_peers_per_call) {
+    if (call->m_probe_pending) return;  // The probe's answer decides.
     if (call->m_last_direct || call->m_maybe_applied || left.count() <= 0)
       return Finish(call, std::move(call->m_last_result));
     return SendDirect(call);
--- a/hickoryquay/service/store_relay.h
+++ b/hickoryquay/service/store_relay.h
@@ -7,7 +7,7 @@
 // A read that takes much longer than calls usually do is sent through a peer as well, and the first answer counts:
 // where the store serves others, an instance that is cut off in silence goes on within a fraction of a second. The
 // silence of a read or write also sends all reads that wait for news through peers. An answer that is arriving is left
-// to arrive, however long it takes: a second copy would share the link with it.
+// to arrive, however long it takes, also that of a probe: a second copy would share the link with it.
 #pragma once
 
 #include <functional>
@@ -57,6 +57,7 @@
 
   void Begin(const std::shared_ptr<Call>& call);
   void ProbeStore(const std::shared_ptr<Call>& call);
+  void OnProbeAnswer(const std::shared_ptr<Call>& call, Result<net::HttpResponse, net::NetError> result);
   void MarkReachable();
   void CountFailure(const Call& call, const std::string& why);
   void CountDiscarded(const Result<net::HttpResponse, net::NetError>& result);
--- a/tests/service/relay_test.cc
+++ b/tests/service/relay_test.cc
@@ -47,6 +47,8 @@
   CPPUNIT_TEST(ArrivingAnswerShowsThatTheStoreServes);
   CPPUNIT_TEST(TimeOfALargeAnswerIsNotThatOfCalls);
   CPPUNIT_TEST(AnswerOfAProbeIsTaken);
+  CPPUNIT_TEST(ProbedCallIsNotSentTwice);
+  CPPUNIT_TEST(ArrivingAnswerOfAProbeIsLeftToArrive);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,7 +75,7 @@
                const std::function<void(const inner::Message*)>& callback) {
           CPPUNIT_ASSERT(to == kPeer);
           ++m_peer_calls;
-          if (m_hold_peer) return;
+          if (m_hold_peer) return m_held_peers.push_back(callback);
           const inner::Message message = m_peer.value_or(wire::StoreAnswer{});
           callback(m_peer ? &message : nullptr);
         },
@@ -357,6 +359,41 @@
     CPPUNIT_ASSERT_EQUAL(200, StatusOf(*answer));
   }
 
+  // Guards against a large answer that is asked for again beside the probe that brings it, known from configurations
+  // that were late by seconds after an outage.
+  void ProbedCallIsNotSentTwice() {
+    MakeStoreUnreachable();
+    m_clock.Advance(Millis{600});
+    m_hold = true;
+    m_peer.reset();
+    const int before = m_direct_calls;
+    std::optional<HttpResult> answer;
+    SendAsync("GET", &answer);
+    CPPUNIT_ASSERT(!answer);
+    CPPUNIT_ASSERT_EQUAL(before + 1, m_direct_calls);
+    m_held.back()(Status(200));
+    CPPUNIT_ASSERT(answer);
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(*answer));
+  }
+
+  // The same by way of further peers. They are asked again once it has broken off.
+  void ArrivingAnswerOfAProbeIsLeftToArrive() {
+    MakeStoreUnreachable();
+    m_clock.Advance(Millis{600});
+    m_hold = m_hold_peer = true;
+    const int before = m_peer_calls;
+    std::optional<HttpResult> answer;
+    SendAsync("GET", &answer);
+    m_progress(200);
+    m_held_peers.back()(nullptr);
+    CPPUNIT_ASSERT_EQUAL(before + 1, m_peer_calls);
+    m_hold_peer = false;
+    m_held.back()(net::NetError{net::Cut{"reset"}});
+    CPPUNIT_ASSERT(answer);
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(*answer));
+    CPPUNIT_ASSERT_EQUAL(before + 2, m_peer_calls);
+  }
+
  private:
   static wire::StoreAnswer Answer(int status) {
     wire::StoreAnswer answer;
@@ -407,6 +444,7 @@
   HttpResult m_direct = Status(200);
   std::optional<wire::StoreAnswer> m_peer;  // Empty: no answer.
   std::vector<net::ResponseCallback> m_held;
+  std::vector<std::function<void(const inner::Message*)>> m_held_peers;
   net::HttpRequest m_last_request;      // Of the direct calls.
   std::function<void(int)> m_progress;  // Of the last direct call.
   bool m_hold = false;
