Intake: jobs that wait for the store count until the leader knows them

Callers saw: where the store leaves writes of jobs unanswered for a while, clients with valid keys that hand in large jobs take the leader over its machine's memory once the writes are done, and other accounts are refused until those jobs end.

Cause: an instance counted a job that it had taken for 1 s, by when the leader was thought to know it. A job that is held in an outage, or whose write is slow or unanswered, is not stored by then; each second another part of the leader's memory was given away, and all of it arrived at once.

Change: JobRoom counts a job from when it is taken until 1 s after it is stored, or 7 s after its write was given up without an answer; a job that is refused counts no more.

Why it works: what may still be written and what the leader knows are together within its limit, however long the store takes.

Red before: held_jobs and IntakeTest JobsThatWaitForTheStoreTakeRoom. JobRoomTest: Take() no longer has the time; its case of jobs that the leader does not know yet settles them, which the intake does now, and checks the same.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -6,13 +6,13 @@
 #include "hickoryquay/base/log.h"
 #include "hickoryquay/jobs/job_memory.h"
 #include "hickoryquay/jobs/rows.h"
+#include "hickoryquay/service/intake_room.h"
 
 namespace hickoryquay::service {
 
 namespace {
 
 constexpr log::Part kLog{"intake"};
-constexpr Millis kNoRoomRetry{5'000};
 constexpr std::size_t kRefusalReads = 100;  // Within the time below; beyond it the outcome is answered as unknown.
 constexpr Millis kRefusalReadsWithin{1'000};
 constexpr int kRejectionsToAnswer = 2;  // A peer that passes calls on may have rejected one for reasons of its own.
@@ -114,6 +114,8 @@
   Instant m_until;    // Deadline of the answer to the caller.
   Millis m_limit{0};  // Of the attempt under way.
   int m_rejections = 0;
+  AccountId m_account;           // Of a submission.
+  std::uint64_t m_taken = 0;     // Of the leader's memory, which is not settled yet.
   IntakeError m_refusal;         // Of a submission for which there is no room.
   bool m_maybe_applied = false;  // An attempt without an answer may still take effect.
   SubmitCallback m_callback;
@@ -174,22 +176,6 @@
 // Submissions
 //-------------------------------------------------------------------------------------------------
 
-namespace {
-
-IntakeError RefusalOf(JobRoom::Answer room) {
-  switch (room) {
-    case JobRoom::Answer::kOverPart:
-    case JobRoom::Answer::kNever:
-      return JobTooLarge{"the job has too many tasks"};
-    case JobRoom::Answer::kAccountFull:
-      return TryLater{kNoRoomRetry, "the account's jobs take too much already"};
-    default:
-      return TryLater{kNoRoomRetry, "too much work is held already"};
-  }
-}
-
-}  // namespace
-
 void Intake::Submit(const Route& route, JobId id, jobs::JobRequest request, Millis time, SubmitCallback callback) {
   const std::string problem = Validate(request);
   if (!problem.empty()) return callback(IntakeError{Malformed{problem}});
@@ -226,7 +212,7 @@
     callback(std::move(result));
   };
   if (!m_phases.Find(id, write->m_started)) {  // A repeated submission takes nothing.
-    const JobRoom::Answer room = m_phases.Room().Take(route.m_account, memory, write->m_started);
+    const JobRoom::Answer room = m_phases.Room().Take(route.m_account, memory);
     if (room == JobRoom::Answer::kNever) return Finish(write, RefusalOf(room));
     if (room != JobRoom::Answer::kFits) {
       write->m_refusal = RefusalOf(room);
@@ -234,6 +220,8 @@
       write->m_begin = &Intake::BeginRefusal;
       return BeginRefusal(write);
     }
+    write->m_account = route.m_account;
+    write->m_taken = memory;
   }
   const Millis longest =
       HoldTime(Millis{0}, std::min(time, m_settings.m_longest_call), m_held.size(), m_settings.m_outage);
@@ -523,6 +511,10 @@
 }
 
 void Intake::Finish(const WritePtr& write, Result<Done, IntakeError> result) {
+  if (write->m_taken > 0) {
+    const std::uint64_t bytes = std::exchange(write->m_taken, 0);
+    m_phases.Room().Settle(write->m_account, bytes, OutcomeOf(result), m_clock->Now());
+  }
   const Millis took = m_clock->Now() - write->m_started;
   m_submit_ms->Add(static_cast<double>(took.count()));
   const char* outcome = "stored";
--- a/hickoryquay/service/job_room.h
+++ b/hickoryquay/service/job_room.h
@@ -2,7 +2,8 @@
 //
 // The leader keeps every job that has not ended. It tells with each heartbeat what its jobs take, how much they may
 // take, and into how many parts the rest is split. Between two heartbeats all instances accept jobs without knowing of
-// each other's, so each uses up only one part of what is left, with large jobs too.
+// each other's, so each uses up only one part of what is left, with large jobs too. A job counts from when it is taken
+// until the leader has heard of it, however long the store takes to write it.
 //
 // One client account may hold as much as it leaves to all others, so that its jobs can't keep theirs from being
 // accepted.
@@ -13,7 +14,6 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 
 #include "hickoryquay/base/clock.h"
@@ -60,45 +60,65 @@
   // `limit_bytes` holds until a leader tells its own; 0: none.
   explicit JobRoom(std::uint64_t limit_bytes = 0) : m_memory{0, limit_bytes} {}
 
+  // What became of a job that was taken.
+  enum class Outcome {
+    kStored,
+    kRefused,  // It is not stored, nor will be.
+    kUnknown,  // The store may write it seconds later.
+  };
+
   // What the leader tells.
   void OnReport(const JobMemory& memory, Instant now) {
     if (memory.m_limit_bytes != 0) m_memory = memory;
-    // What was accepted shortly before may not have reached the leader.
-    while (!m_taken.empty() && now - m_taken.front().m_at >= kUntilReported) {
-      const Taken& taken = m_taken.front();
-      m_taken_bytes -= taken.m_bytes;
-      const auto account = m_taken_by.find(taken.m_account);
-      account->second -= taken.m_bytes;
-      if (account->second == 0) m_taken_by.erase(account);
-      m_taken.pop_front();
+    while (!m_settled.empty() && m_settled.begin()->first <= now) {
+      Return(m_settled.begin()->second);
+      m_settled.erase(m_settled.begin());
     }
   }
 
-  // On kFits the job counts from now on.
-  Answer Take(const AccountId& account, std::uint64_t bytes, Instant now) {
-    if (m_memory.m_limit_bytes == 0) return Answer::kFits;
-    const auto parts = static_cast<std::uint64_t>(m_memory.m_parts);
-    if (bytes > m_memory.m_limit_bytes) return Answer::kNever;
-    if (bytes > ShareOf(m_memory.m_limit_bytes, 0) / parts) return Answer::kOverPart;
-    const std::uint64_t left = m_memory.m_limit_bytes - std::min(m_memory.m_limit_bytes, m_memory.m_held_bytes);
-    if (m_taken_bytes + bytes > left / parts) return Answer::kNotNow;
-    const std::uint64_t share = ShareOf(left, BytesOf(m_memory.m_accounts, account));
-    if (BytesOf(m_taken_by, account) + bytes > share / parts) return Answer::kAccountFull;
-    m_taken.push_back({now, account, bytes});
+  // On kFits the job counts from now on, and is settled later.
+  Answer Take(const AccountId& account, std::uint64_t bytes) {
+    const Answer answer = Look(account, bytes);
+    if (answer != Answer::kFits) return answer;
     m_taken_bytes += bytes;
     m_taken_by[account] += bytes;
-    return Answer::kFits;
+    return answer;
+  }
+
+  // Once for each job that was taken.
+  void Settle(const AccountId& account, std::uint64_t bytes, Outcome outcome, Instant now) {
+    const Taken taken{account, bytes};
+    if (outcome == Outcome::kRefused) return Return(taken);
+    m_settled.emplace(now + (outcome == Outcome::kStored ? kUntilReported : kUntilWritten), taken);
   }
 
  private:
-  static constexpr Millis kUntilReported{1'000};
+  static constexpr Millis kUntilReported{1'000};  // What was stored shortly before may not have reached the leader.
+  static constexpr Millis kUntilWritten{7'000};   // The same of a write without an answer.
 
   struct Taken {
-    Instant m_at;
     AccountId m_account;
     std::uint64_t m_bytes = 0;
   };
 
+  Answer Look(const AccountId& account, std::uint64_t bytes) const {
+    if (m_memory.m_limit_bytes == 0) return Answer::kFits;
+    const auto parts = static_cast<std::uint64_t>(m_memory.m_parts);
+    if (bytes > m_memory.m_limit_bytes) return Answer::kNever;
+    if (bytes > ShareOf(m_memory.m_limit_bytes, 0) / parts) return Answer::kOverPart;
+    const std::uint64_t left = m_memory.m_limit_bytes - std::min(m_memory.m_limit_bytes, m_memory.m_held_bytes);
+    if (m_taken_bytes + bytes > left / parts) return Answer::kNotNow;
+    const std::uint64_t share = ShareOf(left, BytesOf(m_memory.m_accounts, account));
+    return BytesOf(m_taken_by, account) + bytes > share / parts ? Answer::kAccountFull : Answer::kFits;
+  }
+
+  void Return(const Taken& taken) {
+    m_taken_bytes -= taken.m_bytes;
+    const auto account = m_taken_by.find(taken.m_account);
+    account->second -= taken.m_bytes;
+    if (account->second == 0) m_taken_by.erase(account);
+  }
+
   // What an account may take of `left`, so that it holds as much as it leaves then.
   static std::uint64_t ShareOf(std::uint64_t left, std::uint64_t held) { return left > held ? (left - held) / 2 : 0; }
 
@@ -108,9 +128,9 @@
   }
 
   JobMemory m_memory;
-  std::deque<Taken> m_taken;  // Not reported by the leader yet.
-  std::uint64_t m_taken_bytes = 0;
+  std::uint64_t m_taken_bytes = 0;                // Of jobs that the leader may not know yet.
   std::map<AccountId, std::uint64_t> m_taken_by;  // The same, by account.
+  std::multimap<Instant, Taken> m_settled;        // Of these, by when the leader knows them.
 };
 
 }  // namespace hickoryquay::service
--- a/scripts/soak/stand_ins.py
+++ b/scripts/soak/stand_ins.py
@@ -33,6 +33,7 @@
         self.rows, self.version, self.changed = {}, 1, asyncio.Event()
         self.history, self.cut = collections.defaultdict(list), 0  # Of each table, by version; the last one that is gone.
         self.refused, self.servers = collections.Counter(), []     # Instances that it turns away.
+        self.withheld, self.resumed = set(), asyncio.Event()       # Tables whose writes wait, and until when.
         self.late, self.late_random = collections.defaultdict(list), random.Random(seed)  # Names of faults, by instance.
 
     async def start(self, instance):
@@ -41,6 +42,8 @@
         async def handle(method, path, query, headers, body):
             if self.refused[instance]:
                 return 503, {}
+            if path == "/rows-tx" and self.table_of(body) in self.withheld:
+                await self.resumed.wait()
             if path == "/rows-tx" and self.is_late(instance, body):
                 return await self.transact_late(body)
             return await self.handle(method, path, query, headers, body)
@@ -102,6 +105,15 @@
         self._wake_feeds()
         return 200, {"ver": self.version, "nowMs": now_ms()}
 
+    def resume(self):
+        """Writes that wait are done now."""
+        self.withheld.clear()
+        self.resumed.set()
+
+    @staticmethod
+    def table_of(body):
+        return (body["puts"] + body["remove"])[0]["table"]
+
     def is_late(self, instance, body):
         part = (body["puts"] + body["remove"])[0].get("part", "")
         return any(random.Random(f"{fault} {part}").random() < LATE_SHARE for fault in self.late[instance])
--- a/tests/crowd/crowd_test.py
+++ b/tests/crowd/crowd_test.py
@@ -3,6 +3,7 @@
 it from serving others afterwards. `crowd_test.py --bin DIR CASE` plays one case. Nothing checked depends on time."""
 import argparse
 import asyncio
+import collections
 import json
 import os
 import signal
@@ -10,9 +11,10 @@
 import sys
 
 import world as worlds
-from world import ADMIN, CALLERS, INNER, METRICS, OTHER_KEY, READY, EntryWorld, World
+from world import ADMIN, CALLERS, INNER, METRICS, OTHER_KEY, READY, THIRD_KEY, EntryWorld, World
 
 SETTLE_S = 1.0  # For the instances to read what has been sent; what they hold then is sampled meanwhile.
+HELD_S = 25          # For which jobs come while none is written; their callers wait longer.
 REPORTED_S, REFUSALS = 1.5, 3  # Until all instances know of a job; so often a size is tried in vain.
 HERE = os.path.dirname(os.path.abspath(__file__))
 
@@ -120,6 +122,24 @@
     await world.serve_ordinary("beside large jobs")
 
 
+async def held_jobs(world):
+    """Jobs of two accounts at all instances, more each second while the store leaves writes of jobs unanswered; then all
+    are written."""
+    world.store.withheld.add(worlds.JOB_TABLE)
+    job, calls = {"spec": "", "steps": [{"count": 800, "constraints": "x"}]}, []
+    for second in range(HELD_S):
+        for i, host in enumerate(world.hosts):
+            for account, key in enumerate((OTHER_KEY, THIRD_KEY)):
+                target, patient = f"/jobs/{second:02x}{account:x}{i:013x}", {**key, "X-Deadline-Ms": "60000"}
+                calls.append(asyncio.ensure_future(world.ask(host, CALLERS, "POST", target, job, patient, worlds.PATIENCE_S)))
+        await asyncio.sleep(1.1)
+    world.store.resume()
+    answers = collections.Counter(status for status, _, _ in await asyncio.gather(*calls))
+    print("jobs were answered", dict(sorted(answers.items())), flush=True)
+    await asyncio.sleep(REPORTED_S)
+    await world.serve_ordinary("beside the jobs that were held")
+
+
 async def account_jobs(world):
     """One account's jobs don't keep those of another from being accepted."""
     await fill_jobs(world)
@@ -153,12 +173,13 @@
     "inner_frame": crowd_case("frame", 40, INNER),
     "inner_silent": crowd_case("silent", 1_100, INNER, beside=True),
     "account_jobs": account_jobs,
+    "held_jobs": held_jobs,
     "large_jobs": large_jobs,
     "drain": drain,
     "slow_caller": slow_caller,
     "slow_caller_at_limit": slow_caller_at_limit,
 }
-INSTANCES = {"large_jobs": 8}  # Two otherwise.
+INSTANCES = {"large_jobs": 8, "held_jobs": 8}  # Two otherwise.
 ENTRY_CASES = {
     "entry_half_chunk": crowd_case("half_chunk", 300),
     "entry_half_chunk_admin": crowd_case("half_chunk", 300, ADMIN),
--- a/tests/crowd/world.py
+++ b/tests/crowd/world.py
@@ -20,6 +20,8 @@
 CALLERS, READY, INNER, METRICS, ADMIN = 7001, 7002, 7003, 7004, 7005
 KEY = {"Host": "crowd.example", "Authorization": "Token key", "X-Deadline-Ms": "3000"}
 OTHER_KEY = {**KEY, "Authorization": "Token other"}  # Of another client account.
+THIRD_KEY = {**KEY, "Authorization": "Token third"}
+JOB_TABLE = "hq-intake"           # Where instances keep accepted jobs.
 PATIENCE_S = 60.0                 # For what has to come at last, however slow the machine is.
 
 
@@ -88,10 +90,10 @@
                 raise AssertionError(f"not in {PATIENCE_S:.0f} s: {what}")
             await asyncio.sleep(0.2)
 
-    async def ask(self, host, port, method, target, body=None, key=None):
+    async def ask(self, host, port, method, target, body=None, key=None, timeout=4.0):
         client = Client((host, port))
         try:
-            return await client.call(method, target, body, key or KEY)
+            return await client.call(method, target, body, key or KEY, timeout)
         finally:
             client.close()
 
@@ -129,7 +131,7 @@
             "routes": [{"name": "jobs", "host": "crowd.example", "pathPrefix": "/jobs/", "service": "pool",
                         "priority": 1, "maxAttempts": 3, "stretch": 3.0, "latencySloMs": 1000}],
             "tenants": [{"name": name, "apiKeys": [key], "guaranteed": {"gpu": 0}}
-                        for name, key in (("t", "key"), ("u", "other"))]})
+                        for name, key in (("t", "key"), ("u", "other"), ("v", "third"))]})
         self.background = [asyncio.ensure_future(self.farm.tick()), asyncio.ensure_future(self.watch())]
         for i in range(self.count):
             self.launch(i, await self.store.start(i), machines)
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(JobThatNoRowHoldsIsRefusedAtOnce);
   CPPUNIT_TEST(JobsBeyondTheLeadersMemoryAreRefused);
   CPPUNIT_TEST(JobThatALargerLeaderAcceptedIsNotRefused);
+  CPPUNIT_TEST(JobsThatWaitForTheStoreTakeRoom);
   CPPUNIT_TEST(RefusalsAndCallsAreCountedByReason);
   CPPUNIT_TEST(LostCallIsIgnoredOnceALaterOneIsAnswered);
   CPPUNIT_TEST_SUITE_END();
@@ -480,6 +481,25 @@
     CPPUNIT_ASSERT_EQUAL(std::string("too large"), Submit(JobId{2}, kCallerTimeout, request));
   }
 
+  // Guards against a leader that runs out of memory by jobs that were held in an outage, more each second, and are all
+  // stored when the store is back.
+  void JobsThatWaitForTheStoreTakeRoom() {
+    jobs::JobRequest request;
+    request.m_steps.resize(1);
+    m_intake->Phases().Room().OnReport({0, 400'000}, m_clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, Millis{100}, request));
+    m_client->SetMood(StoreMood::kLateWrites);
+    CPPUNIT_ASSERT_EQUAL(std::string("none yet"), Submit(JobId{17}, Millis{100}, request));
+    m_client->SetMood(StoreMood::kSilent);
+    m_timers.Advance(Millis{1'900});
+    m_intake->Phases().Room().OnReport({0, 400'000}, m_clock.Now());
+    CPPUNIT_ASSERT(m_intake->Phases().Room().Take(AccountId{"account"}, 10'000) != JobRoom::Answer::kFits);
+    m_client->SetMood(StoreMood::kServes);
+    m_timers.Advance(Millis{10'000});
+    m_intake->Phases().Room().OnReport({0, 400'000}, m_clock.Now());
+    CPPUNIT_ASSERT(m_intake->Phases().Room().Take(AccountId{"account"}, 10'000) == JobRoom::Answer::kFits);
+  }
+
  private:
   static std::string Text(const Result<Done, IntakeError>& result) {
     if (Ok(result)) return "accepted";
--- a/tests/service/job_room_test.cc
+++ b/tests/service/job_room_test.cc
@@ -18,6 +18,8 @@
 class JobRoomTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(JobRoomTest);
   CPPUNIT_TEST(InstancesTogetherStayWithinTheLimit);
+  CPPUNIT_TEST(JobsThatAreNotStoredYetCount);
+  CPPUNIT_TEST(JobsThatMayBeStoredLateCount);
   CPPUNIT_TEST(LargeJobsTogetherStayWithinTheLimit);
   CPPUNIT_TEST(JobsOfManyInstancesStayWithinTheLimit);
   CPPUNIT_TEST(JobOverTheLimitNeverFits);
@@ -35,15 +37,39 @@
     for (int instance = 0; instance < 16; ++instance) {
       JobRoom room;
       room.OnReport({2'000, 10'000}, kNow);
-      taken += TakeAll(&room, 10);
+      const std::uint64_t bytes = TakeAll(&room, 10);
+      taken += bytes;
+      SettleAll(&room, bytes, JobRoom::Outcome::kStored);
       room.OnReport({2'000, 10'000}, kNow + Millis{200});  // The leader does not know of them yet.
-      CPPUNIT_ASSERT(room.Take(kAccount, 10, kNow + Millis{200}) == Answer::kNotNow);
+      CPPUNIT_ASSERT(room.Take(kAccount, 10) == Answer::kNotNow);
       room.OnReport({2'000, 10'000}, kNow + Millis{1'200});
-      CPPUNIT_ASSERT(room.Take(kAccount, 10, kNow + Millis{1'200}) == Answer::kFits);
+      CPPUNIT_ASSERT(room.Take(kAccount, 10) == Answer::kFits);
     }
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{8'000}, taken);
   }
 
+  // Guards against jobs that wait for a silent store, more each second, and are all stored when it is back.
+  void JobsThatAreNotStoredYetCount() {
+    JobRoom room;
+    room.OnReport({0, 10'000}, kNow);
+    const std::uint64_t bytes = TakeAll(&room, 10);
+    room.OnReport({0, 10'000}, kNow + Millis{30'000});
+    CPPUNIT_ASSERT(room.Take(kAccount, 10) == Answer::kNotNow);
+    SettleAll(&room, bytes, JobRoom::Outcome::kRefused);
+    CPPUNIT_ASSERT_EQUAL(bytes, TakeAll(&room, 10));
+  }
+
+  // The same of writes without an answer.
+  void JobsThatMayBeStoredLateCount() {
+    JobRoom room;
+    room.OnReport({0, 10'000}, kNow);
+    SettleAll(&room, TakeAll(&room, 10), JobRoom::Outcome::kUnknown);
+    room.OnReport({0, 10'000}, kNow + Millis{6'000});
+    CPPUNIT_ASSERT(room.Take(kAccount, 10) == Answer::kNotNow);
+    room.OnReport({0, 10'000}, kNow + Millis{7'000});
+    CPPUNIT_ASSERT(room.Take(kAccount, 10) == Answer::kFits);
+  }
+
   // Guards against instances that each accept one job as large as the leader's memory.
   void LargeJobsTogetherStayWithinTheLimit() {
     CPPUNIT_ASSERT(MostTaken(16, 16, 16'000) <= 16'000);
@@ -63,12 +89,12 @@
   // A job within a part of an empty leader is never refused for good, a larger one at once.
   void JobOverTheLimitNeverFits() {
     JobRoom room(16'000);
-    CPPUNIT_ASSERT(room.Take(kAccount, 16'001, kNow) == Answer::kNever);
-    CPPUNIT_ASSERT(room.Take(kAccount, 501, kNow) == Answer::kOverPart);
+    CPPUNIT_ASSERT(room.Take(kAccount, 16'001) == Answer::kNever);
+    CPPUNIT_ASSERT(room.Take(kAccount, 501) == Answer::kOverPart);
     room.OnReport({15'999, 16'000}, kNow);
-    CPPUNIT_ASSERT(room.Take(kAccount, 500, kNow) == Answer::kNotNow);
+    CPPUNIT_ASSERT(room.Take(kAccount, 500) == Answer::kNotNow);
     room.OnReport({0, 16'000}, kNow);
-    CPPUNIT_ASSERT(room.Take(kAccount, 500, kNow) == Answer::kFits);
+    CPPUNIT_ASSERT(room.Take(kAccount, 500) == Answer::kFits);
   }
 
   // Guards against one account whose jobs keep those of all others from being accepted.
@@ -79,23 +105,23 @@
       for (int instance = 0; instance < 16; ++instance) {
         JobRoom room;
         room.OnReport(HeldByOne(before), kNow);
-        while (room.Take(kAccount, 10, kNow) == Answer::kFits) held += 10;
+        while (room.Take(kAccount, 10) == Answer::kFits) held += 10;
       }
     }
     CPPUNIT_ASSERT(held > 15'000 && held <= 16'000);
     JobRoom room;
     room.OnReport(HeldByOne(held), kNow);
-    CPPUNIT_ASSERT(room.Take(kAccount, 10, kNow) == Answer::kAccountFull);
-    CPPUNIT_ASSERT(room.Take(kOther, 10, kNow) == Answer::kFits);
+    CPPUNIT_ASSERT(room.Take(kAccount, 10) == Answer::kAccountFull);
+    CPPUNIT_ASSERT(room.Take(kOther, 10) == Answer::kFits);
   }
 
   // Guards against an account that stays full after its jobs have ended.
   void AccountHasRoomAgainWhenItsJobsHaveEnded() {
     JobRoom room;
     room.OnReport(HeldByOne(16'000), kNow);
-    CPPUNIT_ASSERT(room.Take(kAccount, 10, kNow) == Answer::kAccountFull);
+    CPPUNIT_ASSERT(room.Take(kAccount, 10) == Answer::kAccountFull);
     room.OnReport(HeldByOne(1'000), kNow);
-    CPPUNIT_ASSERT(room.Take(kAccount, 10, kNow) == Answer::kFits);
+    CPPUNIT_ASSERT(room.Take(kAccount, 10) == Answer::kFits);
   }
 
   // Guards against heartbeats that name every account.
@@ -110,7 +136,7 @@
   void LeaderThatTellsNothingBoundsNothing() {
     JobRoom room;
     room.OnReport({0, 0}, kNow);
-    CPPUNIT_ASSERT(room.Take(kAccount, 1'000'000'000'000, kNow) == Answer::kFits);
+    CPPUNIT_ASSERT(room.Take(kAccount, 1'000'000'000'000) == Answer::kFits);
   }
 
   // Guards against limits that add up to more than there is, on any machine of the platform's pages and smaller ones.
@@ -144,11 +170,16 @@
   static std::uint64_t TakeAll(JobRoom* room, std::uint64_t job) {
     std::uint64_t taken = 0;
     for (const AccountId& account : {kAccount, kOther}) {
-      while (room->Take(account, job, kNow) == Answer::kFits) taken += job;
+      while (room->Take(account, job) == Answer::kFits) taken += job;
     }
     return taken;
   }
 
+  // What TakeAll() has taken, half of it by each account.
+  static void SettleAll(JobRoom* room, std::uint64_t bytes, JobRoom::Outcome outcome) {
+    for (const AccountId& account : {kAccount, kOther}) room->Settle(account, bytes / 2, outcome, kNow);
+  }
+
   // Of 32,000.
   static JobMemory HeldByOne(std::uint64_t bytes) {
     JobMemory memory{bytes, 32'000};
