HTTP: heads of endless fields can't take the process's memory

Callers saw: a process ends, out of memory. Any client that reaches an address can do it, without a route or a key, with 66 connections of 1 MB.

Cause: the parser's limit on a head is on what it has not taken in yet. Where a read brings whole fields it takes them in, at some 76 bytes for a field of four, and goes on for ever: a head that never ends was never refused. Heads in pieces, as other tests send them, were.

Change: after each read the fields that were taken in are counted, those of trailers included; more than 128 fields (ServerSettings::m_max_fields) or 16 KB of them are answered 431. A request of the platform's pages has five.

Why it works: a connection holds what is counted, and at most one read more.

PressureTest HeadOfEndlessFieldsIsRefused and TrailersCountWithTheHead red before. chunk_extension, trailers, many_trailers and entry_many_fields passed before too and stay as guards.

--- a/hickoryquay/net/http.h
+++ b/hickoryquay/net/http.h
@@ -135,9 +135,10 @@
 using HeadCheck = std::function<HeadVerdict(const HttpRequest& head)>;
 
 struct ServerSettings {
-  Endpoint m_listen{"127.0.0.1", 0};  // Port 0: any free one, see HttpServer::Local().
-  std::string m_name = "http";        // In metrics and log lines.
-  std::size_t m_max_header_bytes = 16 * 1024;
+  Endpoint m_listen{"127.0.0.1", 0};           // Port 0: any free one, see HttpServer::Local().
+  std::string m_name = "http";                 // In metrics and log lines.
+  std::size_t m_max_header_bytes = 16 * 1024;  // Of a head, trailers included.
+  std::size_t m_max_fields = 128;              // The same; each takes several times its text.
   std::size_t m_max_body_bytes = 1024 * 1024;
   HeadCheck m_check_head;                // May be empty.
   std::shared_ptr<Arrivals> m_arrivals;  // Bounds the bodies of all servers that share it; null: not bounded.
--- a/hickoryquay/net/server.cc
+++ b/hickoryquay/net/server.cc
@@ -251,12 +251,25 @@
       const std::size_t taken = m_parser->put(m_buffer.data(), error);
       m_buffer.consume(taken);
       if (error && error != http::error::need_more) return Refuse(ForParseError(error));
+      if (!FieldsFit()) return Refuse(ForParseError(http::error::header_limit));
       if (m_phase == Phase::kHead && m_parser->is_header_done() && !BeginBody()) return;
       if (error == http::error::need_more) break;
     }
     m_parser->is_done() ? Handle() : ReadSome();
   }
 
+  // The parser's own limit is on what it has not taken in yet, so that whole fields may come without end.
+  bool FieldsFit() const {
+    const auto& message = m_parser->get();
+    std::size_t fields = 0;
+    std::size_t bytes = message.target().size();
+    for (const auto& field : message) {
+      ++fields;
+      bytes += field.name_string().size() + field.value().size();
+    }
+    return fields <= m_server->m_settings.m_max_fields && bytes <= m_server->m_settings.m_max_header_bytes;
+  }
+
   // Refuses what the head already shows to be unservable; returns whether the request is still to be received.
   bool BeginBody() {
     m_phase = Phase::kBody;
--- a/tests/crowd/crowd.py
+++ b/tests/crowd/crowd.py
@@ -67,6 +67,38 @@
         yield chunk(b" " * 65536)
 
 
+def chunk_extension(number):
+    """A chunk whose extension does not end."""
+    yield head(number, "Transfer-Encoding: chunked") + b"1;"
+    for _ in range(16):
+        yield b"x" * 65536
+
+
+def trailers(number):
+    """A whole body, and fields behind it that do not end."""
+    yield head(number, "Transfer-Encoding: chunked") + chunk(b"{}") + b"0\r\n"
+    for i in range(16):
+        yield (f"X-{i}: ".encode() + b"x" * 1_000 + b"\r\n") * 64
+
+
+def many_trailers(number):
+    yield head(number, "Transfer-Encoding: chunked") + chunk(b"{}") + b"0\r\n"
+    for _ in range(16):
+        yield b"a:\r\n" * 16_384
+
+
+def many_fields(number):
+    """A head of short fields that does not end."""
+    yield head(number)[:-2] + b"a:\r\n" * 16_384
+    for _ in range(15):
+        yield b"a:\r\n" * 16_384
+
+
+def short_fields(number):
+    """As many fields as a head of 16 KB has, but for its end."""
+    yield head(number)[:-2] + b"a:\r\n" * 4_000
+
+
 def half_head(number):
     yield head(number, "X-Padding: " + "x" * 15_000)[:-2]
 
@@ -124,8 +156,8 @@
 
 
 SHAPES = {shape.__name__: shape for shape in (
-    half_chunk, half_chunk_in_limit, small_chunks, byte_chunks, half_body, announced, endless, half_head, silent, wide_job, many_tasks, many_jobs,
-    million_tasks, nested, wide_json, wrong_key, wrong_route, unread, frame)}
+    half_chunk, half_chunk_in_limit, small_chunks, byte_chunks, half_body, announced, endless, half_head,
+    chunk_extension, trailers, many_trailers, many_fields, short_fields, silent, wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key, wrong_route, unread, frame)}
 WHOLE = {wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key, wrong_route}  # Answers are awaited.
 
 
--- a/tests/net/pressure_test.cc
+++ b/tests/net/pressure_test.cc
@@ -29,6 +29,8 @@
   CPPUNIT_TEST(ClientThatStillSendsReadsItsRefusal);
   CPPUNIT_TEST(UnservableHeadIsRefusedBeforeItsBody);
   CPPUNIT_TEST(SilentConnectionMakesRoomForANewOne);
+  CPPUNIT_TEST(HeadOfEndlessFieldsIsRefused);
+  CPPUNIT_TEST(TrailersCountWithTheHead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -100,6 +102,24 @@
     CPPUNIT_ASSERT(error);  // It was closed.
   }
 
+  // Guards against heads that take 20 times their text and never end: each field was taken in as it came.
+  void HeadOfEndlessFieldsIsRefused() {
+    Serve({});
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 431"), SendAll("GET / HTTP/1.1\r\nHost: h\r\n" + Fields(16'384)));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 431"), SendAll("GET / HTTP/1.1\r\nHost: h\r\n" + Fields(128) + "\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), SendAll("GET / HTTP/1.1\r\nHost: h\r\n" + Fields(127) + "\r\n"));
+    CPPUNIT_ASSERT_EQUAL(1, m_handled.load());
+  }
+
+  // The same behind a body.
+  void TrailersCountWithTheHead() {
+    Serve({});
+    const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n";
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), SendAll(request + Fields(20) + "\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 431"), SendAll(request + Fields(200) + "\r\n"));
+    CPPUNIT_ASSERT_EQUAL(1, m_handled.load());
+  }
+
   void tearDown() override {
     if (!m_thread.joinable()) return;
     m_io.stop();
@@ -145,6 +165,20 @@
     return Status(socket);
   }
 
+  static std::string Fields(int count) {
+    std::string fields;
+    for (int i = 0; i < count; ++i) fields += "a:\r\n";
+    return fields;
+  }
+
+  // Sends this and no more.
+  std::string SendAll(const std::string& text) {
+    tcp::socket socket = Connect();
+    asio::write(socket, asio::buffer(text));
+    socket.shutdown(tcp::socket::shutdown_send);
+    return Status(&socket);
+  }
+
   std::string SendLong(const std::string& rest_of_head, std::size_t body) {
     tcp::socket socket = Connect();
     asio::write(socket, asio::buffer("POST /other HTTP/1.1\r\nHost: h\r\n" + rest_of_head));
