Inner: lists that a frame only announces take no memory

Callers saw: one frame of 20 bytes at the inner address ends the process, out of memory.

Cause: the length of a list is believed before its elements are there, up to the bytes of the largest frame. Elements that are structures count as of no size on the wire, so 4,000,000 announced peers of 112 bytes each were made at once.

Change: a list or map of a frame has at most 50,000 elements (kMaxElements). The longest that instances send are queues with waiting jobs and phases of jobs that changed within 200 ms.

Why it works: what one frame is read into is bounded by some MB, and one frame is read at a time.

MessageTest ListsOfTooManyElementsAreBad.

--- a/hickoryquay/inner/message.cc
+++ b/hickoryquay/inner/message.cc
@@ -133,7 +133,7 @@
     auto buffer =
         std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(copy.data()),
                                         static_cast<std::uint32_t>(copy.size()), TMemoryBuffer::OBSERVE, Limits());
-    Protocol protocol(buffer, static_cast<int>(kMaxFrameBytes), static_cast<int>(kMaxFrameBytes));
+    Protocol protocol(buffer, static_cast<int>(kMaxFrameBytes), kMaxElements);
     envelope.read(&protocol);
   } catch (const std::exception& error) {
     return BadFrame{error.what()};
--- a/hickoryquay/inner/message.h
+++ b/hickoryquay/inner/message.h
@@ -14,6 +14,7 @@
 constexpr std::int32_t kProtocol = 1;                      // The highest that this build speaks.
 constexpr std::uint32_t kMaxFrameBytes = 4 * 1024 * 1024;  // Longer frames end the connection.
 constexpr std::size_t kLengthBytes = 4;
+constexpr int kMaxElements = 50'000;  // Of one list or map in a frame; memory for them is taken as they are announced.
 
 // One alternative for each field of wire::Body. monostate: a body that this build doesn't know.
 using Message =
--- a/tests/crowd/crowd.py
+++ b/tests/crowd/crowd.py
@@ -155,9 +155,15 @@
     yield (4_000_000).to_bytes(4, "big") + b" " * 1_000
 
 
+def wide_frame(number):
+    """A whole frame of the inner protocol: a heartbeat that announces 4,000,000 peers and names none."""
+    body = bytes.fromhex("1502 1602 12 1c 1c b9 fc 8092f401")
+    yield len(body).to_bytes(4, "big") + body
+
+
 SHAPES = {shape.__name__: shape for shape in (
     half_chunk, half_chunk_in_limit, small_chunks, byte_chunks, half_body, announced, endless, half_head,
-    chunk_extension, trailers, many_trailers, many_fields, short_fields, silent, wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key, wrong_route, unread, frame)}
+    chunk_extension, trailers, many_trailers, many_fields, short_fields, silent, wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key, wrong_route, unread, frame, wide_frame)}
 WHOLE = {wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key, wrong_route}  # Answers are awaited.
 
 
--- a/tests/crowd/crowd_test.py
+++ b/tests/crowd/crowd_test.py
@@ -177,6 +177,7 @@
     "unread": crowd_case("unread", 150),
     "unread_metrics": crowd_case("unread", 150, METRICS),
     "inner_frame": crowd_case("frame", 40, INNER),
+    "inner_wide_frame": crowd_case("wide_frame", 40, INNER),
     "inner_silent": crowd_case("silent", 1_100, INNER, beside=True),
     "account_jobs": account_jobs,
     "held_jobs": held_jobs,
@@ -194,6 +195,7 @@
     "entry_half_body": crowd_case("half_body", 300),
     "entry_silent": crowd_case("silent", 500, beside=True),
     "entry_inner_frame": crowd_case("frame", 80, INNER),
+    "entry_inner_wide_frame": crowd_case("wide_frame", 80, INNER),
     "entry_silent_admin": crowd_case("silent", 1_100, ADMIN, beside=True),
 }
 
--- a/tests/inner/message_test.cc
+++ b/tests/inner/message_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(UnknownBodyIsEmpty);
   CPPUNIT_TEST(MessageOfALaterVersionIsEmpty);
   CPPUNIT_TEST(CancelledJobKeepsItsBytes);
+  CPPUNIT_TEST(ListsOfTooManyElementsAreBad);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -37,6 +38,15 @@
     test::CheckProperty("decoding anything", [](const std::string& bytes) { RC_CLASSIFY(Ok(Decode(bytes))); });
   }
 
+  // Guards against a frame of some bytes that announces millions of elements and takes memory for all of them.
+  void ListsOfTooManyElementsAreBad() {
+    for (const int count : {kMaxElements, kMaxElements + 1}) {
+      wire::LeaderBeat beat;
+      beat.__set_pass_on(std::vector<std::string>(static_cast<std::size_t>(count)));
+      CPPUNIT_ASSERT_EQUAL(count == kMaxElements, Ok(Decode(Body(Encode({kProtocol, 1, false, beat})))));
+    }
+  }
+
   void TruncatedFramesAreBad() {
     test::CheckProperty("cut frames", [] {
       const std::string body(Body(Encode({kProtocol, 1, false, *AnyMessage()})));
