Peers: heartbeats of strangers add a bounded number of peers

Callers saw: some heartbeats at the inner address that name peers which don't exist take an instance over its machine's memory, and make it call each of them.

Cause: every peer that a heartbeat names was added for 10 s, also those that a request names, where only answers to a joining instance do; names could be as long as a frame.

Change: peers that no row names are 1,000 at most (m_most_unlisted), names 200 bytes; hints are taken from answers to own heartbeats, 32 of each, as many as instances send. Rows of instances count as before.

Why it works: the table of peers, and what is called because of it, no longer grows with what is sent. In a system of 1,000 instances others are learnt from their rows.

MembershipTest HeartbeatsAloneAddFewPeers.

--- a/hickoryquay/peers/membership.cc
+++ b/hickoryquay/peers/membership.cc
@@ -42,8 +42,16 @@
   });
 }
 
+bool Membership::MayAdd(const PeerInfo& unlisted) const {
+  constexpr std::size_t kLongestName = 200;
+  if (unlisted.m_id.m_value.size() > kLongestName || unlisted.m_domain.m_value.size() > kLongestName) return false;
+  const auto count =
+      std::count_if(m_peers.begin(), m_peers.end(), [](const auto& entry) { return !entry.second.m_listed; });
+  return count < m_settings.m_most_unlisted;
+}
+
 void Membership::AddHint(const PeerInfo& hint, Instant now) {
-  if (hint.m_id == m_self || m_peers.contains(hint.m_id)) return;
+  if (hint.m_id == m_self || m_peers.contains(hint.m_id) || !MayAdd(hint)) return;
   Peer peer;
   peer.m_id = hint.m_id;
   peer.m_domain = hint.m_domain;
@@ -54,6 +62,7 @@
 
 void Membership::OnHeartbeat(const PeerInfo& from, std::int64_t sequence, Instant now) {
   if (from.m_id == m_self || from.m_id.Empty()) return;
+  if (!m_peers.contains(from.m_id) && !MayAdd(from)) return;
   Peer& peer = m_peers[from.m_id];
   if (sequence <= peer.m_sequence) return;
   peer.m_id = from.m_id;
--- a/hickoryquay/peers/membership.h
+++ b/hickoryquay/peers/membership.h
@@ -19,6 +19,7 @@
   Millis m_suspect_after{3'000};  // Time without a heartbeat.
   Millis m_dead_after{10'000};    // Time without a heartbeat; unlisted peers are then removed.
   Millis m_usual_step{1'000};     // From one Tick to the next. More means that this process was paused.
+  int m_most_unlisted = 1'000;    // Peers that only heartbeats have told of; anybody who can connect may send them.
 };
 
 enum class PeerState {
@@ -78,6 +79,7 @@
   const DomainId& OwnDomain() const { return m_domain; }
 
  private:
+  bool MayAdd(const PeerInfo& unlisted) const;
   void ForgivePause(Millis pause, Instant now);
 
   InstanceId m_self;
--- a/hickoryquay/peers/peer_service.cc
+++ b/hickoryquay/peers/peer_service.cc
@@ -100,6 +100,7 @@
     const auto* heartbeat = std::get_if<wire::Heartbeat>(answer);
     if (heartbeat == nullptr) return;
     self->ApplyHeartbeat(*heartbeat);
+    self->AddHints(*heartbeat);
     if (heartbeat->configuration_digest != self->m_exchange->Digest()) self->PullFrom(to);
   });
 }
@@ -115,13 +116,20 @@
                       heartbeat.leaving};
   const std::scoped_lock lock(m_mutex);
   m_membership.OnHeartbeat(info, heartbeat.sequence, now);
-  for (const wire::PeerAddress& known : heartbeat.known) {
+  const bool same_domain = heartbeat.domain == m_settings.m_domain.m_value;
+  if (same_domain) UpdatePlacerView({heartbeat.placer_epoch, heartbeat.placer_holder, heartbeat.placer_address});
+}
+
+void PeerService::AddHints(const wire::Heartbeat& answer) {
+  const Instant now = m_clock->Now();
+  const std::size_t count = std::min(answer.known.size(), kMaxPeersSent);
+  const std::scoped_lock lock(m_mutex);
+  for (std::size_t i = 0; i < count; ++i) {
+    const wire::PeerAddress& known = answer.known[i];
     const auto address = net::ParseEndpoint(known.inner_address);
     if (!Ok(address)) continue;
     m_membership.AddHint({InstanceId(known.instance), DomainId(known.domain), ValueOf(address), false}, now);
   }
-  const bool same_domain = heartbeat.domain == m_settings.m_domain.m_value;
-  if (same_domain) UpdatePlacerView({heartbeat.placer_epoch, heartbeat.placer_holder, heartbeat.placer_address});
 }
 
 bool PeerService::Handle(const inner::Message& message, const std::function<void(inner::Message)>& answer) {
--- a/hickoryquay/peers/peer_service.h
+++ b/hickoryquay/peers/peer_service.h
@@ -80,6 +80,7 @@
  private:
   inner::wire::Heartbeat OwnHeartbeat();
   void ApplyHeartbeat(const inner::wire::Heartbeat& heartbeat);
+  void AddHints(const inner::wire::Heartbeat& answer);
   void SendHeartbeat(const net::Endpoint& to);
   void PullFrom(const net::Endpoint& peer);
   inner::wire::ConfigurationDocuments DocumentsFor(const inner::wire::ConfigurationPull& pull);
--- a/tests/crowd/crowd.py
+++ b/tests/crowd/crowd.py
@@ -161,9 +161,27 @@
     yield len(body).to_bytes(4, "big") + body
 
 
+def varint(value):
+    digits = []
+    while value > 127:
+        digits.append(value & 127 | 128)
+        value >>= 7
+    return bytes([*digits, value])
+
+
+def many_peers(number):
+    """A heartbeat of the inner protocol that names 30,000 peers that don't exist."""
+    text = lambda word: b"\x18" + varint(len(word)) + word.encode()
+    peers = b"".join(text(f"p{number}-{i}") + text("x") + text("127.0.0.1:9") + b"\0" for i in range(30_000))
+    sequence, address = bytes.fromhex("1602"), b"\x68" + text("127.0.0.1:9")[1:]
+    heartbeat = text(f"p{number}") + text("x") + sequence + address + b"\x29\xfc" + varint(30_000) + peers + b"\0"
+    body = bytes.fromhex("1502 1602 12 1c 1c") + heartbeat + b"\0\0"
+    yield len(body).to_bytes(4, "big") + body
+
+
 SHAPES = {shape.__name__: shape for shape in (
     half_chunk, half_chunk_in_limit, small_chunks, byte_chunks, half_body, announced, endless, half_head,
-    chunk_extension, trailers, many_trailers, many_fields, short_fields, silent, wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key, wrong_route, unread, frame, wide_frame)}
+    chunk_extension, trailers, many_trailers, many_fields, short_fields, silent, wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key, wrong_route, unread, frame, wide_frame, many_peers)}
 WHOLE = {wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key, wrong_route}  # Answers are awaited.
 
 
--- a/tests/crowd/crowd_test.py
+++ b/tests/crowd/crowd_test.py
@@ -178,6 +178,7 @@
     "unread_metrics": crowd_case("unread", 150, METRICS),
     "inner_frame": crowd_case("frame", 40, INNER),
     "inner_wide_frame": crowd_case("wide_frame", 40, INNER),
+    "inner_many_peers": crowd_case("many_peers", 20, INNER),
     "inner_silent": crowd_case("silent", 1_100, INNER, beside=True),
     "account_jobs": account_jobs,
     "held_jobs": held_jobs,
@@ -196,6 +197,7 @@
     "entry_silent": crowd_case("silent", 500, beside=True),
     "entry_inner_frame": crowd_case("frame", 80, INNER),
     "entry_inner_wide_frame": crowd_case("wide_frame", 80, INNER),
+    "entry_inner_many_peers": crowd_case("many_peers", 60, INNER),
     "entry_silent_admin": crowd_case("silent", 1_100, ADMIN, beside=True),
 }
 
--- a/tests/peers/membership_test.cc
+++ b/tests/peers/membership_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(SilentLeaverDoesNotBecomeAliveAgain);
   CPPUNIT_TEST(HintSurvivesAListThatLacksIt);
   CPPUNIT_TEST(PauseOfThisProcessIsNoSilenceOfOthers);
+  CPPUNIT_TEST(HeartbeatsAloneAddFewPeers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +58,23 @@
     CPPUNIT_ASSERT_EQUAL(1, m_membership.LiveCount(m_domain));
   }
 
+  // Guards against strangers that connect and name peers without end, in heartbeats of their own or as those of others.
+  void HeartbeatsAloneAddFewPeers() {
+    const int most = MembershipSettings{}.m_most_unlisted;
+    m_membership.AddHint(MakePeerInfo(std::string(1'000, 'x')), m_now);
+    m_membership.OnHeartbeat(MakePeerInfo(std::string(1'000, 'y')), 1, m_now);
+    CPPUNIT_ASSERT(m_membership.Peers().empty());
+    for (int i = 0; i < most; ++i) {
+      m_membership.OnHeartbeat(MakePeerInfo("b" + std::to_string(i)), 1, m_now);
+      m_membership.AddHint(MakePeerInfo("h" + std::to_string(i)), m_now);
+    }
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(most), m_membership.Peers().size());
+    m_membership.OnHeartbeat(MakePeerInfo("b0"), 2, m_now + kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, m_membership.Peers().at(InstanceId("b0")).m_sequence);
+    m_membership.ApplyList({MakePeerInfo("listed")});
+    CPPUNIT_ASSERT(m_membership.Peers().contains(InstanceId("listed")));
+  }
+
   void HintIsDroppedWithoutHeartbeat() {
     m_membership.AddHint(MakePeerInfo("b"), m_now);
     m_membership.AddHint(MakePeerInfo("c"), m_now);
