--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -115,7 +115,7 @@
   Millis m_limit{0};  // Of the attempt under way.
   int m_rejections = 0;
   AccountId m_account;           // Of a submission.
-  std::uint64_t m_taken = 0;     // Of the leader's memory, which is not settled yet.
+  std::uint64_t m_taken = 0;     // Bytes of the leader's memory that are not settled yet.
   IntakeError m_refusal;         // Of a submission for which there is no room.
   bool m_maybe_applied = false;  // An attempt without an answer may still take effect.
   SubmitCallback m_callback;
--- a/hickoryquay/service/job_service.cc
+++ b/hickoryquay/service/job_service.cc
@@ -21,7 +21,7 @@
 constexpr Millis kExpiryInterval{5'000};   // Of cached phases.
 constexpr Millis kConfigurationWait{700};  // Of a feed call; short, so that a lost connection doesn't delay changes.
 constexpr Millis kConfigurationTimeout{500};
-constexpr int kConfigurationVersions = 2;  // Of a configuration, which are received one by one.
+constexpr int kConfigurationVersions = 2;  // That were missed and are still received one by one.
 constexpr Millis kMemberWait{5'000};       // Of a feed call; may be long, since new instances also send heartbeats.
 constexpr Millis kAnnounceTimeout{500};    // Of the call that tells the leader of a new job.
 constexpr Millis kScanTime{10'000};        // Of the rows of ended jobs, and of the deletions that follow.
--- a/hickoryquay/store/table_follower.h
+++ b/hickoryquay/store/table_follower.h
@@ -32,8 +32,8 @@
   int m_first_page_rows = 4;  // Few, so that its time tells what a call takes without rows.
   int m_max_page_rows = 500;  // The store's limit.
   Millis m_page_time{100};    // Of a page on the link.
-  // A feed that brings more of a row's versions is not received: the table is read anew, which brings the last one
-  // only. For tables of few, large rows. 0: any number.
+  // Versions of the largest row that a feed may bring, and some bytes more. Where more were missed the table is read
+  // anew, which brings the last version only. For tables of few, large rows. 0: any number.
   int m_most_versions = 0;
   int m_tolerated_pages = 2;  // So many pages in succession may fail before the store is reported as unreachable.
 };
--- a/tests/crowd/crowd.py
+++ b/tests/crowd/crowd.py
@@ -155,10 +155,9 @@
     yield (4_000_000).to_bytes(4, "big") + b" " * 1_000
 
 
-def wide_frame(number):
-    """A whole frame of the inner protocol: a heartbeat that announces 4,000,000 peers and names none."""
-    body = bytes.fromhex("1502 1602 12 1c 1c b9 fc 8092f401")
-    yield len(body).to_bytes(4, "big") + body
+# Pieces of the inner protocol in Thrift's compact encoding, see hickoryquay/inner/inner.thrift.
+CALL = bytes.fromhex("1502 1602 12 1c 1c")  # Protocol 1, id 1, no answer, and the begin of a heartbeat.
+END = b"\0"                                 # Of a structure.
 
 
 def varint(value):
@@ -169,14 +168,31 @@
     return bytes([*digits, value])
 
 
+def text(word, fields_skipped=0):
+    """A field of text, and how many field numbers were left out before it."""
+    return bytes([(1 + fields_skipped) << 4 | 8]) + varint(len(word)) + word.encode()
+
+
+def structures(count, fields_skipped):
+    """The begin of a list."""
+    return bytes([(1 + fields_skipped) << 4 | 9, 0xFC]) + varint(count)
+
+
+def whole_frame(body):
+    return len(body).to_bytes(4, "big") + body
+
+
+def wide_frame(number):
+    """A heartbeat that announces 4,000,000 peers and names none."""
+    yield whole_frame(CALL + structures(4_000_000, 10))
+
+
 def many_peers(number):
-    """A heartbeat of the inner protocol that names 30,000 peers that don't exist."""
-    text = lambda word: b"\x18" + varint(len(word)) + word.encode()
-    peers = b"".join(text(f"p{number}-{i}") + text("x") + text("127.0.0.1:9") + b"\0" for i in range(30_000))
-    sequence, address = bytes.fromhex("1602"), b"\x68" + text("127.0.0.1:9")[1:]
-    heartbeat = text(f"p{number}") + text("x") + sequence + address + b"\x29\xfc" + varint(30_000) + peers + b"\0"
-    body = bytes.fromhex("1502 1602 12 1c 1c") + heartbeat + b"\0\0"
-    yield len(body).to_bytes(4, "big") + body
+    """A heartbeat that names 30,000 peers that don't exist."""
+    peers = b"".join(text(f"p{number}-{i}") + text("x") + text("127.0.0.1:9") + END for i in range(30_000))
+    sequence = bytes.fromhex("1602")
+    heartbeat = text(f"p{number}") + text("x") + sequence + text("127.0.0.1:9", 5) + structures(30_000, 1) + peers + END
+    yield whole_frame(CALL + heartbeat + END + END)
 
 
 SHAPES = {shape.__name__: shape for shape in (
