Logs and metrics: how far a lost run was, and how long lost work waits

"Run lost with its worker" says the progress when the worker last listed the run, how long ago that was, and what it would have been by now at that pace: 100 and more is an end that nobody has read. "Run placed" says how long the task has waited since its loss. Metrics: hq_runs_lost_total, hq_runs_lost_ended_total, hq_lost_run_wait_ms, hq_worker_unwatched_ms (a busy worker without a poll in flight) and hq_end_stored_ms.

No change of logic.

--- a/hickoryquay/jobs/commands.h
+++ b/hickoryquay/jobs/commands.h
@@ -64,4 +64,10 @@
   Millis m_since_taken_in{0};
 };
 
+// A unit whose run was lost is placed again.
+struct ReplacedRun {
+  int m_priority = 0;
+  Millis m_waited{0};  // Since the run was known to be lost.
+};
+
 }  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -526,6 +526,8 @@
   counts.m_active_units = static_cast<int>(m_active.size());
   counts.m_starts = m_starts;
   counts.m_preemptions = m_preemptions;
+  counts.m_lost_runs = m_lost_runs;
+  counts.m_lost_ends = m_lost_ends;
   for (const auto& [id, slot] : m_workers.All()) {
     if (!slot->m_listed) continue;
     counts.m_accelerators += slot->m_entry.m_capacity.m_accelerators;
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -47,6 +47,8 @@
   int m_active_units = 0;
   int m_starts = 0;       // Starts of tasks since construction.
   int m_preemptions = 0;  // Preempted units since construction.
+  int m_lost_runs = 0;    // Runs lost with their workers since construction.
+  int m_lost_ends = 0;    // Of these, runs that had probably ended.
   int m_used_accelerators = 0;
   int m_accelerators = 0;
 };
@@ -109,6 +111,7 @@
   std::vector<StopCommand> TakeStops(Now now);  // May be sent immediately.
 
   std::vector<GuaranteeStart> TakeGuaranteeStarts() { return std::exchange(m_guarantee_starts, {}); }
+  std::vector<ReplacedRun> TakeReplacedRuns() { return std::exchange(m_replaced_runs, {}); }
 
   // The store rejects the row for good: it is not written again, and none of its units is started any more.
   void SetAside(const StepRowKey& row);
@@ -178,6 +181,7 @@
   void RecordCrash(Unit* unit, std::size_t member, const LostWorker& lost, Now now);
   static LostWorker Describe(const WorkerSlot& slot, WorkerLoss loss, Now now);
   void LoseRun(Unit* unit, std::size_t member, const LostWorker& lost, Now now);
+  void NoteLost(Unit* unit, std::size_t member, Now now);
   void ResetUnit(Unit* unit);
 
   // scheduler_evacuation.cc
@@ -241,10 +245,13 @@
   PoolRooms m_rooms;
   Guarantees m_guarantees;
   std::vector<GuaranteeStart> m_guarantee_starts;    // Not taken yet.
+  std::vector<ReplacedRun> m_replaced_runs;          // Not taken yet.
   std::deque<std::pair<Instant, JobId>> m_archived;  // With the steady time.
   Instant m_first_placement;                         // Steady time of the first Decide that places; 0: none yet.
   int m_starts = 0;
   int m_preemptions = 0;
+  int m_lost_runs = 0;
+  int m_lost_ends = 0;
   int m_lost_workers = 0;  // Since construction; restarts included, ends of leases not.
 };
 
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -384,6 +384,9 @@
   unit->m_active = true;
   unit->m_placed = now.m_steady;
   m_active.insert(unit);
+  const Instant lost_at = std::exchange(unit->m_lost_at, Instant{});
+  const Millis since_lost = lost_at == Instant{} ? Millis{0} : now.m_steady - lost_at;
+  if (lost_at != Instant{}) m_replaced_runs.push_back({job->m_job.m_priority, since_lost});
   m_rooms[job->m_job.m_pool].Take(unit->m_step->m_spec->m_task, static_cast<int>(unit->m_members.size()));
   for (std::size_t i = 0; i < unit->m_members.size(); ++i) {
     Member& member = unit->m_members[i];
@@ -401,6 +404,7 @@
                {"rack", slots[i]->m_entry.m_rack},
                {"priority", std::to_string(job->m_job.m_priority)},
                {"checkpoint", unit->m_checkpoint},
+               {"since_lost_ms", std::to_string(since_lost.count())},
                {"waited_ms", std::to_string((now.m_wall - job->m_job.m_accepted).count())}});
   }
   ReleaseReservation(unit);
--- a/hickoryquay/jobs/scheduler_restart.cc
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -18,6 +18,20 @@
                      [&](const RunningTask& running) { return running.m_task == task && running.m_run == run; });
 }
 
+// Progress that the run would have made by now at its pace until its worker last listed it, 100 and more if it has
+// probably ended. Empty for gangs, which make progress together, and for runs that began at an unknown time.
+std::optional<int> ExpectedPercent(const Unit& unit, const Member& member, Now now) {
+  const bool fresh = unit.m_members.size() == 1 && Raw(unit.m_run) == 1 && !member.m_restored;
+  if (!fresh || member.m_state != MemberState::kRunning || member.m_listed <= member.m_since) return std::nullopt;
+  const auto observed = static_cast<double>((member.m_listed - member.m_since).count());
+  const auto ran = static_cast<double>((now.m_steady - member.m_since).count());
+  return static_cast<int>(member.m_listed_percent * ran / observed);
+}
+
+std::string TextOf(std::optional<std::int64_t> value) {
+  return value ? std::to_string(*value) : "unknown";
+}
+
 }  // namespace
 
 void Scheduler::OnIncarnation(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now) {
@@ -116,21 +130,38 @@
   if (verdict == CrashVerdict::kGiveUp) EndJob(job, JobPhase::kFailed, now);
 }
 
+// Call before the member is settled.
+void Scheduler::NoteLost(Unit* unit, std::size_t index, Now now) {
+  if (unit->m_done || Ended(unit->m_step->m_job->m_phase)) return;
+  constexpr int kWhole = 100;
+  ++m_lost_runs;
+  if (ExpectedPercent(*unit, unit->m_members[index], now).value_or(0) >= kWhole) ++m_lost_ends;
+  unit->m_lost_at = now.m_steady;
+}
+
 void Scheduler::LoseRun(Unit* unit, std::size_t index, const LostWorker& lost, Now now) {
   const Member& member = unit->m_members[index];
   const WorkerSlot* slot = member.m_slot;
   // A restored run began at an unknown time.
   const bool confirmed = member.m_state == MemberState::kRunning && !member.m_restored;
+  std::optional<std::int64_t> ran;
+  std::optional<std::int64_t> listed;
+  if (confirmed) ran = (now.m_steady - member.m_since).count();
+  if (member.m_listed != Instant{}) listed = (now.m_steady - member.m_listed).count();
   log::Info(kLog, "Run lost with its worker",
             {{"task", ToText(unit->Key(index))},
              {"run", std::to_string(Raw(unit->m_run))},
              {"worker", slot->m_entry.m_id.m_value},
              {"why", ToString(lost.m_why)},
              {"draining", slot->m_entry.m_draining ? "yes" : "no"},
-             {"ran_ms", confirmed ? std::to_string((now.m_steady - member.m_since).count()) : "unknown"},
+             {"ran_ms", TextOf(ran)},
+             {"listed_ms_ago", TextOf(listed)},
+             {"listed_percent", std::to_string(member.m_listed_percent)},
+             {"expected_percent", TextOf(ExpectedPercent(*unit, member, now))},
              {"units_there", std::to_string(lost.m_units)},
              {"silent_ms", std::to_string((now.m_steady - lost.m_silent_since).count())}});
   RecordCrash(unit, index, lost, now);
+  NoteLost(unit, index, now);
   if (unit->m_step->m_spec->m_gang && !unit->m_done) StopRun(unit, "member lost");
   if (unit->m_members[index].m_slot == slot) Settle(unit, index);
 }
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -262,6 +262,7 @@
   Member& member = unit->m_members[index];
   if (member.m_state != MemberState::kRunning) SetState(&member, MemberState::kRunning, now.m_steady);
   member.m_listed = now.m_steady;
+  member.m_listed_percent = running.m_percent;
   NoteRunning(*unit, now);
   ClearIfSound(unit);
   if (unit->m_step->m_spec->m_checkpoints && !running.m_checkpoint.empty()) unit->m_checkpoint = running.m_checkpoint;
@@ -331,6 +332,7 @@
                                       : "earlier epoch"}});
       if (vanished && !stopped) {  // The worker's process has crashed, and may be gone itself.
         RecordCrash(unit, index, {WorkerLoss::kRestarted, slot->CountUnits(), now.m_steady}, now);
+        NoteLost(unit, index, now);
         slot->m_avoid_until = std::max(slot->m_avoid_until, now.m_steady + m_settings.m_avoid_refusing_for);
       }
       if (unit->m_members.size() > 1 && !unit->m_done) StopRun(unit, "member is not on its worker");
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -44,6 +44,7 @@
   Instant m_last_sent;           // Steady time of the last copy of the start; 0: not sent by this scheduler.
   Instant m_since;               // Steady time of the last change of m_state.
   Instant m_listed;              // Steady time of the last reply that listed it as running.
+  int m_listed_percent = 0;      // Progress in that reply, 0 to 100.
   int m_percent = 0;             // Progress reported at m_percent_at, 0 to 100.
   Instant m_percent_at;          // Steady time; 0: not reported yet.
   int m_first_percent = 0;       // Progress that was made before m_first_percent_at.
@@ -82,6 +83,7 @@
   bool m_may_share = false;        // It has found no worker without other work, and is placed beside others.
   Instant m_alone_until;           // Steady time until which it waits for such workers; 0: it does not.
   Instant m_placed;                // Steady time of the last placement.
+  Instant m_lost_at;               // Steady time at which its last run was lost; 0: it was not, or is replaced.
   int m_preemptions = 0;           // Times that it was stopped for urgent work.
   bool m_has_reservation = false;  // Room is reserved for it on workers (WorkerSlot::m_reservations).
   Instant m_reserved_until;        // Steady time at which the reservation ends at the latest.
--- a/hickoryquay/service/leader_report.cc
+++ b/hickoryquay/service/leader_report.cc
@@ -24,6 +24,13 @@
   if (now - m_begin >= kInterval) Write(sample, counts, now);
 }
 
+void LeaderReport::OnReplaced(const std::vector<jobs::ReplacedRun>& runs) {
+  for (const jobs::ReplacedRun& run : runs) {
+    const Labels labels{{"priority", std::to_string(run.m_priority)}};
+    m_metrics->GetDistribution("hq_lost_run_wait_ms", labels).Add(static_cast<double>(run.m_waited.count()));
+  }
+}
+
 void LeaderReport::Write(const LeaderSample& last, const LeaderCounts& counts, Instant now) {
   const std::clock_t processor = std::clock();
   const auto since = [](std::uint64_t count, std::uint64_t before) { return std::to_string(count - before); };
@@ -42,7 +49,11 @@
              {"polls", since(counts.m_polls, m_counts_begin.m_polls)},
              {"starts", since(counts.m_starts, m_counts_begin.m_starts)},
              {"rows", since(counts.m_rows, m_counts_begin.m_rows)},
-             {"scans", since(counts.m_scans, m_counts_begin.m_scans)}});
+             {"scans", since(counts.m_scans, m_counts_begin.m_scans)},
+             {"lost_runs", since(counts.m_lost_runs, m_counts_begin.m_lost_runs)},
+             {"lost_ends", since(counts.m_lost_ends, m_counts_begin.m_lost_ends)}});
+  m_metrics->GetCounter("hq_runs_lost_total").Add(counts.m_lost_runs - m_counts_begin.m_lost_runs);
+  m_metrics->GetCounter("hq_runs_lost_ended_total").Add(counts.m_lost_ends - m_counts_begin.m_lost_ends);
   m_metrics->GetGauge("hq_loop_late_ms").Set(static_cast<double>(m_worst.m_loop_late.count()));
   m_metrics->GetGauge(kAge, {{"table", "intake"}}).Set(static_cast<double>(m_worst.m_intake_age.count()));
   m_metrics->GetGauge(kAge, {{"table", "workers"}}).Set(static_cast<double>(m_worst.m_list_age.count()));
--- a/hickoryquay/service/leader_report.h
+++ b/hickoryquay/service/leader_report.h
@@ -7,9 +7,11 @@
 
 #include <cstdint>
 #include <ctime>
+#include <vector>
 
 #include "hickoryquay/base/clock.h"
 #include "hickoryquay/base/metrics.h"
+#include "hickoryquay/jobs/commands.h"
 
 namespace hickoryquay::service {
 
@@ -31,6 +33,8 @@
   std::uint64_t m_starts = 0;
   std::uint64_t m_rows = 0;   // Of the tables that are followed, read by feeds and scans.
   std::uint64_t m_scans = 0;  // Tables read as a whole.
+  std::uint64_t m_lost_runs = 0;
+  std::uint64_t m_lost_ends = 0;  // Of these, runs that had probably ended.
 };
 
 // Not thread-safe. One object per term of leadership.
@@ -40,6 +44,7 @@
 
   // Call several times a second.
   void Update(const LeaderSample& sample, const LeaderCounts& counts, Instant now);
+  void OnReplaced(const std::vector<jobs::ReplacedRun>& runs);
 
  private:
   void Write(const LeaderSample& last, const LeaderCounts& counts, Instant now);
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -417,6 +417,7 @@
   if (MayPlace()) m_scheduler.Decide(Time(), MayStart());
   m_evacuation_report.Update(m_scheduler.EvacuatedDomains());
   ReportGuaranteeStarts();
+  m_report.OnReplaced(m_scheduler.TakeReplacedRuns());
   for (const jobs::StopCommand& stop : m_scheduler.TakeStops(Time())) m_sessions->Send(stop);
   SendStarts();
   if (MayStart()) {
@@ -561,6 +562,8 @@
   counts.m_starts = static_cast<std::uint64_t>(scheduled.m_starts);
   counts.m_rows = m_intake->RowsRead() + m_worker_rows->RowsRead();
   counts.m_scans = m_intake->Scans() + m_worker_rows->Scans();
+  counts.m_lost_runs = static_cast<std::uint64_t>(scheduled.m_lost_runs);
+  counts.m_lost_ends = static_cast<std::uint64_t>(scheduled.m_lost_ends);
   m_last_tick = now;
   m_report.Update(sample, counts, now);
 }
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -44,7 +44,9 @@
       m_polls_failed(&metrics->GetCounter("hq_worker_looks_failed_total")),
       m_restarts(&metrics->GetCounter("hq_worker_restarts_total")),
       m_ends_missing(&metrics->GetCounter("hq_worker_ends_missing_total")),
-      m_start_ms(&metrics->GetDistribution("hq_start_answer_ms")) {}
+      m_start_ms(&metrics->GetDistribution("hq_start_answer_ms")),
+      m_unwatched_ms(&metrics->GetDistribution("hq_worker_unwatched_ms")),
+      m_end_stored_ms(&metrics->GetDistribution("hq_end_stored_ms")) {}
 
 void WorkerSessions::Start() {
   m_tick = m_timers->Every(kUpdateInterval, [weak = weak_from_this()] {
@@ -215,6 +217,9 @@
   Session& session = *found->second;
   if (ends.m_born.m_ms != 0 && ends.m_born != session.m_known.m_born) return;  // Numbers start anew.
   session.m_recorded_ends = std::max(session.m_recorded_ends, ends.m_number);
+  if (session.m_reported_at == Instant{} || session.m_recorded_ends < session.m_reported_ends) return;
+  m_end_stored_ms->Add(static_cast<double>((m_clock->Now() - session.m_reported_at).count()));
+  session.m_reported_at = Instant{};
 }
 
 //-------------------------------------------------------------------------------------------------
@@ -314,6 +319,7 @@
   m_restarts->Add();
   ++session->m_incarnation;
   session->m_reported_ends = 0;
+  session->m_reported_at = Instant{};
   session->m_recorded_ends = 0;
   session->m_acked_ends = 0;
   session->m_clock = {};
@@ -387,6 +393,7 @@
 bool WorkerSessions::UpdateOne(const WorkerId& id, const std::shared_ptr<Session>& session) {
   const Instant now = m_clock->Now();
   const bool busy = m_scheduler->IsBusy(id);
+  if (!busy) session->m_unwatched_since = Instant{};
   if (!session->m_listed && !busy && session->m_polls_pending == 0 &&
       session->m_acked_ends >= session->m_reported_ends) {
     return false;
@@ -440,6 +447,9 @@
   }
   const Instant sent = m_clock->Now();
   session->m_last_poll = sent;
+  if (session->m_polls_pending == 0 && session->m_unwatched_since != Instant{})
+    m_unwatched_ms->Add(static_cast<double>((sent - session->m_unwatched_since).count()));
+  session->m_unwatched_since = Instant{};
   ++session->m_polls_pending;
   if (wait.count() > 0) session->m_long_poll_pending = true;
   m_polls_sent->Add();
@@ -481,12 +491,16 @@
     session->m_clock_at = m_clock->Now();
   }
   NoteMissingEnds(id, *session, reply);
+  const std::int64_t reported_before = session->m_reported_ends;
   for (const jobs::EndedTask& end : reply.m_ended)
     session->m_reported_ends = std::max(session->m_reported_ends, end.m_number);
+  if (session->m_reported_ends > reported_before && session->m_reported_at == Instant{})
+    session->m_reported_at = m_clock->Now();
   if (!session->m_established || was_silent) log::Info(kLog, "Worker answers", {{"worker", id.m_value}});
   session->m_established = true;
   m_scheduler->SetWorkerUsable(id, true);
   m_scheduler->OnPollReply(id, reply, sent, Time());
+  if (session->m_polls_pending == 0 && m_scheduler->IsBusy(id)) session->m_unwatched_since = m_clock->Now();
   if (incarnation != session->m_incarnation && m_scheduler->IsBusy(id))
     session->m_lease_end = LatestLeaseEnd(m_clock->Now() + jobs::kMaxCallDelay);
   m_events.m_changed();
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -95,9 +95,11 @@
     int m_failures = 0;       // Consecutive failed polls.
     Instant m_retry_at;
     Instant m_created;
-    Instant m_last_poll;               // When it was sent.
-    Instant m_last_reply;              // When the last one of the present incarnation arrived.
+    Instant m_last_poll;        // When it was sent.
+    Instant m_last_reply;       // When the last one of the present incarnation arrived.
+    Instant m_unwatched_since;  // When it last had no poll in flight while it was busy; 0: it has one, or is idle.
     std::int64_t m_reported_ends = 0;  // Highest number of an ended task that the worker reported.
+    Instant m_reported_at;             // When the first end arrived that is not stored yet; 0: all are.
     std::int64_t m_recorded_ends = 0;  // Highest one that is stored.
     std::int64_t m_acked_ends = 0;     // Highest one that the worker knows to be stored.
     jobs::WorkerTime m_clock;          // The worker's clock at m_clock_at, or slightly before.
@@ -167,6 +169,8 @@
   Counter* m_restarts;
   Counter* m_ends_missing;
   Distribution* m_start_ms;
+  Distribution* m_unwatched_ms;
+  Distribution* m_end_stored_ms;
 };
 
 }  // namespace hickoryquay::service
