Known red: lost tasks wait behind new work without a bound

A task whose run was lost with its worker is placed after all new work of its own priority with a nearer objective, and not at all while its start would leave less than the free share.

--- a/tests/jobs/held_back_pool.h
+++ b/tests/jobs/held_back_pool.h
@@ -85,14 +85,26 @@
   }
 
   JobId Submit(const StepSpec& step, int priority, const PoolName& pool = kPool) {
+    return SubmitJob(MakeJob({step}, priority, 20.0, pool));
+  }
+
+  JobId SubmitSteps(const std::vector<StepSpec>& steps, int priority, double stretch) {
+    return SubmitJob(MakeJob(steps, priority, stretch));
+  }
+
+  AcceptedJob MakeJob(const std::vector<StepSpec>& steps, int priority, double stretch, const PoolName& pool = kPool) {
     AcceptedJob job;
     job.m_id = JobId{m_next_job++};
     job.m_pool = pool;
     job.m_priority = priority;
     job.m_max_attempts = 3;
-    job.m_stretch = 20.0;
+    job.m_stretch = stretch;
     job.m_accepted = At(m_time).m_wall;
-    job.m_request.m_steps = {step};
+    job.m_request.m_steps = steps;
+    return job;
+  }
+
+  JobId SubmitJob(const AcceptedJob& job) {
     m_scheduler->OnJob(job, At(m_time));
     m_last_job = job;
     return job.m_id;
