Placement: interrupted work goes before new work of its priority

Cause: a task whose run was lost with its worker went back among all waiting work of its priority, ordered by the objective of its whole job, and behind the free share of 30%, as if it were new. Nothing bounded its wait, while the step behind it waited for that one task. Where the lost run had ended and only its end was lost, the platform sees a step that is due and does not run.

Fix: units that were placed before have a turn of their own, ahead of the first runs of their priority. Where no first run of their job goes on, and unless they were stopped for urgent work, they leave only the least share free.

Weighed against it, as trials: the least share for all interrupted work, whatever else of its job runs.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -84,7 +84,10 @@
       member.m_born = placed.m_born;
       unit->m_active = true;
     }
-    if (!unit->m_active) continue;
+    if (!unit->m_active) {
+      step->OnWaiting(*unit);
+      continue;
+    }
     m_active.insert(unit);
     const auto& failed_runs = unit_row.m_failed_runs;
     const bool failed = std::find(failed_runs.begin(), failed_runs.end(), unit->m_run) != failed_runs.end();
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -194,6 +194,10 @@
   std::optional<IdleJob> DescribeIfIdle(const JobState& job, bool runs, Now now) const;
 
   // scheduler_place.cc
+  struct Turn {  // Of a step in a round: of its units that were placed before, as the key says, or of all.
+    SchedulingKey m_key;
+    StepState* m_step = nullptr;
+  };
   double RequiredFreeShare(const Unit& unit, Now now) const;
   bool KeepsReserveFrom(const JobState& state, Now now) const;
   bool LeavesTooFewFree(const Unit& unit, Now now) const;
@@ -205,12 +209,12 @@
   void NoteHeldBack(const Unit& unit, Now now);
   void NoteStopping(Now now);
   Millis WaitBeforeTakeover(const StepState& step, Millis bound, Now now) const;
-  std::vector<StepState*> ReadySteps(Now now);
+  std::vector<Turn> ReadySteps(Now now);
   const Candidates& CandidatesFor(const Unit& unit);
   const PoolPace& PaceOf(const PoolName& pool, Now now);
   ChoiceInput InputFor(const Unit& unit, Now now);
-  void PlaceStep(StepState* step, Now now);
-  Unit* PlaceUnits(StepState* step, Now now);
+  void PlaceStep(const Turn& turn, Now now);
+  Unit* PlaceUnits(const Turn& turn, Now now);
   bool TryPlace(Unit* unit, Now now, std::optional<RankedWorkers>* ranked = nullptr);
   bool PlaceOn(Unit* unit, const std::vector<WorkerSlot*>& slots, Now now);
   void EvacuateDraining(Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -21,7 +21,7 @@
 //-------------------------------------------------------------------------------------------------
 
 bool EarliestDeadlineFirst(const SchedulingKey& a, const SchedulingKey& b) {
-  return std::tie(a.m_priority, a.m_deadline) < std::tie(b.m_priority, b.m_deadline);
+  return std::tie(a.m_priority, b.m_interrupted, a.m_deadline) < std::tie(b.m_priority, a.m_interrupted, b.m_deadline);
 }
 
 bool FirstComeFirstServed(const SchedulingKey& a, const SchedulingKey& b) {
@@ -29,38 +29,55 @@
 }
 
 // Steps that have units left and don't wait for earlier steps, in the order of placement. Units of one step are placed
-// in the order of their index. Work within a guarantee comes first.
-std::vector<StepState*> Scheduler::ReadySteps(Now now) {
-  struct Candidate {
-    SchedulingKey m_key;
-    StepState* m_step;
-  };
-  std::vector<Candidate> candidates;
+// in the order of their index, those that were placed before ahead of the others. Work within a guarantee comes first.
+std::vector<Scheduler::Turn> Scheduler::ReadySteps(Now now) {
+  std::vector<Turn> turns;
   for (const auto& entry : m_open_jobs) {
     JobState* job = entry.second;
     if (job->m_created_occurrences < job->m_occurrences) CreateDueSteps(job, now);
     for (int k = 0; k < job->m_occurrences; ++k) {
       const auto& steps = job->m_steps[static_cast<std::size_t>(k)];
       if (steps.empty()) continue;
-      const SchedulingKey key{job->m_job.m_priority, job->m_job.m_accepted, ObjectiveDeadline(*job, k)};
+      SchedulingKey key{job->m_job.m_priority, false, job->m_job.m_accepted, ObjectiveDeadline(*job, k)};
       for (const auto& step : steps) {
         if (step->m_units_left == 0 || IsBlocked(steps, *step)) continue;
-        candidates.push_back({key, step.get()});
+        for (const bool interrupted : {true, false}) {
+          key.m_interrupted = interrupted;
+          if (!interrupted || !step->m_interrupted.empty()) turns.push_back({key, step.get()});
+        }
       }
     }
   }
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [this](const Candidate& a, const Candidate& b) { return m_settings.m_order(a.m_key, b.m_key); });
+  std::stable_sort(turns.begin(), turns.end(),
+                   [this](const Turn& a, const Turn& b) { return m_settings.m_order(a.m_key, b.m_key); });
   if (m_settings.m_preempts) {
-    std::stable_partition(candidates.begin(), candidates.end(),
-                          [this](const Candidate& c) { return m_guarantees.Covers(*c.m_step->m_job); });
+    std::stable_partition(turns.begin(), turns.end(),
+                          [this](const Turn& turn) { return m_guarantees.Covers(*turn.m_step->m_job); });
   }
-  std::vector<StepState*> steps;
-  steps.reserve(candidates.size());
-  for (const Candidate& candidate : candidates) steps.push_back(candidate.m_step);
-  return steps;
+  return turns;
 }
 
+namespace {
+
+bool HasUnit(const JobState& job, bool (*matches)(const std::unique_ptr<Unit>&)) {
+  for (const auto& steps : job.m_steps) {
+    for (const auto& step : steps) {
+      if (std::any_of(step->m_units.begin(), step->m_units.end(), matches)) return true;
+    }
+  }
+  return false;
+}
+
+bool IsActive(const std::unique_ptr<Unit>& unit) {
+  return unit->m_active;
+}
+
+bool IsFirstRun(const std::unique_ptr<Unit>& unit) {
+  return unit->m_active && unit->m_run == RunNumber{1};
+}
+
+}  // namespace
+
 // Share of its pool's accelerators that must stay free after this unit is placed, so that more urgent work can start
 // without a preemption.
 double Scheduler::RequiredFreeShare(const Unit& unit, Now now) const {
@@ -72,17 +89,14 @@
   const auto tight_ms =
       static_cast<std::int64_t>(m_settings.m_tight_slack_share * static_cast<double>(estimate.count()));
   const bool is_tight = slack.count() >= 0 && slack.count() < tight_ms;
-  return is_tight ? std::min(usual, m_settings.m_min_free_share_tight) : usual;
+  const bool was_lost = unit.m_step->m_interrupted.contains(unit.m_first) && unit.m_preemptions == 0;
+  return is_tight || (was_lost && !HasUnit(job, &IsFirstRun)) ? std::min(usual, m_settings.m_min_free_share_tight)
+                                                              : usual;
 }
 
 // More urgent jobs, for which the free share is kept, have arrived of late, or the job has something running.
 bool Scheduler::KeepsReserveFrom(const JobState& state, Now now) const {
-  const auto active = [](const auto& unit) { return unit->m_active; };
-  for (const auto& steps : state.m_steps) {
-    for (const auto& step : steps) {
-      if (std::any_of(step->m_units.begin(), step->m_units.end(), active)) return true;
-    }
-  }
+  if (HasUnit(state, &IsActive)) return true;
   const AcceptedJob& job = state.m_job;
   const auto end = m_last_jobs.lower_bound({job.m_pool, job.m_priority});
   return std::any_of(m_last_jobs.lower_bound({job.m_pool, std::numeric_limits<int>::min()}), end,
@@ -216,7 +230,7 @@
   DropReservations(now);
   m_rooms = m_workers.CountPools();
   NoteStopping(now);
-  for (StepState* step : ReadySteps(now)) PlaceStep(step, now);
+  for (const Turn& turn : ReadySteps(now)) PlaceStep(turn, now);
 }
 
 // For how long an earlier scheduler may have held the step back. The workers that join get their time in any case.
@@ -227,29 +241,31 @@
   return std::clamp(now.m_wall - job.m_accepted, Millis{0}, bound - m_settings.m_join_time);
 }
 
-void Scheduler::PlaceStep(StepState* step, Now now) {
+void Scheduler::PlaceStep(const Turn& turn, Now now) {
+  StepState* step = turn.m_step;
   if (Ended(step->m_job->m_phase)) return;  // Another step has ended it in this round.
   if (!step->HasWaiting()) return;
   // Room may have become short, or ample, since the last round.
   if (step->WasHeldBack()) NoteHeldBack(*step->m_units[step->m_passed], now);
-  const Unit* left = PlaceUnits(step, now);
+  const Unit* left = PlaceUnits(turn, now);
   if (left == nullptr || step->WasHeldBack()) return;
   step->m_held_back.Credit(WaitBeforeTakeover(*step, m_settings.m_longest_preference, now));
   step->m_held_for_rack.Credit(WaitBeforeTakeover(*step, LongestWaitForRack(*step->m_spec, m_settings), now));
   NoteHeldBack(*left, now);
 }
 
-// Places the waiting units of a step until one does not fit. The others won't fit either, and must not use resources
-// that are left free for more urgent work. Within a guarantee, room is made for all of them at the same time. Returns
-// the first one that is left, if the job has not ended.
-Unit* Scheduler::PlaceUnits(StepState* step, Now now) {
+// Places the waiting units of a step, or those that were placed before, until one does not fit. The others won't fit
+// either, and must not use resources that are left free for more urgent work. Within a guarantee, room is made for all
+// of them at the same time. Returns the first one that is left, if the job has not ended.
+Unit* Scheduler::PlaceUnits(const Turn& turn, Now now) {
+  StepState* step = turn.m_step;
   Unit* left = nullptr;
   const bool preempts = m_settings.m_preempts && step->m_job->m_job.m_priority == 0;
   const bool guaranteed = m_guarantees.Covers(*step->m_job);
   std::optional<RankedWorkers> ranked;
   for (std::size_t i = step->m_passed; i < step->m_units.size(); ++i) {
     Unit* unit = step->m_units[i].get();
-    if (!unit->IsWaiting()) continue;
+    if (!unit->IsWaiting() || (turn.m_key.m_interrupted && !step->m_interrupted.contains(unit->m_first))) continue;
     // Its last start did not end in a crash, or an earlier leader has stored the crash and not the end of the job.
     if (Judge(unit->m_crashes, unit->m_run, m_settings.m_choice.m_crashes) == CrashVerdict::kGiveUp) {
       EndJob(step->m_job, JobPhase::kFailed, now);
@@ -382,6 +398,7 @@
   JobState* job = unit->m_step->m_job;
   unit->m_run = RunNumber{Raw(unit->m_run) + 1};
   unit->m_active = true;
+  unit->m_step->m_interrupted.erase(unit->m_first);
   unit->m_placed = now.m_steady;
   m_active.insert(unit);
   const Instant lost_at = std::exchange(unit->m_lost_at, Instant{});
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -453,6 +453,7 @@
 void Scheduler::RecordDone(Unit* unit, Now now) {
   if (unit->m_done) return;
   unit->m_done = true;
+  unit->m_step->m_interrupted.erase(unit->m_first);
   --unit->m_step->m_units_left;
   MarkChanged(*unit);
   FinishIfComplete(unit->m_step->m_job, now);
--- a/hickoryquay/jobs/scheduler_settings.h
+++ b/hickoryquay/jobs/scheduler_settings.h
@@ -8,17 +8,19 @@
 
 namespace hickoryquay::jobs {
 
-// Sort key of a waiting step.
+// Sort key of a waiting step, or of those of its units that were placed before.
 struct SchedulingKey {
   int m_priority = 0;
-  Instant m_accepted;  // Wall time.
-  Instant m_deadline;  // Wall time: the job's objective, by the caller's estimates.
+  bool m_interrupted = false;  // Their runs were lost, stopped or refused.
+  Instant m_accepted;          // Wall time.
+  Instant m_deadline;          // Wall time: the job's objective, by the caller's estimates.
 };
 
 // Returns true if the first one is placed first.
 using SchedulingOrder = bool (*)(const SchedulingKey&, const SchedulingKey&);
-bool EarliestDeadlineFirst(const SchedulingKey& a, const SchedulingKey& b);  // By priority, then by deadline.
-bool FirstComeFirstServed(const SchedulingKey& a, const SchedulingKey& b);   // Ignores priorities: a baseline.
+// By priority, then interrupted work, then by deadline. A job that has begun waits for its last task alone.
+bool EarliestDeadlineFirst(const SchedulingKey& a, const SchedulingKey& b);
+bool FirstComeFirstServed(const SchedulingKey& a, const SchedulingKey& b);  // Ignores priorities: a baseline.
 
 struct SchedulerSettings {
   SchedulingOrder m_order = &EarliestDeadlineFirst;
@@ -32,9 +34,11 @@
   Millis m_max_early_start{50};      // Timed jobs may start this much before they are due.
   // Shares of a pool's accelerators that a start must leave free for more urgent work. Lower shares make urgent work
   // wait for preemptions and lose work, higher ones delay batch work (docs/design/platform.md).
-  double m_min_free_share = 0.2;         // For starts of priority 1.
-  double m_min_free_share_batch = 0.3;   // For starts of lower priorities.
-  double m_min_free_share_tight = 0.05;  // For work whose slack is below m_tight_slack_share of its estimate.
+  double m_min_free_share = 0.2;        // For starts of priority 1.
+  double m_min_free_share_batch = 0.3;  // For starts of lower priorities.
+  // For work whose slack is below m_tight_slack_share of its estimate, and for interrupted work of a job without
+  // first runs.
+  double m_min_free_share_tight = 0.05;
   double m_tight_slack_share = 0.5;
   // Bound of all preferences in a pool with ample room: a step waits no longer for room that would suit it better.
   Millis m_longest_preference{2'000};
--- a/hickoryquay/jobs/units.cc
+++ b/hickoryquay/jobs/units.cc
@@ -46,6 +46,7 @@
 
 void StepState::OnWaiting(const Unit& unit) {
   m_passed = std::min(m_passed, m_spec->m_gang ? 0 : static_cast<std::size_t>(unit.m_first));
+  if (!unit.m_done) m_interrupted.insert(unit.m_first);
 }
 
 Instant ObjectiveDeadline(const JobState& job, int occurrence) {
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -114,6 +114,7 @@
   std::vector<std::unique_ptr<Unit>> m_units;
   int m_units_left = 0;            // Units that are not done.
   std::size_t m_passed = 0;        // The first ones of m_units, so many, are placed or done.
+  std::set<int> m_interrupted;     // First tasks of the units that wait and were placed before.
   std::set<int> m_stored_rows;     // Of which a row is stored.
   std::set<int> m_set_aside_rows;  // That the store rejects.
   StepPace m_pace;
@@ -124,7 +125,7 @@
   Unit* FindUnit(int task) const;
   bool HasWaiting();  // Of the units.
   bool WasHeldBack() const { return !m_held_back.IsEmpty() || !m_held_for_rack.IsEmpty(); }
-  void OnWaiting(const Unit& unit);  // It was placed before.
+  void OnWaiting(const Unit& unit);  // It was placed before, and waits unless it is done.
 };
 
 struct JobState {
