Preemption: a task whose run was lost is not stopped for urgent work

Cause: urgent work beyond a guarantee stops what has the least work to repeat. The new run of a lost task has just begun, so it is stopped first, up to twice, and then waits behind the free share again.

Fix: units that have lost a run may be stopped for guarantees only, and keep the least free share if they were stopped for one. LostTaskIsNotStoppedForUrgentWork failed before.

--- a/hickoryquay/jobs/preemption.cc
+++ b/hickoryquay/jobs/preemption.cc
@@ -50,7 +50,8 @@
 bool MayStop(const Unit& victim, bool guaranteed, const PreemptionRound& round) {
   if (victim.m_stopping || victim.m_done) return false;
   if (guaranteed) return victim.m_step->m_job->m_job.m_priority > 0 || IsBorrowed(victim, round);
-  return victim.m_step->m_job->m_job.m_priority > 0 && victim.m_preemptions < round.m_settings->m_max_stops;
+  const bool often = victim.m_losses > 0 || victim.m_preemptions >= round.m_settings->m_max_stops;
+  return victim.m_step->m_job->m_job.m_priority > 0 && !often;
 }
 
 // The member's run will end soon: it is done or its stop is under way.
--- a/hickoryquay/jobs/preemption.h
+++ b/hickoryquay/jobs/preemption.h
@@ -34,7 +34,8 @@
   // Beyond a guarantee: most work to be repeated, in multiples of the core-seconds of the urgent unit itself. Repeated
   // work delays the callers of the stopped units and all that wait behind them.
   double m_max_repeated_share = 2.0;
-  int m_max_stops = 2;  // A unit that was stopped this often is stopped again only for a guarantee.
+  // A unit that was stopped this often, or whose run was lost once, is stopped again only for a guarantee.
+  int m_max_stops = 2;
 };
 
 // Which jobs of priority 0 their accounts' guarantees cover. A job needs the accelerators of the tasks of its current
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -89,7 +89,8 @@
   const auto tight_ms =
       static_cast<std::int64_t>(m_settings.m_tight_slack_share * static_cast<double>(estimate.count()));
   const bool is_tight = slack.count() >= 0 && slack.count() < tight_ms;
-  const bool was_lost = unit.m_step->m_interrupted.contains(unit.m_first) && unit.m_preemptions == 0;
+  const bool was_lost =
+      unit.m_losses > 0 || (unit.m_step->m_interrupted.contains(unit.m_first) && unit.m_preemptions == 0);
   return is_tight || (was_lost && !HasUnit(job, &IsFirstRun)) ? std::min(usual, m_settings.m_min_free_share_tight)
                                                               : usual;
 }
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -85,6 +85,7 @@
   Instant m_placed;                // Steady time of the last placement.
   Instant m_lost_at;               // Steady time at which its last run was lost; 0: it was not, or is replaced.
   int m_preemptions = 0;           // Times that it was stopped for urgent work.
+  int m_losses = 0;                // Times that a run of it was lost with its worker.
   bool m_has_reservation = false;  // Room is reserved for it on workers (WorkerSlot::m_reservations).
   Instant m_reserved_until;        // Steady time at which the reservation ends at the latest.
   bool m_may_leave_rack = false;   // No rack that it prefers can hold it by the last plan for it.
--- a/tests/jobs/lost_run_test.cc
+++ b/tests/jobs/lost_run_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(SecondStepBeginsAfterALostEnd);
   CPPUNIT_TEST(NewTasksOfTheStepOfALostTaskWaitTheirTurn);
   CPPUNIT_TEST(PreemptedTaskKeepsTheFreeShare);
+  CPPUNIT_TEST(LostTaskIsNotStoppedForUrgentWork);
   CPPUNIT_TEST(LostRunThatHadProbablyEndedIsCounted);
   CPPUNIT_TEST_SUITE_END();
 
@@ -114,6 +115,14 @@
     CPPUNIT_ASSERT(!WaitUntilPlaced(job, kBound));
   }
 
+  // Guards against a task that was lost, runs again, and is stopped since its new run has the least work to repeat.
+  void LostTaskIsNotStoppedForUrgentWork() {
+    CheckLostIsNext(Single(kAccelerators));
+    Submit(Single(kAccelerators), 0);
+    Round();
+    CPPUNIT_ASSERT(m_scheduler->TakeStops(At(m_time)).empty());
+  }
+
   // Guards against logs and metrics from which it can't be read whether an end was lost with its worker.
   void LostRunThatHadProbablyEndedIsCounted() {
     const std::vector<JobId> jobs{Submit(Single(kAccelerators), kBatch), Submit(Single(kAccelerators), kBatch)};
