Sessions: a worker's own start tells whether the list should have it

Cause: a worker that is missing in the list of live ones counts as gone only if it is older than the list's lag, and its age was counted from the moment at which this leader first heard of it. To a new leader all workers are young.

Fix: where workers report when they started, that tells their age: from the row of the worker or of its runs, with 10 s for what wall clocks may be wrong. Without it, as before.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -374,12 +374,20 @@
   });
 }
 
-std::vector<std::pair<WorkerId, std::string>> Scheduler::OccupiedWorkers() const {
-  std::vector<std::pair<WorkerId, std::string>> held;
+std::vector<Scheduler::OccupiedWorker> Scheduler::OccupiedWorkers() const {
+  std::vector<OccupiedWorker> occupied;
   for (const auto& [id, slot] : m_workers.All()) {
-    if (!slot->m_members.empty()) held.emplace_back(id, slot->m_entry.m_address);
+    if (slot->m_members.empty()) continue;
+    Instant born;
+    bool all_known = true;
+    for (const auto& [unit, index] : slot->m_members) {
+      const Instant of_run = unit->m_members[index].m_born;
+      all_known = all_known && of_run != Instant{};
+      born = std::max(born, of_run);
+    }
+    occupied.push_back({id, slot->m_entry.m_address, all_known ? std::optional(born) : std::nullopt});
   }
-  return held;
+  return occupied;
 }
 
 //-------------------------------------------------------------------------------------------------
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -129,8 +129,12 @@
   // The state of a run there can only be resolved by a poll sent after `last`.
   bool NeedsPoll(const WorkerId& worker, Instant last) const;
   bool HasUnrecordedRuns(const WorkerId& worker) const;  // Until a poll shows that they have ended.
-  // With their addresses; includes workers of restored runs.
-  std::vector<std::pair<WorkerId, std::string>> OccupiedWorkers() const;
+  struct OccupiedWorker {
+    WorkerId m_id;
+    std::string m_address;
+    std::optional<Instant> m_born;  // Wall time of the start of the latest incarnation that holds a run, if known.
+  };
+  std::vector<OccupiedWorker> OccupiedWorkers() const;  // Includes workers of restored runs.
 
   std::map<QueueName, int> Pending() const;  // Jobs without a started task, by queue.
   SchedulerCounts Counts() const;
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -352,7 +352,9 @@
   m_state_rows.clear();
   const auto buffered = std::exchange(m_buffered_intake, {});
   for (const auto& [key, worker] : m_workers) m_sessions->List(worker);
-  for (const auto& [id, address] : m_scheduler.OccupiedWorkers()) m_sessions->AddUnlisted(id, address);
+  for (const auto& worker : m_scheduler.OccupiedWorkers()) {
+    m_sessions->AddUnlisted(worker.m_id, worker.m_address, worker.m_born);
+  }
   m_sessions->Start();
   ArchiveSettings archive;
   archive.m_tables = m_settings.m_tables;
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -84,11 +84,12 @@
   m_last_listing = Instant{};  // Request the list of live workers at once.
 }
 
-void WorkerSessions::AddUnlisted(const WorkerId& id, const std::string& address) {
+void WorkerSessions::AddUnlisted(const WorkerId& id, const std::string& address, std::optional<Instant> born) {
   auto& session = m_sessions[id];
   if (session) return;
   session = std::make_shared<Session>();
   session->m_target = {id, address};
+  session->m_row_born = born;
   session->m_created = m_clock->Now();
   session->m_lease_end = LatestLeaseEnd(m_started + m_settings.m_prior_grant_window);
 }
@@ -382,13 +383,20 @@
   const Sessions sessions = m_sessions;
   for (const auto& [id, session] : sessions) {
     if (!IsUnreachable(id, *session) || session->m_awaits_late_starts || worker_ids.contains(id) ||
-        asked - session->m_created < m_settings.m_list_max_lag)
+        !IsOldEnoughToBeListed(*session, asked))
       continue;
     Clear(id, session, jobs::WorkerLoss::kUnlisted);
   }
   m_events.m_changed();
 }
 
+// A new leader knows the worker since its takeover only, which says nothing about the worker's age.
+bool WorkerSessions::IsOldEnoughToBeListed(const Session& session, Instant asked) const {
+  if (asked - session.m_created >= m_settings.m_list_max_lag) return true;
+  const Instant born = std::max(session.m_row_born.value_or(Instant{}), session.m_known.m_born);
+  return born != Instant{} && m_clock->Wall() - born >= m_settings.m_list_max_lag + m_settings.m_max_wall_error;
+}
+
 // Returns false if the session has nothing left to do.
 bool WorkerSessions::UpdateOne(const WorkerId& id, const std::shared_ptr<Session>& session) {
   const Instant now = m_clock->Now();
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -39,11 +39,12 @@
   Millis m_min_restart{1'000};        // Shortest time in which a crashed worker is back under its id.
   double m_clock_drift = 0.02;        // Share by which workers' clocks may be slow.
   Millis m_clock_slack{100};          // Added to the end of every lease that is waited for.
-  Millis m_list_interval{1'000};  // Between requests for the ids of live workers, while a busy worker is unreachable.
-  Millis m_list_max_lag{3'000};   // An incarnation younger than this may be missing from the list.
-  Millis m_list_timeout{1'500};   // Of the whole list.
-  Millis m_longest_held{500};     // Starts that may not be sent for longer are withdrawn: their gangs wait in part.
-  Millis m_longest_queued{0};     // A start that waits longer for the link is not sent; 0: no limit.
+  Millis m_list_interval{1'000};    // Between requests for the ids of live workers, while a busy worker is unreachable.
+  Millis m_list_max_lag{3'000};     // An incarnation younger than this may be missing from the list.
+  Millis m_max_wall_error{10'000};  // Between the wall clocks of a worker and of this instance, jumps included.
+  Millis m_list_timeout{1'500};     // Of the whole list.
+  Millis m_longest_held{500};       // Starts that may not be sent for longer are withdrawn: their gangs wait in part.
+  Millis m_longest_queued{0};       // A start that waits longer for the link is not sent; 0: no limit.
   DomainContactSettings m_domains;
 };
 
@@ -68,8 +69,9 @@
   void List(const jobs::WorkerEntry& worker);
   void Unlist(const WorkerId& worker);
 
-  // Adds a worker that stored rows refer to and that is not listed. Its tasks may still run.
-  void AddUnlisted(const WorkerId& id, const std::string& address);
+  // Adds a worker that stored rows refer to and that is not listed. Its tasks may still run. `born`: wall time of its
+  // start, if known.
+  void AddUnlisted(const WorkerId& id, const std::string& address, std::optional<Instant> born);
 
   // The worker may be dead: it gets no new tasks until it answers a poll. No effect while a poll is in flight, since
   // its answer or failure decides.
@@ -108,7 +110,7 @@
     bool m_cleared = false;             // Declared clear since the last answer.
     bool m_awaits_late_starts = false;  // It is gone, and busy until no start can arrive any more if it returns.
     jobs::KnownIncarnation m_known;
-    std::optional<Instant> m_row_born;  // Wall time of its start by its row.
+    std::optional<Instant> m_row_born;  // Wall time of its start by its row, or by those of its runs.
     int m_incarnation = 0;              // Counts the restarts under its id.
   };
   using Sessions = std::map<WorkerId, std::shared_ptr<Session>>;
@@ -125,6 +127,7 @@
   void ProbeLostDomains();
   void ListWorkerIds();
   void OnWorkerIds(const std::set<WorkerId>& worker_ids, Instant asked);
+  bool IsOldEnoughToBeListed(const Session& session, Instant asked) const;
   void OnRow(const jobs::WorkerEntry& worker, Session* session);
   bool IdentifyIncarnation(const WorkerId& id, Session* session, const jobs::PollCall& call,
                            const jobs::PollReply& reply, Instant sent);
--- a/tests/service/restart_test.cc
+++ b/tests/service/restart_test.cc
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(LateStartOnAWorkerThatWasGoneDoesNotRunBesideTheNextRun);
   CPPUNIT_TEST(TaskOfAWorkerThatStaysAwayRunsAgain);
   CPPUNIT_TEST(NewLeaderTellsIncarnationsApart);
+  CPPUNIT_TEST(NewLeaderReplacesRunsOfAGoneWorkerAtOnce);
+  CPPUNIT_TEST(NewLeaderWaitsForAYoungWorkerToBeListed);
   CPPUNIT_TEST(RowThatNeverFollowsKeepsTheWorkerUnused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -123,6 +125,19 @@
     Complete(job);
   }
 
+  // Guards against work that was lost during a takeover and waits for the list of workers to be trusted, although its
+  // worker had started long before (LOST).
+  void NewLeaderReplacesRunsOfAGoneWorkerAtOnce() {
+    const SessionSettings settings;
+    const Millis two_polls = 2 * (settings.m_poll_timeout + settings.m_retry_delay);
+    CPPUNIT_ASSERT(ReplacedAfterTakeover(kEnough) < two_polls);
+  }
+
+  // Guards against a worker that counts as gone because the list does not have it yet: its task would run twice.
+  void NewLeaderWaitsForAYoungWorkerToBeListed() {
+    CPPUNIT_ASSERT(ReplacedAfterTakeover(Millis{0}) >= SessionSettings{}.m_list_max_lag);
+  }
+
   // A row of the earlier incarnation may name room that the new one does not have.
   void RowThatNeverFollowsKeepsTheWorkerUnused() {
     m_cluster->RestartWorkerInPlace(m_worker, 2 * kEnough);
@@ -138,6 +153,30 @@
   }
 
  private:
+  // A worker goes, and the leader after it. Returns the time from the takeover until its task runs elsewhere. `age`: of
+  // the worker when the task begins.
+  Millis ReplacedAfterTakeover(Millis age) {
+    constexpr Millis kStep{50};
+    MakeCluster(2);
+    m_cluster->Run(age);
+    const JobId job = m_cluster->Submit(0, Tasks(4, 1, kLongWork), kLongWork);
+    m_cluster->Run(kWork);
+    const int tasks = m_cluster->Sim().Running();
+    m_cluster->KillWorker(m_worker);
+    m_cluster->KillInstance(*m_cluster->Leader());
+    const int lost = tasks - m_cluster->Sim().Running();
+    CPPUNIT_ASSERT(lost > 0);
+    const auto waits_for = [&](const auto& reached) {
+      Millis waited{0};
+      for (; !reached() && waited < 2 * kEnough; waited += kStep) m_cluster->Run(kStep);
+      return waited;
+    };
+    waits_for([&] { return m_cluster->MetricsText().find("hq_takeovers_total 2") != std::string::npos; });
+    const Millis waited = waits_for([&] { return m_cluster->Sim().Running() == tasks; });
+    Complete(job);
+    return waited;
+  }
+
   void Complete(JobId job) {
     m_cluster->Run(kEnough);
     CPPUNIT_ASSERT(m_cluster->StoredPhase(job) == jobs::JobPhase::kCompleted);
