Placement: count the first runs of a job that go on

What callers saw: nothing yet; with jobs of many tasks all starts wait while a round takes seconds. Cause: for each interrupted unit that is placed, RequiredFreeShare scans all units of all steps and occurrences of its job for a first run that goes on; after a mass loss there is none, so that each scan is a whole one. Change: JobState::m_first_runs counts them, where a unit is placed, reset and restored. Why it works: m_active and m_run of a unit change in these places alone.

--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -62,6 +62,7 @@
       MarkChanged(*unit);
       m_changed_rows.insert({step->m_key, row.m_index});
     }
+    if (unit->IsFirstRun()) --job->m_first_runs;  // Told by another row, of an earlier version.
     unit->m_run = unit_row.m_run;
     if (!step->m_spec->m_long_running) unit->m_failed_runs = unit_row.m_failed_runs;  // Earlier versions kept all.
     unit->m_crashes = unit_row.m_crashes;
@@ -89,6 +90,7 @@
       continue;
     }
     m_active.insert(unit);
+    if (unit->IsFirstRun()) ++job->m_first_runs;
     const auto& failed_runs = unit_row.m_failed_runs;
     const bool failed = std::find(failed_runs.begin(), failed_runs.end(), unit->m_run) != failed_runs.end();
     // The leader before stored the end of a member and was lost before it stopped the others.
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -57,27 +57,6 @@
   return turns;
 }
 
-namespace {
-
-bool HasUnit(const JobState& job, bool (*matches)(const std::unique_ptr<Unit>&)) {
-  for (const auto& steps : job.m_steps) {
-    for (const auto& step : steps) {
-      if (std::any_of(step->m_units.begin(), step->m_units.end(), matches)) return true;
-    }
-  }
-  return false;
-}
-
-bool IsActive(const std::unique_ptr<Unit>& unit) {
-  return unit->m_active;
-}
-
-bool IsFirstRun(const std::unique_ptr<Unit>& unit) {
-  return unit->m_active && unit->m_run == RunNumber{1};
-}
-
-}  // namespace
-
 // Share of its pool's accelerators that must stay free after this unit is placed, so that more urgent work can start
 // without a preemption.
 double Scheduler::RequiredFreeShare(const Unit& unit, Now now) const {
@@ -91,13 +70,17 @@
   const bool is_tight = slack.count() >= 0 && slack.count() < tight_ms;
   const bool was_lost =
       unit.m_losses > 0 || (unit.m_step->m_interrupted.contains(unit.m_first) && unit.m_preemptions == 0);
-  return is_tight || (was_lost && !HasUnit(job, &IsFirstRun)) ? std::min(usual, m_settings.m_min_free_share_tight)
-                                                              : usual;
+  return is_tight || (was_lost && job.m_first_runs == 0) ? std::min(usual, m_settings.m_min_free_share_tight) : usual;
 }
 
 // More urgent jobs, for which the free share is kept, have arrived of late, or the job has something running.
 bool Scheduler::KeepsReserveFrom(const JobState& state, Now now) const {
-  if (HasUnit(state, &IsActive)) return true;
+  const auto active = [](const auto& unit) { return unit->m_active; };
+  for (const auto& steps : state.m_steps) {
+    for (const auto& step : steps) {
+      if (std::any_of(step->m_units.begin(), step->m_units.end(), active)) return true;
+    }
+  }
   const AcceptedJob& job = state.m_job;
   const auto end = m_last_jobs.lower_bound({job.m_pool, job.m_priority});
   return std::any_of(m_last_jobs.lower_bound({job.m_pool, std::numeric_limits<int>::min()}), end,
@@ -399,6 +382,7 @@
   JobState* job = unit->m_step->m_job;
   unit->m_run = RunNumber{Raw(unit->m_run) + 1};
   unit->m_active = true;
+  if (unit->IsFirstRun()) ++job->m_first_runs;
   unit->m_step->m_interrupted.erase(unit->m_first);
   unit->m_placed = now.m_steady;
   m_active.insert(unit);
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -470,6 +470,7 @@
 }
 
 void Scheduler::ResetUnit(Unit* unit) {
+  if (unit->IsFirstRun()) --unit->m_step->m_job->m_first_runs;
   unit->m_active = false;
   unit->m_stopping = false;
   unit->m_sound = false;
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -91,6 +91,7 @@
   bool m_may_leave_rack = false;   // No rack that it prefers can hold it by the last plan for it.
 
   bool IsWaiting() const { return !m_active && !m_done && !m_unread && !m_set_aside; }
+  bool IsFirstRun() const { return m_active && m_run == RunNumber{1}; }
   TaskKey Key(std::size_t member) const;
   int Accelerators() const;
 };
@@ -138,6 +139,7 @@
   Instant m_taken_in;      // Steady time at which this scheduler learned of it.
   bool m_phase_stored = false;
   bool m_settled = false;            // Returned by TakeSettledJobs.
+  int m_first_runs = 0;              // Units for which Unit::IsFirstRun holds.
   Instant m_ended;                   // Wall time.
   Millis m_critical_path{0};         // By the caller's estimates.
   std::uint64_t m_memory_bytes = 0;  // See MemoryOf; 0 once it is archived.
