Metrics: the wait of a lost gang begins with its first lost member

What operators saw: since_lost_ms and hq_lost_run_wait_ms of a gang that lost members one after the other are too short. Cause: NoteLost is called for each lost member and sets m_lost_at anew each time. Evidence: WaitOfALostGangBeginsWithTheFirstLoss failed on: 0 instead of 5,000 ms. Change: the first loss since the last placement is kept. Why it works: PlaceOn, which reads it, clears it. Result: the test passes.

--- a/hickoryquay/jobs/scheduler_restart.cc
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -136,7 +136,7 @@
   constexpr int kWhole = 100;
   ++m_lost_runs;
   if (ExpectedPercent(*unit, unit->m_members[index], now).value_or(0) >= kWhole) ++m_lost_ends;
-  unit->m_lost_at = now.m_steady;
+  if (unit->m_lost_at == Instant{}) unit->m_lost_at = now.m_steady;  // Of a gang, the first member that was lost.
   ++unit->m_losses;
 }
 
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -83,7 +83,7 @@
   bool m_may_share = false;        // It has found no worker without other work, and is placed beside others.
   Instant m_alone_until;           // Steady time until which it waits for such workers; 0: it does not.
   Instant m_placed;                // Steady time of the last placement.
-  Instant m_lost_at;               // Steady time at which its last run was lost; 0: it was not, or is replaced.
+  Instant m_lost_at;               // Steady time of the first loss since its last placement; 0: there was none.
   int m_preemptions = 0;           // Times that it was stopped for urgent work.
   int m_losses = 0;                // Times that a run of it was lost with its worker.
   bool m_has_reservation = false;  // Room is reserved for it on workers (WorkerSlot::m_reservations).
