Placement: why the last run is over decides what a unit may take

Urgent callers were worse off: after a mass loss of workers, lost jobs of one task filled the share that is kept for urgent work (8 accelerators free, where 38 must be), a task that had failed by its own fault took it too, and a task whose run was lost once was never stopped for urgent work again. Others got too little: a task that had to leave its worker, or that an earlier leader had lost, was still stopped first; a lasting step of the job kept the free share from a lost task of another step.

Cause: both rules went by counters that are never reset, m_losses and m_preemptions, and not by why the last run ended, and looked at the job as a whole instead of the step for which others wait.

Change: a unit keeps why its last run is over, and what its present run replaces (Interruption). The least share is for work that was lost or had to leave its worker, while another step waits for its step and no first run of that step goes on. The protection ends once the new run has lasted for its estimate. First runs are counted by step.

--- a/hickoryquay/jobs/preemption.cc
+++ b/hickoryquay/jobs/preemption.cc
@@ -50,8 +50,9 @@
 bool MayStop(const Unit& victim, bool guaranteed, const PreemptionRound& round) {
   if (victim.m_stopping || victim.m_done) return false;
   if (guaranteed) return victim.m_step->m_job->m_job.m_priority > 0 || IsBorrowed(victim, round);
-  const bool often = victim.m_losses > 0 || victim.m_preemptions >= round.m_settings->m_max_stops;
-  return victim.m_step->m_job->m_job.m_priority > 0 && !often;
+  const bool makes_up = victim.IsReplacement() && round.m_steady - victim.m_placed < victim.m_step->m_spec->m_estimate;
+  return victim.m_step->m_job->m_job.m_priority > 0 && !makes_up &&
+         victim.m_preemptions < round.m_settings->m_max_stops;
 }
 
 // The member's run will end soon: it is done or its stop is under way.
--- a/hickoryquay/jobs/preemption.h
+++ b/hickoryquay/jobs/preemption.h
@@ -34,7 +34,8 @@
   // Beyond a guarantee: most work to be repeated, in multiples of the core-seconds of the urgent unit itself. Repeated
   // work delays the callers of the stopped units and all that wait behind them.
   double m_max_repeated_share = 2.0;
-  // A unit that was stopped this often, or whose run was lost once, is stopped again only for a guarantee.
+  // A unit that was stopped this often, or replaces a run that it lost, is stopped only for a guarantee; the latter
+  // until it has run for its estimate.
   int m_max_stops = 2;
 };
 
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -62,7 +62,7 @@
       MarkChanged(*unit);
       m_changed_rows.insert({step->m_key, row.m_index});
     }
-    if (unit->IsFirstRun()) --job->m_first_runs;  // Told by another row, of an earlier version.
+    if (unit->IsFirstRun()) --step->m_first_runs;  // Told by another row, of an earlier version.
     unit->m_run = unit_row.m_run;
     if (!step->m_spec->m_long_running) unit->m_failed_runs = unit_row.m_failed_runs;  // Earlier versions kept all.
     unit->m_crashes = unit_row.m_crashes;
@@ -86,11 +86,14 @@
       unit->m_active = true;
     }
     if (!unit->m_active) {
+      const auto& failed_runs = unit_row.m_failed_runs;
+      const bool failed = std::find(failed_runs.begin(), failed_runs.end(), unit->m_run) != failed_runs.end();
+      unit->m_interruption = failed ? Interruption::kOther : Interruption::kLost;
       step->OnWaiting(*unit);
       continue;
     }
     m_active.insert(unit);
-    if (unit->IsFirstRun()) ++job->m_first_runs;
+    if (unit->IsFirstRun()) ++step->m_first_runs;
     const auto& failed_runs = unit_row.m_failed_runs;
     const bool failed = std::find(failed_runs.begin(), failed_runs.end(), unit->m_run) != failed_runs.end();
     // The leader before stored the end of a member and was lost before it stopped the others.
@@ -195,6 +198,7 @@
       }
       step->m_units_left = units;
       steps[i] = std::move(step);
+      for (const int earlier : specs[i].m_after) steps[static_cast<std::size_t>(earlier)]->m_is_awaited = true;
     }
     ++job->m_created_occurrences;
   }
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -174,7 +174,7 @@
   void RecordDone(Unit* unit, Now now);
   void Settle(Unit* unit, std::size_t member);
   void SettleAbsent(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now);
-  void StopRun(Unit* unit, const char* why);
+  void StopRun(Unit* unit, const char* why, Interruption interruption = Interruption::kOther);
 
   // scheduler_restart.cc
   void OnIncarnation(WorkerSlot* slot, const PollReply& reply, Instant sent, Now now);
--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -68,9 +68,9 @@
   const auto tight_ms =
       static_cast<std::int64_t>(m_settings.m_tight_slack_share * static_cast<double>(estimate.count()));
   const bool is_tight = slack.count() >= 0 && slack.count() < tight_ms;
-  const bool was_lost =
-      unit.m_losses > 0 || (unit.m_step->m_interrupted.contains(unit.m_first) && unit.m_preemptions == 0);
-  return is_tight || (was_lost && job.m_first_runs == 0) ? std::min(usual, m_settings.m_min_free_share_tight) : usual;
+  const bool was_taken = unit.m_interruption == Interruption::kLost || unit.m_interruption == Interruption::kMoved;
+  const bool is_awaited = was_taken && unit.m_step->m_is_awaited && unit.m_step->m_first_runs == 0;
+  return is_tight || is_awaited ? std::min(usual, m_settings.m_min_free_share_tight) : usual;
 }
 
 // More urgent jobs, for which the free share is kept, have arrived of late, or the job has something running.
@@ -196,7 +196,8 @@
           static_cast<std::int64_t>(m_settings.m_evacuate_share * static_cast<double>(spec.m_estimate.count()));
       const Millis ran = now.m_steady - unit->m_placed;
       const bool too_long = Millis{min_run_ms} - ran > std::max(left, Millis{0});
-      if (spec.m_checkpoints ? left.count() <= 0 : too_long) StopRun(unit, "its worker is leaving");
+      if (spec.m_checkpoints ? left.count() <= 0 : too_long)
+        StopRun(unit, "its worker is leaving", Interruption::kMoved);
     }
   }
 }
@@ -382,7 +383,8 @@
   JobState* job = unit->m_step->m_job;
   unit->m_run = RunNumber{Raw(unit->m_run) + 1};
   unit->m_active = true;
-  if (unit->IsFirstRun()) ++job->m_first_runs;
+  if (unit->IsFirstRun()) ++unit->m_step->m_first_runs;
+  unit->m_replaces = std::exchange(unit->m_interruption, Interruption::kNone);
   unit->m_step->m_interrupted.erase(unit->m_first);
   unit->m_placed = now.m_steady;
   m_active.insert(unit);
@@ -524,7 +526,7 @@
   for (Unit* victim : plan->m_victims) {
     ++m_preemptions;
     ++victim->m_preemptions;
-    StopRun(victim, guaranteed ? "makes room for a guarantee" : "makes room for urgent work");
+    StopRun(victim, guaranteed ? "makes room for a guarantee" : "makes room for urgent work", Interruption::kPreempted);
   }
   return true;
 }
--- a/hickoryquay/jobs/scheduler_restart.cc
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -137,7 +137,7 @@
   ++m_lost_runs;
   if (ExpectedPercent(*unit, unit->m_members[index], now).value_or(0) >= kWhole) ++m_lost_ends;
   if (unit->m_lost_at == Instant{}) unit->m_lost_at = now.m_steady;  // Of a gang, the first member that was lost.
-  ++unit->m_losses;
+  unit->m_interruption = Interruption::kLost;
 }
 
 void Scheduler::LoseRun(Unit* unit, std::size_t index, const LostWorker& lost, Now now) {
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -470,7 +470,7 @@
 }
 
 void Scheduler::ResetUnit(Unit* unit) {
-  if (unit->IsFirstRun()) --unit->m_step->m_job->m_first_runs;
+  if (unit->IsFirstRun()) --unit->m_step->m_first_runs;
   unit->m_active = false;
   unit->m_stopping = false;
   unit->m_sound = false;
@@ -480,9 +480,10 @@
   m_active.erase(unit);
 }
 
-void Scheduler::StopRun(Unit* unit, const char* why) {
+void Scheduler::StopRun(Unit* unit, const char* why, Interruption interruption) {
   if (unit->m_stopping || !unit->m_active) return;
   unit->m_stopping = true;
+  if (unit->m_interruption == Interruption::kNone) unit->m_interruption = interruption;
   log::Info(kLog, "Run is stopped", {{"task", ToText(unit->Key(0))}, {"run", RunText(unit->m_run)}, {"why", why}});
   std::vector<std::size_t> never_sent;
   for (std::size_t i = 0; i < unit->m_members.size(); ++i) {
--- a/hickoryquay/jobs/scheduler_settings.h
+++ b/hickoryquay/jobs/scheduler_settings.h
@@ -36,8 +36,8 @@
   // wait for preemptions and lose work, higher ones delay batch work (docs/design/platform.md).
   double m_min_free_share = 0.2;        // For starts of priority 1.
   double m_min_free_share_batch = 0.3;  // For starts of lower priorities.
-  // For work whose slack is below m_tight_slack_share of its estimate, and for interrupted work of a job without
-  // first runs.
+  // For work whose slack is below m_tight_slack_share of its estimate, and for work whose run was lost and for which
+  // another step waits, without first runs of its own step.
   double m_min_free_share_tight = 0.05;
   double m_tight_slack_share = 0.5;
   // Bound of all preferences in a pool with ample room: a step waits no longer for room that would suit it better.
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -65,6 +65,15 @@
   bool operator==(const CrashedRun&) const = default;
 };
 
+// Why a run that did not end as done is over.
+enum class Interruption {
+  kNone,       // There was none.
+  kLost,       // With its worker, or under an earlier scheduler, of whose reasons nothing is known.
+  kMoved,      // Its worker leaves.
+  kPreempted,  // For more urgent work.
+  kOther,      // It failed, was refused or withdrawn, or lost another member of its gang.
+};
+
 struct Unit {
   StepState* m_step = nullptr;
   int m_first = 0;  // Index of its first task.
@@ -76,21 +85,24 @@
   std::string m_checkpoint;         // The next start resumes here; empty: starts from the beginning.
   bool m_active = false;            // At least one member has resources allocated.
   bool m_done = false;
-  bool m_unread = false;           // Its row can't be read: it may run or be done, so it is not started.
-  bool m_set_aside = false;        // Its row can't be stored, so it is not started any more.
-  bool m_stopping = false;         // All members are being stopped.
-  bool m_sound = false;            // This run has outlasted the crashes before it.
-  bool m_may_share = false;        // It has found no worker without other work, and is placed beside others.
-  Instant m_alone_until;           // Steady time until which it waits for such workers; 0: it does not.
-  Instant m_placed;                // Steady time of the last placement.
-  Instant m_lost_at;               // Steady time of the first loss since its last placement; 0: there was none.
-  int m_preemptions = 0;           // Times that it was stopped for urgent work.
-  int m_losses = 0;                // Times that a run of it was lost with its worker.
+  bool m_unread = false;     // Its row can't be read: it may run or be done, so it is not started.
+  bool m_set_aside = false;  // Its row can't be stored, so it is not started any more.
+  bool m_stopping = false;   // All members are being stopped.
+  bool m_sound = false;      // This run has outlasted the crashes before it.
+  bool m_may_share = false;  // It has found no worker without other work, and is placed beside others.
+  Instant m_alone_until;     // Steady time until which it waits for such workers; 0: it does not.
+  Instant m_placed;          // Steady time of the last placement.
+  Instant m_lost_at;         // Steady time of the first loss since its last placement; 0: there was none.
+  int m_preemptions = 0;     // Times that it was stopped for urgent work.
+  Interruption m_interruption = Interruption::kNone;  // Of the last run, while the unit waits or that run is stopped.
+  Interruption m_replaces = Interruption::kNone;      // Of the run before the present one.
   bool m_has_reservation = false;  // Room is reserved for it on workers (WorkerSlot::m_reservations).
   Instant m_reserved_until;        // Steady time at which the reservation ends at the latest.
   bool m_may_leave_rack = false;   // No rack that it prefers can hold it by the last plan for it.
 
   bool IsWaiting() const { return !m_active && !m_done && !m_unread && !m_set_aside; }
+  // The run replaces one that was taken from the unit by the loss of a worker, or by its leaving.
+  bool IsReplacement() const { return m_replaces == Interruption::kLost || m_replaces == Interruption::kMoved; }
   bool IsFirstRun() const { return m_active && m_run == RunNumber{1}; }
   TaskKey Key(std::size_t member) const;
   int Accelerators() const;
@@ -116,6 +128,8 @@
   std::vector<std::unique_ptr<Unit>> m_units;
   int m_units_left = 0;            // Units that are not done.
   std::size_t m_passed = 0;        // The first ones of m_units, so many, are placed or done.
+  int m_first_runs = 0;            // Units for which Unit::IsFirstRun holds.
+  bool m_is_awaited = false;       // Another step of the job comes after it.
   std::set<int> m_interrupted;     // First tasks of the units that wait and were placed before.
   std::set<int> m_stored_rows;     // Of which a row is stored.
   std::set<int> m_set_aside_rows;  // That the store rejects.
@@ -139,7 +153,6 @@
   Instant m_taken_in;      // Steady time at which this scheduler learned of it.
   bool m_phase_stored = false;
   bool m_settled = false;            // Returned by TakeSettledJobs.
-  int m_first_runs = 0;              // Units for which Unit::IsFirstRun holds.
   Instant m_ended;                   // Wall time.
   Millis m_critical_path{0};         // By the caller's estimates.
   std::uint64_t m_memory_bytes = 0;  // See MemoryOf; 0 once it is archived.
--- a/tests/jobs/lost_run_test.cc
+++ b/tests/jobs/lost_run_test.cc
@@ -48,9 +48,12 @@
     CPPUNIT_ASSERT(JobsOf(Round()) == std::set<JobId>{job.m_id});
   }
 
-  // Guards against a lost task that waits for the share of the pool that is kept free for urgent work.
+  // Guards against a lost task that waits for the share of the pool that is kept free for urgent work, while a whole
+  // step waits for the task.
   void LostTaskIsNotHeldBackByTheFreeShare() {
-    const JobId job = Submit(Single(1), kBatch);
+    StepSpec next = Single(1);
+    next.m_after = {0};
+    const JobId job = SubmitSteps({Single(1), next}, kBatch, kFarObjective);
     Confirm(Round());
     for (int i = 0; i < kMostWorkers; ++i) {
       if (!Holds(WorkerAt(i), job)) Occupy(WorkerAt(i), kAccelerators);
