Upgrades: a job that an earlier build accepted is not refused

While the leader has no memory for further jobs, the repeat of a request whose job an instance of a build before has accepted is answered 503 (413 where the job takes more than an account's part), and the job runs.

Cause: one list of places for some readers and another for others. GET went by kPlaces; a submission, its refusal and a cancel each had their own, and the refusal's had only the job's own part.

Evidence: IntakeTest::JobThatAnEarlierVersionAcceptedIsNotRefused on: "Expected: accepted, Actual: try later".

Change: kPlaces is the list of all four. FindJob goes through a range of it for submissions and refusals; cancels take the part of earlier builds from it.

Why it works: a refusal now reads every place in which an accepted or ended job can be, in the order in which it moves. The two reads more are left out where the leader has said that no earlier rows are there, as for submissions.

Measured: service_test 146 of 146 (the new test failed before), service_cancel_test 13 of 13. Not changed: a job that alone takes more than the leader's memory (JobRoom::Answer::kNever) is answered 413 without a look.

--- a/hickoryquay/service/intake.cc
+++ b/hickoryquay/service/intake.cc
@@ -57,7 +57,8 @@
   return Ok(row) && ValueOf(row).m_tombstone;
 }
 
-// Where the phase of a job is found. In this order, since a job moves from the first to the last (see job_archive.h).
+// Where a job is found: by GET, by submissions and by cancels. In this order, since a job moves from the first to the
+// last (see job_archive.h).
 struct Place {
   store::RowKey (*m_key)(const TableNames& tables, JobId job);
   std::optional<jobs::PhaseRow> (*m_read)(std::string_view value);
@@ -75,7 +76,6 @@
        return store::RowKey{tables.m_ended, tables.IntakePart(job), jobs::HexText(job)};
      },
      &StoredPhase},
-    // Of jobs that earlier versions accepted.
     {[](const TableNames& tables, JobId job) {
        return store::RowKey{tables.m_intake, tables.m_whole_part, JobRowKey(job)};
      },
@@ -85,6 +85,8 @@
      },
      &StoredPhase},
 };
+constexpr std::size_t kAccepted = 1;  // Of this version's jobs; where they end follows.
+constexpr std::size_t kEarlier = 3;   // Of jobs that versions before the sixteen parts accepted, in the same order.
 
 }  // namespace
 
@@ -232,13 +234,8 @@
 
 // An earlier attempt may have stored the job, and then a refusal would be untrue.
 void Intake::BeginRefusal(const WritePtr& write) {
-  ReadFirst(write, OnlyRow(JobRow(*write)), [this, write](const store::StoredRow* job) {
-    if (job != nullptr) return Finish(write, Done{});
-    ReadFirst(write, OnlyRow(EndedRow(*write)), [this, write](const store::StoredRow* ended) {
-      if (ended != nullptr && !IsTombstone(*ended)) return Finish(write, Done{});
-      Finish(write, write->m_refusal);
-    });
-  });
+  const std::size_t end = m_phases.MayHaveEarlierRows(m_clock->Now()) ? std::size(kPlaces) : kEarlier;
+  FindJob(write, kAccepted, end, [this, write] { Finish(write, write->m_refusal); });
 }
 
 Intake::Step Intake::SubmissionStep(const Write& write) {
@@ -266,21 +263,21 @@
 
 void Intake::BeginSubmission(const WritePtr& write) {
   write->m_step = SubmissionStep(*write);
-  m_phases.MayHaveEarlierRows(m_clock->Now()) ? LookForEarlierJob(write) : Attempt(write);
-}
-
-// An instance of a version before the sixteen parts may have accepted the job. A tombstone there is no job: its cancel
-// has left another one where the write finds it.
-void Intake::LookForEarlierJob(const WritePtr& write) {
-  const TableNames& tables = m_settings.m_tables;
-  const store::RowKey accepted{tables.m_intake, tables.m_whole_part, JobRowKey(write->m_id)};
-  const store::RowKey ended{tables.m_ended, tables.m_whole_part, jobs::HexText(write->m_id)};
-  ReadFirst(write, OnlyRow(accepted), [this, write, ended](const store::StoredRow* job) {
-    if (job != nullptr) return Finish(write, Done{});
-    ReadFirst(write, OnlyRow(ended), [this, write](const store::StoredRow* row) {
-      row != nullptr && !IsTombstone(*row) ? Finish(write, Done{}) : Attempt(write);
-    });
-  });
+  if (!m_phases.MayHaveEarlierRows(m_clock->Now())) return Attempt(write);
+  FindJob(write, kEarlier, std::size(kPlaces), [this, write] { Attempt(write); });
+}
+
+// Answers the submission of a job that one of the places from `place` to before `end` knows. A tombstone is no job: its
+// cancel has left one where the write finds it.
+void Intake::FindJob(const WritePtr& write, std::size_t place, std::size_t end, std::function<void()> absent) {
+  if (place == end) return absent();
+  ReadFirst(write, OnlyRow(kPlaces[place].m_key(m_settings.m_tables, write->m_id)),
+            [this, write, place, end, absent = std::move(absent)](const store::StoredRow* row) {
+              if (row == nullptr) return FindJob(write, place + 1, end, absent);
+              const auto phase = kPlaces[place].m_read(row->m_value);
+              if (phase && phase->m_tombstone) return FindJob(write, place + 1, end, absent);
+              Finish(write, Done{});
+            });
 }
 
 // If the job is known, an earlier attempt, of the caller or of this instance, stored the same job. It may have ended
@@ -328,18 +325,18 @@
 // Instances of versions before the sixteen parts keep all jobs in one other part. While any is there, accepted or
 // ended, such instances may have writes under way.
 void Intake::LookForEarlierVersions(const WritePtr& write) {
-  const TableNames& tables = m_settings.m_tables;
-  const auto cancel_there = [this, write] {
-    write->m_part = {m_settings.m_tables.m_intake, m_settings.m_tables.m_whole_part};
+  const store::RowKey accepted = kPlaces[kEarlier].m_key(m_settings.m_tables, write->m_id);
+  const store::RowKey ended = kPlaces[kEarlier + 1].m_key(m_settings.m_tables, write->m_id);
+  const auto cancel_there = [this, write, part = StorePart{accepted.m_table, accepted.m_part}] {
+    write->m_part = part;
     CancelInPart(write, [this, write] { BeginTombstone(write); });
   };
-  ReadFirst(write, {tables.m_intake, tables.m_whole_part, "", ""},
-            [this, write, cancel_there](const store::StoredRow* accepted) {
-              if (accepted != nullptr) return cancel_there();
-              const TableNames& tables = m_settings.m_tables;
-              ReadFirst(write, {tables.m_ended, tables.m_whole_part, "", ""},
-                        [this, write, cancel_there](const store::StoredRow* ended) {
-                          ended != nullptr ? cancel_there() : BeginTombstone(write);
+  ReadFirst(write, {accepted.m_table, accepted.m_part, "", ""},
+            [this, write, ended, cancel_there](const store::StoredRow* job) {
+              if (job != nullptr) return cancel_there();
+              ReadFirst(write, {ended.m_table, ended.m_part, "", ""},
+                        [this, write, cancel_there](const store::StoredRow* row) {
+                          row != nullptr ? cancel_there() : BeginTombstone(write);
                         });
             });
 }
--- a/hickoryquay/service/intake.h
+++ b/hickoryquay/service/intake.h
@@ -136,7 +136,7 @@
   Step TombstoneStep(const Write& write);
   void BeginSubmission(const WritePtr& write);
   void BeginRefusal(const WritePtr& write);
-  void LookForEarlierJob(const WritePtr& write);
+  void FindJob(const WritePtr& write, std::size_t place, std::size_t end, std::function<void()> absent);
   void BeginCancel(const WritePtr& write);
   void CancelInPart(const WritePtr& write, std::function<void()> absent);
   void LookForEarlierVersions(const WritePtr& write);
--- a/tests/service/intake_test.cc
+++ b/tests/service/intake_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(JobThatNoRowHoldsIsRefusedAtOnce);
   CPPUNIT_TEST(JobsBeyondTheLeadersMemoryAreRefused);
   CPPUNIT_TEST(JobThatALargerLeaderAcceptedIsNotRefused);
+  CPPUNIT_TEST(JobThatAnEarlierVersionAcceptedIsNotRefused);
   CPPUNIT_TEST(JobsThatWaitForTheStoreTakeRoom);
   CPPUNIT_TEST(RefusalsAndCallsAreCountedByReason);
   CPPUNIT_TEST(LostCallIsIgnoredOnceALaterOneIsAnswered);
@@ -481,6 +482,24 @@
     CPPUNIT_ASSERT_EQUAL(std::string("too large"), Submit(JobId{2}, kCallerTimeout, request));
   }
 
+  // Guards against a refusal of a job that an instance of an earlier version has accepted and that runs.
+  void JobThatAnEarlierVersionAcceptedIsNotRefused() {
+    const TableNames tables;
+    m_store->Put({tables.m_intake, tables.m_whole_part, JobRowKey(JobId{1})}, "{}");
+    m_store->Put({tables.m_ended, tables.m_whole_part, jobs::HexText(JobId{2})},
+                 jobs::Write(jobs::PhaseRow{jobs::JobPhase::kCompleted, m_clock.Wall()}));
+    m_store->Put({tables.m_ended, tables.m_whole_part, jobs::HexText(JobId{3})},
+                 jobs::Write(jobs::PhaseRow{jobs::JobPhase::kCancelled, m_clock.Wall(), true}));
+    m_intake->Phases().SetEarlierRows(true, m_clock.Now());
+    m_intake->Phases().Room().OnReport({200'000, 200'000}, m_clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{1}, kCallerTimeout));
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), Submit(JobId{2}, kCallerTimeout));
+    for (const JobId unknown : {JobId{3}, JobId{4}}) {
+      CPPUNIT_ASSERT_EQUAL(std::string("try later"), Submit(unknown, kCallerTimeout));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store->Rows(tables.m_intake).size());
+  }
+
   // Guards against a leader that runs out of memory by jobs that were held in an outage, more each second, and are all
   // stored when the store is back.
   void JobsThatWaitForTheStoreTakeRoom() {
