Upgrades: a job that an earlier build accepts again runs once

This build accepts a job; the same request arrives again at an instance of a build before, which looks in the part `intake` alone and stores a second row there. The job's tasks ran a second time some 30 s after its end.

Cause: the leader took a job to have one row. It archived one of the two and forgot the job after 30 s; the audit of accepted jobs then found the other row as one that no feed had brought.

Change: EarlierJobs knows in which parts a job of an earlier build has rows. The archive moves a job in each of them before it counts as archived. A row in `intake` whose end the archive knows in the job's own part is moved there at once and not run.

Why it works: no row of such a job is left that the audit or a takeover could take for a new one, and the end stands in both parts, so that neither build accepts the job again while the end is kept.

--- a/hickoryquay/service/job_archive.cc
+++ b/hickoryquay/service/job_archive.cc
@@ -17,12 +17,12 @@
 }  // namespace
 
 JobArchive::JobArchive(store::RowStore* store, TimerService* timers, const Clock* clock, Metrics* metrics,
-                       const ArchiveSettings& settings, PartOf part_of, OnArchived on_archived)
+                       const ArchiveSettings& settings, PartsOf parts_of, OnArchived on_archived)
     : m_store(store),
       m_timers(timers),
       m_clock(clock),
       m_settings(settings),
-      m_part_of(std::move(part_of)),
+      m_parts_of(std::move(parts_of)),
       m_on_archived(std::move(on_archived)),
       m_archived_total(&metrics->GetCounter("hq_jobs_archived_total")) {}
 
@@ -55,10 +55,23 @@
 //-------------------------------------------------------------------------------------------------
 
 void JobArchive::Add(const std::vector<jobs::SettledJob>& jobs) {
-  for (const jobs::SettledJob& job : jobs) m_waiting[m_part_of(job.m_id)].push_back(job);
+  for (const jobs::SettledJob& job : jobs) {
+    for (const std::string& part : m_parts_of(job.m_id)) {
+      m_waiting[part].push_back(job);
+      ++m_moves_left[job.m_id];
+    }
+  }
   SendNext();
 }
 
+bool JobArchive::AddIfEnded(JobId job) {
+  const auto& rows = m_ended[m_settings.m_tables.IntakePart(job)];
+  const auto found = rows.find(job);
+  if (found == rows.end()) return false;
+  Add({{job, {found->second.m_phase, found->second.m_since}}});
+  return true;
+}
+
 // Moves the first jobs of one part.
 void JobArchive::SendNext() {
   if (m_stopped || m_sending || m_waiting.empty()) return;
@@ -94,12 +107,15 @@
   auto& waiting = m_waiting[part];
   waiting.erase(waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(moved.size()));
   if (waiting.empty()) m_waiting.erase(part);
-  m_archived_total->Add(moved.size());
   std::vector<JobId> ids;
   for (const jobs::SettledJob& job : moved) {
-    Know(part, job.m_id, {job.m_end.m_since, ValueOf(result)});
+    Know(part, job.m_id, {job.m_end.m_since, ValueOf(result), job.m_end.m_phase});
+    const auto left = m_moves_left.find(job.m_id);
+    if (--left->second > 0) continue;
+    m_moves_left.erase(left);
     ids.push_back(job.m_id);
   }
+  m_archived_total->Add(ids.size());
   m_on_archived(ids);
   SendNext();
 }
@@ -174,7 +190,7 @@
     const auto id = jobs::ParseHexJobId(row.m_key.m_key);
     const auto phase = jobs::ReadPhaseRow(row.m_value);
     if (id && Ok(phase)) {
-      Know(row.m_key.m_part, *id, {ValueOf(phase).m_since, row.m_version});
+      Know(row.m_key.m_part, *id, {ValueOf(phase).m_since, row.m_version, ValueOf(phase).m_phase});
     } else {
       log::Error(kLog, "Row of an ended job can't be read, it is kept", {{"key", row.m_key.m_key}});
     }
--- a/hickoryquay/service/job_archive.h
+++ b/hickoryquay/service/job_archive.h
@@ -40,15 +40,17 @@
 // Not thread-safe. One object per term. `store`, `timers`, `clock` and `metrics` must outlive it.
 class JobArchive : public std::enable_shared_from_this<JobArchive> {
  public:
-  using PartOf = std::function<std::string(JobId)>;                        // Part of the job's rows.
+  using PartsOf = std::function<std::vector<std::string>(JobId)>;          // Parts of the job's rows.
   using OnArchived = std::function<void(const std::vector<JobId>& jobs)>;  // Their rows are stored in the archive now.
 
   JobArchive(store::RowStore* store, TimerService* timers, const Clock* clock, Metrics* metrics,
-             const ArchiveSettings& settings, PartOf part_of, OnArchived on_archived);
+             const ArchiveSettings& settings, PartsOf parts_of, OnArchived on_archived);
 
   void Start();
   void Stop();
   void Add(const std::vector<jobs::SettledJob>& jobs);
+  // For a job that was accepted again by a version that does not find its end. Returns whether the end is known here.
+  bool AddIfEnded(JobId job);
   // False once the part has been read through and no row is in it.
   bool MayHaveRows(const std::string& part) const;
 
@@ -56,6 +58,7 @@
   struct Row {
     Instant m_since;  // Wall time of the job's end.
     Version m_version{};
+    jobs::JobPhase m_phase = jobs::JobPhase::kCancelled;
   };
 
   void SendNext();
@@ -73,9 +76,10 @@
   TimerService* m_timers;
   const Clock* m_clock;
   ArchiveSettings m_settings;
-  PartOf m_part_of;
+  PartsOf m_parts_of;
   OnArchived m_on_archived;
   std::map<std::string, std::deque<jobs::SettledJob>> m_waiting;  // By part.
+  std::map<JobId, std::size_t> m_moves_left;                      // Of jobs that wait, one for each of their parts.
   bool m_sending = false;
   bool m_deleting = false;
   bool m_scanning = false;
--- a/hickoryquay/service/scheduler_driver.cc
+++ b/hickoryquay/service/scheduler_driver.cc
@@ -155,7 +155,8 @@
   for (const auto& row : rows) {
     const auto id = ParseIntakeKey(row, kJobPrefix);
     if (!id) continue;
-    if (row.m_key.m_part == m_settings.m_tables.m_whole_part) m_whole_part_jobs.insert(*id);
+    m_earlier_jobs.OnRow(*id, row.m_key.m_part, m_scheduler.Phase(*id).has_value());
+    if (m_earlier_jobs.IsPart(row.m_key.m_part) && m_archive->AddIfEnded(*id)) continue;
     const auto job = jobs::ReadAcceptedJob(*id, row.m_value);
     if (Ok(job)) {
       m_scheduler.OnJob(ValueOf(job), Time());
@@ -298,7 +299,7 @@
     const auto id = ParseIntakeKey(row, kJobPrefix);
     if (!id) continue;
     accepted.insert(*id);
-    if (row.m_key.m_part == m_settings.m_tables.m_whole_part) m_whole_part_jobs.insert(*id);
+    m_earlier_jobs.OnRow(*id, row.m_key.m_part, m_scheduler.Phase(*id).has_value());
     const auto job = jobs::ReadAcceptedJob(*id, row.m_value);
     if (Ok(job)) {
       m_scheduler.RestoreJob(ValueOf(job));
@@ -359,13 +360,10 @@
   archive.m_keep = m_settings.m_keep_ended;
   m_archive = std::make_shared<JobArchive>(
       m_parts.m_store, m_parts.m_timers, m_parts.m_clock, m_parts.m_metrics, archive,
-      [this](JobId job) {
-        const TableNames& tables = m_settings.m_tables;
-        return m_whole_part_jobs.contains(job) ? tables.m_whole_part : tables.IntakePart(job);
-      },
+      [this](JobId job) { return m_earlier_jobs.PartsOf(job); },
       [this](const std::vector<JobId>& jobs) {
         m_scheduler.OnArchived(jobs, Time());
-        for (const JobId job : jobs) m_whole_part_jobs.erase(job);
+        for (const JobId job : jobs) m_earlier_jobs.Remove(job);
       });
   m_archive->Start();
   OnIntakeRows(buffered, false);  // For the cancels; the jobs were restored above.
@@ -495,7 +493,7 @@
 }
 
 bool SchedulerDriver::MayHaveEarlierRows() const {
-  return !m_ready || !m_whole_part_jobs.empty() || m_archive->MayHaveRows(m_settings.m_tables.m_whole_part);
+  return !m_ready || !m_earlier_jobs.IsEmpty() || m_archive->MayHaveRows(m_settings.m_tables.m_whole_part);
 }
 
 void SchedulerDriver::NoteStartView() {
--- a/hickoryquay/service/scheduler_driver.h
+++ b/hickoryquay/service/scheduler_driver.h
@@ -12,6 +12,7 @@
 
 #include "hickoryquay/jobs/scheduler.h"
 #include "hickoryquay/service/announced_jobs.h"
+#include "hickoryquay/service/earlier_jobs.h"
 #include "hickoryquay/service/evacuation_report.h"
 #include "hickoryquay/service/idle_report.h"
 #include "hickoryquay/service/intake_audit.h"
@@ -136,7 +137,7 @@
   AnnouncedJobs m_announced;
   std::vector<store::StoredRow> m_buffered_intake;  // Rows received before Ready().
   std::vector<store::StoredRow> m_state_rows;
-  std::set<JobId> m_whole_part_jobs;  // Accepted by an earlier version, see TableNames; not archived yet.
+  EarlierJobs m_earlier_jobs{m_settings.m_tables};  // Not archived yet.
   bool m_intake_read = false;
   bool m_state_read = false;
   bool m_workers_read = false;
--- a/tests/service/side_by_side_test.cc
+++ b/tests/service/side_by_side_test.cc
@@ -41,6 +41,8 @@
   CPPUNIT_TEST(UnreadableJobIsReportedOnce);
   CPPUNIT_TEST(JobOfAnEarlierVersionRunsOnce);
   CPPUNIT_TEST(JobOfAnEarlierVersionRunsOnceOverATakeover);
+  CPPUNIT_TEST(JobInTwoPartsRunsOnce);
+  CPPUNIT_TEST(EndedJobThatAnEarlierVersionAcceptsAgainRunsOnce);
   CPPUNIT_TEST(LeaderKnowsWhetherAnEarlierVersionHasJobs);
   CPPUNIT_TEST(UnreadableStepOfARunningJobRunsNothingTwice);
   CPPUNIT_TEST(UnreadableStepThatIsDoneIsNotRepeated);
@@ -155,6 +157,28 @@
     CPPUNIT_ASSERT_EQUAL(1, m_cluster->Sim().Starts());
   }
 
+  // Guards against a job that runs again once it is forgotten. An instance of this version accepted it, then one of an
+  // earlier version, which does not know where the first row lies.
+  void JobInTwoPartsRunsOnce() {
+    const JobId twice = m_cluster->Submit(0, Tasks(1, 1, kWork), kWork);
+    m_cluster->Run(kWork / 2);
+    m_cluster->Store().Put({m_tables.m_intake, m_tables.m_whole_part, JobRowKey(twice)}, PlainJob(twice));
+    m_cluster->Run(Millis{80'000});
+    CPPUNIT_ASSERT_EQUAL(1, m_cluster->Sim().Starts());
+    CPPUNIT_ASSERT(m_cluster->Store().Rows(m_tables.m_intake).empty());
+  }
+
+  // The same after the job's end.
+  void EndedJobThatAnEarlierVersionAcceptsAgainRunsOnce() {
+    const JobId twice = m_cluster->Submit(0, Tasks(1, 1, kWork), kWork);
+    m_cluster->Run(kWork + Millis{5'000});
+    CPPUNIT_ASSERT(m_cluster->Store().Rows(m_tables.m_intake).empty());
+    m_cluster->Store().Put({m_tables.m_intake, m_tables.m_whole_part, JobRowKey(twice)}, PlainJob(twice));
+    m_cluster->Run(Millis{80'000});
+    CPPUNIT_ASSERT_EQUAL(1, m_cluster->Sim().Starts());
+    CPPUNIT_ASSERT(m_cluster->Store().Rows(m_tables.m_intake).empty());
+  }
+
   // Guards against a leader that says so too early, so that a job which is ending or has ended is accepted again.
   void LeaderKnowsWhetherAnEarlierVersionHasJobs() {
     const auto may_have = [this] { return m_cluster->MayHaveEarlierRowsAt(*m_cluster->Leader()); };
