--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -21,6 +21,7 @@
 from stand_ins import Farm, Store, Worker
 
 SETTLE_S, HEAL_S = 3.0, 45.0  # Election and first looks; leases, takeovers and all work that is left.
+UPGRADE_FROM_SHARE, UPGRADE_S = 0.2, 0.4  # Of the time: when the first instance is replaced, and until the last one is.
 SMALL_LINK = 1_250_000        # Bytes a second between the store and an instance with a small link.
 ROUTES_ADDED, MAX_ROUTES = 1400, 5600
 IN_FORCE_S = 10.0             # For the last configuration to be in force everywhere, once all faults are over.
@@ -48,6 +49,7 @@
         self.soak, self.index, self.process, self.stopped = soak, index, None, False
         self.host = host_of(index)
         self.callers = (self.host, CALLERS)
+        self.binary = soak.earlier or soak.binary
         self.log = open(os.path.join(soak.directory, f"node-{index}.log"), "ab")
 
     async def start(self):
@@ -65,7 +67,7 @@
         await self.launch()
 
     async def launch(self):
-        self.process = await asyncio.create_subprocess_exec(self.soak.binary, "--settings", self.settings,
+        self.process = await asyncio.create_subprocess_exec(self.binary, "--settings", self.settings,
                                                             stdout=self.log, stderr=self.log)
         self.stopped = False
 
@@ -89,6 +91,8 @@
     def __init__(self, options, directory):
         self.options, self.directory = options, directory
         self.binary = os.path.abspath(options.binary)
+        self.earlier = os.path.abspath(options.upgrade_from) if options.upgrade_from else None
+        self.upgraded = 0
         self.random = random.Random(options.seed)
         self.farm, self.store, self.instances = Farm(random.Random(options.seed)), Store(options.seed), []
         self.faults, self.version, self.routes = [], 0, 0
@@ -194,6 +198,25 @@
             await asyncio.sleep(drawn.uniform(0.5, 2.0))
             await self.play(faults.Crowd(self, drawn))
 
+    async def upgrade(self):
+        """Instances of the earlier build are replaced one by one, in an order drawn apart: each is told to end, and starts as
+        the present build."""
+        drawn = random.Random(f"upgrade {self.options.seed}")
+        gap = UPGRADE_S * self.options.seconds / len(self.instances)
+        await asyncio.sleep(UPGRADE_FROM_SHARE * self.options.seconds)
+        for instance in drawn.sample(self.instances, len(self.instances)):
+            self.faults.append(f"{time.monotonic() - self.begun:.1f}: upgrade node-{instance.index}")
+            old, instance.binary = instance.process, self.binary
+            instance.signal(signal.SIGTERM)
+            begun, pause = time.monotonic(), drawn.uniform(0.5, 1.5) * gap
+            try:
+                await asyncio.wait_for(old.wait(), HEAL_S)
+            except asyncio.TimeoutError:
+                self.farm.wrong.append(f"node-{instance.index} was told to end and runs on")
+                instance.signal(signal.SIGKILL)
+            await asyncio.sleep(max(0.0, begun + pause - time.monotonic()))
+            self.upgraded += 1
+
     def check_memory(self):
         """No instance has held more than its machine has."""
         for instance in self.instances:
@@ -250,6 +273,8 @@
             clients.append(asyncio.ensure_future(self.hand_in(jobs.CRASHING, CRASHING_JOBS)))
         if self.options.seed % CROWD_EACH == 0 and not self.options.calm:
             clients.append(asyncio.ensure_future(self.crowds()))
+        if self.earlier:
+            clients.append(asyncio.ensure_future(self.upgrade()))
         left = self.options.seconds - (time.monotonic() - self.begun)
         running = []
         if self.options.calm:
@@ -356,8 +381,13 @@
     parser.add_argument("--clients", type=int, default=6)
     parser.add_argument("--profile", choices=list(jobs.PROFILES), help="how full the service is; given by the seed otherwise")
     parser.add_argument("--calm", action="store_true", help="no faults")
+    parser.add_argument("--upgrade-from", metavar="BINARY", help="instances start as this earlier build and are replaced one "
+                        "after the other; skipped with a line if it is not there")
     parser.add_argument("--keep", metavar="DIRECTORY", help="keep all logs there, however the run ends")
     options = parser.parse_args()
+    if options.upgrade_from and not os.path.exists(options.upgrade_from):
+        print(f"soak: skipped, no earlier build at {options.upgrade_from}")
+        return 0
     directory = options.keep or tempfile.mkdtemp(prefix="hickoryquay-soak-")
     os.makedirs(directory, exist_ok=True)
     soak = Soak(options, directory)
@@ -367,7 +397,8 @@
     accepted = sum(job.accepted_at is not None for job in soak.farm.jobs.values())
     print(f"soak: seed {options.seed}, {soak.profile}: {len(soak.farm.jobs)} jobs, {accepted} accepted, "
           f"{sum(ends > 0 for ends in soak.farm.done.values())} tasks and gangs done, "
-          f"{len(soak.faults)} faults, {len(soak.farm.wrong)} promises broken; {soak.watch.calm_s:.0f} s calm, "
+          f"{len(soak.faults)} faults, " + (f"{soak.upgraded} instances upgraded, " if soak.earlier else "") +
+          f"{len(soak.farm.wrong)} promises broken; {soak.watch.calm_s:.0f} s calm, "
           f"longest idle {max(soak.watch.worst.values(), default=0.0):.1f} s; {share:.0%} of a core for the stand-ins")
     for what in soak.farm.wrong[:20]:
         print("  " + what)
