Sessions: a reply that is read late proves nothing about the present

Cause: a worker that reports `born` is told which of its ends are recorded only within a second of its last reply, since it is not back sooner after a crash. The second was counted from when the leader handled the reply. A reply can have waited before that: in a process that stood still or lagged, or on the way, for up to the 2.2 s of a long poll. Then the number of the earlier incarnation was told to the next one, which forgot its own ends up to it unread.

Evidence: ReplyReadLateDoesNotForgetEndsOfTheNewIncarnation before the fix: the leader stands still for 3.8 s with a reply and the store's answer unread, the worker crashes and is back meanwhile; "Worker has restarted ... told_ends=7", "Ends of runs are missing after=0 next=8", "done already: 4.0.0.0 run 2", run 3 and run 4.

Fix: the second counts from when the worker gave the reply, at the earliest: not before the call was sent, and not before the worker's clock, which may be slow and is never fast, can have shown the time in the reply. A busy worker that may not be told at once is asked without a wait, so that its next poll tells it.

Why it works: both bounds are of the worker's own doing, however long the reply waits afterwards. Replies that arrive at once are judged as before.

--- a/hickoryquay/jobs/incarnation.h
+++ b/hickoryquay/jobs/incarnation.h
@@ -7,9 +7,11 @@
 // Workers that never report a start time have one incarnation for each id.
 #pragma once
 
+#include <algorithm>
 #include <optional>
 
 #include "hickoryquay/base/clock.h"
+#include "hickoryquay/jobs/worker_api.h"
 
 namespace hickoryquay::jobs {
 
@@ -37,9 +39,24 @@
   return *born > known.m_born || sent > known.m_heard ? ReportedIncarnation::kNewer : ReportedIncarnation::kStale;
 }
 
+// When a reply was given, at the earliest. It may have waited on its way, or in this process.
+struct ReplyGiven {
+  Instant m_at;          // Steady time here.
+  Instant m_clock_zero;  // When the worker's clock showed zero, at the earliest: for later replies of the incarnation.
+};
+
+// Of the reply to a call sent at `sent` that is handled at `now`. `clock_zero` is of earlier replies. A worker's clock
+// may be slow and is never fast, so the time by which it has advanced since an earlier reply has passed here too.
+inline ReplyGiven WhenGiven(std::optional<Instant> clock_zero, WorkerTime clock, Instant sent, Instant now) {
+  const Instant by_call = sent - Millis{clock.m_ms};
+  const Instant zero = clock_zero ? std::max(*clock_zero, by_call) : by_call;
+  return {std::min(zero + Millis{clock.m_ms}, now), zero};
+}
+
 // Whether a worker may be told up to which number its ends are recorded, so that it forgets them. Numbers are those of
 // one incarnation: told to a later one, they make it forget ends that nobody has read. A worker is not back within
-// `restart` of an answer, and a crash makes calls fail. One that never reported a start time has one incarnation.
+// `restart` of a reply that it gave, and a crash makes calls fail. One that never reported a start time has one
+// incarnation.
 inline bool MayTellRecordedEnds(const KnownIncarnation& known, Millis since_last_reply, bool failed_since,
                                 Millis restart) {
   if (known.m_born.m_ms == 0) return true;
--- a/hickoryquay/service/worker_sessions.cc
+++ b/hickoryquay/service/worker_sessions.cc
@@ -283,6 +283,7 @@
       [[fallthrough]];
     case jobs::ReportedIncarnation::kFirst:
       session->m_known = {*reply.m_born, m_clock->Now()};
+      session->m_clock_zero.reset();
       return true;
     case jobs::ReportedIncarnation::kStale:
     case jobs::ReportedIncarnation::kUnidentified:
@@ -324,6 +325,7 @@
   session->m_acked_ends = 0;
   session->m_clock = {};
   session->m_clock_at = m_clock->Now();
+  session->m_last_reply = Instant{};
   session->m_lease_end = LatestLeaseEnd(m_clock->Now());  // Starts and polls that were sent before may extend it.
 }
 
@@ -419,7 +421,10 @@
     return true;
   }
   if (busy) {
-    Poll(id, session, m_scheduler->NeedsPoll(id, session->m_last_poll) ? Millis{0} : m_settings.m_poll_wait);
+    // Ends that may not be told yet need a reply soon, and a worker may wait for another end.
+    const bool untold = session->m_acked_ends < session->m_recorded_ends && EndsToTell(*session) == 0;
+    const bool soon = untold || m_scheduler->NeedsPoll(id, session->m_last_poll);
+    Poll(id, session, soon ? Millis{0} : m_settings.m_poll_wait);
     return true;
   }
   const bool waits_for_end =
@@ -482,7 +487,6 @@
   const bool was_silent = session->m_failures > 1;
   session->m_failures = 0;
   session->m_awaits_late_starts = false;
-  session->m_last_reply = m_clock->Now();
   session->m_cleared = false;
   if (incarnation == session->m_incarnation)
     session->m_acked_ends = std::max(session->m_acked_ends, call.m_recorded_ends);
@@ -490,6 +494,9 @@
     session->m_clock = reply.m_clock;
     session->m_clock_at = m_clock->Now();
   }
+  const jobs::ReplyGiven given = jobs::WhenGiven(session->m_clock_zero, reply.m_clock, sent, m_clock->Now());
+  session->m_clock_zero = given.m_clock_zero;
+  session->m_last_reply = std::max(session->m_last_reply, given.m_at);
   NoteMissingEnds(id, *session, reply);
   const std::int64_t reported_before = session->m_reported_ends;
   for (const jobs::EndedTask& end : reply.m_ended)
--- a/hickoryquay/service/worker_sessions.h
+++ b/hickoryquay/service/worker_sessions.h
@@ -96,7 +96,7 @@
     Instant m_retry_at;
     Instant m_created;
     Instant m_last_poll;        // When it was sent.
-    Instant m_last_reply;       // When the last one of the present incarnation arrived.
+    Instant m_last_reply;       // When the present incarnation gave its last one, at the earliest.
     Instant m_unwatched_since;  // When it last had no poll in flight while it was busy; 0: it has one, or is idle.
     std::int64_t m_reported_ends = 0;  // Highest number of an ended task that the worker reported.
     Instant m_reported_at;             // When the first end arrived that is not stored yet; 0: all are.
@@ -104,9 +104,10 @@
     std::int64_t m_acked_ends = 0;     // Highest one that the worker knows to be stored.
     jobs::WorkerTime m_clock;          // The worker's clock at m_clock_at, or slightly before.
     Instant m_clock_at;
-    Instant m_lease_end;                // All tasks there have ended by then, unless the lease is extended.
-    bool m_cleared = false;             // Declared clear since the last answer.
-    bool m_awaits_late_starts = false;  // It is gone, and busy until no start can arrive any more if it returns.
+    std::optional<Instant> m_clock_zero;  // When the worker's clock showed zero, at the earliest.
+    Instant m_lease_end;                  // All tasks there have ended by then, unless the lease is extended.
+    bool m_cleared = false;               // Declared clear since the last answer.
+    bool m_awaits_late_starts = false;    // It is gone, and busy until no start can arrive any more if it returns.
     jobs::KnownIncarnation m_known;
     std::optional<Instant> m_row_born;  // Wall time of its start by its row.
     int m_incarnation = 0;              // Counts the restarts under its id.
--- a/tests/service/restart_test.cc
+++ b/tests/service/restart_test.cc
@@ -13,12 +13,15 @@
 constexpr Millis kShortWork{20};
 constexpr Millis kLongWork{15'000};
 constexpr Millis kEnough{20'000};
+constexpr Millis kSlowStore{250};
+constexpr Millis kAway{3'500};  // A crashed worker is back by then.
 
 class RestartTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RestartTest);
   CPPUNIT_TEST(RunsOfTheEarlierIncarnationAreLost);
   CPPUNIT_TEST(EndsOfTheNewIncarnationAreNotForgotten);
   CPPUNIT_TEST(EndBeforeTheFirstPollIsNotForgotten);
+  CPPUNIT_TEST(ReplyReadLateDoesNotForgetEndsOfTheNewIncarnation);
   CPPUNIT_TEST(LateStartIsStopped);
   CPPUNIT_TEST(LateStartOnAWorkerThatWasGoneDoesNotRunBesideTheNextRun);
   CPPUNIT_TEST(TaskOfAWorkerThatStaysAwayRunsAgain);
@@ -29,8 +32,9 @@
  public:
   void setUp() override { MakeCluster(1); }
 
-  void MakeCluster(int workers) {
+  void MakeCluster(int workers, int instances = 3) {
     ClusterSettings settings;
+    settings.m_instances = instances;
     settings.m_racks = 1;
     settings.m_workers_per_rack = workers;
     settings.m_workers_report_born = true;
@@ -75,6 +79,13 @@
     ExpectNoMissingEnds();
   }
 
+  // Guards against a poll that tells a restarted worker the ends of before: the reply that it relied on had waited in
+  // the leader's process, which stood still, while the worker went and came back.
+  void ReplyReadLateDoesNotForgetEndsOfTheNewIncarnation() {
+    for (Millis store = kSlowStore; store < 2 * kSlowStore; store += kSlowStore / 20)
+      RestartWhileTheLeaderStands(store);
+  }
+
   // A start without an answer that the new incarnation executes was taken for the current run, or forgotten.
   void LateStartIsStopped() {
     m_cluster->Sim().Faults(m_worker).m_late_orders = 1.0;
@@ -138,6 +149,31 @@
   }
 
  private:
+  // From a reply on that arrives while the answer of a store that takes `store` is due.
+  void RestartWhileTheLeaderStands(Millis store) {
+    MakeCluster(1, 1);  // Nobody takes over meanwhile.
+    Complete(m_cluster->Submit(0, Tasks(6, 1, kWork), kWork));
+    const JobId first = m_cluster->Submit(0, Tasks(1, 1, kWork), kWork);
+    const JobId second = m_cluster->Submit(0, Tasks(1, 1, kWork), kLongWork);
+    m_cluster->Run(kWork / 2);
+    m_cluster->Store().SetLatency(store);
+    while (m_cluster->Sim().Running() > 1) m_cluster->Run(Millis{1});
+    m_cluster->Run(Millis{10});  // The end is read. It is not stored before the worker is asked again.
+    const int looks = m_cluster->Sim().Looks();
+    while (m_cluster->Sim().Looks() == looks) m_cluster->Run(Millis{1});
+    m_cluster->Suspend(0);
+    m_cluster->Run(store);
+    m_cluster->CrashWorker(m_worker);
+    m_cluster->Run(kAway);
+    m_cluster->Store().SetLatency(Millis{4});
+    m_cluster->Resume(0);
+    m_cluster->Run(kWork);
+    Complete(m_cluster->Submit(0, Tasks(2, 1, kWork), kWork));
+    Complete(first);
+    Complete(second);
+    ExpectNoMissingEnds();
+  }
+
   void Complete(JobId job) {
     m_cluster->Run(kEnough);
     CPPUNIT_ASSERT(m_cluster->StoredPhase(job) == jobs::JobPhase::kCompleted);
