Stand-in: a call that was under way when its worker crashed ends

Cause: the stand-in dropped calls that arrived at a worker which had crashed while they were on their way, without calling back. The leader waits for the end of a poll before it asks again, so it never asked that worker again. No worker does that to its callers: "A call that receives no response may have been executed" (PROTOCOL.md), and a caller's own time limit ends its call, as the interface WorkerApi has it.

Evidence: the log of: "Job has nothing running ... cause=run unconfirmed ... worker=w0-0" from 2 s to 52 s, and no call to w0-0 after it had crashed. WorkerThatGoesUnderACallIsAskedAgain failed before: a job with one task whose worker crashes 1 ms after a poll was sent is not completed 40 s later.

Fix: such a start, stop or poll ends without an answer once its time limit is over. It still is not carried out, and no check is left out.

--- a/standin/sim_workers.cc
+++ b/standin/sim_workers.cc
@@ -114,8 +114,9 @@
   const bool lost = late || Chance(faults.m_lost_answers);
   const Millis on_the_way = m_settings.m_latency / 2;
   const Order order{call, found->second.m_incarnation, m_clock->Now() + (late ? Millis{0} : on_the_way)};
-  After(late ? LateBy() : on_the_way, [this, id = target.m_id, order, lost, callback] {
+  After(late ? LateBy() : on_the_way, [this, id = target.m_id, order, lost, timeout, callback] {
     Worker& worker = m_workers.at(id);
+    if (!worker.m_alive && !lost) After(timeout, [callback] { callback({StartOutcome::kUnknown, {}, {}}); });
     if (!worker.m_alive) return;
     jobs::StartReply reply = CarryOutStart(&worker, order);
     if (worker.m_settings.m_reports_born) reply.m_born = worker.m_born;
@@ -145,8 +146,9 @@
   const WorkerFaults& faults = found->second.m_faults;
   const bool late = Chance(faults.m_late_orders);
   const bool lost = late || Chance(faults.m_lost_answers);
-  After(late ? LateBy() : m_settings.m_latency / 2, [this, id = target.m_id, call, lost, callback] {
+  After(late ? LateBy() : m_settings.m_latency / 2, [this, id = target.m_id, call, lost, timeout, callback] {
     Worker& worker = m_workers.at(id);
+    if (!worker.m_alive && !lost) After(timeout, [callback] { callback(jobs::StopOutcome::kNoAnswer); });
     if (!worker.m_alive) return;
     const jobs::StopOutcome outcome = CarryOutStop(&worker, call);
     if (!lost) After(m_settings.m_latency / 2, [callback, outcome] { callback(outcome); });
@@ -162,9 +164,9 @@
   if (found == m_workers.end() || !found->second.m_alive || found->second.m_faults.m_cut) {
     return After(timeout, [callback] { callback(jobs::PollFailure::kNoAnswer); });
   }
-  After(m_settings.m_latency / 2, [this, id = target.m_id, call, callback] {
+  After(m_settings.m_latency / 2, [this, id = target.m_id, call, timeout, callback] {
     Worker& worker = m_workers.at(id);
-    if (!worker.m_alive) return;
+    if (!worker.m_alive) return After(timeout, [callback] { callback(jobs::PollFailure::kNoAnswer); });
     if (call.m_epoch < worker.m_epoch) {
       return After(m_settings.m_latency / 2, [callback] { callback(jobs::PollFailure::kFenced); });
     }
--- a/tests/service/restart_test.cc
+++ b/tests/service/restart_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(EndsOfTheNewIncarnationAreNotForgotten);
   CPPUNIT_TEST(EndBeforeTheFirstPollIsNotForgotten);
   CPPUNIT_TEST(ReplyReadLateDoesNotForgetEndsOfTheNewIncarnation);
+  CPPUNIT_TEST(WorkerThatGoesUnderACallIsAskedAgain);
   CPPUNIT_TEST(LateStartIsStopped);
   CPPUNIT_TEST(LateStartOnAWorkerThatWasGoneDoesNotRunBesideTheNextRun);
   CPPUNIT_TEST(TaskOfAWorkerThatStaysAwayRunsAgain);
@@ -86,6 +87,16 @@
       RestartWhileTheLeaderStands(store);
   }
 
+  // Guards against calls that never end in the simulation: one that was on its way when its worker crashed.
+  void WorkerThatGoesUnderACallIsAskedAgain() {
+    const JobId job = m_cluster->Submit(0, Tasks(1, 1, kWork), kWork);
+    const int looks = m_cluster->Sim().Looks();
+    while (m_cluster->Sim().Looks() == looks) m_cluster->Run(Millis{1});
+    m_cluster->CrashWorker(m_worker);
+    m_cluster->Run(kEnough);
+    Complete(job);
+  }
+
   // A start without an answer that the new incarnation executes was taken for the current run, or forgotten.
   void LateStartIsStopped() {
     m_cluster->Sim().Faults(m_worker).m_late_orders = 1.0;
