Archive: a scan of the ended jobs ends before rows expire

Cause: the scan read one page of 100 rows a second, however large the table was. Beyond some 6,000 rows a scan and its rest took longer than rows are kept, so that rows were found only long after they had expired.

Fix: the pause between pages of a part follows the pages of this scan and of the one before, so that a scan takes 50 s, between 100 ms and 1 s as before. A page that falls due during a deletion is read once that has ended.

Why it works: with the rest of 60 s a table of up to 50,000 rows is read through within 110 s, so each row is known before it expires after 130 s, and is deleted by the next tick. Tables of up to 5,000 rows are read as before; the largest cost ten reads a second instead of one.

--- a/hickoryquay/service/job_archive.cc
+++ b/hickoryquay/service/job_archive.cc
@@ -38,6 +38,7 @@
 void JobArchive::Stop() {
   m_stopped = true;
   m_tick.Cancel();
+  m_next_page.Cancel();
   m_retry.Cancel();
 }
 
@@ -152,11 +153,18 @@
   // Those that were written anew, or are gone, are not told from the others: the next scan finds what is left.
   for (const JobId job : jobs) m_ended[part].erase(job);
   DeleteExpired();
+  ScanNext();  // It may have been due meanwhile.
+}
+
+// A scan that takes longer than rows are kept would find them long after they have expired.
+Millis JobArchive::PagePause() const {
+  const int pages = std::max({m_scan_pages, m_last_scan_pages, 1});
+  return std::clamp(m_settings.m_scan_time / pages, m_settings.m_scan_page_least, m_settings.m_scan_page);
 }
 
 // Reads the next page of the table.
 void JobArchive::ScanNext() {
-  if (m_scanning || m_deleting || m_clock->Now() < m_next_scan) return;
+  if (m_stopped || m_scanning || m_deleting || m_clock->Now() < m_next_scan) return;
   m_scanning = true;
   const std::string part = m_settings.m_tables.AllIntakeParts()[m_scan_part];
   m_store->Read({m_settings.m_tables.m_ended, part, m_scan_from, ""}, m_settings.m_scan_rows, m_settings.m_call_timeout,
@@ -179,11 +187,20 @@
       log::Error(kLog, "Row of an ended job can't be read, it is kept", {{"key", row.m_key.m_key}});
     }
   }
-  if (page.m_more) return DeleteExpired();
+  ++m_scan_pages;
+  if (page.m_more) {
+    const Millis pause = PagePause();
+    m_next_scan = m_clock->Now() + pause;
+    m_next_page = m_timers->After(pause, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->ScanNext();
+    });
+    return DeleteExpired();
+  }
   m_scan_from.clear();
   if (++m_scan_part < m_settings.m_tables.AllIntakeParts().size()) return ScanNext();
   m_scan_part = 0;
   m_scanned = true;
+  m_last_scan_pages = std::exchange(m_scan_pages, 0);
   m_next_scan = m_clock->Now() + m_settings.m_scan_rest;
   DeleteExpired();
 }
--- a/hickoryquay/service/job_archive.h
+++ b/hickoryquay/service/job_archive.h
@@ -33,7 +33,10 @@
   Millis m_call_timeout{2'000};
   Millis m_retry_delay{500};        // After a call that failed.
   Millis m_expiry_interval{1'000};  // Between deletions of expired rows.
-  int m_scan_rows = 100;            // Of a page of a part; at most one a part every m_expiry_interval.
+  int m_scan_rows = 100;            // Of a page of a part.
+  Millis m_scan_page{1'000};        // Between pages of a part, unless a scan would take longer than m_scan_time.
+  Millis m_scan_page_least{100};    // Between pages of a part, however large the table is.
+  Millis m_scan_time{50'000};       // With the rest less than m_keep: rows are known before they expire.
   Millis m_scan_rest{60'000};       // From the end of a scan of the table to the next.
 };
 
@@ -66,6 +69,7 @@
                  const Result<Version, store::TransactError>& result);
   void Know(const std::string& part, JobId job, const Row& row);
   void ScanNext();
+  Millis PagePause() const;
   void OnPage(const Result<store::RowPage, store::ReadError>& page);
   store::RowKey Key(const std::string& part, JobId job) const;
 
@@ -81,12 +85,15 @@
   bool m_scanning = false;
   bool m_scanned = false;                               // The whole table, once.
   Instant m_next_scan;                                  // When the next scan may begin.
+  int m_scan_pages = 0;                                 // Of this scan.
+  int m_last_scan_pages = 0;                            // Of the one before.
   std::size_t m_scan_part = 0;                          // Index of the part that is scanned.
   std::string m_scan_from;                              // Key of the next page.
   std::map<std::string, std::map<JobId, Row>> m_ended;  // Rows of the table, by part.
   bool m_stopped = false;
   Subscription m_retry;
   Subscription m_tick;
+  Subscription m_next_page;
   Counter* m_archived_total;
 };
 
