Tests: jobs whose long bodies are refused never run

The crowd's cases count answers, and PressureTest shows the refusals without a leader; none looked at what becomes of the jobs behind them.

crowd_refused_jobs: 60 small jobs at each of two instances, in bodies near the limit that lack their last byte, more than an instance has room for. Once one is refused all are finished. Jobs that were refused (413, 429, 503) must be unknown and must not have begun at a worker, accepted ones must be completed, an ordinary job is served, memory and descriptors stay within the bounds of the other cases. No times, no share.

That the check bites was tried with 200 counted as a refusal: red, "was answered 200 and is known".

--- a/tests/crowd/crowd_test.py
+++ b/tests/crowd/crowd_test.py
@@ -16,6 +16,8 @@
 SETTLE_S = 1.0  # For the instances to read what has been sent; what they hold then is sampled meanwhile.
 HELD_S = 25          # For which jobs come while none is written; their callers wait longer.
 REPORTED_S, REFUSALS = 1.5, 3  # Until all instances know of a job; so often a size is tried in vain.
+HELD_BODIES, NEAR_LIMIT = 60, 262_000  # At each instance, together over its room for bodies.
+REFUSED = {413, 429, 503}
 HERE = os.path.dirname(os.path.abspath(__file__))
 
 
@@ -97,6 +99,65 @@
     await send_slowly(world, {"spec": "x", "steps": [{"count": 1, "cpu": 500, "memMb": 64}]}, 262_144, 25)
 
 
+class HeldBody:
+    """A small job whose body is near the limit and sent up to its last byte."""
+
+    def __init__(self, host, number):
+        self.host, self.id = host, f"{number:016x}"
+        job = {"spec": "x", "steps": [{"count": 1, "cpu": 500, "memMb": 64, "estimateMs": 1000}]}
+        self.body = json.dumps(job).encode().ljust(NEAR_LIMIT)
+
+    async def send(self, data):
+        try:
+            self.writer.write(data)
+            await asyncio.wait_for(self.writer.drain(), worlds.PATIENCE_S)
+        except OSError:
+            pass  # It is refused, which `answer` tells.
+
+    async def read_status(self, reader):
+        try:
+            return int((await reader.readline() or b"- 0").split(b" ")[1])
+        except OSError:
+            return 0
+
+    async def begin(self):
+        reader, self.writer = await asyncio.open_connection(self.host, CALLERS)
+        self.answer = asyncio.ensure_future(self.read_status(reader))
+        lines = [f"Content-Length: {len(self.body)}"] + [f"{name}: {value}" for name, value in worlds.KEY.items()]
+        await self.send((f"POST /jobs/{self.id} HTTP/1.1\r\n" + "\r\n".join(lines) + "\r\n\r\n").encode())
+        await self.send(self.body[:-1])
+
+
+async def refused_jobs(world):
+    """Guards against a refusal for want of room whose job runs all the same, and an accepted job that does not."""
+    held = [HeldBody(host, 1 + i) for i, host in enumerate(world.hosts * HELD_BODIES)]
+    await asyncio.gather(*(job.begin() for job in held))
+
+    async def one_refused():
+        return any(job.answer.done() and job.answer.result() in REFUSED for job in held)
+
+    await world.until(one_refused, "a body is refused while none is whole")
+    await asyncio.gather(*(job.send(job.body[-1:]) for job in held))
+    statuses = await asyncio.wait_for(asyncio.gather(*(job.answer for job in held)), worlds.PATIENCE_S)
+    print("held bodies were answered", dict(sorted(collections.Counter(statuses).items())), flush=True)
+    for job in held:
+        job.writer.close()
+    await world.serve_ordinary("afterwards")
+    for job, status in zip(held, statuses):
+        target, known = f"/jobs/{job.id}", (200, 404, 410)
+
+        async def settled():
+            code, _, answer = await world.ask(job.host, CALLERS, "GET", target)
+            job.is_known = code == 200
+            return code in known and (status != 200 or (code == 200 and answer["state"] == "completed"))
+
+        await world.until(settled, f"{target}, answered {status}, has ended or is unknown")
+        if status in REFUSED:
+            assert not job.is_known, f"{target} was answered {status} and is known"
+            ran = [*world.farm.last_run, *(task for worker in world.farm.workers for task in worker.runs)]
+            assert not any(task.startswith(job.id) for task in ran), f"{target} was answered {status} and ran"
+
+
 async def fill_jobs(world):
     """Jobs of one account that can't start, smaller and smaller ones, until the leader has no room for any of them."""
     tasks, refused, number = 2**15, 0, 0
@@ -183,6 +244,7 @@
     "account_jobs": account_jobs,
     "held_jobs": held_jobs,
     "large_jobs": large_jobs,
+    "refused_jobs": refused_jobs,
     "drain": drain,
     "slow_caller": slow_caller,
     "slow_caller_at_limit": slow_caller_at_limit,
