--- a/tests/crowd/crowd.py
+++ b/tests/crowd/crowd.py
@@ -67,6 +67,18 @@
         yield chunk(b" " * 65536)
 
 
+def whole_chunks(number):
+    yield head(number, "Transfer-Encoding: chunked")
+    yield from chunks_of(8, IN_LIMIT)
+    yield b"0\r\n\r\n"
+
+
+def mixed(number):
+    """Bodies over the limit, announced or sent, and chunked ones, one of eight of which ends."""
+    shapes = (half_chunk, small_chunks, announced, half_chunk_in_limit, byte_chunks, endless, half_body, whole_chunks)
+    yield from shapes[number % len(shapes)](number)
+
+
 def chunk_extension(number):
     """A chunk whose extension does not end."""
     yield head(number, "Transfer-Encoding: chunked") + b"1;"
@@ -197,7 +209,7 @@
 
 SHAPES = {shape.__name__: shape for shape in (
     half_chunk, half_chunk_in_limit, small_chunks, byte_chunks, half_body, announced, endless, half_head,
-    chunk_extension, trailers, many_trailers, many_fields, short_fields, silent, wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key, wrong_route, unread, frame, wide_frame, many_peers)}
+    whole_chunks, mixed, chunk_extension, trailers, many_trailers, many_fields, short_fields, silent, wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key, wrong_route, unread, frame, wide_frame, many_peers)}
 WHOLE = {wide_job, many_tasks, many_jobs, million_tasks, nested, wide_json, wrong_key, wrong_route}  # Answers are awaited.
 
 
