--- a/hickoryquay/jobs/crash_isolation.cc
+++ b/hickoryquay/jobs/crash_isolation.cc
@@ -48,7 +48,7 @@
   if (lost.m_why == WorkerLoss::kLeaseOver && lost.m_with_domain) return false;
   if (member.m_restored) return true;
   const bool proved = lost.m_why != WorkerLoss::kLeaseOver;
-  return proved || RanUntil(member, lost) <= settings.m_sound_after;
+  return RanUntil(member, lost) <= (proved ? settings.m_longest_suspicion : settings.m_sound_after);
 }
 
 Millis RanUntil(const Member& member, const LostWorker& lost) {
@@ -64,8 +64,9 @@
 
 bool AreLossesUsual(const Unit& unit, int losses, int workers, const CrashSettings& settings) {
   const auto crashes = static_cast<int>(unit.m_crashes.size());
-  constexpr int kFewest = 2;
-  return crashes > 0 && workers >= kFewest && losses >= settings.m_usual_losses * crashes * workers;
+  if (crashes == 0 || workers < 2) return false;
+  const int elsewhere = losses - crashes;  // The loss in question is among them, the first one is not.
+  return elsewhere >= settings.m_usual_losses * crashes * (workers - 1);
 }
 
 bool IsEvident(const Member& member, const LostWorker& lost, const CrashSettings& settings) {
@@ -81,7 +82,7 @@
 }
 
 bool NeedsIsolation(const Unit& unit, const CrashSettings& settings) {
-  return !unit.m_crashes.empty() && !unit.m_may_share && !unit.m_sound &&
+  return !unit.m_crashes.empty() && !unit.m_may_share &&
          Judge(unit.m_crashes, unit.m_run, settings) != CrashVerdict::kNone;
 }
 
--- a/hickoryquay/jobs/crash_isolation.h
+++ b/hickoryquay/jobs/crash_isolation.h
@@ -1,10 +1,9 @@
 // Crash isolation: units that are placed alone because workers crashed under them, and units that are given up. Pure.
 //
 // A task may crash each worker that starts it, and all that runs beside it is lost as well. A worker may also crash for
-// other reasons. So a crash counts against every unit that had begun on the worker, however long before, and proves
-// nothing by itself; it stays on record until the unit is done. Only what the unit's job can't cause speaks for it:
-// losses of workers that had no task of the job. A unit with several crashes is placed alone: there, a crash right
-// after the start is evidence against it.
+// other reasons. So a crash counts against every unit that had begun on the worker shortly before, and proves nothing
+// by itself. A unit with several crashes is placed alone: there, a crash right after the start is evidence against it.
+// A unit that runs on for longer than it took to crash is cleared.
 //
 // Index of this file:
 //   [SECTION] Judgement
@@ -28,11 +27,11 @@
   // Without such evidence it is given up m_starts_left starts after its m_limit_at-th crash, however these end.
   int m_limit_at = 3;
   int m_starts_left = 2;
-  Millis m_evident_within{500};             // Of the answer to the start, until the worker stopped answering.
-  Millis m_sound_after{2'000};              // A run that lasts as long shares its worker, if no crash came later.
-  double m_outlasts = 2.0;                  // So does one of so many times the longest time to a crash.
-  Millis m_lasting_cleared_after{600'000};  // A run of work that lasts clears its unit then, as that has no end.
-  // If workers without the job were lost this often on average for each crash under the unit, late ones prove nothing.
+  Millis m_evident_within{500};  // Of the answer to the start, until the worker stopped answering.
+  Millis m_sound_after{2'000};   // A unit that still runs this long after its start is sound, if no crash came later.
+  Millis m_longest_suspicion{15'000};  // Crashes later than this after the start count against no unit.
+  double m_outlasts = 2.0;             // A run of so many times the longest time to a crash clears its unit.
+  // If the other workers were lost this often on average for each crash under the unit, late crashes prove nothing.
   double m_usual_losses = 0.75;
   Millis m_longest_wait{2'500};   // For workers without other work. Then the unit is placed beside others.
   double m_max_held_share = 0.1;  // Of a pool's workers, that are held for units that wait to be placed alone.
@@ -43,7 +42,7 @@
 CrashVerdict Judge(const std::vector<CrashedRun>& crashes, RunNumber run, const CrashSettings& settings);
 
 // Whether the loss of the member's worker counts as a crash under it. Not if the worker had announced that it leaves,
-// if the start was not sent, or if the unit is done. A worker whose lease ended
+// if the start was not sent, or if the unit is done or has run on for m_longest_suspicion. A worker whose lease ended
 // may be cut off: it counts if it fell silent soon after the start, or if it is not known when the run began, but not
 // if its failure domain fell silent with it. The platform no longer lists a worker that crashed before its lease ends.
 bool CountsAsCrash(const Unit& unit, const Member& member, const LostWorker& lost, const CrashSettings& settings);
@@ -51,11 +50,10 @@
 // From the member's start to the first sign of the loss; 0 if it is not known when the run began.
 Millis RanUntil(const Member& member, const LostWorker& lost);
 
-// How long a run must last to share its worker after the crashes before it.
+// How long a run must last to clear the unit of the crashes before it.
 Millis SoundAfter(const Unit& unit, const CrashSettings& settings);
 
-// Whether workers are lost as often without the unit: `losses` since its first crash, where `workers` are without it.
-// Workers that have tasks of its job, or units under which a worker has crashed, must not be among either.
+// Whether workers are lost as often without the unit: `losses` of `workers` since its first crash, that one left out.
 bool AreLossesUsual(const Unit& unit, int losses, int workers, const CrashSettings& settings);
 
 // Whether the crash is evidence against the unit: it was alone and had just begun.
--- a/hickoryquay/jobs/scheduler.cc
+++ b/hickoryquay/jobs/scheduler.cc
@@ -334,16 +334,14 @@
 
 void Scheduler::OnWorkerSilent(const WorkerId& worker, Now now) {
   WorkerSlot* slot = m_workers.Find(worker);
-  if (slot == nullptr || slot->m_silent_since != Instant{}) return;
-  slot->m_silent_since = now.m_steady;
-  m_losses.OnSilent(*slot, now.m_steady);
+  if (slot != nullptr && slot->m_silent_since == Instant{}) slot->m_silent_since = now.m_steady;
 }
 
 void Scheduler::OnWorkerCleared(const WorkerId& worker, WorkerLoss loss, Now now) {
   WorkerSlot* slot = m_workers.Find(worker);
   if (slot == nullptr) return;
   slot->m_unrecorded_runs = 0;
-  if (loss != WorkerLoss::kLeaseOver && !std::exchange(slot->m_lost, true)) NoteWorkerLost(*slot, now);
+  if (loss != WorkerLoss::kLeaseOver && !std::exchange(slot->m_lost, true)) ++m_lost_workers;
   const auto members = slot->m_members;
   const LostWorker lost = Describe(*slot, loss, now);
   for (const auto& [unit, member] : members) {
--- a/hickoryquay/jobs/scheduler.h
+++ b/hickoryquay/jobs/scheduler.h
@@ -27,7 +27,6 @@
 #include "hickoryquay/jobs/idle_jobs.h"
 #include "hickoryquay/jobs/incarnation.h"
 #include "hickoryquay/jobs/job.h"
-#include "hickoryquay/jobs/loss_ledger.h"
 #include "hickoryquay/jobs/preemption.h"
 #include "hickoryquay/jobs/rows.h"
 #include "hickoryquay/jobs/scheduler_settings.h"
@@ -168,7 +167,7 @@
   void CheckPace(WorkerSlot* slot, const PollReply& reply, Now now);
   std::pair<Unit*, std::size_t> FindMember(const TaskKey& task);
   void RecordProgress(WorkerSlot* slot, const PollReply& reply, Now now);
-  void ShareIfSound(Unit* unit);
+  void ClearIfSound(Unit* unit);
   void RecordSpeed(const Unit& unit, Member* member, Now now);
   void DoubtWorker(WorkerSlot* slot, StepState* step, Now now);
   void RecordFailure(Unit* unit, RunNumber run, Now now);
@@ -183,8 +182,6 @@
   void StopLateStart(Unit* unit, std::size_t member, const char* why, Now now);
   void ResolveAfterRestart(const UnitMember& placed, const LostWorker& lost, const PollReply& reply, Instant sent,
                            Now now);
-  void NoteWorkerLost(const WorkerSlot& slot, Now now);
-  bool AreLossesUsual(const Unit& unit) const;
   void RecordCrash(Unit* unit, std::size_t member, const LostWorker& lost, Now now);
   static LostWorker Describe(const WorkerSlot& slot, WorkerLoss loss, Now now);
   void LoseRun(Unit* unit, std::size_t member, const LostWorker& lost, Now now);
@@ -263,9 +260,7 @@
   int m_preemptions = 0;
   int m_lost_runs = 0;
   int m_lost_ends = 0;
-  // Since construction, restarts included; without ends of leases and without those that had a suspect.
-  int m_lost_workers = 0;
-  LossLedger m_losses;
+  int m_lost_workers = 0;  // Since construction; restarts included, ends of leases not.
 };
 
 }  // namespace hickoryquay::jobs
--- a/hickoryquay/jobs/scheduler_restart.cc
+++ b/hickoryquay/jobs/scheduler_restart.cc
@@ -38,7 +38,7 @@
   if (!reply.m_born || *reply.m_born == slot->m_born) return;
   const bool restarted = slot->m_born.m_ms != 0;
   if (restarted) {
-    if (!slot->m_lost) NoteWorkerLost(*slot, now);
+    ++m_lost_workers;
     slot->OnRestarted();
   }
   slot->m_born = *reply.m_born;
@@ -100,25 +100,6 @@
           slot.m_silent_with_domain};
 }
 
-void Scheduler::NoteWorkerLost(const WorkerSlot& slot, Now now) {
-  if (!m_losses.OnLost(slot, now.m_steady)) return;
-  ++m_lost_workers;
-  std::set<JobState*> jobs;
-  for (const auto& [unit, member] : slot.m_members) jobs.insert(unit->m_step->m_job);
-  for (JobState* job : jobs) ++job->m_lost_workers;
-}
-
-bool Scheduler::AreLossesUsual(const Unit& unit) const {
-  const JobState& job = *unit.m_step->m_job;
-  const int losses = m_lost_workers - job.m_lost_workers - unit.m_losses_at_first_crash;
-  if (losses == 0) return false;
-  const auto& slots = m_workers.Slots();
-  const auto workers = std::count_if(slots.begin(), slots.end(), [&](const WorkerSlot* slot) {
-    return !HasTaskOf(*slot, unit.m_step->m_key.m_job) && !HasSuspect(*slot);
-  });
-  return jobs::AreLossesUsual(unit, losses, static_cast<int>(workers), m_settings.m_choice.m_crashes);
-}
-
 void Scheduler::RecordCrash(Unit* unit, std::size_t index, const LostWorker& lost, Now now) {
   JobState* job = unit->m_step->m_job;
   const CrashSettings& settings = m_settings.m_choice.m_crashes;
@@ -128,10 +109,10 @@
   if (std::any_of(unit->m_crashes.begin(), unit->m_crashes.end(), same)) return;
   if (Ended(job->m_phase) || !CountsAsCrash(*unit, unit->m_members[index], lost, settings)) return;
   const Millis ran = RanUntil(unit->m_members[index], lost);
-  if (ran > settings.m_sound_after && AreLossesUsual(*unit)) return;
-  const WorkerSlot& slot = *unit->m_members[index].m_slot;
-  if (m_losses.FellWithDomain(slot, job->m_job.m_id, lost.m_silent_since, m_workers.Slots())) return;
-  if (unit->m_crashes.empty()) unit->m_losses_at_first_crash = m_lost_workers - job->m_lost_workers;
+  const int losses = m_lost_workers - unit->m_losses_at_first_crash;
+  const int workers = static_cast<int>(m_workers.Slots().size());
+  if (ran > settings.m_sound_after && AreLossesUsual(*unit, losses, workers, settings)) return;
+  if (unit->m_crashes.empty()) unit->m_losses_at_first_crash = m_lost_workers;
   const CrashedRun crash{unit->m_run, static_cast<int>(index), IsEvident(unit->m_members[index], lost, settings), ran};
   unit->m_crashes.push_back(crash);
   MarkChanged(*unit);
--- a/hickoryquay/jobs/scheduler_runs.cc
+++ b/hickoryquay/jobs/scheduler_runs.cc
@@ -242,7 +242,6 @@
   CheckPace(slot, reply, now);
   RecordProgress(slot, reply, now);
   SettleAbsent(slot, reply, sent, now);
-  m_losses.OnAnswer(slot->m_entry.m_id);
   slot->m_silent_since = Instant{};
   slot->m_silent_with_domain = false;
   slot->m_lost = false;
@@ -265,7 +264,7 @@
   member.m_listed = now.m_steady;
   member.m_listed_percent = running.m_percent;
   NoteRunning(*unit, now);
-  ShareIfSound(unit);
+  ClearIfSound(unit);
   if (unit->m_step->m_spec->m_checkpoints && !running.m_checkpoint.empty()) unit->m_checkpoint = running.m_checkpoint;
   const bool overdue =
       member.m_stop == StopState::kAcknowledged &&
@@ -332,7 +331,6 @@
                            : vanished ? "vanished"
                                       : "earlier epoch"}});
       if (vanished && !stopped) {  // The worker's process has crashed, and may be gone itself.
-        m_losses.OnRunVanished(*slot, now.m_steady);
         RecordCrash(unit, index, {WorkerLoss::kRestarted, slot->CountUnits(), now.m_steady}, now);
         NoteLost(unit, index, now);
         slot->m_avoid_until = std::max(slot->m_avoid_until, now.m_steady + m_settings.m_avoid_refusing_for);
@@ -408,12 +406,11 @@
   }
 }
 
-// A run that lasts shares its worker. The crashes before it stay on record, unless the work has no end.
-void Scheduler::ShareIfSound(Unit* unit) {
-  const CrashSettings& settings = m_settings.m_choice.m_crashes;
-  if (!unit->m_sound) unit->m_sound = HasRunOn(*unit, SoundAfter(*unit, settings));
-  if (unit->m_crashes.empty() || !unit->m_step->m_spec->m_long_running) return;
-  if (!HasRunOn(*unit, settings.m_lasting_cleared_after)) return;
+// A run that lasts clears its unit of the crashes before.
+void Scheduler::ClearIfSound(Unit* unit) {
+  if (unit->m_sound || !HasRunOn(*unit, SoundAfter(*unit, m_settings.m_choice.m_crashes))) return;
+  unit->m_sound = true;
+  if (unit->m_crashes.empty()) return;
   unit->m_crashes.clear();
   MarkChanged(*unit);
   log::Info(kLog, "Task runs on, crashes before are not counted any more", {{"task", ToText(unit->Key(0))}});
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -81,14 +81,14 @@
   RunNumber m_run{};  // Number of the last start; 0: never started.
   std::vector<RunNumber> m_failed_runs;
   std::vector<CrashedRun> m_crashes;
-  int m_losses_at_first_crash = 0;  // Workers without the job that the scheduler had lost by then.
+  int m_losses_at_first_crash = 0;  // Workers that the scheduler had lost by then.
   std::string m_checkpoint;         // The next start resumes here; empty: starts from the beginning.
   bool m_active = false;            // At least one member has resources allocated.
   bool m_done = false;
   bool m_unread = false;     // Its row can't be read: it may run or be done, so it is not started.
   bool m_set_aside = false;  // Its row can't be stored, so it is not started any more.
   bool m_stopping = false;   // All members are being stopped.
-  bool m_sound = false;      // This run has outlasted the crashes before it, and may share its worker.
+  bool m_sound = false;      // This run has outlasted the crashes before it.
   bool m_may_share = false;  // It has found no worker without other work, and is placed beside others.
   Instant m_alone_until;     // Steady time until which it waits for such workers; 0: it does not.
   Instant m_placed;          // Steady time of the last placement.
@@ -155,7 +155,6 @@
   bool m_settled = false;            // Returned by TakeSettledJobs.
   Instant m_ended;                   // Wall time.
   Millis m_critical_path{0};         // By the caller's estimates.
-  int m_lost_workers = 0;            // That had tasks of it, of those in Scheduler::m_lost_workers.
   std::uint64_t m_memory_bytes = 0;  // See MemoryOf; 0 once it is archived.
   int m_occurrences = 1;
   int m_created_occurrences = 0;                                 // Number of occurrences that have their steps created.
