--- a/hickoryquay/jobs/scheduler_place.cc
+++ b/hickoryquay/jobs/scheduler_place.cc
@@ -68,8 +68,8 @@
   const auto tight_ms =
       static_cast<std::int64_t>(m_settings.m_tight_slack_share * static_cast<double>(estimate.count()));
   const bool is_tight = slack.count() >= 0 && slack.count() < tight_ms;
-  const bool was_taken = unit.m_interruption == Interruption::kLost || unit.m_interruption == Interruption::kMoved;
-  const bool is_awaited = was_taken && unit.m_step->m_is_awaited && unit.m_step->m_first_runs == 0;
+  const bool was_lost = unit.m_interruption == Interruption::kLost || unit.m_interruption == Interruption::kMoved;
+  const bool is_awaited = was_lost && unit.m_step->m_is_awaited && unit.m_step->m_first_runs == 0;
   return is_tight || is_awaited ? std::min(usual, m_settings.m_min_free_share_tight) : usual;
 }
 
--- a/hickoryquay/jobs/units.h
+++ b/hickoryquay/jobs/units.h
@@ -67,11 +67,11 @@
 
 // Why a run that did not end as done is over.
 enum class Interruption {
-  kNone,       // There was none.
-  kLost,       // With its worker, or under an earlier scheduler, of whose reasons nothing is known.
-  kMoved,      // Its worker leaves.
-  kPreempted,  // For more urgent work.
-  kOther,      // It failed, was refused or withdrawn, or lost another member of its gang.
+  kNone,       // It failed or was refused, or there was none.
+  kLost,       // With its worker, or under an earlier scheduler, whose reasons are not known.
+  kMoved,      // Stopped, since its worker leaves.
+  kPreempted,  // Stopped for more urgent work.
+  kOther,      // Stopped for another reason, see StopRun.
 };
 
 struct Unit {
@@ -101,7 +101,7 @@
   bool m_may_leave_rack = false;   // No rack that it prefers can hold it by the last plan for it.
 
   bool IsWaiting() const { return !m_active && !m_done && !m_unread && !m_set_aside; }
-  // The run replaces one that was taken from the unit by the loss of a worker, or by its leaving.
+  // Its present run replaces one that a lost or leaving worker took from it.
   bool IsReplacement() const { return m_replaces == Interruption::kLost || m_replaces == Interruption::kMoved; }
   bool IsFirstRun() const { return m_active && m_run == RunNumber{1}; }
   TaskKey Key(std::size_t member) const;
@@ -130,7 +130,7 @@
   std::size_t m_passed = 0;        // The first ones of m_units, so many, are placed or done.
   int m_first_runs = 0;            // Units for which Unit::IsFirstRun holds.
   bool m_is_awaited = false;       // Another step of the job comes after it.
-  std::set<int> m_interrupted;     // First tasks of the units that wait and were placed before.
+  std::set<int> m_interrupted;     // Units that wait and were placed before, by their first task.
   std::set<int> m_stored_rows;     // Of which a row is stored.
   std::set<int> m_set_aside_rows;  // That the store rejects.
   StepPace m_pace;
