--- a/tests/jobs/held_back_pool.h
+++ b/tests/jobs/held_back_pool.h
@@ -204,6 +204,23 @@
 
   void CheckStartsInTime(JobId job) { CPPUNIT_ASSERT(WaitUntilPlaced(job, kBound)); }
 
+  // All workers but the last ones are full for good, and no share is kept free.
+  void FillAllBut(int workers) {
+    SchedulerSettings settings;
+    settings.m_min_free_share = settings.m_min_free_share_batch = settings.m_min_free_share_tight = 0.0;
+    m_scheduler = std::make_unique<Scheduler>(settings);
+    ListAll();
+    for (int i = 0; i < kWorkers - workers; ++i) Occupy(WorkerAt(i), kAccelerators, kWhole.m_millicores);
+  }
+
+  // Another id answers at its address.
+  void LoseWorker(const WorkerId& worker) {
+    std::erase_if(m_runs, [&worker](const auto& run) { return run.second.m_worker == worker; });
+    m_scheduler->SetWorkerUsable(worker, false);
+    m_scheduler->OnWorkerCleared(worker, WorkerLoss::kReplaced, At(m_time));
+    m_scheduler->OnWorkerUnlisted(worker);
+  }
+
   std::unique_ptr<Scheduler> m_scheduler;
   Millis m_time{0};
   std::uint64_t m_next_job = 1;
--- a/tests/jobs/interrupted_work_test.cc
+++ b/tests/jobs/interrupted_work_test.cc
@@ -127,15 +127,6 @@
   }
 
  private:
-  // All workers but the last ones are full for good, and no share is kept free.
-  void FillAllBut(int workers) {
-    SchedulerSettings settings;
-    settings.m_min_free_share = settings.m_min_free_share_batch = settings.m_min_free_share_tight = 0.0;
-    m_scheduler = std::make_unique<Scheduler>(settings);
-    ListAll();
-    for (int i = 0; i < kWorkers - workers; ++i) Occupy(WorkerAt(i), kAccelerators, kWhole.m_millicores);
-  }
-
   void OccupyOthers(const std::set<WorkerId>& workers) {
     for (int i = 0; i < kMostWorkers; ++i) {
       if (!workers.contains(WorkerAt(i))) Occupy(WorkerAt(i), kAccelerators);
@@ -148,14 +139,6 @@
     return found->second;
   }
 
-  // Another id answers at its address.
-  void LoseWorker(const WorkerId& worker) {
-    std::erase_if(m_runs, [&worker](const auto& run) { return run.second.m_worker == worker; });
-    m_scheduler->SetWorkerUsable(worker, false);
-    m_scheduler->OnWorkerCleared(worker, WorkerLoss::kReplaced, At(m_time));
-    m_scheduler->OnWorkerUnlisted(worker);
-  }
-
   bool IsStoppedForUrgentWork() {
     m_time += kSecond;
     m_scheduler->TakeStops(At(m_time));
--- a/tests/jobs/lost_large_task_test.cc
+++ b/tests/jobs/lost_large_task_test.cc
@@ -46,15 +46,6 @@
   }
 
  private:
-  // All workers but the last ones are full for good, and no share is kept free.
-  void FillAllBut(int workers) {
-    SchedulerSettings settings;
-    settings.m_min_free_share = settings.m_min_free_share_batch = settings.m_min_free_share_tight = 0.0;
-    m_scheduler = std::make_unique<Scheduler>(settings);
-    ListAll();
-    for (int i = 0; i < kWorkers - workers; ++i) Occupy(WorkerAt(i), kAccelerators, kWhole.m_millicores);
-  }
-
   StartCommand RunOf(JobId job, int step = 0) const {
     const auto found = m_runs.find(TaskKey{StepKey{job, 0, step}, 0});
     CPPUNIT_ASSERT(found != m_runs.end());
@@ -67,14 +58,6 @@
     CPPUNIT_ASSERT(found != m_runs.end());
     return found->second;
   }
-
-  // Another id answers at its address.
-  void LoseWorker(const WorkerId& worker) {
-    std::erase_if(m_runs, [&worker](const auto& run) { return run.second.m_worker == worker; });
-    m_scheduler->SetWorkerUsable(worker, false);
-    m_scheduler->OnWorkerCleared(worker, WorkerLoss::kReplaced, At(m_time));
-    m_scheduler->OnWorkerUnlisted(worker);
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostLargeTaskTest);
--- a/tests/jobs/lost_run_test.cc
+++ b/tests/jobs/lost_run_test.cc
@@ -152,15 +152,6 @@
     return step;
   }
 
-  // All workers but the last ones are full for good, and no share is kept free.
-  void FillAllBut(int workers) {
-    SchedulerSettings settings;
-    settings.m_min_free_share = settings.m_min_free_share_batch = settings.m_min_free_share_tight = 0.0;
-    m_scheduler = std::make_unique<Scheduler>(settings);
-    ListAll();
-    for (int i = 0; i < kWorkers - workers; ++i) Occupy(WorkerAt(i), kAccelerators);
-  }
-
   // A job is lost with its worker, while work with nearer objectives runs on the only other one and waits for it.
   void CheckLostIsNext(const StepSpec& step) {
     FillAllBut(2);
@@ -189,14 +180,7 @@
     return runs;
   }
 
-  // Another id answers at the address of the worker that has the job's first run.
-  void LoseWorkerOf(JobId job) {
-    const WorkerId worker = RunsOf(job).front().m_worker;
-    std::erase_if(m_runs, [&worker](const auto& run) { return run.second.m_worker == worker; });
-    m_scheduler->SetWorkerUsable(worker, false);
-    m_scheduler->OnWorkerCleared(worker, WorkerLoss::kReplaced, At(m_time));
-    m_scheduler->OnWorkerUnlisted(worker);
-  }
+  void LoseWorkerOf(JobId job) { LoseWorker(RunsOf(job).front().m_worker); }
 
   // Tasks run to their end; as long as there is traffic, more of them wait than there is room for.
   void PlayRound(bool traffic) {
