Tests: a takeover that never came would not pass for a quick one

ReplacedAfterTakeover went on where no leader followed, or where the task ran before. It now checks both.

--- a/tests/service/restart_test.cc
+++ b/tests/service/restart_test.cc
@@ -193,7 +193,10 @@
       for (; !reached() && waited < 2 * kEnough; waited += kStep) m_cluster->Run(kStep);
       return waited;
     };
-    waits_for([&] { return m_cluster->MetricsText().find("hq_takeovers_total 2") != std::string::npos; });
+    const auto taken_over = [&] { return m_cluster->MetricsText().find("hq_takeovers_total 2") != std::string::npos; };
+    waits_for(taken_over);
+    CPPUNIT_ASSERT(taken_over());
+    CPPUNIT_ASSERT(m_cluster->Sim().Running() < tasks);
     const Millis waited = waits_for([&] { return m_cluster->Sim().Running() == tasks; });
     Complete(job);
     return waited;
