Review: stand-ins may hold as many connections as their process may

Cause: a process may begin with a limit of 1,024 descriptors, and the stand-ins of two hundred workers hold more.

--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -554,6 +554,10 @@
         print("build first: the build line of deploy/system.toml")
         sys.exit(2)
 
+    # Of this process alone, and no more than it may have: the stand-ins of many workers hold many connections.
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 8192)), hard))
+
     async def run():
         place = World(directory, **world)
         trouble = os.environ.get("TROUBLE", "1") != "0"
